--- /dev/null
+++ b/drill/src/orders.rs
@@ -0,0 +1,125 @@
+//! The settings of the wire, read into standing orders.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use topazsail::{Effect, Group, Operation, ReportField, StandingOrders};
+
+struct Info<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Info<'a> {
+    fn text(&self, path: &str) -> Result<&'a str, String> {
+        self.0.get(path).copied().ok_or_else(|| format!("{path} is missing"))
+    }
+
+    fn value<T: FromStr>(&self, path: &str) -> Result<T, String> {
+        let text = self.text(path)?;
+        text.parse().map_err(|_| format!("{path} has the bad value '{text}'"))
+    }
+
+    fn value_or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, String> {
+        match self.0.get(path) {
+            None | Some(&"" | &"-") => Ok(absent),
+            Some(_) => self.value(path),
+        }
+    }
+
+    fn within<T: FromStr + PartialOrd>(&self, path: &str, least: T, most: T) -> Result<T, String> {
+        let value = self.value(path)?;
+        if least <= value && value <= most { Ok(value) } else { Err(format!("{path} is out of range")) }
+    }
+
+    fn list(&self, path: &str) -> impl Iterator<Item = &'a str> {
+        self.0.get(path).copied().unwrap_or_default().split(',').filter(|text| !text.is_empty())
+    }
+
+    fn operation(&self, index: usize) -> Result<Operation, String> {
+        let path = |name: &str| format!("operations.{index}.{name}");
+        let effect = match self.text(&path("effect"))? {
+            "idempotent" => Effect::Idempotent,
+            "at_most_once" => Effect::NonIdempotent,
+            "deduplicated" => Effect::Deduplicated(match self.text(&path("group"))? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return Err(format!("{} has the bad value '{other}'", path("group"))),
+            }),
+            other => return Err(format!("{} has the bad value '{other}'", path("effect"))),
+        };
+        let memory_span = match effect {
+            Effect::Deduplicated(_) => self.within(&path("memorySpan"), 0, SPAN)?,
+            _ => 0,
+        };
+        let kind = match self.list("familyInfo.classKind").nth(index) {
+            None | Some("-1" | "-") => None,
+            Some(text) => {
+                let named = text.parse().ok().and_then(|nth| self.list("kinds").nth(nth));
+                Some(named.ok_or_else(|| format!("familyInfo.classKind has the bad value '{text}'"))?)
+            }
+        };
+        Ok(Operation {
+            latency_objective: self.within(&path("latencyObjective"), 0, SPAN)?,
+            client_timeout: self.within(&path("clientTimeout"), 1, SPAN)?,
+            effect,
+            memory_span,
+            billed_value: self.within(&path("billedValue"), 0.0, f64::MAX)?,
+            late_share: self.value_or(&path("lateBilledValue"), 0.0)?,
+            kind: kind.map(Into::into),
+        })
+    }
+
+    fn report_field(&self, name: &str) -> ReportField {
+        match name {
+            "outstanding" => ReportField::InFlight,
+            "backlog" => ReportField::Waiting,
+            "x0" if self.0.get("familyInfo.reportX0") == Some(&"free_slots") => ReportField::FreeSlots,
+            _ => ReportField::Other,
+        }
+    }
+}
+
+/// No span of the settings is longer: about two years.
+const SPAN: i64 = 1 << 46;
+
+/// The standing orders, and the operations' names in their order.
+pub fn read(info: &str) -> Result<(StandingOrders, Vec<String>), String> {
+    let pairs = info.split(' ').filter(|pair| !pair.is_empty());
+    let info = Info(
+        pairs
+            .map(|pair| pair.split_once('=').ok_or_else(|| format!("'{pair}' is no pair")))
+            .collect::<Result<_, _>>()?,
+    );
+    let (mut operations, mut names) = (Vec::new(), Vec::new());
+    for index in 0..info.value("operations.count")? {
+        names.push(info.text(&format!("operations.{index}.name"))?.to_owned());
+        operations.push(info.operation(index)?);
+    }
+    let must_subscribe = match info.text("registryMode")? {
+        "automatic" => false,
+        "subscribe" => true,
+        other => return Err(format!("registryMode has the bad value '{other}'")),
+    };
+    let flag = |path: &str| info.value_or(path, false);
+    let orders = StandingOrders {
+        operations,
+        dispatchers: info.within("balancers", 1, u32::MAX)?,
+        my_zone: info.0.get("myZone").copied().unwrap_or_default().into(),
+        crossing_costs: info.value_or("prices.crossZone", 0.0)? > 0.0,
+        must_subscribe,
+        ask_within: if must_subscribe { info.within("invariants.askWithin", 1, SPAN)? } else { SPAN },
+        cold_from: info.within("invariants.coldFrom", 0.0, 1.0)?,
+        warm_within: info.within("invariants.warmWithin", 0, SPAN)?,
+        overload_factor: info.within("invariants.overloadFactor", 0.0, f64::MAX)?,
+        tip_after: info.within("invariants.tipAfter", 0, SPAN)?,
+        most_forwards: info.within("limits.mostForwards", 1, u32::MAX)?,
+        may_cancel: flag("limits.cancel")?,
+        may_probe: flag("limits.probes")?,
+        come_back_max: match flag("limits.retryAfter")? {
+            true => Some(info.within("limits.maxRetryAfter", 0, SPAN)?),
+            false => None,
+        },
+        report_fields: info.list("report.fields").map(|name| info.report_field(name)).collect(),
+        progress: info.value_or("familyInfo.progress", 0)?,
+    };
+    Ok((orders, names))
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,812 @@
+//! Every decision of one dispatcher.
+//!
+//! An adapter makes a [`Brain`] from the standing orders and a seed, then calls [`Brain::decide`] with the
+//! clock and whatever happened since, in order; it gets back what is to be done, in order. The types on both
+//! sides are in `events.rs`, `actions.rs` and `standing.rs`. The brain knows no clock and no chance but these.
+//!
+//! The way of an invocation: `arrive` queues it, `place` goes through the queue by what is at stake and asks
+//! `pick` for a runner, `outcome` ends a forward, and `again` or `give_up` says what follows. `pick` is the
+//! design (Pod-SSP); docs/design.md lists each departure from it.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::{
+    Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
+    ReportField, Roster, RosterEntry, StandingOrders,
+};
+
+/// Draws for a low and for a high invocation.
+const D1: usize = 2;
+const D2: usize = 4;
+/// Period of the one timer.
+const TICK: Micros = 20_000;
+/// No invocation is left unanswered nearer to its client timeout than this.
+const MARGIN: Micros = 60_000;
+/// How much more loaded than the best draw, in jobs a slot, a key's home may be and still be taken.
+const HOME_WORTH: f64 = 0.6;
+/// The share of its cold budget that a dispatcher uses: sizes are known only on average.
+const COLD_CAUTION: f64 = 0.7;
+/// How far above the fleet's median share of failures a runner may lie.
+const FAILURES_OVER_MEDIAN: f64 = 0.3;
+/// Failures and successes count half after this.
+const HEALTH_MEMORY: f64 = 4e6;
+const BENCH: Micros = 400_000;
+const BENCH_MOST: Micros = 4_000_000;
+/// A report older than this is asked for anew while invocations wait.
+const STALE: Micros = 60_000;
+
+struct Runner {
+    id: Id,
+    hash: u64,
+    listed: bool,
+    kind: Id,
+    zone: Id,
+    cell: i64,
+    launched: Option<Micros>,
+    out: u32,
+    out_high: u32,
+    reported: f64,
+    reported_at: Option<Micros>,
+    /// Own sends less own ends since the report.
+    since: f64,
+    slots: Option<f64>,
+    good: f64,
+    bad: f64,
+    judged_at: Micros,
+    bench_until: Micros,
+    bench_count: u32,
+    /// Back from the bench, one forward at a time until it succeeds.
+    on_trial: bool,
+    /// Benched for want of a connection: a probe can tell when it is back.
+    dead: bool,
+    probing: bool,
+    /// Since when it has shown no sign of life while it held a forward of ours.
+    silent_since: Micros,
+    spent: VecDeque<(Micros, f64)>,
+}
+
+struct Forward {
+    tgt: usize,
+    number: u32,
+    cancelled: bool,
+    flowing: bool,
+    sent: Micros,
+    sign: Micros,
+}
+
+/// The first forward that may have run binds what may follow.
+#[derive(Clone)]
+struct Bond {
+    zone: Id,
+    cell: i64,
+    since: Micros,
+}
+
+struct Inv {
+    operation: usize,
+    deadline: Micros,
+    patience: Micros,
+    slots: f64,
+    key: Option<u64>,
+    forwards: u32,
+    out: Option<Forward>,
+    bond: Option<Bond>,
+    avoid: Vec<usize>,
+    place: Option<Place>,
+    answered: bool,
+}
+
+/// Order in the queue: what is at stake, then who can wait least.
+type Place = (u8, Micros, u64);
+
+enum Due {
+    GiveUp(Id),
+    Stall(Id, u32),
+    Ask,
+}
+
+pub struct Brain {
+    orders: StandingOrders,
+    high: Vec<bool>,
+    chance: Chance,
+    now: Micros,
+    begun: bool,
+    following: bool,
+    asked_at: Micros,
+    refusals: u32,
+    runners: Vec<Runner>,
+    by_id: HashMap<Id, usize>,
+    invs: HashMap<Id, Inv>,
+    queue: BTreeMap<Place, Id>,
+    dues: BTreeMap<(Micros, u64), Due>,
+    serial: u64,
+    /// Mean time of a successful forward, by operation.
+    pace: Vec<Option<f64>>,
+    todo: Vec<Action>,
+}
+
+impl Brain {
+    pub fn new(orders: StandingOrders, seed: u64) -> Brain {
+        let ops = &orders.operations;
+        let differs = |same: &dyn Fn(&Operation, &Operation) -> bool| ops.iter().any(|o| !same(o, &ops[0]));
+        let values = differs(&|a, b| a.billed_value == b.billed_value);
+        let objectives = differs(&|a, b| a.latency_objective == b.latency_objective);
+        let most = ops.iter().map(|o| o.billed_value).fold(0.0, f64::max);
+        let tightest = ops.iter().map(|o| o.latency_objective).min();
+        let high = ops
+            .iter()
+            .map(|o| values && o.billed_value == most || objectives && Some(o.latency_objective) == tightest)
+            .collect();
+        Brain {
+            high,
+            pace: vec![None; orders.operations.len()],
+            orders,
+            chance: Chance::new(seed),
+            now: 0,
+            begun: false,
+            following: false,
+            asked_at: 0,
+            refusals: 0,
+            runners: Vec::new(),
+            by_id: HashMap::new(),
+            invs: HashMap::new(),
+            queue: BTreeMap::new(),
+            dues: BTreeMap::new(),
+            serial: 0,
+            todo: Vec::new(),
+        }
+    }
+
+    /// The one entry point: what happened up to `now`, in order; what is to be done now, in order.
+    pub fn decide(&mut self, now: Micros, happened: Vec<Event>) -> Vec<Action> {
+        self.now = now;
+        if !self.begun {
+            self.begun = true;
+            self.todo.push(Action::Tick { after: TICK });
+            self.ask();
+        }
+        for event in happened {
+            match event {
+                Event::Arrival(arrival) => self.arrive(arrival),
+                Event::Flowing { inv, forward } => self.sign(&inv, forward, true),
+                Event::Progress { inv, forward } => self.sign(&inv, forward, false),
+                Event::Outcome(outcome) => self.outcome(outcome),
+                Event::Gone { inv } => self.close(&inv),
+                Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
+                Event::Roster(roster) => self.roster(roster),
+                Event::Tick => self.tick(),
+            }
+        }
+        while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= now) {
+            match entry.remove() {
+                Due::GiveUp(inv) => self.out_of_patience(&inv),
+                Due::Stall(inv, forward) => self.stalled(&inv, forward),
+                Due::Ask => self.ask(),
+            }
+        }
+        self.place();
+        std::mem::take(&mut self.todo)
+    }
+
+    fn next_serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    fn due(&mut self, at: Micros, due: Due) {
+        let serial = self.next_serial();
+        self.dues.insert((at, serial), due);
+    }
+
+    fn tick(&mut self) {
+        self.todo.push(Action::Tick { after: TICK });
+        if !self.following && self.now - self.asked_at > self.orders.ask_within / 2 {
+            self.ask();
+        }
+        if self.orders.may_probe {
+            self.probe();
+        }
+    }
+
+    // The roster.
+
+    fn ask(&mut self) {
+        if self.orders.must_subscribe {
+            self.asked_at = self.now;
+            self.todo.push(Action::Follow);
+        }
+    }
+
+    fn roster(&mut self, roster: Roster) {
+        match roster.listing {
+            Listing::Refused => {
+                // Every dispatcher of a restarted fleet asks at once, and the registry fails those that
+                // wait too long: asking again is spread out and slows down, but stays well inside the
+                // span after which unheard changes count as told.
+                self.following = false;
+                self.refusals += 1;
+                let most = (200_000 << self.refusals.min(4)).min(self.orders.ask_within / 4).max(1);
+                let after = most / 2 + self.chance.below(most as u64) as Micros;
+                self.due(self.now + after, Due::Ask);
+                return;
+            }
+            Listing::Changes => self.heard_from_registry(),
+            Listing::All => {
+                self.heard_from_registry();
+                self.runners.iter_mut().for_each(|r| r.listed = false);
+            }
+            Listing::Remembered => self.runners.iter_mut().for_each(|r| r.listed = false),
+        }
+        for entry in roster.entries {
+            self.enter(entry);
+        }
+    }
+
+    fn heard_from_registry(&mut self) {
+        self.following = true;
+        self.refusals = 0;
+    }
+
+    fn enter(&mut self, entry: RosterEntry) {
+        let index = match self.by_id.get(&entry.tgt) {
+            Some(index) => *index,
+            None => {
+                self.by_id.insert(entry.tgt.clone(), self.runners.len());
+                self.runners.push(Runner::new(&entry, self.now));
+                self.runners.len() - 1
+            }
+        };
+        let runner = &mut self.runners[index];
+        runner.listed = entry.readiness == Readiness::On;
+        runner.kind = entry.kind;
+        runner.zone = entry.zone;
+        runner.cell = entry.cell;
+        if runner.launched != entry.launched {
+            // Restarted under its own id: what it did before says nothing of it now.
+            runner.launched = entry.launched;
+            runner.reported = 0.0;
+            runner.since = 0.0;
+            (runner.good, runner.bad) = (0.0, 0.0);
+            runner.bench_until = runner.bench_until.min(self.now);
+        }
+    }
+
+    // Invocations.
+
+    fn arrive(&mut self, arrival: Arrival) {
+        let op = &self.orders.operations[arrival.operation];
+        let late = op.late_share * 0.5 * (op.client_timeout - op.latency_objective).max(0) as f64;
+        let patience = self.now + op.latency_objective + late as Micros;
+        let deadline = self.now + arrival.expires_in;
+        let inv = Inv {
+            operation: arrival.operation,
+            deadline,
+            patience: patience.min(deadline - MARGIN),
+            slots: arrival.slots,
+            key: arrival.key.as_deref().map(|key| hash(key.as_bytes())),
+            forwards: 0,
+            out: None,
+            bond: None,
+            avoid: Vec::new(),
+            place: None,
+            answered: false,
+        };
+        self.due(inv.patience, Due::GiveUp(arrival.inv.clone()));
+        self.invs.insert(arrival.inv.clone(), inv);
+        self.enqueue(&arrival.inv);
+    }
+
+    fn enqueue(&mut self, id: &Id) {
+        let serial = self.next_serial();
+        let Some(inv) = self.invs.get_mut(id) else { return };
+        let place = (u8::from(!self.high[inv.operation]), inv.patience, serial);
+        inv.place = Some(place);
+        self.queue.insert(place, id.clone());
+    }
+
+    fn out_of_patience(&mut self, id: &Id) {
+        if self.invs.get(id).is_some_and(|inv| inv.out.is_none()) {
+            self.give_up(id);
+        }
+    }
+
+    /// The last word of an invocation that is not to be forwarded any more.
+    fn give_up(&mut self, id: &Id) {
+        let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
+        let harmless = match self.orders.operations[inv.operation].effect {
+            Effect::Idempotent | Effect::Deduplicated(Group::All) => true,
+            Effect::Deduplicated(_) | Effect::NonIdempotent => inv.bond.is_none() && inv.out.is_none(),
+        };
+        let objective = self.orders.operations[inv.operation].latency_objective;
+        let come_back = self.orders.come_back_max.map(|most| most.min(objective));
+        let inv = id.clone();
+        self.todo.push(match harmless {
+            true => Action::Throttle { inv, come_back },
+            false => Action::Error { inv },
+        });
+        self.close(id);
+    }
+
+    /// Nothing more is owed; a forward still out keeps its entry until it ends.
+    fn close(&mut self, id: &Id) {
+        let Some(inv) = self.invs.get_mut(id) else { return };
+        inv.answered = true;
+        if let Some(place) = inv.place.take() {
+            self.queue.remove(&place);
+        }
+        if let Some(out) = &mut inv.out {
+            if self.orders.may_cancel && !out.cancelled && !out.flowing {
+                out.cancelled = true;
+                self.todo.push(Action::Cancel { inv: id.clone(), forward: out.number });
+            }
+        } else {
+            self.invs.remove(id);
+        }
+    }
+
+    fn place(&mut self) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let waiting: Vec<Id> = self.queue.values().take(256).cloned().collect();
+        let mut full = false;
+        for id in waiting {
+            let inv = &self.invs[&id];
+            let bound = inv.bond.is_some() || self.orders.operations[inv.operation].kind.is_some();
+            if full && !bound {
+                continue;
+            }
+            match self.pick(&id) {
+                Some(tgt) => self.forward(&id, tgt),
+                None => full |= !bound,
+            }
+        }
+    }
+
+    fn forward(&mut self, id: &Id, tgt: usize) {
+        let work = self.work(&self.invs[id]);
+        let stall = self.silence_allowed();
+        let Some(inv) = self.invs.get_mut(id) else { return };
+        if let Some(place) = inv.place.take() {
+            self.queue.remove(&place);
+        }
+        let number = inv.forwards;
+        inv.forwards += 1;
+        inv.out =
+            Some(Forward { tgt, number, cancelled: false, flowing: false, sent: self.now, sign: self.now });
+        let high = self.high[inv.operation];
+        let runner = &mut self.runners[tgt];
+        if runner.out == 0 {
+            runner.silent_since = self.now;
+        }
+        runner.out += 1;
+        runner.out_high += u32::from(high);
+        runner.since += 1.0;
+        runner.spent.push_back((self.now, work));
+        self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
+        self.due(self.now + stall, Due::Stall(id.clone(), number));
+    }
+
+    fn sign(&mut self, id: &Id, forward: u32, flowing: bool) {
+        let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) else { return };
+        if out.number == forward {
+            out.flowing |= flowing;
+            out.sign = self.now;
+            self.runners[out.tgt].silent_since = self.now;
+        }
+    }
+
+    fn outcome(&mut self, outcome: Outcome) {
+        let Some(inv) = self.invs.get_mut(&outcome.inv) else { return };
+        let Some(out) = inv.out.take_if(|out| out.number == outcome.forward) else { return };
+        let operation = inv.operation;
+        let answered = inv.answered || outcome.finished;
+        let runner = &mut self.runners[out.tgt];
+        runner.out -= 1;
+        runner.out_high -= u32::from(self.high[operation]);
+        runner.since -= 1.0;
+        let ran = match outcome.ending {
+            Ending::Succeeded | Ending::Errored | Ending::TimedOut | Ending::Broken | Ending::Withdrawn => {
+                true
+            }
+            Ending::Overloaded | Ending::Unreachable | Ending::Void => false,
+        };
+        if ran && inv.bond.is_none() {
+            let (zone, cell) = (runner.zone.clone(), runner.cell);
+            inv.bond = Some(Bond { zone, cell, since: out.sent });
+        }
+        if outcome.ending != Ending::Succeeded {
+            inv.avoid.push(out.tgt);
+        }
+        self.report(out.tgt, &outcome.report);
+        self.judge(out.tgt, operation, &outcome);
+        if answered {
+            self.close(&outcome.inv);
+        } else {
+            self.again(&outcome.inv);
+        }
+    }
+
+    /// Whether the forward that has ended is to be followed by another one.
+    fn again(&mut self, id: &Id) {
+        let inv = &self.invs[id];
+        let op = &self.orders.operations[inv.operation];
+        let allowed = inv.forwards < self.forwards_allowed(op) && self.now < inv.deadline - MARGIN;
+        let harmless = match (&inv.bond, op.effect) {
+            (None, _) | (Some(_), Effect::Idempotent) => true,
+            (Some(bond), Effect::Deduplicated(_)) => self.now < bond.since + op.memory_span - MARGIN,
+            (Some(_), Effect::NonIdempotent) => false,
+        };
+        if !(allowed && harmless) {
+            return self.give_up(id);
+        }
+        let mut until = (inv.patience.max(self.now + op.latency_objective / 2)).min(inv.deadline - MARGIN);
+        if let (Some(bond), Effect::Deduplicated(_)) = (&inv.bond, op.effect) {
+            until = until.min(bond.since + op.memory_span - MARGIN);
+        }
+        if let Some(inv) = self.invs.get_mut(id) {
+            inv.patience = until;
+        }
+        self.due(until, Due::GiveUp(id.clone()));
+        self.enqueue(id);
+    }
+
+    /// House rule of the operators: further forwards go by billed value.
+    fn forwards_allowed(&self, op: &Operation) -> u32 {
+        let most = self.orders.operations.iter().map(|o| o.billed_value).fold(0.0, f64::max);
+        let share = if most > 0.0 { op.billed_value / most } else { 1.0 };
+        1 + (f64::from(self.orders.most_forwards - 1) * share).ceil() as u32
+    }
+
+    // The design.
+
+    fn pick(&mut self, id: &Id) -> Option<usize> {
+        let inv = &self.invs[id];
+        let high = self.high[inv.operation];
+        let mut open: Vec<usize> = (0..self.runners.len()).filter(|r| self.open(*r, inv)).collect();
+        if open.iter().any(|r| !inv.avoid.contains(r)) {
+            open.retain(|r| !inv.avoid.contains(r));
+        }
+        let key = inv.key;
+        if self.orders.crossing_costs && key.is_none() {
+            let near = |r: &usize| {
+                let runner = &self.runners[*r];
+                runner.zone == self.orders.my_zone && self.count(*r) < self.slots(*r)
+            };
+            if open.iter().any(near) {
+                open.retain(near);
+            }
+        }
+        let draws = if high { D2 } else { D1 };
+        let mut drawn = open.clone();
+        let mut best: Option<(f64, f64, usize)> = None;
+        for nth in 0..draws.min(drawn.len()) {
+            let other = nth + self.chance.below((drawn.len() - nth) as u64) as usize;
+            drawn.swap(nth, other);
+            let r = drawn[nth];
+            let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
+            let this = (first, self.load(r), r);
+            if best.is_none_or(|best| (this.0, this.1) < (best.0, best.1)) {
+                best = Some(this);
+            }
+        }
+        let (_, load, tgt) = best?;
+        // A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
+        // dispatcher finds the same home for a key by hashing, with no word between them: the highest hash
+        // that is not much more loaded than the best draw.
+        let Some(key) = key else { return Some(tgt) };
+        open.into_iter()
+            .filter(|r| self.load(*r) <= load + HOME_WORTH)
+            .max_by_key(|r| mix(key ^ self.runners[*r].hash))
+    }
+
+    /// Whether a runner may be drawn for this invocation.
+    fn open(&self, r: usize, inv: &Inv) -> bool {
+        let runner = &self.runners[r];
+        let op = &self.orders.operations[inv.operation];
+        let fits = runner.listed
+            && op.kind.as_ref().is_none_or(|kind| *kind == runner.kind)
+            && match (&inv.bond, op.effect) {
+                (Some(bond), Effect::Deduplicated(Group::Zone)) => bond.zone == runner.zone,
+                (Some(bond), Effect::Deduplicated(Group::Cell)) => bond.cell == runner.cell,
+                _ => true,
+            };
+        fits && self.now >= runner.bench_until
+            && !(runner.on_trial && runner.out > 0)
+            && !self.silent(r)
+            && self.count(r) + inv.slots <= self.room(r).max(inv.slots)
+            && self.within_cold_budget(r, self.work(inv))
+    }
+
+    /// All-class count: the report and own sends since, own forwards out being a floor under a stale report.
+    fn count(&self, r: usize) -> f64 {
+        let runner = &self.runners[r];
+        match runner.reported_at {
+            Some(_) => (runner.reported + runner.since).max(f64::from(runner.out)),
+            None => self.mean_reported().max(f64::from(runner.out)),
+        }
+    }
+
+    fn mean_reported(&self) -> f64 {
+        let known = self.runners.iter().filter(|r| r.listed && r.reported_at.is_some());
+        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), r| (sum + r.reported, n + 1.0));
+        if n > 0.0 { sum / n } else { 0.0 }
+    }
+
+    fn slots(&self, r: usize) -> f64 {
+        self.runners[r].slots.unwrap_or_else(|| {
+            let known = self.runners.iter().filter_map(|r| r.slots);
+            known.fold(None, |least: Option<f64>, s| Some(least.map_or(s, |l| l.min(s)))).unwrap_or(1.0)
+        })
+    }
+
+    fn load(&self, r: usize) -> f64 {
+        (self.count(r) + 1.0) / (self.slots(r) * self.warmth(r))
+    }
+
+    /// The most that a runner may hold. Where probes keep counts fresh, waiting is done here rather than in
+    /// a runner's few waiting places; where counts are old, runners must hold what bridges their age.
+    fn room(&self, r: usize) -> f64 {
+        let slots = self.slots(r);
+        if self.orders.may_probe {
+            return (slots * self.warmth(r)).ceil();
+        }
+        let tightest = self.orders.operations.iter().map(|o| o.latency_objective).min().unwrap_or(0) as f64;
+        let paces: Vec<f64> = self.pace.iter().flatten().copied().collect();
+        let pace = paces.iter().sum::<f64>() / (paces.len() as f64).max(1.0);
+        let waits = if pace > 0.0 { tightest / pace } else { 1.0 };
+        (slots * self.warmth(r) * (1.0 + waits)).ceil()
+    }
+
+    // Cold runners.
+
+    /// The share of its full capacity that a runner surely has.
+    fn warmth(&self, r: usize) -> f64 {
+        let Some(launched) = self.runners[r].launched else { return 1.0 };
+        let age = (self.now - launched).max(0) as f64 / self.orders.warm_within.max(1) as f64;
+        (self.orders.cold_from + (1.0 - self.orders.cold_from) * age).min(1.0)
+    }
+
+    fn work(&self, inv: &Inv) -> f64 {
+        let objective = self.orders.operations[inv.operation].latency_objective as f64;
+        self.pace[inv.operation].unwrap_or(objective) * inv.slots
+    }
+
+    fn within_cold_budget(&self, r: usize, work: f64) -> bool {
+        let warmth = self.warmth(r);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let all = self.orders.overload_factor * warmth * self.slots(r) * self.orders.tip_after as f64;
+        let mine = all * COLD_CAUTION / f64::from(self.orders.dispatchers);
+        let from = self.now - self.orders.tip_after;
+        let spent: f64 = self.runners[r].spent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum();
+        spent + work <= mine
+    }
+
+    // What runners show of themselves.
+
+    fn report(&mut self, r: usize, values: &[f64]) {
+        let runner = &mut self.runners[r];
+        while runner.spent.front().is_some_and(|(at, _)| *at < self.now - self.orders.tip_after) {
+            runner.spent.pop_front();
+        }
+        if values.is_empty() {
+            return;
+        }
+        let of = |field| {
+            let nth = self.orders.report_fields.iter().position(|f| *f == field);
+            nth.and_then(|nth| values.get(nth)).copied()
+        };
+        let Some(inflight) = of(ReportField::InFlight) else { return };
+        runner.reported = inflight;
+        runner.reported_at = Some(self.now);
+        runner.since = 0.0;
+        if let Some(free) = of(ReportField::FreeSlots) {
+            let waiting = of(ReportField::Waiting);
+            if free > 0.5 || waiting.is_some() {
+                let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
+                runner.slots = Some(runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots)));
+            }
+        }
+    }
+
+    fn judge(&mut self, r: usize, operation: usize, outcome: &Outcome) {
+        let now = self.now;
+        let runner = &mut self.runners[r];
+        let faded = 0.5f64.powf((now - runner.judged_at) as f64 / HEALTH_MEMORY);
+        runner.judged_at = now;
+        runner.good *= faded;
+        runner.bad *= faded;
+        match outcome.ending {
+            Ending::Succeeded => {
+                runner.good += 1.0;
+                runner.silent_since = now;
+                runner.on_trial = false;
+                runner.bench_count = 0;
+                let pace = &mut self.pace[operation];
+                let elapsed = outcome.elapsed as f64;
+                *pace = Some(pace.map_or(elapsed, |pace| pace + 0.05 * (elapsed - pace)));
+            }
+            Ending::Errored => {
+                runner.bad += 1.0;
+                runner.silent_since = now;
+                let share = runner.share_failed();
+                if runner.bad > 1.5 && share > self.median_share_failed() + FAILURES_OVER_MEDIAN {
+                    self.bench(r, "errors");
+                }
+            }
+            Ending::Broken | Ending::Unreachable => {
+                runner.dead = true;
+                self.bench(r, "no connection");
+            }
+            Ending::Overloaded => runner.silent_since = now,
+            Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
+        }
+    }
+
+    fn median_share_failed(&self) -> f64 {
+        let mut shares: Vec<f64> =
+            self.runners.iter().filter(|r| r.listed).map(Runner::share_failed).collect();
+        shares.sort_by(f64::total_cmp);
+        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    fn bench(&mut self, r: usize, why: &str) {
+        let runner = &mut self.runners[r];
+        if self.now < runner.bench_until {
+            return;
+        }
+        let span = (BENCH << runner.bench_count.min(8)).min(BENCH_MOST);
+        runner.bench_until = self.now + span;
+        runner.bench_count += 1;
+        runner.on_trial = true;
+        self.todo.push(Action::Log(format!("{} set aside for {} ms: {why}", runner.id, span / 1000)));
+    }
+
+    /// How long a runner may show no sign of life. One that is not standing still tells of progress at a
+    /// known gap, so its lack tells a hang sooner than any time-out could.
+    fn silence_allowed(&self) -> Micros {
+        if self.orders.progress > 0 {
+            return self.orders.progress * 3 / 2;
+        }
+        let slowest = self.pace.iter().flatten().copied().fold(0.0, f64::max);
+        if slowest > 0.0 { 4 * slowest as Micros } else { 5_000_000 }
+    }
+
+    fn silent(&self, r: usize) -> bool {
+        let runner = &self.runners[r];
+        runner.out > 0 && self.now - runner.silent_since >= self.silence_allowed()
+    }
+
+    fn stalled(&mut self, id: &Id, forward: u32) {
+        let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
+        let Some(out) = inv.out.as_ref().filter(|out| out.number == forward) else { return };
+        if out.flowing || out.cancelled {
+            return;
+        }
+        let op = &self.orders.operations[inv.operation];
+        let allowed = self.silence_allowed();
+        let tgt = out.tgt;
+        let may_go = self.orders.may_cancel
+            && inv.forwards < self.forwards_allowed(op)
+            && match op.effect {
+                Effect::Idempotent => true,
+                Effect::Deduplicated(_) => self.now < out.sent + op.memory_span - 2 * MARGIN,
+                Effect::NonIdempotent => false,
+            };
+        if !may_go {
+            return;
+        }
+        if self.silent(tgt) && self.now - out.sign >= allowed {
+            let action = Action::Cancel { inv: id.clone(), forward };
+            if let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) {
+                out.cancelled = true;
+            }
+            self.todo.push(action);
+            self.bench(tgt, "silent");
+        } else {
+            self.due(self.now + allowed / 4, Due::Stall(id.clone(), forward));
+        }
+    }
+
+    // Probes.
+
+    fn probe(&mut self) {
+        let hungry = !self.queue.is_empty();
+        let mut left = 3;
+        for r in 0..self.runners.len() {
+            let runner = &mut self.runners[r];
+            let benched = self.now < runner.bench_until;
+            let revive = runner.dead && !benched;
+            let stale = runner.reported_at.is_none_or(|at| self.now - at > STALE);
+            if !runner.listed || runner.probing || left == 0 || !(revive || hungry && stale && !benched) {
+                continue;
+            }
+            runner.probing = true;
+            left -= 1;
+            self.todo.push(Action::Probe { tgt: runner.id.clone() });
+        }
+    }
+
+    fn probed(&mut self, id: &Id, alive: bool, report: &[f64]) {
+        let Some(&r) = self.by_id.get(id) else { return };
+        self.runners[r].probing = false;
+        if alive {
+            self.runners[r].dead = false;
+            self.report(r, report);
+        } else {
+            self.runners[r].dead = true;
+            self.bench(r, "no answer to a probe");
+        }
+    }
+}
+
+impl Runner {
+    fn new(entry: &RosterEntry, now: Micros) -> Runner {
+        Runner {
+            id: entry.tgt.clone(),
+            hash: hash(entry.tgt.as_bytes()),
+            listed: false,
+            kind: entry.kind.clone(),
+            zone: entry.zone.clone(),
+            cell: entry.cell,
+            launched: entry.launched,
+            out: 0,
+            out_high: 0,
+            reported: 0.0,
+            reported_at: None,
+            since: 0.0,
+            slots: None,
+            good: 0.0,
+            bad: 0.0,
+            judged_at: now,
+            bench_until: now,
+            bench_count: 0,
+            on_trial: false,
+            dead: false,
+            probing: false,
+            silent_since: now,
+            spent: VecDeque::new(),
+        }
+    }
+
+    fn share_failed(&self) -> f64 {
+        // Two successes are granted in advance: one failure alone condemns nobody.
+        self.bad / (self.good + self.bad + 2.0)
+    }
+}
+
+/// A permuted congruential generator (PCG-XSH-RR 64/32).
+struct Chance(u64);
+
+impl Chance {
+    fn new(seed: u64) -> Chance {
+        let mut chance = Chance(seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        chance.next();
+        chance
+    }
+
+    fn next(&mut self) -> u32 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+
+    /// A number from 0 up to, not including, `bound`.
+    fn below(&mut self, bound: u64) -> u64 {
+        (u64::from(self.next()) * bound) >> 32
+    }
+}
+
+/// The same at every dispatcher, so that all find the same home for a key (FNV-1a, then mixed).
+fn hash(bytes: &[u8]) -> u64 {
+    let fold = |h: u64, byte: &u8| (h ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
+fn mix(mut h: u64) -> u64 {
+    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    h ^ (h >> 33)
+}
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,98 @@
+use crate::{Id, Micros};
+
+/// What happened to this dispatcher.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Arrival(Arrival),
+    /// The answer has begun to flow: the forward now belongs to the client.
+    Flowing {
+        inv: Id,
+        forward: u32,
+    },
+    /// A forward that is still out has started or come further.
+    Progress {
+        inv: Id,
+        forward: u32,
+    },
+    Outcome(Outcome),
+    /// The client has left, or its time is over.
+    Gone {
+        inv: Id,
+    },
+    Probed {
+        tgt: Id,
+        alive: bool,
+        report: Vec<f64>,
+    },
+    Roster(Roster),
+    /// The periodic timer.
+    Tick,
+}
+
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub inv: Id,
+    /// Index into the standing orders' operations.
+    pub operation: usize,
+    pub expires_in: Micros,
+    pub slots: f64,
+    pub memory: f64,
+    pub key: Option<Id>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub inv: Id,
+    pub forward: u32,
+    pub tgt: Id,
+    pub ending: Ending,
+    /// Whether the invocation has had its final answer.
+    pub finished: bool,
+    pub elapsed: Micros,
+    /// Values in the order of the standing orders' report fields; empty where none came.
+    pub report: Vec<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Succeeded,
+    Errored,
+    Overloaded,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Withdrawn,
+    Void,
+}
+
+#[derive(Clone, Debug)]
+pub struct Roster {
+    pub listing: Listing,
+    pub entries: Vec<RosterEntry>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    Changes,
+    All,
+    Remembered,
+    Refused,
+}
+
+#[derive(Clone, Debug)]
+pub struct RosterEntry {
+    pub tgt: Id,
+    pub cell: i64,
+    pub kind: Id,
+    pub zone: Id,
+    pub readiness: Readiness,
+    /// When it last started, where that is known and not long ago.
+    pub launched: Option<Micros>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    On,
+    Fading,
+    Off,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! topazsail decides, for one dispatcher, where each invocation is forwarded.
+//!
+//! `brain` holds every decision; the other files hold the plain types that it takes and returns.
+//! None of them knows a protocol: an adapter (today `drill`) turns its wire into [`Event`]s and
+//! [`Action`]s into its wire.
+
+mod actions;
+mod brain;
+mod events;
+mod standing;
+
+use std::rc::Rc;
+
+pub use actions::Action;
+pub use brain::Brain;
+pub use events::{Arrival, Ending, Event, Listing, Outcome, Readiness, Roster, RosterEntry};
+pub use standing::{Effect, Group, Operation, ReportField, StandingOrders};
+
+/// Whole microseconds: a moment of the adapter's clock, or a span.
+pub type Micros = i64;
+/// An id as the wire gives it.
+pub type Id = Rc<str>;
--- /dev/null
+++ b/src/standing.rs
@@ -0,0 +1,59 @@
+use crate::{Id, Micros};
+
+/// What a dispatcher is told once, at its start. Only what the brain reads is kept.
+#[derive(Clone, Debug)]
+pub struct StandingOrders {
+    pub operations: Vec<Operation>,
+    pub dispatchers: u32,
+    pub my_zone: Id,
+    /// Whether a crossing of zones costs something.
+    pub crossing_costs: bool,
+    pub must_subscribe: bool,
+    pub ask_within: Micros,
+    pub cold_from: f64,
+    pub warm_within: Micros,
+    pub overload_factor: f64,
+    pub tip_after: Micros,
+    pub most_forwards: u32,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    /// The longest come-back advice that a client follows; `None` where advice is not handed on.
+    pub come_back_max: Option<Micros>,
+    pub report_fields: Vec<ReportField>,
+    /// The gap between progress notes; 0 where there are none.
+    pub progress: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct Operation {
+    pub latency_objective: Micros,
+    pub client_timeout: Micros,
+    pub effect: Effect,
+    pub memory_span: Micros,
+    pub billed_value: f64,
+    pub late_share: f64,
+    /// The one kind of machine that runs it, where only one does.
+    pub kind: Option<Id>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated(Group),
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    InFlight,
+    Waiting,
+    FreeSlots,
+    Other,
+}
