--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,10 @@
 const BENCH_MOST: Micros = 4_000_000;
 /// A report older than this is asked for anew while invocations wait.
 const STALE: Micros = 60_000;
+/// A forward younger than this need not show in a report yet.
+const SETTLED: Micros = 50_000;
+/// Above this share of contradicted reports, the latest of them says nothing of now.
+const DOUBTFUL: f64 = 0.15;
 
 struct Runner {
     id: Id,
@@ -45,10 +49,13 @@
     launched: Option<Micros>,
     out: u32,
     out_high: u32,
-    reported: f64,
+    /// Others' jobs by the latest report: what it says less own forwards out at that time.
+    others: f64,
+    /// The same, averaged over reports: what remains to go by when the latest is old or comes late.
+    others_usual: f64,
     reported_at: Option<Micros>,
-    /// Own sends less own ends since the report.
-    since: f64,
+    /// It has turned work away as full, and no slot can have come free since.
+    full_until: Micros,
     slots: Option<f64>,
     good: f64,
     bad: f64,
@@ -120,6 +127,8 @@
     queue: BTreeMap<Place, Id>,
     dues: BTreeMap<(Micros, u64), Due>,
     serial: u64,
+    /// Share of the reports, of late, that contradicted what is known first-hand.
+    doubt: f64,
     /// Mean time of a successful forward, by operation.
     pace: Vec<Option<f64>>,
     todo: Vec<Action>,
@@ -153,6 +162,7 @@
             queue: BTreeMap::new(),
             dues: BTreeMap::new(),
             serial: 0,
+            doubt: 0.0,
             todo: Vec::new(),
         }
     }
@@ -264,8 +274,7 @@
         if runner.launched != entry.launched {
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
-            runner.reported = 0.0;
-            runner.since = 0.0;
+            (runner.others, runner.others_usual) = (0.0, 0.0);
             (runner.good, runner.bad) = (0.0, 0.0);
             runner.bench_until = runner.bench_until.min(self.now);
         }
@@ -381,7 +390,6 @@
         }
         runner.out += 1;
         runner.out_high += u32::from(high);
-        runner.since += 1.0;
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
         self.due(self.now + stall, Due::Stall(id.clone(), number));
@@ -404,7 +412,6 @@
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
         runner.out_high -= u32::from(self.high[operation]);
-        runner.since -= 1.0;
         let ran = match outcome.ending {
             Ending::Succeeded | Ending::Errored | Ending::TimedOut | Ending::Broken | Ending::Withdrawn => {
                 true
@@ -511,25 +518,37 @@
                 (Some(bond), Effect::Deduplicated(Group::Cell)) => bond.cell == runner.cell,
                 _ => true,
             };
-        fits && self.now >= runner.bench_until
+        fits && self.now >= runner.bench_until.max(runner.full_until)
             && !(runner.on_trial && runner.out > 0)
             && !self.silent(r)
             && self.count(r) + inv.slots <= self.room(r).max(inv.slots)
             && self.within_cold_budget(r, self.work(inv))
     }
 
-    /// All-class count: the report and own sends since, own forwards out being a floor under a stale report.
+    /// All-class count: own forwards out and what the latest report leaves for others. As a report ages, the
+    /// jobs that it counted end: after about one job's time only the usual figure of that runner says more.
     fn count(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
-        match runner.reported_at {
-            Some(_) => (runner.reported + runner.since).max(f64::from(runner.out)),
-            None => self.mean_reported().max(f64::from(runner.out)),
-        }
+        let others = match runner.reported_at {
+            Some(_) if self.doubt > DOUBTFUL => runner.others_usual,
+            Some(at) => {
+                let fresh = (-((self.now - at) as f64) / self.mean_pace().max(1.0)).exp();
+                fresh * runner.others + (1.0 - fresh) * runner.others_usual
+            }
+            None => self.mean_others(),
+        };
+        f64::from(runner.out) + others.max(0.0)
     }
 
-    fn mean_reported(&self) -> f64 {
+    fn mean_others(&self) -> f64 {
         let known = self.runners.iter().filter(|r| r.listed && r.reported_at.is_some());
-        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), r| (sum + r.reported, n + 1.0));
+        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), r| (sum + r.others_usual.max(0.0), n + 1.0));
+        if n > 0.0 { sum / n } else { 0.0 }
+    }
+
+    fn mean_pace(&self) -> f64 {
+        let known = self.pace.iter().flatten();
+        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), pace| (sum + pace, n + 1.0));
         if n > 0.0 { sum / n } else { 0.0 }
     }
 
@@ -549,11 +568,12 @@
     fn room(&self, r: usize) -> f64 {
         let slots = self.slots(r);
         if self.orders.may_probe {
-            return (slots * self.warmth(r)).ceil();
+            // Counts in doubt are averages: half a job over may as well be half a slot free.
+            let guess = if self.doubt > DOUBTFUL { 0.5 } else { 0.0 };
+            return (slots * self.warmth(r)).ceil() + guess;
         }
         let tightest = self.orders.operations.iter().map(|o| o.latency_objective).min().unwrap_or(0) as f64;
-        let paces: Vec<f64> = self.pace.iter().flatten().copied().collect();
-        let pace = paces.iter().sum::<f64>() / (paces.len() as f64).max(1.0);
+        let pace = self.mean_pace();
         let waits = if pace > 0.0 { tightest / pace } else { 1.0 };
         (slots * self.warmth(r) * (1.0 + waits)).ceil()
     }
@@ -599,9 +619,17 @@
             nth.and_then(|nth| values.get(nth)).copied()
         };
         let Some(inflight) = of(ReportField::InFlight) else { return };
-        runner.reported = inflight;
+        let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
+        let settled = f64::from(runner.out) - just_sent as f64;
+        if settled > 0.0 {
+            // A fresh report counts at least what has long been there; one that does not is late.
+            let late = if inflight + 0.5 < settled { 1.0 } else { 0.0 };
+            self.doubt += 0.1 * (late - self.doubt);
+        }
+        runner.others = inflight - settled.max(0.0);
+        let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
+        runner.others_usual += weight * (runner.others - runner.others_usual);
         runner.reported_at = Some(self.now);
-        runner.since = 0.0;
         if let Some(free) = of(ReportField::FreeSlots) {
             let waiting = of(ReportField::Waiting);
             if free > 0.5 || waiting.is_some() {
@@ -613,6 +641,7 @@
 
     fn judge(&mut self, r: usize, operation: usize, outcome: &Outcome) {
         let now = self.now;
+        let (pace, slots) = (self.mean_pace(), self.slots(r));
         let runner = &mut self.runners[r];
         let faded = 0.5f64.powf((now - runner.judged_at) as f64 / HEALTH_MEMORY);
         runner.judged_at = now;
@@ -623,6 +652,7 @@
                 runner.good += 1.0;
                 runner.silent_since = now;
                 runner.on_trial = false;
+                runner.full_until = now;
                 runner.bench_count = 0;
                 let pace = &mut self.pace[operation];
                 let elapsed = outcome.elapsed as f64;
@@ -640,7 +670,10 @@
                 runner.dead = true;
                 self.bench(r, "no connection");
             }
-            Ending::Overloaded => runner.silent_since = now,
+            Ending::Overloaded => {
+                runner.silent_since = now;
+                runner.full_until = now + (pace / slots / 2.0) as Micros;
+            }
             Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
         }
     }
@@ -754,9 +787,10 @@
             launched: entry.launched,
             out: 0,
             out_high: 0,
-            reported: 0.0,
+            others: 0.0,
+            others_usual: 0.0,
             reported_at: None,
-            since: 0.0,
+            full_until: now,
             slots: None,
             good: 0.0,
             bad: 0.0,
