--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,6 +38,8 @@
 const SETTLED: Micros = 50_000;
 /// Above this share of contradicted reports, the latest of them says nothing of now.
 const DOUBTFUL: f64 = 0.15;
+/// In mean times of a forward: how long a runner's usual load is believed with no word from it.
+const FADES: f64 = 8.0;
 
 struct Runner {
     id: Id,
@@ -92,6 +94,8 @@
 struct Inv {
     operation: usize,
     deadline: Micros,
+    /// Until when a start is still in time.
+    in_time: Micros,
     patience: Micros,
     slots: f64,
     key: Option<u64>,
@@ -108,6 +112,7 @@
 
 enum Due {
     GiveUp(Id),
+    Late(Id),
     Stall(Id, u32),
     Ask,
 }
@@ -190,6 +195,7 @@
         while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
                 Due::GiveUp(inv) => self.out_of_patience(&inv),
+                Due::Late(inv) => self.late(&inv),
                 Due::Stall(inv, forward) => self.stalled(&inv, forward),
                 Due::Ask => self.ask(),
             }
@@ -290,6 +296,7 @@
         let inv = Inv {
             operation: arrival.operation,
             deadline,
+            in_time: self.now + op.latency_objective,
             patience: patience.min(deadline - MARGIN),
             slots: arrival.slots,
             key: arrival.key.as_deref().map(|key| hash(key.as_bytes())),
@@ -301,6 +308,9 @@
             answered: false,
         };
         self.due(inv.patience, Due::GiveUp(arrival.inv.clone()));
+        if inv.in_time < inv.patience {
+            self.due(inv.in_time, Due::Late(arrival.inv.clone()));
+        }
         self.invs.insert(arrival.inv.clone(), inv);
         self.enqueue(&arrival.inv);
     }
@@ -308,11 +318,19 @@
     fn enqueue(&mut self, id: &Id) {
         let serial = self.next_serial();
         let Some(inv) = self.invs.get_mut(id) else { return };
-        let place = (u8::from(!self.high[inv.operation]), inv.patience, serial);
+        // Late work goes last: served first come first, a queue that once fell behind makes all late.
+        let tier = if self.now >= inv.in_time { 2 } else { u8::from(!self.high[inv.operation]) };
+        let place = (tier, inv.in_time, serial);
         inv.place = Some(place);
         self.queue.insert(place, id.clone());
     }
 
+    fn late(&mut self, id: &Id) {
+        let Some(place) = self.invs.get_mut(id).and_then(|inv| inv.place.take()) else { return };
+        self.queue.remove(&place);
+        self.enqueue(id);
+    }
+
     fn out_of_patience(&mut self, id: &Id) {
         if self.invs.get(id).is_some_and(|inv| inv.out.is_none()) {
             self.give_up(id);
@@ -529,14 +547,13 @@
     /// jobs that it counted end: after about one job's time only the usual figure of that runner says more.
     fn count(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
-        let others = match runner.reported_at {
-            Some(_) if self.doubt > DOUBTFUL => runner.others_usual,
-            Some(at) => {
-                let fresh = (-((self.now - at) as f64) / self.mean_pace().max(1.0)).exp();
-                fresh * runner.others + (1.0 - fresh) * runner.others_usual
-            }
-            None => self.mean_others(),
-        };
+        let Some(at) = runner.reported_at else { return f64::from(runner.out) + self.mean_others() };
+        // What a report said fades: else a runner that once was full would be shunned, never report again
+        // and stay full in our eyes for good.
+        let age = (self.now - at) as f64 / self.mean_pace().max(1.0);
+        let usual = runner.others_usual * (-age / FADES).exp();
+        let fresh = if self.doubt > DOUBTFUL { 0.0 } else { (-age).exp() };
+        let others = fresh * runner.others + (1.0 - fresh) * usual;
         f64::from(runner.out) + others.max(0.0)
     }
 
@@ -672,7 +689,7 @@
             }
             Ending::Overloaded => {
                 runner.silent_since = now;
-                runner.full_until = now + (pace / slots / 2.0) as Micros;
+                runner.full_until = now + (pace / slots) as Micros;
             }
             Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
         }
@@ -746,7 +763,7 @@
     // Probes.
 
     fn probe(&mut self) {
-        let hungry = !self.queue.is_empty();
+        let hungry = !self.queue.is_empty() && self.doubt <= DOUBTFUL;
         let mut left = 3;
         for r in 0..self.runners.len() {
             let runner = &mut self.runners[r];
