--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,8 +22,8 @@
 const TICK: Micros = 20_000;
 /// No invocation is left unanswered nearer to its client timeout than this.
 const MARGIN: Micros = 60_000;
-/// How much more loaded than the best draw, in jobs a slot, a key's home may be and still be taken.
-const HOME_WORTH: f64 = 0.6;
+/// How many times its share of own forwards out a key's home may hold.
+const HOME_BOUND: f64 = 1.25;
 /// The share of its cold budget that a dispatcher uses: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
 /// How far above the fleet's median share of failures a runner may lie.
@@ -515,14 +515,18 @@
                 best = Some(this);
             }
         }
-        let (_, load, tgt) = best?;
+        let (_, _, tgt) = best?;
         // A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
         // dispatcher finds the same home for a key by hashing, with no word between them: the highest hash
-        // that is not much more loaded than the best draw.
+        // that holds not much more than its share of what is out.
         let Some(key) = key else { return Some(tgt) };
-        open.into_iter()
-            .filter(|r| self.load(*r) <= load + HOME_WORTH)
-            .max_by_key(|r| mix(key ^ self.runners[*r].hash))
+        let all = open.iter().map(|r| f64::from(self.runners[*r].out)).sum::<f64>() + 1.0;
+        let slots = open.iter().map(|r| self.slots(*r) * self.warmth(*r)).sum::<f64>();
+        let fair = |r: &usize| {
+            let share = all * self.slots(*r) * self.warmth(*r) / slots;
+            f64::from(self.runners[*r].out) + 1.0 <= (HOME_BOUND * share).ceil()
+        };
+        open.iter().copied().filter(fair).max_by_key(|r| mix(key ^ self.runners[*r].hash)).or(Some(tgt))
     }
 
     /// Whether a runner may be drawn for this invocation.
