--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,8 +30,6 @@
 const FAILURES_OVER_MEDIAN: f64 = 0.3;
 /// Failures and successes count half after this.
 const HEALTH_MEMORY: f64 = 4e6;
-/// The most that one slow forward counts in a runner's drag.
-const DRAG_MOST: f64 = 5.0;
 const BENCH: Micros = 400_000;
 const BENCH_MOST: Micros = 4_000_000;
 /// A report older than this is asked for anew while invocations wait.
@@ -61,8 +59,6 @@
     /// It has turned work away as full, and no slot can have come free since.
     full_until: Micros,
     slots: Option<f64>,
-    /// Mean of its forwards' times, each over the fleet's mean for that operation.
-    drag: f64,
     good: f64,
     bad: f64,
     judged_at: Micros,
@@ -525,9 +521,9 @@
         // that holds not much more than its share of what is out.
         let Some(key) = key else { return Some(tgt) };
         let all = open.iter().map(|r| f64::from(self.runners[*r].out)).sum::<f64>() + 1.0;
-        let capacity = open.iter().map(|r| self.capacity(*r)).sum::<f64>();
+        let slots = open.iter().map(|r| self.slots(*r) * self.warmth(*r)).sum::<f64>();
         let fair = |r: &usize| {
-            let share = all * self.capacity(*r) / capacity;
+            let share = all * self.slots(*r) * self.warmth(*r) / slots;
             f64::from(self.runners[*r].out) + 1.0 <= (HOME_BOUND * share).ceil()
         };
         open.iter().copied().filter(fair).max_by_key(|r| mix(key ^ self.runners[*r].hash)).or(Some(tgt))
@@ -585,12 +581,7 @@
     }
 
     fn load(&self, r: usize) -> f64 {
-        (self.count(r) + 1.0) / self.capacity(r)
-    }
-
-    /// Slots, less what is still cold, weighed by how fast the runner has been of late.
-    fn capacity(&self, r: usize) -> f64 {
-        self.slots(r) * self.warmth(r) / self.runners[r].drag.max(0.1)
+        (self.count(r) + 1.0) / (self.slots(r) * self.warmth(r))
     }
 
     /// The most that a runner may hold. Where probes keep counts fresh, waiting is done here rather than in
@@ -686,8 +677,6 @@
                 runner.bench_count = 0;
                 let pace = &mut self.pace[operation];
                 let elapsed = outcome.elapsed as f64;
-                let relative = (elapsed / pace.unwrap_or(elapsed).max(1.0)).min(DRAG_MOST);
-                runner.drag += 0.1 * (relative - runner.drag);
                 *pace = Some(pace.map_or(elapsed, |pace| pace + 0.05 * (elapsed - pace)));
             }
             Ending::Errored => {
@@ -824,7 +813,6 @@
             reported_at: None,
             full_until: now,
             slots: None,
-            drag: 1.0,
             good: 0.0,
             bad: 0.0,
             judged_at: now,
