--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -301,7 +301,7 @@
 
 fn entry(parts: &mut Parts) -> Result<RosterEntry, Malformed> {
     let cell = parts.number_or("bay", -1)?;
-    parts.real("powerHint", 1.0)?;
+    let size = parts.real("powerHint", 1.0)?.max(0.0);
     let kind = parts.optional("kind")?.unwrap_or_default().into();
     let readiness = match parts.text("readiness")? {
         "on" => Readiness::On,
@@ -312,7 +312,7 @@
     let zone = parts.optional("dc")?.unwrap_or_default().into();
     let tgt = parts.id("runner")?;
     let launched = Some(parts.span("launched")?).filter(|at| *at != 0);
-    Ok(RosterEntry { tgt, cell, kind, zone, readiness, launched })
+    Ok(RosterEntry { tgt, cell, size, kind, zone, readiness, launched })
 }
 
 fn ending(how: &str) -> Option<Ending> {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,6 +22,9 @@
 const TICK: Micros = 20_000;
 /// No invocation is left unanswered nearer to its client timeout than this.
 const MARGIN: Micros = 60_000;
+/// Where counts are old: how many latency objectives of waiting a runner may seem to hold. Too few, and a
+/// stale report of a burst long past turns work away from runners that are idle again.
+const WAITS: f64 = 4.0;
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
 /// The share of its cold budget that a dispatcher uses: sizes are known only on average.
@@ -48,6 +51,7 @@
     kind: Id,
     zone: Id,
     cell: i64,
+    size: f64,
     launched: Option<Micros>,
     out: u32,
     out_high: u32,
@@ -277,6 +281,7 @@
         runner.kind = entry.kind;
         runner.zone = entry.zone;
         runner.cell = entry.cell;
+        runner.size = entry.size;
         if runner.launched != entry.launched {
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
@@ -487,13 +492,15 @@
 
     fn pick(&mut self, id: &Id) -> Option<usize> {
         let inv = &self.invs[id];
-        let high = self.high[inv.operation];
         let mut open: Vec<usize> = (0..self.runners.len()).filter(|r| self.open(*r, inv)).collect();
         if open.iter().any(|r| !inv.avoid.contains(r)) {
             open.retain(|r| !inv.avoid.contains(r));
         }
-        let key = inv.key;
-        if self.orders.crossing_costs && key.is_none() {
+        if let Some(home) = inv.key.and_then(|key| self.home(key, &open)) {
+            return Some(home).filter(|home| self.has_room(*home, inv));
+        }
+        open.retain(|r| self.has_room(*r, inv));
+        if self.orders.crossing_costs {
             let near = |r: &usize| {
                 let runner = &self.runners[*r];
                 runner.zone == self.orders.my_zone && self.count(*r) < self.slots(*r)
@@ -502,31 +509,34 @@
                 open.retain(near);
             }
         }
+        let high = self.high[inv.operation];
         let draws = if high { D2 } else { D1 };
-        let mut drawn = open.clone();
         let mut best: Option<(f64, f64, usize)> = None;
-        for nth in 0..draws.min(drawn.len()) {
-            let other = nth + self.chance.below((drawn.len() - nth) as u64) as usize;
-            drawn.swap(nth, other);
-            let r = drawn[nth];
+        for nth in 0..draws.min(open.len()) {
+            let other = nth + self.chance.below((open.len() - nth) as u64) as usize;
+            open.swap(nth, other);
+            let r = open[nth];
             let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
             let this = (first, self.load(r), r);
             if best.is_none_or(|best| (this.0, this.1) < (best.0, best.1)) {
                 best = Some(this);
             }
         }
-        let (_, _, tgt) = best?;
-        // A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
-        // dispatcher finds the same home for a key by hashing, with no word between them: the highest hash
-        // that holds not much more than its share of what is out.
-        let Some(key) = key else { return Some(tgt) };
+        best.map(|(_, _, r)| r)
+    }
+
+    /// A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
+    /// dispatcher finds the same home for a key by hashing, with no word between them: the highest hash that
+    /// holds not much more than its share of own forwards out. Going by counts here lets homes flip with
+    /// every stale report, and each flip is a fetch.
+    fn home(&self, key: u64, open: &[usize]) -> Option<usize> {
         let all = open.iter().map(|r| f64::from(self.runners[*r].out)).sum::<f64>() + 1.0;
-        let slots = open.iter().map(|r| self.slots(*r) * self.warmth(*r)).sum::<f64>();
-        let fair = |r: &usize| {
-            let share = all * self.slots(*r) * self.warmth(*r) / slots;
-            f64::from(self.runners[*r].out) + 1.0 <= (HOME_BOUND * share).ceil()
+        let capacity = open.iter().map(|r| self.capacity(*r)).sum::<f64>();
+        let fair = |r: &&usize| {
+            let share = all * self.capacity(**r) / capacity;
+            f64::from(self.runners[**r].out) + 1.0 <= (HOME_BOUND * share).ceil()
         };
-        open.iter().copied().filter(fair).max_by_key(|r| mix(key ^ self.runners[*r].hash)).or(Some(tgt))
+        open.iter().filter(fair).max_by_key(|r| mix(key ^ self.runners[**r].hash)).copied()
     }
 
     /// Whether a runner may be drawn for this invocation.
@@ -543,10 +553,13 @@
         fits && self.now >= runner.bench_until.max(runner.full_until)
             && !(runner.on_trial && runner.out > 0)
             && !self.silent(r)
-            && self.count(r) + inv.slots <= self.room(r).max(inv.slots)
             && self.within_cold_budget(r, self.work(inv))
     }
 
+    fn has_room(&self, r: usize, inv: &Inv) -> bool {
+        self.count(r) + inv.slots <= self.room(r).max(inv.slots)
+    }
+
     /// All-class count: own forwards out and what the latest report leaves for others. As a report ages, the
     /// jobs that it counted end: after about one job's time only the usual figure of that runner says more.
     fn count(&self, r: usize) -> f64 {
@@ -581,7 +594,14 @@
     }
 
     fn load(&self, r: usize) -> f64 {
-        (self.count(r) + 1.0) / (self.slots(r) * self.warmth(r))
+        (self.count(r) + 1.0) / self.capacity(r)
+    }
+
+    /// What a count is weighed by: the registered size, or else slots, less what is still cold.
+    fn capacity(&self, r: usize) -> f64 {
+        let size = self.runners[r].size;
+        let slots = if self.orders.sizes_registered && size > 0.0 { size } else { self.slots(r) };
+        slots * self.warmth(r)
     }
 
     /// The most that a runner may hold. Where probes keep counts fresh, waiting is done here rather than in
@@ -596,7 +616,7 @@
         let tightest = self.orders.operations.iter().map(|o| o.latency_objective).min().unwrap_or(0) as f64;
         let pace = self.mean_pace();
         let waits = if pace > 0.0 { tightest / pace } else { 1.0 };
-        (slots * self.warmth(r) * (1.0 + waits)).ceil()
+        (self.capacity(r) * (1.0 + WAITS * waits)).ceil()
     }
 
     // Cold runners.
@@ -805,6 +825,7 @@
             kind: entry.kind.clone(),
             zone: entry.zone.clone(),
             cell: entry.cell,
+            size: entry.size,
             launched: entry.launched,
             out: 0,
             out_high: 0,
--- a/src/events.rs
+++ b/src/events.rs
@@ -83,6 +83,8 @@
 pub struct RosterEntry {
     pub tgt: Id,
     pub cell: i64,
+    /// Registered size against other runners'; 1 where the roster does not tell.
+    pub size: f64,
     pub kind: Id,
     pub zone: Id,
     pub readiness: Readiness,
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -20,6 +20,8 @@
     /// The longest come-back advice that a client follows; `None` where advice is not handed on.
     pub come_back_max: Option<Micros>,
     pub report_fields: Vec<ReportField>,
+    /// Whether the roster's sizes are the registered ones.
+    pub sizes_registered: bool,
     /// The gap between progress notes; 0 where there are none.
     pub progress: Micros,
 }
