--- a/src/brain.rs
+++ b/src/brain.rs
@@ -609,8 +609,8 @@
     fn room(&self, r: usize) -> f64 {
         let slots = self.slots(r);
         if self.orders.may_probe {
-            // Counts in doubt are averages: half a job over may as well be half a slot free.
-            let guess = if self.doubt > DOUBTFUL { 0.5 } else { 0.0 };
+            // Counts in doubt are averages: what seems just full may as well have a slot free.
+            let guess = if self.doubt > DOUBTFUL { 1.0 } else { 0.0 };
             return (slots * self.warmth(r)).ceil() + guess;
         }
         let tightest = self.orders.operations.iter().map(|o| o.latency_objective).min().unwrap_or(0) as f64;
