--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 };
 
 /// Draws for a low and for a high invocation.
-const D1: usize = 2;
+const D1: usize = 3;
 const D2: usize = 4;
 /// Period of the one timer.
 const TICK: Micros = 20_000;
@@ -564,20 +564,28 @@
     /// jobs that it counted end: after about one job's time only the usual figure of that runner says more.
     fn count(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
-        let Some(at) = runner.reported_at else { return f64::from(runner.out) + self.mean_others() };
+        let Some(at) = runner.reported_at else { return f64::from(runner.out) + self.mean_others(r) };
         // What a report said fades: else a runner that once was full would be shunned, never report again
         // and stay full in our eyes for good.
         let age = (self.now - at) as f64 / self.mean_pace().max(1.0);
         let usual = runner.others_usual * (-age / FADES).exp();
-        let fresh = if self.doubt > DOUBTFUL { 0.0 } else { (-age).exp() };
-        let others = fresh * runner.others + (1.0 - fresh) * usual;
+        let others = if self.doubt > DOUBTFUL {
+            // While reports are late, one runner's say little; the fleet's mean still holds.
+            (usual.max(0.0) + self.mean_others(r)) / 2.0
+        } else {
+            (-age).exp() * runner.others + (1.0 - (-age).exp()) * usual
+        };
         f64::from(runner.out) + others.max(0.0)
     }
 
-    fn mean_others(&self) -> f64 {
-        let known = self.runners.iter().filter(|r| r.listed && r.reported_at.is_some());
-        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), r| (sum + r.others_usual.max(0.0), n + 1.0));
-        if n > 0.0 { sum / n } else { 0.0 }
+    /// The fleet's mean of others' jobs, for a runner of this size.
+    fn mean_others(&self, r: usize) -> f64 {
+        let known = (0..self.runners.len())
+            .filter(|r| self.runners[*r].listed && self.runners[*r].reported_at.is_some())
+            .fold((0.0, 0.0), |(jobs, capacity), r| {
+                (jobs + self.runners[r].others_usual.max(0.0), capacity + self.capacity(r))
+            });
+        if known.1 > 0.0 { known.0 / known.1 * self.capacity(r) } else { 0.0 }
     }
 
     fn mean_pace(&self) -> f64 {
