--- a/src/brain.rs
+++ b/src/brain.rs
@@ -567,7 +567,7 @@
         let Some(at) = runner.reported_at else { return f64::from(runner.out) + self.mean_others(r) };
         // What a report said fades: else a runner that once was full would be shunned, never report again
         // and stay full in our eyes for good.
-        let age = (self.now - at) as f64 / self.mean_pace().max(1.0);
+        let age = (self.now - at) as f64 / self.mean_pace();
         let usual = runner.others_usual * (-age / FADES).exp();
         let others = if self.doubt > DOUBTFUL {
             // While reports are late, one runner's say little; the fleet's mean still holds.
@@ -589,9 +589,9 @@
     }
 
     fn mean_pace(&self) -> f64 {
-        let known = self.pace.iter().flatten();
-        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), pace| (sum + pace, n + 1.0));
-        if n > 0.0 { sum / n } else { 0.0 }
+        let ops = self.orders.operations.iter().zip(&self.pace);
+        let sum: f64 = ops.map(|(op, pace)| pace.unwrap_or(op.latency_objective as f64)).sum();
+        (sum / (self.pace.len() as f64).max(1.0)).max(1.0)
     }
 
     fn slots(&self, r: usize) -> f64 {
@@ -622,8 +622,7 @@
             return (slots * self.warmth(r)).ceil() + guess;
         }
         let tightest = self.orders.operations.iter().map(|o| o.latency_objective).min().unwrap_or(0) as f64;
-        let pace = self.mean_pace();
-        let waits = if pace > 0.0 { tightest / pace } else { 1.0 };
+        let waits = tightest / self.mean_pace();
         (self.capacity(r) * (1.0 + WAITS * waits)).ceil()
     }
 
@@ -731,7 +730,7 @@
         let mut shares: Vec<f64> =
             self.runners.iter().filter(|r| r.listed).map(Runner::share_failed).collect();
         shares.sort_by(f64::total_cmp);
-        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+        shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
     }
 
     fn bench(&mut self, r: usize, why: &str) {
