Count a bounce on a fresh report as a sign of late reports

Cause: late reports seldom contradict own counts where runners have two or three slots, so doubt came and went.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,7 @@
 const STALE: Micros = 60_000;
 /// A forward younger than this need not show in a report yet.
 const SETTLED: Micros = 50_000;
+const RECENT: Micros = 100_000;
 /// Above this share of contradicted reports, the latest of them says nothing of now.
 const DOUBTFUL: f64 = 0.15;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
@@ -720,6 +721,10 @@
             }
             Ending::Overloaded => {
                 runner.silent_since = now;
+                // Room seen a moment ago that was not there: the report was old when it came.
+                if runner.reported_at.is_some_and(|at| now - at < RECENT) {
+                    self.doubt += 0.2 * (1.0 - self.doubt);
+                }
                 runner.full_until = now + (pace / slots) as Micros;
             }
             Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
