--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,7 +39,6 @@
 const STALE: Micros = 60_000;
 /// A forward younger than this need not show in a report yet.
 const SETTLED: Micros = 50_000;
-const RECENT: Micros = 100_000;
 /// Above this share of contradicted reports, the latest of them says nothing of now.
 const DOUBTFUL: f64 = 0.15;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
@@ -721,10 +720,9 @@
             }
             Ending::Overloaded => {
                 runner.silent_since = now;
-                // Room seen a moment ago that was not there: the report was old when it came.
-                if runner.reported_at.is_some_and(|at| now - at < RECENT) {
-                    self.doubt += 0.2 * (1.0 - self.doubt);
-                }
+                // We believed in room that was not there. With two or three slots a runner, late reports
+                // seldom contradict own counts, but they do send work to full runners.
+                self.doubt += 0.2 * (1.0 - self.doubt);
                 runner.full_until = now + (pace / slots) as Micros;
             }
             Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
