--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -65,7 +65,7 @@
                 Action::Probe { tgt } => format!("probe {tgt}"),
                 Action::Follow => "follow".to_owned(),
             };
-            self.trace += &format!("{:>5} {line}\n", self.now / 1000);
+            self.trace += &format!("{} {line}\n", self.now / 1000);
         }
         self
     }
