--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -205,3 +205,19 @@
          1000 4 -> b
     "#]]);
 }
+
+#[test]
+fn reports_that_come_late_are_doubted() {
+    let mut desk = desk(Effect::Idempotent, "ab");
+    desk.reports("b", &BUSY).arrives("1", 0).ends("1", 0, "a", Ending::Overloaded, &IDLE);
+    desk.arrives("2", 0).after(200).reports("a", &FULL).reports("b", &FULL);
+    desk.after(100).arrives("3", 0).arrives("4", 0);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 1 -> a
+        1000 1 -> b
+        1000 2 -> b
+        1300 3 -> a
+        1300 4 -> a
+    "#]]);
+}
