--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,7 @@
 const BENCH_MOST: Micros = 4_000_000;
 /// A report older than this is asked for anew while invocations wait.
 const STALE: Micros = 60_000;
-/// A forward younger than this need not show in a report yet.
+/// A forward younger than this need not show in a report yet; a report younger than this is new.
 const SETTLED: Micros = 50_000;
 /// Above this share of contradicted reports, the latest of them says nothing of now.
 const DOUBTFUL: f64 = 0.15;
@@ -85,6 +85,8 @@
     flowing: bool,
     sent: Micros,
     sign: Micros,
+    /// The runner's report was still new when this went out.
+    informed: bool,
 }
 
 /// The first forward that may have run binds what may follow.
@@ -404,10 +406,17 @@
         }
         let number = inv.forwards;
         inv.forwards += 1;
-        inv.out =
-            Some(Forward { tgt, number, cancelled: false, flowing: false, sent: self.now, sign: self.now });
-        let high = self.high[inv.operation];
         let runner = &mut self.runners[tgt];
+        inv.out = Some(Forward {
+            tgt,
+            number,
+            cancelled: false,
+            flowing: false,
+            sent: self.now,
+            sign: self.now,
+            informed: runner.reported_at.is_some_and(|at| self.now - at < SETTLED),
+        });
+        let high = self.high[inv.operation];
         if runner.out == 0 {
             runner.silent_since = self.now;
         }
@@ -432,6 +441,11 @@
         let Some(out) = inv.out.take_if(|out| out.number == outcome.forward) else { return };
         let operation = inv.operation;
         let answered = inv.answered || outcome.finished;
+        if outcome.ending == Ending::Overloaded && out.informed {
+            // We believed in room that was not there. With two or three slots a runner, late reports seldom
+            // contradict own counts, but they do send work to full runners.
+            self.doubt += 0.2 * (1.0 - self.doubt);
+        }
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
         runner.out_high -= u32::from(self.high[operation]);
@@ -720,9 +734,6 @@
             }
             Ending::Overloaded => {
                 runner.silent_since = now;
-                // We believed in room that was not there. With two or three slots a runner, late reports
-                // seldom contradict own counts, but they do send work to full runners.
-                self.doubt += 0.2 * (1.0 - self.doubt);
                 runner.full_until = now + (pace / slots) as Micros;
             }
             Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
