--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 const MARGIN: Micros = 60_000;
 /// Where counts are old: how many latency objectives of waiting a runner may seem to hold. Too few, and a
 /// stale report of a burst long past turns work away from runners that are idle again.
-const WAITS: f64 = 4.0;
+const WAITS: f64 = 8.0;
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
 /// The share of its cold budget that a dispatcher uses: sizes are known only on average.
