Tidy: one cancel, one guess of an unknown pace, derived figures once at start

Read back over the whole change. close and stalled cancelled in two ways: now one. The greatest billed value and the tightest objective were found anew at every outcome and for every runner of every pick: now once. The unread memory of an arrival and a result that never failed are gone.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 
 use topazsail::{Brain, Event, Micros};
-use wire::{Malformed, Message, Reader};
+use wire::{Message, Reader};
 
 struct Instance {
     brain: Brain,
@@ -23,7 +23,7 @@
 }
 
 impl House {
-    fn take(&mut self, message: Message) -> Result<(), Malformed> {
+    fn take(&mut self, message: Message) {
         match message {
             Message::Create { inst, seed, orders, operations } => {
                 let brain = Brain::new(orders, seed);
@@ -39,7 +39,6 @@
             }
             Message::PassedOver => {}
         }
-        Ok(())
     }
 
     fn operations(&self, inst: u64) -> Option<&[String]> {
@@ -68,7 +67,7 @@
     let mut out = String::new();
     while let Some(now) = reader.round()? {
         while let Some(message) = reader.message(|inst| house.operations(inst))? {
-            house.take(message)?;
+            house.take(message);
         }
         out.clear();
         house.reply(now, &mut out);
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -214,7 +214,7 @@
                 parts.span("weightHint")?;
                 parts.optional("team")?;
                 let expires_in = parts.span("expiresIn")?;
-                let memory = parts.real("ramUnits", 0.0)?;
+                parts.real("ramUnits", 0.0)?;
                 let slots = parts.real("width", 1.0)?;
                 let name = parts.text("type")?;
                 parts.number_or("bits", 0u64)?;
@@ -223,7 +223,7 @@
                 let Some(operation) = names.iter().position(|known| known == name) else {
                     return Err(parts.fault("type", format!("unknown operation '{name}'")));
                 };
-                Event::Arrival(Arrival { inv, operation, expires_in, slots, memory, key })
+                Event::Arrival(Arrival { inv, operation, expires_in, slots, key })
             }
             "FLOWING" => {
                 let inv = parts.id("ticket")?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -90,7 +90,6 @@
 }
 
 /// The first forward that may have run binds what may follow.
-#[derive(Clone)]
 struct Bond {
     zone: Id,
     cell: i64,
@@ -126,6 +125,9 @@
 pub struct Brain {
     orders: StandingOrders,
     high: Vec<bool>,
+    /// Forwards that an invocation may have, by operation.
+    allowance: Vec<u32>,
+    tightest: Micros,
     chance: Chance,
     now: Micros,
     begun: bool,
@@ -152,13 +154,19 @@
         let values = differs(&|a, b| a.billed_value == b.billed_value);
         let objectives = differs(&|a, b| a.latency_objective == b.latency_objective);
         let most = ops.iter().map(|o| o.billed_value).fold(0.0, f64::max);
-        let tightest = ops.iter().map(|o| o.latency_objective).min();
+        let tightest = ops.iter().map(|o| o.latency_objective).min().unwrap_or(0);
         let high = ops
             .iter()
-            .map(|o| values && o.billed_value == most || objectives && Some(o.latency_objective) == tightest)
+            .map(|o| values && o.billed_value == most || objectives && o.latency_objective == tightest)
             .collect();
+        // House rule of the operators: further forwards go by billed value.
+        let further = f64::from(orders.most_forwards - 1);
+        let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
+        let allowance = ops.iter().map(|o| 1 + (further * share(o)).ceil() as u32).collect();
         Brain {
             high,
+            allowance,
+            tightest,
             pace: vec![None; orders.operations.len()],
             orders,
             chance: Chance::new(seed),
@@ -368,16 +376,21 @@
         if let Some(place) = inv.place.take() {
             self.queue.remove(&place);
         }
-        if let Some(out) = &mut inv.out {
-            if self.orders.may_cancel && !out.cancelled && !out.flowing {
-                out.cancelled = true;
-                self.todo.push(Action::Cancel { inv: id.clone(), forward: out.number });
-            }
+        if inv.out.is_some() {
+            self.cancel(id);
         } else {
             self.invs.remove(id);
         }
     }
 
+    fn cancel(&mut self, id: &Id) {
+        let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) else { return };
+        if self.orders.may_cancel && !out.cancelled && !out.flowing {
+            out.cancelled = true;
+            self.todo.push(Action::Cancel { inv: id.clone(), forward: out.number });
+        }
+    }
+
     fn place(&mut self) {
         if self.queue.is_empty() {
             return;
@@ -475,7 +488,7 @@
     fn again(&mut self, id: &Id) {
         let inv = &self.invs[id];
         let op = &self.orders.operations[inv.operation];
-        let allowed = inv.forwards < self.forwards_allowed(op) && self.now < inv.deadline - MARGIN;
+        let allowed = inv.forwards < self.allowance[inv.operation] && self.now < inv.deadline - MARGIN;
         let harmless = match (&inv.bond, op.effect) {
             (None, _) | (Some(_), Effect::Idempotent) => true,
             (Some(bond), Effect::Deduplicated(_)) => self.now < bond.since + op.memory_span - MARGIN,
@@ -495,13 +508,6 @@
         self.enqueue(id);
     }
 
-    /// House rule of the operators: further forwards go by billed value.
-    fn forwards_allowed(&self, op: &Operation) -> u32 {
-        let most = self.orders.operations.iter().map(|o| o.billed_value).fold(0.0, f64::max);
-        let share = if most > 0.0 { op.billed_value / most } else { 1.0 };
-        1 + (f64::from(self.orders.most_forwards - 1) * share).ceil() as u32
-    }
-
     // The design.
 
     fn pick(&mut self, id: &Id) -> Option<usize> {
@@ -603,16 +609,19 @@
     }
 
     fn mean_pace(&self) -> f64 {
-        let ops = self.orders.operations.iter().zip(&self.pace);
-        let sum: f64 = ops.map(|(op, pace)| pace.unwrap_or(op.latency_objective as f64)).sum();
+        let sum: f64 = (0..self.pace.len()).map(|operation| self.pace_of(operation)).sum();
         (sum / (self.pace.len() as f64).max(1.0)).max(1.0)
     }
 
+    /// Until an operation has been seen to succeed, its objective is the best guess of its time.
+    fn pace_of(&self, operation: usize) -> f64 {
+        self.pace[operation].unwrap_or(self.orders.operations[operation].latency_objective as f64)
+    }
+
     fn slots(&self, r: usize) -> f64 {
-        self.runners[r].slots.unwrap_or_else(|| {
-            let known = self.runners.iter().filter_map(|r| r.slots);
-            known.fold(None, |least: Option<f64>, s| Some(least.map_or(s, |l| l.min(s)))).unwrap_or(1.0)
-        })
+        self.runners[r]
+            .slots
+            .unwrap_or_else(|| self.runners.iter().filter_map(|r| r.slots).reduce(f64::min).unwrap_or(1.0))
     }
 
     fn load(&self, r: usize) -> f64 {
@@ -635,8 +644,7 @@
             let guess = if self.doubt > DOUBTFUL { 1.0 } else { 0.0 };
             return (slots * self.warmth(r)).ceil() + guess;
         }
-        let tightest = self.orders.operations.iter().map(|o| o.latency_objective).min().unwrap_or(0) as f64;
-        let waits = tightest / self.mean_pace();
+        let waits = self.tightest as f64 / self.mean_pace();
         (self.capacity(r) * (1.0 + WAITS * waits)).ceil()
     }
 
@@ -650,8 +658,7 @@
     }
 
     fn work(&self, inv: &Inv) -> f64 {
-        let objective = self.orders.operations[inv.operation].latency_objective as f64;
-        self.pace[inv.operation].unwrap_or(objective) * inv.slots
+        self.pace_of(inv.operation) * inv.slots
     }
 
     fn within_cold_budget(&self, r: usize, work: f64) -> bool {
@@ -784,7 +791,7 @@
         let allowed = self.silence_allowed();
         let tgt = out.tgt;
         let may_go = self.orders.may_cancel
-            && inv.forwards < self.forwards_allowed(op)
+            && inv.forwards < self.allowance[inv.operation]
             && match op.effect {
                 Effect::Idempotent => true,
                 Effect::Deduplicated(_) => self.now < out.sent + op.memory_span - 2 * MARGIN,
@@ -794,11 +801,7 @@
             return;
         }
         if self.silent(tgt) && self.now - out.sign >= allowed {
-            let action = Action::Cancel { inv: id.clone(), forward };
-            if let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) {
-                out.cancelled = true;
-            }
-            self.todo.push(action);
+            self.cancel(id);
             self.bench(tgt, "silent");
         } else {
             self.due(self.now + allowed / 4, Due::Stall(id.clone(), forward));
--- a/src/events.rs
+++ b/src/events.rs
@@ -36,7 +36,6 @@
     pub operation: usize,
     pub expires_in: Micros,
     pub slots: f64,
-    pub memory: f64,
     pub key: Option<Id>,
 }
 
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -96,7 +96,7 @@
 
     pub fn arrives_with(&mut self, inv: &str, operation: usize, key: Option<&str>) -> &mut Desk {
         let (inv, key) = (inv.into(), key.map(Id::from));
-        let arrival = Arrival { inv, operation, expires_in: 5_000_000, slots: 1.0, memory: 0.0, key };
+        let arrival = Arrival { inv, operation, expires_in: 5_000_000, slots: 1.0, key };
         self.tell(Event::Arrival(arrival))
     }
 
