--- a/drill/src/orders.rs
+++ b/drill/src/orders.rs
@@ -105,6 +105,8 @@
         dispatchers: info.within("balancers", 1, u32::MAX)?,
         my_zone: info.0.get("myZone").copied().unwrap_or_default().into(),
         crossing_costs: info.value_or("prices.crossZone", 0.0)? > 0.0,
+        connecting_costs: info.value_or("prices.handshake", 0.0)? > 0.0
+            || info.value_or("prices.connection", 0.0)? > 0.0,
         must_subscribe,
         ask_within: if must_subscribe { info.within("invariants.askWithin", 1, SPAN)? } else { SPAN },
         cold_from: info.within("invariants.coldFrom", 0.0, 1.0)?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,11 +4,11 @@
 //! clock and whatever happened since, in order; it gets back what is to be done, in order. The types on both
 //! sides are in `events.rs`, `actions.rs` and `standing.rs`. The brain knows no clock and no chance but these.
 //!
-//! The way of an invocation: `arrive` queues it, `place` goes through the queue by what is at stake and asks
-//! `pick` for a runner, `outcome` ends a forward, and `again` or `give_up` says what follows. `pick` is the
+//! The way of an invocation: `arrive` queues it, `place` goes through the queue by what is at stake and has
+//! `seek` find a runner, `outcome` ends a forward, and `again` or `give_up` says what follows. `least` is the
 //! design (Pod-SSP); docs/design.md lists each departure from it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
@@ -18,8 +18,8 @@
 /// Draws for a low and for a high invocation.
 const D1: usize = 3;
 const D2: usize = 4;
-/// Period of the one timer.
-const TICK: Micros = 20_000;
+/// How long draws may take to answer a probe; those that have not by then are passed over.
+const HEARING: Micros = 30_000;
 /// No invocation is left unanswered nearer to its client timeout than this.
 const MARGIN: Micros = 60_000;
 /// Where counts are old: how many latency objectives of waiting a runner may seem to hold. Too few, and a
@@ -35,8 +35,13 @@
 const HEALTH_MEMORY: f64 = 4e6;
 const BENCH: Micros = 400_000;
 const BENCH_MOST: Micros = 4_000_000;
-/// A report older than this is asked for anew while invocations wait.
-const STALE: Micros = 60_000;
+/// In mean times of a forward: a draw whose report is older is probed before the choice.
+const STALE: f64 = 0.1;
+/// In mean times of a forward: how long high, low and late work waits for room before it draws anew. Other
+/// dispatchers' queues are not seen from here: those who ask more often get the slots that come free.
+const RESTS: [f64; 3] = [0.06, 0.25, 1.0];
+/// Waiting places that a runner is thought to have for each slot until one of its kind has bounced work.
+const PLACES: f64 = 0.5;
 /// A forward younger than this need not show in a report yet; a report younger than this is new.
 const SETTLED: Micros = 50_000;
 /// Above this share of contradicted reports, the latest of them says nothing of now.
@@ -48,7 +53,7 @@
     id: Id,
     hash: u64,
     listed: bool,
-    kind: Id,
+    kind: usize,
     zone: Id,
     cell: i64,
     size: f64,
@@ -70,14 +75,23 @@
     bench_count: u32,
     /// Back from the bench, one forward at a time until it succeeds.
     on_trial: bool,
-    /// Benched for want of a connection: a probe can tell when it is back.
-    dead: bool,
     probing: bool,
+    /// Connections that are up, as far as is known here.
+    links: u32,
+    used_at: Micros,
+    /// What it adds to the fleet's sums.
+    counted: (f64, f64),
     /// Since when it has shown no sign of life while it held a forward of ours.
     silent_since: Micros,
     spent: VecDeque<(Micros, f64)>,
 }
 
+struct Kind {
+    id: Id,
+    /// Waiting places for each slot, as bounces show them.
+    places: f64,
+}
+
 struct Forward {
     tgt: usize,
     number: u32,
@@ -85,8 +99,6 @@
     flowing: bool,
     sent: Micros,
     sign: Micros,
-    /// The runner's report was still new when this went out.
-    informed: bool,
 }
 
 /// The first forward that may have run binds what may follow.
@@ -110,15 +122,20 @@
     avoid: Vec<usize>,
     place: Option<Place>,
     answered: bool,
+    /// Draws made so far, and from how many pools.
+    drawn: Vec<usize>,
+    stage: usize,
+    heard_by: Micros,
+    rests_until: Micros,
+    due: Option<(Micros, u64)>,
 }
 
 /// Order in the queue: what is at stake, then who can wait least.
 type Place = (u8, Micros, u64);
+const LATE: u8 = 2;
 
 enum Due {
-    GiveUp(Id),
-    Late(Id),
-    Stall(Id, u32),
+    Look(Id),
     Ask,
 }
 
@@ -132,18 +149,30 @@
     now: Micros,
     begun: bool,
     following: bool,
-    asked_at: Micros,
     refusals: u32,
+    kinds: Vec<Kind>,
     runners: Vec<Runner>,
     by_id: HashMap<Id, usize>,
+    /// Those that the roster lists as on, and those of them in this zone.
+    listed: Vec<usize>,
+    near: Vec<usize>,
+    /// Those with a connection of this dispatcher.
+    linked: Vec<usize>,
+    /// Others' usual jobs and weights of all listed runners that have reported.
+    fleet: (f64, f64),
+    least_slots: f64,
     invs: HashMap<Id, Inv>,
     queue: BTreeMap<Place, Id>,
     dues: BTreeMap<(Micros, u64), Due>,
+    armed: BTreeSet<Micros>,
     serial: u64,
     /// Share of the reports, of late, that contradicted what is known first-hand.
     doubt: f64,
     /// Mean time of a successful forward, by operation.
     pace: Vec<Option<f64>>,
+    mean_pace: f64,
+    /// A slot has come free since the queue was last gone through.
+    freed: bool,
     todo: Vec<Action>,
 }
 
@@ -163,7 +192,7 @@
         let further = f64::from(orders.most_forwards - 1);
         let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
         let allowance = ops.iter().map(|o| 1 + (further * share(o)).ceil() as u32).collect();
-        Brain {
+        let mut brain = Brain {
             high,
             allowance,
             tightest,
@@ -173,17 +202,27 @@
             now: 0,
             begun: false,
             following: false,
-            asked_at: 0,
             refusals: 0,
+            kinds: Vec::new(),
             runners: Vec::new(),
             by_id: HashMap::new(),
+            listed: Vec::new(),
+            near: Vec::new(),
+            linked: Vec::new(),
+            fleet: (0.0, 0.0),
+            least_slots: f64::MAX,
             invs: HashMap::new(),
             queue: BTreeMap::new(),
             dues: BTreeMap::new(),
+            armed: BTreeSet::new(),
             serial: 0,
             doubt: 0.0,
+            mean_pace: 0.0,
+            freed: false,
             todo: Vec::new(),
-        }
+        };
+        brain.set_mean_pace();
+        brain
     }
 
     /// The one entry point: what happened up to `now`, in order; what is to be done now, in order.
@@ -191,7 +230,6 @@
         self.now = now;
         if !self.begun {
             self.begun = true;
-            self.todo.push(Action::Tick { after: TICK });
             self.ask();
         }
         for event in happened {
@@ -203,18 +241,24 @@
                 Event::Gone { inv } => self.close(&inv),
                 Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
                 Event::Roster(roster) => self.roster(roster),
-                Event::Tick => self.tick(),
+                Event::Tick => self.armed = self.armed.split_off(&(now + 1)),
             }
         }
         while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
-                Due::GiveUp(inv) => self.out_of_patience(&inv),
-                Due::Late(inv) => self.late(&inv),
-                Due::Stall(inv, forward) => self.stalled(&inv, forward),
+                Due::Look(inv) => self.look(&inv),
                 Due::Ask => self.ask(),
             }
         }
         self.place();
+        if let Some(&(at, _)) = self.dues.keys().next()
+            && self.armed.first().is_none_or(|armed| *armed > at)
+        {
+            // Armed for the next due only: hundreds of idle dispatchers that wake many times a second cost
+            // more than all decisions.
+            self.armed.insert(at);
+            self.todo.push(Action::Tick { after: (at - now).max(1) });
+        }
         std::mem::take(&mut self.todo)
     }
 
@@ -223,26 +267,50 @@
         self.serial
     }
 
-    fn due(&mut self, at: Micros, due: Due) {
-        let serial = self.next_serial();
-        self.dues.insert((at, serial), due);
+    fn due(&mut self, at: Micros, due: Due) -> (Micros, u64) {
+        let key = (at, self.next_serial());
+        self.dues.insert(key, due);
+        key
     }
 
-    fn tick(&mut self) {
-        self.todo.push(Action::Tick { after: TICK });
-        if !self.following && self.now - self.asked_at > self.orders.ask_within / 2 {
-            self.ask();
+    /// Each invocation has one due time at most.
+    fn watch(&mut self, id: &Id, at: Option<Micros>) {
+        let due = at.map(|at| self.due(at, Due::Look(id.clone())));
+        let Some(inv) = self.invs.get_mut(id) else { return };
+        if let Some(before) = std::mem::replace(&mut inv.due, due) {
+            self.dues.remove(&before);
         }
-        if self.orders.may_probe {
-            self.probe();
+    }
+
+    fn look(&mut self, id: &Id) {
+        let Some(inv) = self.invs.get_mut(id) else { return };
+        inv.due = None;
+        if inv.out.is_some() {
+            return self.stalled(id);
+        }
+        if self.now >= inv.patience {
+            return self.give_up(id);
         }
+        if self.now >= inv.in_time
+            && let Some(place) = inv.place.take_if(|place| place.0 < LATE)
+        {
+            self.queue.remove(&place);
+            return self.enqueue(id);
+        }
+        self.watch_queued(id);
+    }
+
+    fn watch_queued(&mut self, id: &Id) {
+        let Some(inv) = self.invs.get(id) else { return };
+        let times = [inv.patience, inv.in_time, inv.heard_by, inv.rests_until];
+        let next = times.into_iter().filter(|at| *at > self.now).min();
+        self.watch(id, Some(next.unwrap_or(inv.patience)));
     }
 
     // The roster.
 
     fn ask(&mut self) {
-        if self.orders.must_subscribe {
-            self.asked_at = self.now;
+        if self.orders.must_subscribe && !self.following {
             self.todo.push(Action::Follow);
         }
     }
@@ -270,6 +338,11 @@
         for entry in roster.entries {
             self.enter(entry);
         }
+        let on = |r: &usize| self.runners[*r].listed;
+        self.listed = (0..self.runners.len()).filter(on).collect();
+        let here = |r: &usize| self.runners[*r].zone == self.orders.my_zone;
+        self.near = self.listed.iter().copied().filter(here).collect();
+        (0..self.runners.len()).for_each(|r| self.count_in(r));
     }
 
     fn heard_from_registry(&mut self) {
@@ -278,24 +351,28 @@
     }
 
     fn enter(&mut self, entry: RosterEntry) {
+        let kind = self.kinds.iter().position(|kind| kind.id == entry.kind).unwrap_or_else(|| {
+            self.kinds.push(Kind { id: entry.kind.clone(), places: PLACES });
+            self.kinds.len() - 1
+        });
         let index = match self.by_id.get(&entry.tgt) {
             Some(index) => *index,
             None => {
                 self.by_id.insert(entry.tgt.clone(), self.runners.len());
-                self.runners.push(Runner::new(&entry, self.now));
+                self.runners.push(Runner::new(&entry, kind, self.now));
                 self.runners.len() - 1
             }
         };
         let runner = &mut self.runners[index];
         runner.listed = entry.readiness == Readiness::On;
-        runner.kind = entry.kind;
+        runner.kind = kind;
         runner.zone = entry.zone;
         runner.cell = entry.cell;
         runner.size = entry.size;
         if runner.launched != entry.launched {
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
-            (runner.others, runner.others_usual) = (0.0, 0.0);
+            runner.reported_at = None;
             (runner.good, runner.bad) = (0.0, 0.0);
             runner.bench_until = runner.bench_until.min(self.now);
         }
@@ -321,11 +398,12 @@
             avoid: Vec::new(),
             place: None,
             answered: false,
+            drawn: Vec::new(),
+            stage: 0,
+            heard_by: 0,
+            rests_until: 0,
+            due: None,
         };
-        self.due(inv.patience, Due::GiveUp(arrival.inv.clone()));
-        if inv.in_time < inv.patience {
-            self.due(inv.in_time, Due::Late(arrival.inv.clone()));
-        }
         self.invs.insert(arrival.inv.clone(), inv);
         self.enqueue(&arrival.inv);
     }
@@ -334,22 +412,11 @@
         let serial = self.next_serial();
         let Some(inv) = self.invs.get_mut(id) else { return };
         // Late work goes last: served first come first, a queue that once fell behind makes all late.
-        let tier = if self.now >= inv.in_time { 2 } else { u8::from(!self.high[inv.operation]) };
+        let tier = if self.now >= inv.in_time { LATE } else { u8::from(!self.high[inv.operation]) };
         let place = (tier, inv.in_time, serial);
         inv.place = Some(place);
         self.queue.insert(place, id.clone());
-    }
-
-    fn late(&mut self, id: &Id) {
-        let Some(place) = self.invs.get_mut(id).and_then(|inv| inv.place.take()) else { return };
-        self.queue.remove(&place);
-        self.enqueue(id);
-    }
-
-    fn out_of_patience(&mut self, id: &Id) {
-        if self.invs.get(id).is_some_and(|inv| inv.out.is_none()) {
-            self.give_up(id);
-        }
+        self.watch_queued(id);
     }
 
     /// The last word of an invocation that is not to be forwarded any more.
@@ -376,7 +443,9 @@
         if let Some(place) = inv.place.take() {
             self.queue.remove(&place);
         }
-        if inv.out.is_some() {
+        let out = inv.out.is_some();
+        self.watch(id, None);
+        if out {
             self.cancel(id);
         } else {
             self.invs.remove(id);
@@ -395,17 +464,18 @@
         if self.queue.is_empty() {
             return;
         }
-        let waiting: Vec<Id> = self.queue.values().take(256).cloned().collect();
+        let freed = std::mem::take(&mut self.freed);
+        let waiting: Vec<Id> = self.queue.values().take(64).cloned().collect();
         let mut full = false;
         for id in waiting {
             let inv = &self.invs[&id];
             let bound = inv.bond.is_some() || self.orders.operations[inv.operation].kind.is_some();
-            if full && !bound {
+            if full && !bound || self.now < inv.rests_until && !freed {
                 continue;
             }
-            match self.pick(&id) {
+            match self.seek(&id) {
                 Some(tgt) => self.forward(&id, tgt),
-                None => full |= !bound,
+                None => full |= !bound && self.invs[&id].rests_until > self.now,
             }
         }
     }
@@ -419,6 +489,7 @@
         }
         let number = inv.forwards;
         inv.forwards += 1;
+        (inv.stage, inv.heard_by, inv.rests_until) = (0, 0, 0);
         let runner = &mut self.runners[tgt];
         inv.out = Some(Forward {
             tgt,
@@ -427,17 +498,23 @@
             flowing: false,
             sent: self.now,
             sign: self.now,
-            informed: runner.reported_at.is_some_and(|at| self.now - at < SETTLED),
         });
         let high = self.high[inv.operation];
         if runner.out == 0 {
             runner.silent_since = self.now;
         }
         runner.out += 1;
+        if runner.links < runner.out {
+            if runner.links == 0 {
+                self.linked.push(tgt);
+            }
+            runner.links = runner.out;
+        }
+        runner.used_at = self.now;
         runner.out_high += u32::from(high);
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
-        self.due(self.now + stall, Due::Stall(id.clone(), number));
+        self.watch(id, Some(self.now + stall));
     }
 
     fn sign(&mut self, id: &Id, forward: u32, flowing: bool) {
@@ -454,13 +531,13 @@
         let Some(out) = inv.out.take_if(|out| out.number == outcome.forward) else { return };
         let operation = inv.operation;
         let answered = inv.answered || outcome.finished;
-        if outcome.ending == Ending::Overloaded && out.informed {
-            // We believed in room that was not there. With two or three slots a runner, late reports seldom
-            // contradict own counts, but they do send work to full runners.
-            self.doubt += 0.2 * (1.0 - self.doubt);
-        }
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
+        runner.used_at = self.now;
+        if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
+            runner.links = 0;
+            self.linked.retain(|r| *r != out.tgt);
+        }
         runner.out_high -= u32::from(self.high[operation]);
         let ran = match outcome.ending {
             Ending::Succeeded | Ending::Errored | Ending::TimedOut | Ending::Broken | Ending::Withdrawn => {
@@ -476,6 +553,9 @@
             inv.avoid.push(out.tgt);
         }
         self.report(out.tgt, &outcome.report);
+        if outcome.ending == Ending::Overloaded {
+            self.bounced(out.tgt, &outcome.report);
+        }
         self.judge(out.tgt, operation, &outcome);
         if answered {
             self.close(&outcome.inv);
@@ -504,38 +584,131 @@
         if let Some(inv) = self.invs.get_mut(id) {
             inv.patience = until;
         }
-        self.due(until, Due::GiveUp(id.clone()));
         self.enqueue(id);
     }
 
     // The design.
 
-    fn pick(&mut self, id: &Id) -> Option<usize> {
-        let inv = &self.invs[id];
-        let mut open: Vec<usize> = (0..self.runners.len()).filter(|r| self.open(*r, inv)).collect();
+    /// A runner for this invocation, or none while probes are out or no draw has room.
+    fn seek(&mut self, id: &Id) -> Option<usize> {
+        let mut inv = self.invs.remove(id)?;
+        let found = if inv.key.is_some() { self.seek_home(&inv) } else { self.seek_drawn(&mut inv) };
+        self.invs.insert(id.clone(), inv);
+        if found.is_none() {
+            self.watch_queued(id);
+        }
+        found
+    }
+
+    fn seek_home(&mut self, inv: &Inv) -> Option<usize> {
+        let key = inv.key?;
+        let mut open: Vec<usize> = self.listed.iter().copied().filter(|r| self.open(*r, inv)).collect();
         if open.iter().any(|r| !inv.avoid.contains(r)) {
             open.retain(|r| !inv.avoid.contains(r));
         }
-        if let Some(home) = inv.key.and_then(|key| self.home(key, &open)) {
-            return Some(home).filter(|home| self.has_room(*home, inv));
+        self.home(key, &open).filter(|home| self.has_room(*home, inv))
+    }
+
+    fn seek_drawn(&mut self, inv: &mut Inv) -> Option<usize> {
+        let late = self.orders.may_probe && inv.place.is_some_and(|place| place.0 == LATE);
+        loop {
+            if inv.stage > 0 {
+                if self.sound(inv) {
+                    return None;
+                }
+                let best = self.least(inv);
+                let enough = inv.stage > 2 || inv.drawn.len() >= self.wanted(inv);
+                if let Some(r) = best
+                    && enough
+                    && (inv.stage % 2 == 0 && !late || self.count(r) < self.slots(r))
+                {
+                    return best;
+                }
+                if inv.stage == 4 {
+                    (inv.stage, inv.heard_by) = (0, 0);
+                    let tier = inv.place.map_or(LATE, |place| place.0);
+                    inv.rests_until = self.now + (RESTS[usize::from(tier)] * self.mean_pace) as Micros;
+                    return None;
+                }
+            }
+            self.draw(inv);
         }
-        open.retain(|r| self.has_room(*r, inv));
-        if self.orders.crossing_costs {
-            let near = |r: &usize| {
-                let runner = &self.runners[*r];
-                runner.zone == self.orders.my_zone && self.count(*r) < self.slots(*r)
-            };
-            if open.iter().any(near) {
-                open.retain(near);
+    }
+
+    fn wanted(&self, inv: &Inv) -> usize {
+        if self.high[inv.operation] { D2 } else { D1 }
+    }
+
+    /// Adds draws from the next pool, the cheapest first: where new connections cost something, runners that
+    /// this dispatcher is connected to before others; where crossing zones does, this zone's before others.
+    fn draw(&mut self, inv: &mut Inv) {
+        if inv.stage == 0 {
+            inv.drawn.clear();
+        }
+        let skipped = |stage| {
+            stage < 3 && !self.orders.connecting_costs || stage % 2 == 1 && !self.orders.crossing_costs
+        };
+        inv.stage = (inv.stage + 1..4).find(|stage| !skipped(*stage)).unwrap_or(4);
+        inv.heard_by = 0;
+        let mut pool = match inv.stage {
+            1 | 2 => self.linked.clone(),
+            3 => self.near.clone(),
+            _ => self.listed.clone(),
+        };
+        let mut wanted = self.wanted(inv);
+        let mut shunned = None;
+        while wanted > 0 && !pool.is_empty() {
+            let r = pool.swap_remove(self.chance.below(pool.len() as u64) as usize);
+            if inv.stage == 1 && self.runners[r].zone != self.orders.my_zone {
+                continue;
             }
+            let known = !self.orders.may_probe || self.age(r) <= STALE * self.mean_pace;
+            if inv.drawn.contains(&r) || !self.open(r, inv) || known && !self.has_room(r, inv) {
+                continue;
+            }
+            if inv.avoid.contains(&r) {
+                shunned = Some(r);
+                continue;
+            }
+            inv.drawn.push(r);
+            wanted -= 1;
         }
-        let high = self.high[inv.operation];
-        let draws = if high { D2 } else { D1 };
+        if inv.drawn.is_empty() {
+            inv.drawn.extend(shunned);
+        }
+    }
+
+    /// Where probes are allowed, draws with old reports are probed first: among many dispatchers own sends
+    /// say next to nothing of a runner's load. True while answers may still come.
+    fn sound(&mut self, inv: &mut Inv) -> bool {
+        if !self.orders.may_probe || self.doubt > DOUBTFUL {
+            return false;
+        }
+        let first = inv.heard_by == 0;
+        if first {
+            inv.heard_by = self.now + HEARING;
+        }
+        let mut out = false;
+        for &r in &inv.drawn {
+            let age = self.age(r);
+            let runner = &mut self.runners[r];
+            if first && !runner.probing && age > STALE * self.mean_pace {
+                runner.probing = true;
+                self.todo.push(Action::Probe { tgt: runner.id.clone() });
+            }
+            out |= runner.probing;
+        }
+        out && self.now < inv.heard_by
+    }
+
+    /// Pod-SSP among the draws, which stand in the order of chance.
+    fn least(&self, inv: &Inv) -> Option<usize> {
         let mut best: Option<(f64, f64, usize)> = None;
-        for nth in 0..draws.min(open.len()) {
-            let other = nth + self.chance.below((open.len() - nth) as u64) as usize;
-            open.swap(nth, other);
-            let r = open[nth];
+        for &r in &inv.drawn {
+            if self.runners[r].probing || !self.open(r, inv) || !self.has_room(r, inv) {
+                continue;
+            }
+            let high = self.high[inv.operation];
             let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
             let this = (first, self.load(r), r);
             if best.is_none_or(|best| (this.0, this.1) < (best.0, best.1)) {
@@ -564,7 +737,7 @@
         let runner = &self.runners[r];
         let op = &self.orders.operations[inv.operation];
         let fits = runner.listed
-            && op.kind.as_ref().is_none_or(|kind| *kind == runner.kind)
+            && op.kind.as_ref().is_none_or(|kind| *kind == self.kinds[runner.kind].id)
             && match (&inv.bond, op.effect) {
                 (Some(bond), Effect::Deduplicated(Group::Zone)) => bond.zone == runner.zone,
                 (Some(bond), Effect::Deduplicated(Group::Cell)) => bond.cell == runner.cell,
@@ -587,7 +760,7 @@
         let Some(at) = runner.reported_at else { return f64::from(runner.out) + self.mean_others(r) };
         // What a report said fades: else a runner that once was full would be shunned, never report again
         // and stay full in our eyes for good.
-        let age = (self.now - at) as f64 / self.mean_pace();
+        let age = (self.now - at) as f64 / self.mean_pace;
         let usual = runner.others_usual * (-age / FADES).exp();
         let others = if self.doubt > DOUBTFUL {
             // While reports are late, one runner's say little; the fleet's mean still holds.
@@ -598,19 +771,28 @@
         f64::from(runner.out) + others.max(0.0)
     }
 
+    fn age(&self, r: usize) -> f64 {
+        self.runners[r].reported_at.map_or(f64::MAX, |at| (self.now - at) as f64)
+    }
+
     /// The fleet's mean of others' jobs, for a runner of this size.
     fn mean_others(&self, r: usize) -> f64 {
-        let known = (0..self.runners.len())
-            .filter(|r| self.runners[*r].listed && self.runners[*r].reported_at.is_some())
-            .fold((0.0, 0.0), |(jobs, capacity), r| {
-                (jobs + self.runners[r].others_usual.max(0.0), capacity + self.capacity(r))
-            });
-        if known.1 > 0.0 { known.0 / known.1 * self.capacity(r) } else { 0.0 }
+        if self.fleet.1 > 0.0 { self.fleet.0 / self.fleet.1 * self.capacity(r) } else { 0.0 }
     }
 
-    fn mean_pace(&self) -> f64 {
+    /// Keeps the fleet's sums as a runner's part in them changes.
+    fn count_in(&mut self, r: usize) {
+        let runner = &self.runners[r];
+        let counts = runner.listed && runner.reported_at.is_some();
+        let now = if counts { (runner.others_usual.max(0.0), self.weight(r)) } else { (0.0, 0.0) };
+        let before = std::mem::replace(&mut self.runners[r].counted, now);
+        self.fleet.0 += now.0 - before.0;
+        self.fleet.1 += now.1 - before.1;
+    }
+
+    fn set_mean_pace(&mut self) {
         let sum: f64 = (0..self.pace.len()).map(|operation| self.pace_of(operation)).sum();
-        (sum / (self.pace.len() as f64).max(1.0)).max(1.0)
+        self.mean_pace = (sum / (self.pace.len() as f64).max(1.0)).max(1.0);
     }
 
     /// Until an operation has been seen to succeed, its objective is the best guess of its time.
@@ -619,9 +801,8 @@
     }
 
     fn slots(&self, r: usize) -> f64 {
-        self.runners[r]
-            .slots
-            .unwrap_or_else(|| self.runners.iter().filter_map(|r| r.slots).reduce(f64::min).unwrap_or(1.0))
+        let unknown = if self.least_slots < f64::MAX { self.least_slots } else { 1.0 };
+        self.runners[r].slots.unwrap_or(unknown)
     }
 
     fn load(&self, r: usize) -> f64 {
@@ -630,9 +811,12 @@
 
     /// What a count is weighed by: the registered size, or else slots, less what is still cold.
     fn capacity(&self, r: usize) -> f64 {
+        self.weight(r) * self.warmth(r)
+    }
+
+    fn weight(&self, r: usize) -> f64 {
         let size = self.runners[r].size;
-        let slots = if self.orders.sizes_registered && size > 0.0 { size } else { self.slots(r) };
-        slots * self.warmth(r)
+        if self.orders.sizes_registered && size > 0.0 { size } else { self.slots(r) }
     }
 
     /// The most that a runner may hold. Where probes keep counts fresh, waiting is done here rather than in
@@ -640,11 +824,16 @@
     fn room(&self, r: usize) -> f64 {
         let slots = self.slots(r);
         if self.orders.may_probe {
+            // Own forwards tell here when they end, so a job may as well wait here for their slots; where
+            // others hold the slots, none would tell, and it waits in the runner.
+            let count = self.count(r).max(1.0);
+            let others = (count - f64::from(self.runners[r].out)) / count;
             // Counts in doubt are averages: what seems just full may as well have a slot free.
             let guess = if self.doubt > DOUBTFUL { 1.0 } else { 0.0 };
-            return (slots * self.warmth(r)).ceil() + guess;
+            let places = self.kinds[self.runners[r].kind].places;
+            return (slots * (self.warmth(r) + others * places)).round().max(1.0) + guess;
         }
-        let waits = self.tightest as f64 / self.mean_pace();
+        let waits = self.tightest as f64 / self.mean_pace;
         (self.capacity(r) * (1.0 + WAITS * waits)).ceil()
     }
 
@@ -676,18 +865,14 @@
     // What runners show of themselves.
 
     fn report(&mut self, r: usize, values: &[f64]) {
+        let of = |field| self.field(values, field);
+        let (inflight, free, waiting) =
+            (of(ReportField::InFlight), of(ReportField::FreeSlots), of(ReportField::Waiting));
         let runner = &mut self.runners[r];
         while runner.spent.front().is_some_and(|(at, _)| *at < self.now - self.orders.tip_after) {
             runner.spent.pop_front();
         }
-        if values.is_empty() {
-            return;
-        }
-        let of = |field| {
-            let nth = self.orders.report_fields.iter().position(|f| *f == field);
-            nth.and_then(|nth| values.get(nth)).copied()
-        };
-        let Some(inflight) = of(ReportField::InFlight) else { return };
+        let Some(inflight) = inflight else { return };
         let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
         let settled = f64::from(runner.out) - just_sent as f64;
         if settled > 0.0 {
@@ -699,18 +884,43 @@
         let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
         runner.others_usual += weight * (runner.others - runner.others_usual);
         runner.reported_at = Some(self.now);
-        if let Some(free) = of(ReportField::FreeSlots) {
-            let waiting = of(ReportField::Waiting);
+        if let Some(free) = free {
             if free > 0.5 || waiting.is_some() {
                 let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
-                runner.slots = Some(runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots)));
+                let slots = runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots));
+                runner.slots = Some(slots);
+                self.least_slots = self.least_slots.min(slots);
             }
         }
+        self.count_in(r);
+    }
+
+    /// What a report that came with a bounce tells: the waiting places of such runners or, where it shows a
+    /// slot free, that reports come late.
+    fn bounced(&mut self, r: usize, report: &[f64]) {
+        let (Some(free), Some(waiting)) =
+            (self.field(report, ReportField::FreeSlots), self.field(report, ReportField::Waiting))
+        else {
+            return;
+        };
+        if free > 0.5 {
+            self.doubt += 0.5 * (1.0 - self.doubt);
+        } else {
+            self.doubt *= 0.9;
+            let seen = waiting.round() / self.slots(r);
+            let kind = &mut self.kinds[self.runners[r].kind];
+            kind.places += 0.5 * (seen - kind.places);
+        }
+    }
+
+    fn field(&self, report: &[f64], field: ReportField) -> Option<f64> {
+        let nth = self.orders.report_fields.iter().position(|f| *f == field)?;
+        report.get(nth).copied()
     }
 
     fn judge(&mut self, r: usize, operation: usize, outcome: &Outcome) {
         let now = self.now;
-        let (pace, slots) = (self.mean_pace(), self.slots(r));
+        let (pace, slots) = (self.mean_pace, self.slots(r));
         let runner = &mut self.runners[r];
         let faded = 0.5f64.powf((now - runner.judged_at) as f64 / HEALTH_MEMORY);
         runner.judged_at = now;
@@ -726,6 +936,8 @@
                 let pace = &mut self.pace[operation];
                 let elapsed = outcome.elapsed as f64;
                 *pace = Some(pace.map_or(elapsed, |pace| pace + 0.05 * (elapsed - pace)));
+                self.freed = true;
+                self.set_mean_pace();
             }
             Ending::Errored => {
                 runner.bad += 1.0;
@@ -735,10 +947,7 @@
                     self.bench(r, "errors");
                 }
             }
-            Ending::Broken | Ending::Unreachable => {
-                runner.dead = true;
-                self.bench(r, "no connection");
-            }
+            Ending::Broken | Ending::Unreachable => self.bench(r, "no connection"),
             Ending::Overloaded => {
                 runner.silent_since = now;
                 runner.full_until = now + (pace / slots) as Micros;
@@ -781,12 +990,9 @@
         runner.out > 0 && self.now - runner.silent_since >= self.silence_allowed()
     }
 
-    fn stalled(&mut self, id: &Id, forward: u32) {
+    fn stalled(&mut self, id: &Id) {
         let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
-        let Some(out) = inv.out.as_ref().filter(|out| out.number == forward) else { return };
-        if out.flowing || out.cancelled {
-            return;
-        }
+        let Some(out) = inv.out.as_ref().filter(|out| !out.flowing && !out.cancelled) else { return };
         let op = &self.orders.operations[inv.operation];
         let allowed = self.silence_allowed();
         let tgt = out.tgt;
@@ -804,26 +1010,7 @@
             self.cancel(id);
             self.bench(tgt, "silent");
         } else {
-            self.due(self.now + allowed / 4, Due::Stall(id.clone(), forward));
-        }
-    }
-
-    // Probes.
-
-    fn probe(&mut self) {
-        let hungry = !self.queue.is_empty() && self.doubt <= DOUBTFUL;
-        let mut left = 3;
-        for r in 0..self.runners.len() {
-            let runner = &mut self.runners[r];
-            let benched = self.now < runner.bench_until;
-            let revive = runner.dead && !benched;
-            let stale = runner.reported_at.is_none_or(|at| self.now - at > STALE);
-            if !runner.listed || runner.probing || left == 0 || !(revive || hungry && stale && !benched) {
-                continue;
-            }
-            runner.probing = true;
-            left -= 1;
-            self.todo.push(Action::Probe { tgt: runner.id.clone() });
+            self.watch(id, Some(self.now + allowed / 4));
         }
     }
 
@@ -831,22 +1018,20 @@
         let Some(&r) = self.by_id.get(id) else { return };
         self.runners[r].probing = false;
         if alive {
-            self.runners[r].dead = false;
             self.report(r, report);
         } else {
-            self.runners[r].dead = true;
             self.bench(r, "no answer to a probe");
         }
     }
 }
 
 impl Runner {
-    fn new(entry: &RosterEntry, now: Micros) -> Runner {
+    fn new(entry: &RosterEntry, kind: usize, now: Micros) -> Runner {
         Runner {
             id: entry.tgt.clone(),
             hash: hash(entry.tgt.as_bytes()),
             listed: false,
-            kind: entry.kind.clone(),
+            kind,
             zone: entry.zone.clone(),
             cell: entry.cell,
             size: entry.size,
@@ -864,8 +1049,10 @@
             bench_until: now,
             bench_count: 0,
             on_trial: false,
-            dead: false,
             probing: false,
+            links: 0,
+            used_at: now,
+            counted: (0.0, 0.0),
             silent_since: now,
             spent: VecDeque::new(),
         }
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -8,6 +8,8 @@
     pub my_zone: Id,
     /// Whether a crossing of zones costs something.
     pub crossing_costs: bool,
+    /// Whether a new connection costs something, or one that is kept.
+    pub connecting_costs: bool,
     pub must_subscribe: bool,
     pub ask_within: Micros,
     pub cold_from: f64,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -25,6 +25,7 @@
         dispatchers: 2,
         my_zone: "east".into(),
         crossing_costs: false,
+        connecting_costs: false,
         must_subscribe: true,
         ask_within: 10_000_000,
         cold_from: 0.1,
