A client's repeat counts as late from its first try; low work needs a free slot

Cause: under overload the slots went to work whose objective had long passed, and low work filled the runners' few waiting places.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -171,6 +171,8 @@
     /// Mean time of a successful forward, by operation.
     pace: Vec<Option<f64>>,
     mean_pace: f64,
+    /// The most time that an arrival of each operation had left.
+    fullest: Vec<Micros>,
     /// A slot has come free since the queue was last gone through.
     freed: bool,
     todo: Vec<Action>,
@@ -197,6 +199,7 @@
             allowance,
             tightest,
             pace: vec![None; orders.operations.len()],
+            fullest: vec![0; orders.operations.len()],
             orders,
             chance: Chance::new(seed),
             now: 0,
@@ -382,13 +385,17 @@
 
     fn arrive(&mut self, arrival: Arrival) {
         let op = &self.orders.operations[arrival.operation];
-        let late = op.late_share * 0.5 * (op.client_timeout - op.latency_objective).max(0) as f64;
-        let patience = self.now + op.latency_objective + late as Micros;
         let deadline = self.now + arrival.expires_in;
+        // A client's repeat comes with less time left than a first try; its objective runs from the first.
+        let fullest = &mut self.fullest[arrival.operation];
+        *fullest = arrival.expires_in.max(*fullest);
+        let in_time = self.now + op.latency_objective - (*fullest - arrival.expires_in);
+        let late = op.late_share * op.latency_objective as f64;
+        let patience = in_time.max(self.now) + late as Micros;
         let inv = Inv {
             operation: arrival.operation,
             deadline,
-            in_time: self.now + op.latency_objective,
+            in_time,
             patience: patience.min(deadline - MARGIN),
             slots: arrival.slots,
             key: arrival.key.as_deref().map(|key| hash(key.as_bytes())),
@@ -610,7 +617,7 @@
     }
 
     fn seek_drawn(&mut self, inv: &mut Inv) -> Option<usize> {
-        let late = self.orders.may_probe && inv.place.is_some_and(|place| place.0 == LATE);
+        let may_wait = !self.orders.may_probe || inv.place.is_some_and(|place| place.0 == 0);
         loop {
             if inv.stage > 0 {
                 if self.sound(inv) {
@@ -620,7 +627,7 @@
                 let enough = inv.stage > 2 || inv.drawn.len() >= self.wanted(inv);
                 if let Some(r) = best
                     && enough
-                    && (inv.stage % 2 == 0 && !late || self.count(r) < self.slots(r))
+                    && (inv.stage % 2 == 0 && may_wait || self.count(r) < self.slots(r))
                 {
                     return best;
                 }
