Whole jobs of the cold budget by turns: one among hundreds of dispatchers never had a share

Cause: an equal share of the cold budget is less than one job among hundreds, so a lost zone's runners stayed idle until warm (86 of 156 listed runners in use).

--- a/drill/src/orders.rs
+++ b/drill/src/orders.rs
@@ -103,6 +103,7 @@
     let orders = StandingOrders {
         operations,
         dispatchers: info.within("balancers", 1, u32::MAX)?,
+        number: info.value_or("selfIndex", 0)?,
         my_zone: info.0.get("myZone").copied().unwrap_or_default().into(),
         crossing_costs: info.value_or("prices.crossZone", 0.0)? > 0.0,
         connecting_costs: info.value_or("prices.handshake", 0.0)? > 0.0
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,7 +39,7 @@
 const STALE: f64 = 0.1;
 /// In mean times of a forward: how long high, low and late work waits for room before it draws anew. Other
 /// dispatchers' queues are not seen from here: those who ask more often get the slots that come free.
-const RESTS: [f64; 3] = [0.06, 0.25, 1.0];
+const RESTS: [f64; 3] = [0.06, 0.12, 1.0];
 /// Waiting places that a runner is thought to have for each slot until one of its kind has bounced work.
 const PLACES: f64 = 0.5;
 /// A forward younger than this need not show in a report yet; a report younger than this is new.
@@ -133,6 +133,8 @@
 /// Order in the queue: what is at stake, then who can wait least.
 type Place = (u8, Micros, u64);
 const LATE: u8 = 2;
+/// The last pool to draw from.
+const LAST: usize = 5;
 
 enum Due {
     Look(Id),
@@ -627,11 +629,11 @@
                 let enough = inv.stage > 2 || inv.drawn.len() >= self.wanted(inv);
                 if let Some(r) = best
                     && enough
-                    && (inv.stage % 2 == 0 && may_wait || self.count(r) < self.slots(r))
+                    && (matches!(inv.stage, 2 | LAST) && may_wait || self.count(r) < self.slots(r))
                 {
                     return best;
                 }
-                if inv.stage == 4 {
+                if inv.stage == LAST {
                     (inv.stage, inv.heard_by) = (0, 0);
                     let tier = inv.place.map_or(LATE, |place| place.0);
                     inv.rests_until = self.now + (RESTS[usize::from(tier)] * self.mean_pace) as Micros;
@@ -655,12 +657,13 @@
         let skipped = |stage| {
             stage < 3 && !self.orders.connecting_costs || stage % 2 == 1 && !self.orders.crossing_costs
         };
-        inv.stage = (inv.stage + 1..4).find(|stage| !skipped(*stage)).unwrap_or(4);
+        inv.stage = (inv.stage + 1..LAST).find(|stage| !skipped(*stage)).unwrap_or(LAST);
         inv.heard_by = 0;
         let mut pool = match inv.stage {
             1 | 2 => self.linked.clone(),
             3 => self.near.clone(),
-            _ => self.listed.clone(),
+            4 => self.listed.clone(),
+            _ => self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect(),
         };
         let mut wanted = self.wanted(inv);
         let mut shunned = None;
@@ -857,16 +860,26 @@
         self.pace_of(inv.operation) * inv.slots
     }
 
+    /// All dispatchers' budget is shared out evenly. Among hundreds a share is less than one job and would
+    /// never be used: there they take turns by their own numbers, a time slice each, at whole jobs. Two slices
+    /// touch any span that the rule looks at, so each has half the budget.
     fn within_cold_budget(&self, r: usize, work: f64) -> bool {
         let warmth = self.warmth(r);
         if warmth >= 1.0 {
             return true;
         }
-        let all = self.orders.overload_factor * warmth * self.slots(r) * self.orders.tip_after as f64;
-        let mine = all * COLD_CAUTION / f64::from(self.orders.dispatchers);
-        let from = self.now - self.orders.tip_after;
-        let spent: f64 = self.runners[r].spent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum();
-        spent + work <= mine
+        let span = self.orders.tip_after.max(1);
+        let all = self.orders.overload_factor * warmth * self.slots(r) * span as f64;
+        let share = all * COLD_CAUTION / f64::from(self.orders.dispatchers);
+        let runner = &self.runners[r];
+        let spent = |from| runner.spent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum::<f64>();
+        if share >= work {
+            return spent(self.now - span) + work <= share;
+        }
+        let slice = self.now.div_euclid(span);
+        let turns = (self.mean_pace / (share / 2.0)).ceil();
+        let turn = (slice as u64).wrapping_add(runner.hash >> 32).wrapping_add(self.orders.number.into());
+        turn % (turns as u64).max(1) == 0 && spent(slice * span) + work <= turns * share / 2.0
     }
 
     // What runners show of themselves.
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -5,6 +5,8 @@
 pub struct StandingOrders {
     pub operations: Vec<Operation>,
     pub dispatchers: u32,
+    /// This one's own number among them.
+    pub number: u32,
     pub my_zone: Id,
     /// Whether a crossing of zones costs something.
     pub crossing_costs: bool,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -23,6 +23,7 @@
     StandingOrders {
         operations,
         dispatchers: 2,
+        number: 0,
         my_zone: "east".into(),
         crossing_costs: false,
         connecting_costs: false,
