Close idle connections where none is priced: a runner's full table takes its capacity

Cause: every dispatcher of hundreds kept connections to most runners, and a fuller table takes more of a runner's capacity.

--- a/src/actions.rs
+++ b/src/actions.rs
@@ -8,6 +8,8 @@
     Throttle { inv: Id, come_back: Option<Micros> },
     Error { inv: Id },
     Probe { tgt: Id },
+    /// Closes this dispatcher's idle connections to a runner.
+    Disconnect { tgt: Id },
     Follow,
     Tick { after: Micros },
     Log(String),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -546,6 +546,10 @@
         if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
             runner.links = 0;
             self.linked.retain(|r| *r != out.tgt);
+        } else if !self.orders.connecting_costs && runner.out == 0 {
+            runner.links = 0;
+            self.linked.retain(|r| *r != out.tgt);
+            self.todo.push(Action::Disconnect { tgt: runner.id.clone() });
         }
         runner.out_high -= u32::from(self.high[operation]);
         let ran = match outcome.ending {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -65,6 +65,7 @@
                 Action::Throttle { inv, come_back } => format!("throttle {inv}, back in {come_back:?}"),
                 Action::Error { inv } => format!("error {inv}"),
                 Action::Probe { tgt } => format!("probe {tgt}"),
+                Action::Disconnect { tgt } => format!("disconnect {tgt}"),
                 Action::Follow => "follow".to_owned(),
             };
             self.trace += &format!("{} {line}\n", self.now / 1000);
