Keys have homes by their share of the work; keyed work stays with them

Cause: single homes of popular keys were swamped by hundreds of dispatchers that each have next to nothing out there; homes that give way to stale reports flip, and each flip is a fetch.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,14 @@
 /// Where counts are old: how many latency objectives of waiting a runner may seem to hold. Too few, and a
 /// stale report of a burst long past turns work away from runners that are idle again.
 const WAITS: f64 = 8.0;
+/// How many homes a key has for each runner that its share of the work would fill.
+const HOMES: f64 = 1.3;
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
+/// A key's uses count half after this; as many uses are granted to other keys in advance.
+const POPULARITY_MEMORY: f64 = 3e7;
+const POPULARITY_PRIOR: f64 = 20.0;
+const KEYS_KEPT: usize = 10_000;
 /// The share of its cold budget that a dispatcher uses: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
 /// How far above the fleet's median share of failures a runner may lie.
@@ -164,6 +170,10 @@
     fleet: (f64, f64),
     least_slots: f64,
     invs: HashMap<Id, Inv>,
+    /// How often each key has been asked for, and when last.
+    popularity: HashMap<u64, (f64, Micros)>,
+    popularity_all: f64,
+    popularity_at: Micros,
     queue: BTreeMap<Place, Id>,
     dues: BTreeMap<(Micros, u64), Due>,
     armed: BTreeSet<Micros>,
@@ -217,6 +227,9 @@
             fleet: (0.0, 0.0),
             least_slots: f64::MAX,
             invs: HashMap::new(),
+            popularity: HashMap::new(),
+            popularity_all: 0.0,
+            popularity_at: 0,
             queue: BTreeMap::new(),
             dues: BTreeMap::new(),
             armed: BTreeSet::new(),
@@ -413,6 +426,9 @@
             rests_until: 0,
             due: None,
         };
+        if let Some(key) = inv.key {
+            self.note_key(key);
+        }
         self.invs.insert(arrival.inv.clone(), inv);
         self.enqueue(&arrival.inv);
     }
@@ -605,7 +621,7 @@
     /// A runner for this invocation, or none while probes are out or no draw has room.
     fn seek(&mut self, id: &Id) -> Option<usize> {
         let mut inv = self.invs.remove(id)?;
-        let found = if inv.key.is_some() { self.seek_home(&inv) } else { self.seek_drawn(&mut inv) };
+        let found = self.seek_drawn(&mut inv);
         self.invs.insert(id.clone(), inv);
         if found.is_none() {
             self.watch_queued(id);
@@ -613,15 +629,6 @@
         found
     }
 
-    fn seek_home(&mut self, inv: &Inv) -> Option<usize> {
-        let key = inv.key?;
-        let mut open: Vec<usize> = self.listed.iter().copied().filter(|r| self.open(*r, inv)).collect();
-        if open.iter().any(|r| !inv.avoid.contains(r)) {
-            open.retain(|r| !inv.avoid.contains(r));
-        }
-        self.home(key, &open).filter(|home| self.has_room(*home, inv))
-    }
-
     fn seek_drawn(&mut self, inv: &mut Inv) -> Option<usize> {
         let may_wait = !self.orders.may_probe || inv.place.is_some_and(|place| place.0 == 0);
         loop {
@@ -630,10 +637,13 @@
                     return None;
                 }
                 let best = self.least(inv);
-                let enough = inv.stage > 2 || inv.drawn.len() >= self.wanted(inv);
+                let enough = inv.stage > 2 || inv.key.is_some() || inv.drawn.len() >= self.wanted(inv);
                 if let Some(r) = best
                     && enough
-                    && (matches!(inv.stage, 2 | LAST) && may_wait || self.count(r) < self.slots(r))
+                    && (inv.stage == LAST && may_wait
+                        || inv.stage == 1 && inv.key.is_some()
+                        || inv.stage == 2 && may_wait
+                        || self.count(r) < self.slots(r))
                 {
                     return best;
                 }
@@ -658,13 +668,16 @@
         if inv.stage == 0 {
             inv.drawn.clear();
         }
-        let skipped = |stage| {
-            stage < 3 && !self.orders.connecting_costs || stage % 2 == 1 && !self.orders.crossing_costs
+        let favoured = self.orders.connecting_costs || inv.key.is_some();
+        let skipped = |stage| match stage {
+            1 => !favoured || inv.key.is_none() && !self.orders.crossing_costs,
+            2 => !favoured || inv.key.is_some(),
+            stage => stage == 3 && !self.orders.crossing_costs,
         };
         inv.stage = (inv.stage + 1..LAST).find(|stage| !skipped(*stage)).unwrap_or(LAST);
         inv.heard_by = 0;
         let mut pool = match inv.stage {
-            1 | 2 => self.linked.clone(),
+            1 | 2 => inv.key.map_or_else(|| self.linked.clone(), |key| self.homes(key, inv)),
             3 => self.near.clone(),
             4 => self.listed.clone(),
             _ => self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect(),
@@ -673,7 +686,7 @@
         let mut shunned = None;
         while wanted > 0 && !pool.is_empty() {
             let r = pool.swap_remove(self.chance.below(pool.len() as u64) as usize);
-            if inv.stage == 1 && self.runners[r].zone != self.orders.my_zone {
+            if inv.stage == 1 && inv.key.is_none() && self.runners[r].zone != self.orders.my_zone {
                 continue;
             }
             let known = !self.orders.may_probe || self.age(r) <= STALE * self.mean_pace;
@@ -733,17 +746,46 @@
     }
 
     /// A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
-    /// dispatcher finds the same home for a key by hashing, with no word between them: the highest hash that
-    /// holds not much more than its share of own forwards out. Going by counts here lets homes flip with
-    /// every stale report, and each flip is a fetch.
-    fn home(&self, key: u64, open: &[usize]) -> Option<usize> {
-        let all = open.iter().map(|r| f64::from(self.runners[*r].out)).sum::<f64>() + 1.0;
-        let capacity = open.iter().map(|r| self.capacity(*r)).sum::<f64>();
+    /// dispatcher finds the same homes for a key by hashing, with no word between them, and as many of them as
+    /// the key's share of the work asks for: a popular key would swamp a single home unseen, as each of many
+    /// dispatchers has next to nothing out there.
+    fn homes(&self, key: u64, inv: &Inv) -> Vec<usize> {
+        let seen = self.popularity.get(&key).map_or(0.0, |(count, _)| *count);
+        // Less what chance alone may have added: one use seen among few is no popularity.
+        let share = (seen - seen.sqrt()).max(0.0) / (self.popularity_all + POPULARITY_PRIOR);
+        let wanted = (HOMES * share * self.listed.len() as f64).ceil() as usize;
+        let draw = |r: &usize| {
+            let chance = (mix(key ^ self.runners[*r].hash) >> 11) as f64 / (1u64 << 53) as f64;
+            (-chance.ln() / self.weight(*r), *r)
+        };
+        // Own forwards out bound a home before any report could.
+        let out = self.listed.iter().map(|r| f64::from(self.runners[*r].out)).sum::<f64>() + 1.0;
+        let all: f64 = self.listed.iter().map(|r| self.weight(*r)).sum();
         let fair = |r: &&usize| {
-            let share = all * self.capacity(**r) / capacity;
+            let share = out * self.weight(**r) / all;
             f64::from(self.runners[**r].out) + 1.0 <= (HOME_BOUND * share).ceil()
+                && self.open(**r, inv)
         };
-        open.iter().filter(fair).max_by_key(|r| mix(key ^ self.runners[**r].hash)).copied()
+        let mut homes: Vec<(f64, usize)> = self.listed.iter().filter(fair).map(draw).collect();
+        let wanted = wanted.max(1);
+        if wanted < homes.len() {
+            homes.select_nth_unstable_by(wanted, |a, b| a.0.total_cmp(&b.0));
+            homes.truncate(wanted);
+        }
+        homes.into_iter().map(|(_, r)| r).collect()
+    }
+
+    fn note_key(&mut self, key: u64) {
+        let (count, at) = self.popularity.entry(key).or_insert((0.0, self.now));
+        *count = *count * 0.5f64.powf((self.now - *at) as f64 / POPULARITY_MEMORY) + 1.0;
+        *at = self.now;
+        let since = (self.now - self.popularity_at) as f64;
+        self.popularity_all = self.popularity_all * 0.5f64.powf(since / POPULARITY_MEMORY) + 1.0;
+        self.popularity_at = self.now;
+        if self.popularity.len() > KEYS_KEPT {
+            let now = self.now as f64;
+            self.popularity.retain(|_, (_, at)| now - (*at as f64) < POPULARITY_MEMORY);
+        }
     }
 
     /// Whether a runner may be drawn for this invocation.
@@ -764,7 +806,7 @@
     }
 
     fn has_room(&self, r: usize, inv: &Inv) -> bool {
-        self.count(r) + inv.slots <= self.room(r).max(inv.slots)
+        self.count(r) + inv.slots <= self.room(r, WAITS).max(inv.slots)
     }
 
     /// All-class count: own forwards out and what the latest report leaves for others. As a report ages, the
@@ -775,10 +817,11 @@
         // What a report said fades: else a runner that once was full would be shunned, never report again
         // and stay full in our eyes for good.
         let age = (self.now - at) as f64 / self.mean_pace;
-        let usual = runner.others_usual * (-age / FADES).exp();
+        let faded = (-age / FADES).exp();
+        let usual = runner.others_usual.max(0.0) * faded + self.mean_others(r) * (1.0 - faded);
         let others = if self.doubt > DOUBTFUL {
             // While reports are late, one runner's say little; the fleet's mean still holds.
-            (usual.max(0.0) + self.mean_others(r)) / 2.0
+            (usual + self.mean_others(r)) / 2.0
         } else {
             (-age).exp() * runner.others + (1.0 - (-age).exp()) * usual
         };
@@ -835,7 +878,7 @@
 
     /// The most that a runner may hold. Where probes keep counts fresh, waiting is done here rather than in
     /// a runner's few waiting places; where counts are old, runners must hold what bridges their age.
-    fn room(&self, r: usize) -> f64 {
+    fn room(&self, r: usize, objectives: f64) -> f64 {
         let slots = self.slots(r);
         if self.orders.may_probe {
             // Own forwards tell here when they end, so a job may as well wait here for their slots; where
@@ -848,7 +891,7 @@
             return (slots * (self.warmth(r) + others * places)).round().max(1.0) + guess;
         }
         let waits = self.tightest as f64 / self.mean_pace;
-        (self.capacity(r) * (1.0 + WAITS * waits)).ceil()
+        slots * self.warmth(r) + self.capacity(r) * objectives * waits
     }
 
     // Cold runners.
