Room by observed waits for a start; averages fade; keyed work waits for its homes

Cause: after a jam the fleet's mean of old reports never fell, all runners seemed full and 80% was throttled while they were idle; and leaving a home with no room sent floods of fetches to the one store.

--- a/drill/src/orders.rs
+++ b/drill/src/orders.rs
@@ -123,6 +123,7 @@
         },
         report_fields: info.list("report.fields").map(|name| info.report_field(name)).collect(),
         sizes_registered: matches!(info.0.get("weights"), Some(&"nominal" | &"rough")),
+        tells_start: flag("familyInfo.tellsStart")?,
         progress: info.value_or("familyInfo.progress", 0)?,
     };
     Ok((orders, names))
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -236,9 +236,9 @@
                 let inv = parts.id("ticket")?;
                 let forward = parts.number("roundNo")?;
                 parts.real("level", 0.0)?;
-                parts.number_or("what", 0u64)?;
+                let started = parts.number_or("what", 0u64)? == 1;
                 parts.text("runner")?;
-                Event::Progress { inv, forward }
+                if started { Event::Started { inv, forward } } else { Event::Progress { inv, forward } }
             }
             "RESOLVED" => {
                 let inv = parts.id("ticket")?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,7 +26,9 @@
 /// stale report of a burst long past turns work away from runners that are idle again.
 const WAITS: f64 = 8.0;
 /// How many homes a key has for each runner that its share of the work would fill.
-const HOMES: f64 = 1.3;
+const HOMES: f64 = 2.5;
+const LEAST_HOMES: usize = 1;
+const SPILL: usize = 0;
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
 /// A key's uses count half after this; as many uses are granted to other keys in advance.
@@ -85,8 +87,8 @@
     /// Connections that are up, as far as is known here.
     links: u32,
     used_at: Micros,
-    /// What it adds to the fleet's sums.
-    counted: (f64, f64),
+    /// How long forwards to it waited for their start, where runners tell of starts.
+    wait: Recent,
     /// Since when it has shown no sign of life while it held a forward of ours.
     silent_since: Micros,
     spent: VecDeque<(Micros, f64)>,
@@ -166,8 +168,9 @@
     near: Vec<usize>,
     /// Those with a connection of this dispatcher.
     linked: Vec<usize>,
-    /// Others' usual jobs and weights of all listed runners that have reported.
-    fleet: (f64, f64),
+    /// Others' jobs for each unit of weight, and waits for a start, over all runners.
+    others_mean: Recent,
+    wait_mean: Recent,
     least_slots: f64,
     invs: HashMap<Id, Inv>,
     /// How often each key has been asked for, and when last.
@@ -224,7 +227,8 @@
             listed: Vec::new(),
             near: Vec::new(),
             linked: Vec::new(),
-            fleet: (0.0, 0.0),
+            others_mean: Recent::default(),
+            wait_mean: Recent::default(),
             least_slots: f64::MAX,
             invs: HashMap::new(),
             popularity: HashMap::new(),
@@ -254,6 +258,7 @@
             match event {
                 Event::Arrival(arrival) => self.arrive(arrival),
                 Event::Flowing { inv, forward } => self.sign(&inv, forward, true),
+                Event::Started { inv, forward } => self.started(&inv, forward),
                 Event::Progress { inv, forward } => self.sign(&inv, forward, false),
                 Event::Outcome(outcome) => self.outcome(outcome),
                 Event::Gone { inv } => self.close(&inv),
@@ -360,7 +365,6 @@
         self.listed = (0..self.runners.len()).filter(on).collect();
         let here = |r: &usize| self.runners[*r].zone == self.orders.my_zone;
         self.near = self.listed.iter().copied().filter(here).collect();
-        (0..self.runners.len()).for_each(|r| self.count_in(r));
     }
 
     fn heard_from_registry(&mut self) {
@@ -551,6 +555,14 @@
         }
     }
 
+    fn started(&mut self, id: &Id, forward: u32) {
+        self.sign(id, forward, false);
+        let Some(out) = self.invs.get(id).and_then(|inv| inv.out.as_ref()) else { return };
+        let wait = (self.now - out.sent) as f64;
+        self.runners[out.tgt].wait.note(wait, 0.5, self.now);
+        self.wait_mean.note(wait, 0.05, self.now);
+    }
+
     fn outcome(&mut self, outcome: Outcome) {
         let Some(inv) = self.invs.get_mut(&outcome.inv) else { return };
         let Some(out) = inv.out.take_if(|out| out.number == outcome.forward) else { return };
@@ -668,16 +680,17 @@
         if inv.stage == 0 {
             inv.drawn.clear();
         }
-        let favoured = self.orders.connecting_costs || inv.key.is_some();
-        let skipped = |stage| match stage {
-            1 => !favoured || inv.key.is_none() && !self.orders.crossing_costs,
-            2 => !favoured || inv.key.is_some(),
-            stage => stage == 3 && !self.orders.crossing_costs,
+        let skipped = |stage| match (stage, inv.key) {
+            (3 | 4, Some(_)) => true,
+            (1 | 3, None) if !self.orders.crossing_costs => true,
+            (1 | 2, None) => !self.orders.connecting_costs,
+            _ => false,
         };
         inv.stage = (inv.stage + 1..LAST).find(|stage| !skipped(*stage)).unwrap_or(LAST);
         inv.heard_by = 0;
         let mut pool = match inv.stage {
             1 | 2 => inv.key.map_or_else(|| self.linked.clone(), |key| self.homes(key, inv)),
+            _ if inv.key.is_some() => Vec::new(),
             3 => self.near.clone(),
             4 => self.listed.clone(),
             _ => self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect(),
@@ -753,7 +766,6 @@
         let seen = self.popularity.get(&key).map_or(0.0, |(count, _)| *count);
         // Less what chance alone may have added: one use seen among few is no popularity.
         let share = (seen - seen.sqrt()).max(0.0) / (self.popularity_all + POPULARITY_PRIOR);
-        let wanted = (HOMES * share * self.listed.len() as f64).ceil() as usize;
         let draw = |r: &usize| {
             let chance = (mix(key ^ self.runners[*r].hash) >> 11) as f64 / (1u64 << 53) as f64;
             (-chance.ln() / self.weight(*r), *r)
@@ -767,12 +779,15 @@
                 && self.open(**r, inv)
         };
         let mut homes: Vec<(f64, usize)> = self.listed.iter().filter(fair).map(draw).collect();
-        let wanted = wanted.max(1);
-        if wanted < homes.len() {
-            homes.select_nth_unstable_by(wanted, |a, b| a.0.total_cmp(&b.0));
-            homes.truncate(wanted);
-        }
-        homes.into_iter().map(|(_, r)| r).collect()
+        homes.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let mut missing = HOMES * share * all;
+        let enough = homes.iter().take_while(|(_, r)| {
+            let more = missing > 0.0;
+            missing -= self.weight(*r);
+            more
+        });
+        let wanted = enough.count().max(LEAST_HOMES) + if inv.stage == 2 { SPILL } else { 0 };
+        homes.into_iter().take(wanted).map(|(_, r)| r).collect()
     }
 
     fn note_key(&mut self, key: u64) {
@@ -806,6 +821,10 @@
     }
 
     fn has_room(&self, r: usize, inv: &Inv) -> bool {
+        if self.orders.tells_start && !self.orders.may_probe {
+            let objective = self.orders.operations[inv.operation].latency_objective as f64;
+            return self.expected_wait(r) < objective * if self.high[inv.operation] { 1.0 } else { 0.6 };
+        }
         self.count(r) + inv.slots <= self.room(r, WAITS).max(inv.slots)
     }
 
@@ -834,17 +853,18 @@
 
     /// The fleet's mean of others' jobs, for a runner of this size.
     fn mean_others(&self, r: usize) -> f64 {
-        if self.fleet.1 > 0.0 { self.fleet.0 / self.fleet.1 * self.capacity(r) } else { 0.0 }
+        self.others_mean.at(self.now, self.fades()) * self.capacity(r)
     }
 
-    /// Keeps the fleet's sums as a runner's part in them changes.
-    fn count_in(&mut self, r: usize) {
-        let runner = &self.runners[r];
-        let counts = runner.listed && runner.reported_at.is_some();
-        let now = if counts { (runner.others_usual.max(0.0), self.weight(r)) } else { (0.0, 0.0) };
-        let before = std::mem::replace(&mut self.runners[r].counted, now);
-        self.fleet.0 += now.0 - before.0;
-        self.fleet.1 += now.1 - before.1;
+    fn fades(&self) -> f64 {
+        FADES * self.mean_pace
+    }
+
+    /// How long a forward sent now may wait for its start in this runner.
+    fn expected_wait(&self, r: usize) -> f64 {
+        let wait = &self.runners[r].wait;
+        let belief = wait.belief(self.now, self.fades());
+        wait.value * belief + self.wait_mean.at(self.now, self.fades()) * (1.0 - belief)
     }
 
     fn set_mean_pace(&mut self) {
@@ -959,7 +979,8 @@
                 self.least_slots = self.least_slots.min(slots);
             }
         }
-        self.count_in(r);
+        let level = (self.runners[r].others.max(0.0) / self.weight(r)).min(1e6);
+        self.others_mean.note(level, 0.05, self.now);
     }
 
     /// What a report that came with a bounce tells: the waiting places of such runners or, where it shows a
@@ -1092,6 +1113,29 @@
     }
 }
 
+/// An average that is believed less as time passes with nothing new.
+#[derive(Default)]
+struct Recent {
+    value: f64,
+    noted_at: Option<Micros>,
+}
+
+impl Recent {
+    fn note(&mut self, value: f64, weight: f64, now: Micros) {
+        let weight = if self.noted_at.is_some() { weight } else { 1.0 };
+        self.value += weight * (value - self.value);
+        self.noted_at = Some(now);
+    }
+
+    fn belief(&self, now: Micros, fades: f64) -> f64 {
+        self.noted_at.map_or(0.0, |at| (-((now - at) as f64) / fades).exp())
+    }
+
+    fn at(&self, now: Micros, fades: f64) -> f64 {
+        self.value * self.belief(now, fades)
+    }
+}
+
 impl Runner {
     fn new(entry: &RosterEntry, kind: usize, now: Micros) -> Runner {
         Runner {
@@ -1119,7 +1163,7 @@
             probing: false,
             links: 0,
             used_at: now,
-            counted: (0.0, 0.0),
+            wait: Recent::default(),
             silent_since: now,
             spent: VecDeque::new(),
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -9,7 +9,12 @@
         inv: Id,
         forward: u32,
     },
-    /// A forward that is still out has started or come further.
+    /// A forward that is still out has been begun on.
+    Started {
+        inv: Id,
+        forward: u32,
+    },
+    /// A forward that is still out has come further.
     Progress {
         inv: Id,
         forward: u32,
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -26,6 +26,8 @@
     pub report_fields: Vec<ReportField>,
     /// Whether the roster's sizes are the registered ones.
     pub sizes_registered: bool,
+    /// Whether runners tell when a job starts.
+    pub tells_start: bool,
     /// The gap between progress notes; 0 where there are none.
     pub progress: Micros,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -39,6 +39,7 @@
         come_back_max: Some(2_000_000),
         report_fields: vec![ReportField::FreeSlots, ReportField::Waiting, ReportField::InFlight],
         sizes_registered: false,
+        tells_start: false,
         progress: 1_000_000,
     }
 }
