--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,8 +27,8 @@
 const WAITS: f64 = 8.0;
 /// How many homes a key has for each runner that its share of the work would fill.
 const HOMES: f64 = 2.5;
-const LEAST_HOMES: usize = 1;
-const SPILL: usize = 0;
+/// How many jobs more a key's next home by hash is taken to hold, as it may have to fetch.
+const FETCH: f64 = 1.5;
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
 /// A key's uses count half after this; as many uses are granted to other keys in advance.
@@ -55,7 +55,7 @@
 /// Above this share of contradicted reports, the latest of them says nothing of now.
 const DOUBTFUL: f64 = 0.15;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
-const FADES: f64 = 8.0;
+const FADES: f64 = 60.0;
 
 struct Runner {
     id: Id,
@@ -132,6 +132,8 @@
     answered: bool,
     /// Draws made so far, and from how many pools.
     drawn: Vec<usize>,
+    /// The draw that is no home of its key yet.
+    spare: Option<usize>,
     stage: usize,
     heard_by: Micros,
     rests_until: Micros,
@@ -425,6 +427,7 @@
             place: None,
             answered: false,
             drawn: Vec::new(),
+            spare: None,
             stage: 0,
             heard_by: 0,
             rests_until: 0,
@@ -558,7 +561,8 @@
     fn started(&mut self, id: &Id, forward: u32) {
         self.sign(id, forward, false);
         let Some(out) = self.invs.get(id).and_then(|inv| inv.out.as_ref()) else { return };
-        let wait = (self.now - out.sent) as f64;
+        // One slowed runner's waits are to say nothing of the others'.
+        let wait = (self.now - out.sent).min(self.tightest * 3 / 2) as f64;
         self.runners[out.tgt].wait.note(wait, 0.5, self.now);
         self.wait_mean.note(wait, 0.05, self.now);
     }
@@ -681,7 +685,7 @@
             inv.drawn.clear();
         }
         let skipped = |stage| match (stage, inv.key) {
-            (3 | 4, Some(_)) => true,
+            (2..=4, Some(_)) => true,
             (1 | 3, None) if !self.orders.crossing_costs => true,
             (1 | 2, None) => !self.orders.connecting_costs,
             _ => false,
@@ -689,7 +693,12 @@
         inv.stage = (inv.stage + 1..LAST).find(|stage| !skipped(*stage)).unwrap_or(LAST);
         inv.heard_by = 0;
         let mut pool = match inv.stage {
-            1 | 2 => inv.key.map_or_else(|| self.linked.clone(), |key| self.homes(key, inv)),
+            1 if inv.key.is_some() => {
+                let mut homes = inv.key.map_or_else(Vec::new, |key| self.homes(key, inv));
+                inv.spare = homes.pop().filter(|_| !homes.is_empty());
+                homes
+            }
+            1 | 2 => self.linked.clone(),
             _ if inv.key.is_some() => Vec::new(),
             3 => self.near.clone(),
             4 => self.listed.clone(),
@@ -713,6 +722,9 @@
             inv.drawn.push(r);
             wanted -= 1;
         }
+        if inv.stage == 1 {
+            inv.drawn.extend(inv.spare);
+        }
         if inv.drawn.is_empty() {
             inv.drawn.extend(shunned);
         }
@@ -750,7 +762,8 @@
             }
             let high = self.high[inv.operation];
             let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
-            let this = (first, self.load(r), r);
+            let fetch = if inv.spare == Some(r) { FETCH / self.capacity(r) } else { 0.0 };
+            let this = (first, self.load(r) + fetch, r);
             if best.is_none_or(|best| (this.0, this.1) < (best.0, best.1)) {
                 best = Some(this);
             }
@@ -786,7 +799,7 @@
             missing -= self.weight(*r);
             more
         });
-        let wanted = enough.count().max(LEAST_HOMES) + if inv.stage == 2 { SPILL } else { 0 };
+        let wanted = enough.count().max(1) + 1;
         homes.into_iter().take(wanted).map(|(_, r)| r).collect()
     }
 
@@ -853,18 +866,15 @@
 
     /// The fleet's mean of others' jobs, for a runner of this size.
     fn mean_others(&self, r: usize) -> f64 {
-        self.others_mean.at(self.now, self.fades()) * self.capacity(r)
-    }
-
-    fn fades(&self) -> f64 {
-        FADES * self.mean_pace
+        self.others_mean.at(self.now, 8.0 * self.mean_pace) * self.capacity(r)
     }
 
     /// How long a forward sent now may wait for its start in this runner.
     fn expected_wait(&self, r: usize) -> f64 {
         let wait = &self.runners[r].wait;
-        let belief = wait.belief(self.now, self.fades());
-        wait.value * belief + self.wait_mean.at(self.now, self.fades()) * (1.0 - belief)
+        let fades = 8.0 * self.mean_pace;
+        let belief = wait.belief(self.now, fades);
+        wait.value * belief + self.wait_mean.at(self.now, fades) * (1.0 - belief)
     }
 
     fn set_mean_pace(&mut self) {
