--- a/src/brain.rs
+++ b/src/brain.rs
@@ -872,9 +872,10 @@
     /// How long a forward sent now may wait for its start in this runner.
     fn expected_wait(&self, r: usize) -> f64 {
         let wait = &self.runners[r].wait;
-        let fades = 8.0 * self.mean_pace;
-        let belief = wait.belief(self.now, fades);
-        wait.value * belief + self.wait_mean.at(self.now, fades) * (1.0 - belief)
+        let fades = 2.0 * self.tightest as f64;
+        // Who sees a runner seldom goes by what he saw for longer.
+        let belief = wait.belief(self.now, fades + wait.gap);
+        wait.value * belief + self.wait_mean.at(self.now, 4.0 * fades) * (1.0 - belief)
     }
 
     fn set_mean_pace(&mut self) {
@@ -1033,7 +1034,7 @@
                 runner.bench_count = 0;
                 let pace = &mut self.pace[operation];
                 let elapsed = outcome.elapsed as f64;
-                *pace = Some(pace.map_or(elapsed, |pace| pace + 0.05 * (elapsed - pace)));
+                *pace = Some(pace.map_or(elapsed, |pace| pace + 0.05 * (elapsed.min(4.0 * pace) - pace)));
                 self.freed = true;
                 self.set_mean_pace();
             }
@@ -1128,12 +1129,14 @@
 struct Recent {
     value: f64,
     noted_at: Option<Micros>,
+    gap: f64,
 }
 
 impl Recent {
     fn note(&mut self, value: f64, weight: f64, now: Micros) {
         let weight = if self.noted_at.is_some() { weight } else { 1.0 };
         self.value += weight * (value - self.value);
+        self.gap = self.noted_at.map_or(0.0, |at| (now - at) as f64);
         self.noted_at = Some(now);
     }
 
