--- a/src/brain.rs
+++ b/src/brain.rs
@@ -563,7 +563,8 @@
         let Some(out) = self.invs.get(id).and_then(|inv| inv.out.as_ref()) else { return };
         // One slowed runner's waits are to say nothing of the others'.
         let wait = (self.now - out.sent).min(self.tightest * 3 / 2) as f64;
-        self.runners[out.tgt].wait.note(wait, 0.5, self.now);
+        let excess = wait - self.mean_wait();
+        self.runners[out.tgt].wait.note(excess, 0.5, self.now);
         self.wait_mean.note(wait, 0.05, self.now);
     }
 
@@ -869,13 +870,16 @@
         self.others_mean.at(self.now, 8.0 * self.mean_pace) * self.capacity(r)
     }
 
-    /// How long a forward sent now may wait for its start in this runner.
+    fn mean_wait(&self) -> f64 {
+        self.wait_mean.at(self.now, 8.0 * self.tightest as f64)
+    }
+
+    /// How long a forward sent now may wait for its start in this runner. What makes a runner worse than
+    /// others is believed for as long as it takes all dispatchers to come by: if each of hundreds soon tried
+    /// a swamped runner again, the trials alone would keep it swamped.
     fn expected_wait(&self, r: usize) -> f64 {
-        let wait = &self.runners[r].wait;
-        let fades = 2.0 * self.tightest as f64;
-        // Who sees a runner seldom goes by what he saw for longer.
-        let belief = wait.belief(self.now, fades + wait.gap);
-        wait.value * belief + self.wait_mean.at(self.now, 4.0 * fades) * (1.0 - belief)
+        let fades = self.tightest as f64 * f64::from(self.orders.dispatchers);
+        self.mean_wait() + self.runners[r].wait.at(self.now, fades)
     }
 
     fn set_mean_pace(&mut self) {
@@ -1129,14 +1133,12 @@
 struct Recent {
     value: f64,
     noted_at: Option<Micros>,
-    gap: f64,
 }
 
 impl Recent {
     fn note(&mut self, value: f64, weight: f64, now: Micros) {
         let weight = if self.noted_at.is_some() { weight } else { 1.0 };
         self.value += weight * (value - self.value);
-        self.gap = self.noted_at.map_or(0.0, |at| (now - at) as f64);
         self.noted_at = Some(now);
     }
 
