--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,8 +32,8 @@
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
 /// A key's uses count half after this; as many uses are granted to other keys in advance.
-const POPULARITY_MEMORY: f64 = 3e7;
-const POPULARITY_PRIOR: f64 = 20.0;
+const USES_MEMORY: f64 = 3e7;
+const USES_GRANTED: f64 = 20.0;
 const KEYS_KEPT: usize = 10_000;
 /// The share of its cold budget that a dispatcher uses: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
@@ -94,6 +94,15 @@
     spent: VecDeque<(Micros, f64)>,
 }
 
+/// How often a key has been asked for, when last, and its first homes as of some roster.
+#[derive(Default)]
+struct Key {
+    count: f64,
+    at: Micros,
+    order: Vec<usize>,
+    roster: u64,
+}
+
 struct Kind {
     id: Id,
     /// Waiting places for each slot, as bounces show them.
@@ -168,6 +177,10 @@
     /// Those that the roster lists as on, and those of them in this zone.
     listed: Vec<usize>,
     near: Vec<usize>,
+    /// Counts the rosters heard; the sum of the listed runners' weights; own forwards out.
+    rosters: u64,
+    weight_all: f64,
+    out_all: u32,
     /// Those with a connection of this dispatcher.
     linked: Vec<usize>,
     /// Others' jobs for each unit of weight, and waits for a start, over all runners.
@@ -175,10 +188,9 @@
     wait_mean: Recent,
     least_slots: f64,
     invs: HashMap<Id, Inv>,
-    /// How often each key has been asked for, and when last.
-    popularity: HashMap<u64, (f64, Micros)>,
-    popularity_all: f64,
-    popularity_at: Micros,
+    keys: HashMap<u64, Key>,
+    uses: f64,
+    used_at: Micros,
     queue: BTreeMap<Place, Id>,
     dues: BTreeMap<(Micros, u64), Due>,
     armed: BTreeSet<Micros>,
@@ -228,14 +240,17 @@
             by_id: HashMap::new(),
             listed: Vec::new(),
             near: Vec::new(),
+            rosters: 0,
+            weight_all: 0.0,
+            out_all: 0,
             linked: Vec::new(),
             others_mean: Recent::default(),
             wait_mean: Recent::default(),
             least_slots: f64::MAX,
             invs: HashMap::new(),
-            popularity: HashMap::new(),
-            popularity_all: 0.0,
-            popularity_at: 0,
+            keys: HashMap::new(),
+            uses: 0.0,
+            used_at: 0,
             queue: BTreeMap::new(),
             dues: BTreeMap::new(),
             armed: BTreeSet::new(),
@@ -365,6 +380,8 @@
         }
         let on = |r: &usize| self.runners[*r].listed;
         self.listed = (0..self.runners.len()).filter(on).collect();
+        self.rosters += 1;
+        self.weight_all = self.listed.iter().map(|r| self.weight(*r)).sum();
         let here = |r: &usize| self.runners[*r].zone == self.orders.my_zone;
         self.near = self.listed.iter().copied().filter(here).collect();
     }
@@ -536,6 +553,7 @@
             runner.silent_since = self.now;
         }
         runner.out += 1;
+        self.out_all += 1;
         if runner.links < runner.out {
             if runner.links == 0 {
                 self.linked.push(tgt);
@@ -575,6 +593,7 @@
         let answered = inv.answered || outcome.finished;
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
+        self.out_all -= 1;
         runner.used_at = self.now;
         if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
             runner.links = 0;
@@ -776,44 +795,67 @@
     /// dispatcher finds the same homes for a key by hashing, with no word between them, and as many of them as
     /// the key's share of the work asks for: a popular key would swamp a single home unseen, as each of many
     /// dispatchers has next to nothing out there.
-    fn homes(&self, key: u64, inv: &Inv) -> Vec<usize> {
-        let seen = self.popularity.get(&key).map_or(0.0, |(count, _)| *count);
-        // Less what chance alone may have added: one use seen among few is no popularity.
-        let share = (seen - seen.sqrt()).max(0.0) / (self.popularity_all + POPULARITY_PRIOR);
+    fn homes(&mut self, key: u64, inv: &Inv) -> Vec<usize> {
+        let mut length = 8;
+        loop {
+            self.rank_homes(key, length);
+            let Some(known) = self.keys.get(&key) else { return Vec::new() };
+            // Less what chance alone may have added: one use seen among few is no popularity.
+            let share = (known.count - known.count.sqrt()).max(0.0) / (self.uses + USES_GRANTED);
+            let mut missing = HOMES * share * self.weight_all;
+            // Own forwards out bound a home before any report could.
+            let fair = |r: &&usize| {
+                let share = f64::from(self.out_all + 1) * self.weight(**r) / self.weight_all;
+                f64::from(self.runners[**r].out) + 1.0 <= (HOME_BOUND * share).ceil() && self.open(**r, inv)
+            };
+            let mut homes = Vec::new();
+            for &r in known.order.iter().filter(fair) {
+                homes.push(r);
+                if missing <= 0.0 && homes.len() > 1 {
+                    return homes;
+                }
+                missing -= self.weight(r);
+            }
+            if known.order.len() >= self.listed.len() {
+                return homes;
+            }
+            length = 4 * known.order.len();
+        }
+    }
+
+    /// Weighted rendezvous hashing: the first so many runners for a key, the same at every dispatcher.
+    fn rank_homes(&mut self, key: u64, length: usize) {
+        let length = length.min(self.listed.len());
+        let known = self.keys.get(&key).is_some_and(|k| k.roster == self.rosters && k.order.len() >= length);
+        if known {
+            return;
+        }
         let draw = |r: &usize| {
             let chance = (mix(key ^ self.runners[*r].hash) >> 11) as f64 / (1u64 << 53) as f64;
             (-chance.ln() / self.weight(*r), *r)
         };
-        // Own forwards out bound a home before any report could.
-        let out = self.listed.iter().map(|r| f64::from(self.runners[*r].out)).sum::<f64>() + 1.0;
-        let all: f64 = self.listed.iter().map(|r| self.weight(*r)).sum();
-        let fair = |r: &&usize| {
-            let share = out * self.weight(**r) / all;
-            f64::from(self.runners[**r].out) + 1.0 <= (HOME_BOUND * share).ceil()
-                && self.open(**r, inv)
-        };
-        let mut homes: Vec<(f64, usize)> = self.listed.iter().filter(fair).map(draw).collect();
-        homes.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        let mut missing = HOMES * share * all;
-        let enough = homes.iter().take_while(|(_, r)| {
-            let more = missing > 0.0;
-            missing -= self.weight(*r);
-            more
-        });
-        let wanted = enough.count().max(1) + 1;
-        homes.into_iter().take(wanted).map(|(_, r)| r).collect()
+        let mut ranks: Vec<(f64, usize)> = self.listed.iter().map(draw).collect();
+        if length < ranks.len() {
+            ranks.select_nth_unstable_by(length, |a, b| a.0.total_cmp(&b.0));
+            ranks.truncate(length);
+        }
+        ranks.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some(known) = self.keys.get_mut(&key) {
+            known.order = ranks.into_iter().map(|(_, r)| r).collect();
+            known.roster = self.rosters;
+        }
     }
 
     fn note_key(&mut self, key: u64) {
-        let (count, at) = self.popularity.entry(key).or_insert((0.0, self.now));
-        *count = *count * 0.5f64.powf((self.now - *at) as f64 / POPULARITY_MEMORY) + 1.0;
-        *at = self.now;
-        let since = (self.now - self.popularity_at) as f64;
-        self.popularity_all = self.popularity_all * 0.5f64.powf(since / POPULARITY_MEMORY) + 1.0;
-        self.popularity_at = self.now;
-        if self.popularity.len() > KEYS_KEPT {
-            let now = self.now as f64;
-            self.popularity.retain(|_, (_, at)| now - (*at as f64) < POPULARITY_MEMORY);
+        let now = self.now;
+        let fades = |since: Micros| 0.5f64.powf((now - since) as f64 / USES_MEMORY);
+        let known = self.keys.entry(key).or_default();
+        known.count = known.count * fades(known.at) + 1.0;
+        known.at = now;
+        self.uses = self.uses * fades(self.used_at) + 1.0;
+        self.used_at = now;
+        if self.keys.len() > KEYS_KEPT {
+            self.keys.retain(|_, key| ((now - key.at) as f64) < USES_MEMORY);
         }
     }
 
@@ -970,6 +1012,7 @@
         let of = |field| self.field(values, field);
         let (inflight, free, waiting) =
             (of(ReportField::InFlight), of(ReportField::FreeSlots), of(ReportField::Waiting));
+        let before = self.weight(r);
         let runner = &mut self.runners[r];
         while runner.spent.front().is_some_and(|(at, _)| *at < self.now - self.orders.tip_after) {
             runner.spent.pop_front();
@@ -991,6 +1034,7 @@
                 let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
                 let slots = runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots));
                 runner.slots = Some(slots);
+                self.weight_all += self.weight(r) - before;
                 self.least_slots = self.least_slots.min(slots);
             }
         }
