--- a/src/brain.rs
+++ b/src/brain.rs
@@ -540,14 +540,8 @@
         inv.forwards += 1;
         (inv.stage, inv.heard_by, inv.rests_until) = (0, 0, 0);
         let runner = &mut self.runners[tgt];
-        inv.out = Some(Forward {
-            tgt,
-            number,
-            cancelled: false,
-            flowing: false,
-            sent: self.now,
-            sign: self.now,
-        });
+        inv.out =
+            Some(Forward { tgt, number, cancelled: false, flowing: false, sent: self.now, sign: self.now });
         let high = self.high[inv.operation];
         if runner.out == 0 {
             runner.silent_since = self.now;
@@ -666,7 +660,7 @@
     }
 
     fn seek_drawn(&mut self, inv: &mut Inv) -> Option<usize> {
-        let may_wait = !self.orders.may_probe || inv.place.is_some_and(|place| place.0 == 0);
+        let may_wait = !self.probes_tell() || inv.place.is_some_and(|place| place.0 == 0);
         loop {
             if inv.stage > 0 {
                 if self.sound(inv) {
@@ -686,7 +680,9 @@
                 if inv.stage == LAST {
                     (inv.stage, inv.heard_by) = (0, 0);
                     let tier = inv.place.map_or(LATE, |place| place.0);
-                    inv.rests_until = self.now + (RESTS[usize::from(tier)] * self.mean_pace) as Micros;
+                    // Where no probe is due, looking again costs nothing.
+                    let rest = if self.probes_tell() { RESTS[usize::from(tier)] } else { RESTS[0] };
+                    inv.rests_until = self.now + (rest * self.mean_pace) as Micros;
                     return None;
                 }
             }
@@ -694,6 +690,10 @@
         }
     }
 
+    fn probes_tell(&self) -> bool {
+        self.orders.may_probe && self.doubt <= DOUBTFUL
+    }
+
     fn wanted(&self, inv: &Inv) -> usize {
         if self.high[inv.operation] { D2 } else { D1 }
     }
@@ -731,7 +731,7 @@
             if inv.stage == 1 && inv.key.is_none() && self.runners[r].zone != self.orders.my_zone {
                 continue;
             }
-            let known = !self.orders.may_probe || self.age(r) <= STALE * self.mean_pace;
+            let known = !self.probes_tell() || self.age(r) <= STALE * self.mean_pace;
             if inv.drawn.contains(&r) || !self.open(r, inv) || known && !self.has_room(r, inv) {
                 continue;
             }
@@ -753,7 +753,7 @@
     /// Where probes are allowed, draws with old reports are probed first: among many dispatchers own sends
     /// say next to nothing of a runner's load. True while answers may still come.
     fn sound(&mut self, inv: &mut Inv) -> bool {
-        if !self.orders.may_probe || self.doubt > DOUBTFUL {
+        if !self.probes_tell() {
             return false;
         }
         let first = inv.heard_by == 0;
