--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,10 @@
 const BENCH_MOST: Micros = 4_000_000;
 /// In mean times of a forward: a draw whose report is older is probed before the choice.
 const STALE: f64 = 0.1;
+/// Shares of draws with a slot free at which no low work, and at which all, is let in.
+const SPARE: (f64, f64) = (0.03, 0.2);
+/// Some low work is always let in: without it nothing would tell that slots are free again.
+const ADMITTED_LEAST: f64 = 0.05;
 /// In mean times of a forward: how long high, low and late work waits for room before it draws anew. Other
 /// dispatchers' queues are not seen from here: those who ask more often get the slots that come free.
 const RESTS: [f64; 3] = [0.06, 0.12, 1.0];
@@ -186,6 +190,8 @@
     /// Others' jobs for each unit of weight, and waits for a start, over all runners.
     others_mean: Recent,
     wait_mean: Recent,
+    /// The share of probes that found a slot free.
+    free_share: Recent,
     least_slots: f64,
     invs: HashMap<Id, Inv>,
     keys: HashMap<u64, Key>,
@@ -246,6 +252,7 @@
             linked: Vec::new(),
             others_mean: Recent::default(),
             wait_mean: Recent::default(),
+            free_share: Recent::default(),
             least_slots: f64::MAX,
             invs: HashMap::new(),
             keys: HashMap::new(),
@@ -453,8 +460,25 @@
         if let Some(key) = inv.key {
             self.note_key(key);
         }
+        let late = inv.in_time <= self.now;
+        let high = self.high[inv.operation];
         self.invs.insert(arrival.inv.clone(), inv);
-        self.enqueue(&arrival.inv);
+        if self.admits(high, late) {
+            self.enqueue(&arrival.inv);
+        } else {
+            self.give_up(&arrival.inv);
+        }
+    }
+
+    /// Low work is let in by the share of draws that have a slot free. Without this, hundreds of dispatchers'
+    /// low invocations ask so often that high ones seldom find the slot that has come free.
+    fn admits(&mut self, high: bool, late: bool) -> bool {
+        if !self.orders.may_probe || self.free_share.noted_at.is_none() || high && !late {
+            return true;
+        }
+        let (none, all) = SPARE;
+        let share = ((self.free_share.value - none) / (all - none)).clamp(ADMITTED_LEAST, 1.0);
+        if late { share >= 1.0 } else { f64::from(self.chance.next()) < share * f64::from(u32::MAX) }
     }
 
     fn enqueue(&mut self, id: &Id) {
@@ -1166,6 +1190,9 @@
         self.runners[r].probing = false;
         if alive {
             self.report(r, report);
+            if let Some(free) = self.field(report, ReportField::FreeSlots) {
+                self.free_share.note(f64::from(u8::from(free > 0.5)), 0.05, self.now);
+            }
         } else {
             self.bench(r, "no answer to a probe");
         }
