--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,8 +56,8 @@
 const PLACES: f64 = 0.5;
 /// A forward younger than this need not show in a report yet; a report younger than this is new.
 const SETTLED: Micros = 50_000;
-/// Above this share of contradicted reports, the latest of them says nothing of now.
-const DOUBTFUL: f64 = 0.15;
+/// The firmest belief, in log-odds, that reports come late or that they do not.
+const FIRMEST: f64 = 2.5;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
 const FADES: f64 = 60.0;
 
@@ -201,7 +201,7 @@
     dues: BTreeMap<(Micros, u64), Due>,
     armed: BTreeSet<Micros>,
     serial: u64,
-    /// Share of the reports, of late, that contradicted what is known first-hand.
+    /// Log-odds that reports come late.
     doubt: f64,
     /// Mean time of a successful forward, by operation.
     pace: Vec<Option<f64>>,
@@ -262,7 +262,7 @@
             dues: BTreeMap::new(),
             armed: BTreeSet::new(),
             serial: 0,
-            doubt: 0.0,
+            doubt: -FIRMEST,
             mean_pace: 0.0,
             freed: false,
             todo: Vec::new(),
@@ -715,7 +715,7 @@
     }
 
     fn probes_tell(&self) -> bool {
-        self.orders.may_probe && self.doubt <= DOUBTFUL
+        self.orders.may_probe && self.doubt <= 0.0
     }
 
     fn wanted(&self, inv: &Inv) -> usize {
@@ -918,7 +918,7 @@
         let age = (self.now - at) as f64 / self.mean_pace;
         let faded = (-age / FADES).exp();
         let usual = runner.others_usual.max(0.0) * faded + self.mean_others(r) * (1.0 - faded);
-        let others = if self.doubt > DOUBTFUL {
+        let others = if self.doubt > 0.0 {
             // While reports are late, one runner's say little; the fleet's mean still holds.
             (usual + self.mean_others(r)) / 2.0
         } else {
@@ -987,7 +987,7 @@
             let count = self.count(r).max(1.0);
             let others = (count - f64::from(self.runners[r].out)) / count;
             // Counts in doubt are averages: what seems just full may as well have a slot free.
-            let guess = if self.doubt > DOUBTFUL { 1.0 } else { 0.0 };
+            let guess = if self.doubt > 0.0 { 1.0 } else { 0.0 };
             let places = self.kinds[self.runners[r].kind].places;
             return (slots * (self.warmth(r) + others * places)).round().max(1.0) + guess;
         }
@@ -1044,10 +1044,10 @@
         let Some(inflight) = inflight else { return };
         let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
         let settled = f64::from(runner.out) - just_sent as f64;
+        let mut evidence = 0.0;
         if settled > 0.0 {
             // A fresh report counts at least what has long been there; one that does not is late.
-            let late = if inflight + 0.5 < settled { 1.0 } else { 0.0 };
-            self.doubt += 0.1 * (late - self.doubt);
+            evidence = if inflight + 0.5 < settled { 2.3 } else { -0.1 };
         }
         runner.others = inflight - settled.max(0.0);
         let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
@@ -1062,6 +1062,7 @@
                 self.least_slots = self.least_slots.min(slots);
             }
         }
+        self.weigh(evidence);
         let level = (self.runners[r].others.max(0.0) / self.weight(r)).min(1e6);
         self.others_mean.note(level, 0.05, self.now);
     }
@@ -1075,15 +1076,20 @@
             return;
         };
         if free > 0.5 {
-            self.doubt += 0.5 * (1.0 - self.doubt);
+            self.weigh(2.1);
         } else {
-            self.doubt *= 0.9;
+            self.weigh(-0.14);
             let seen = waiting.round() / self.slots(r);
             let kind = &mut self.kinds[self.runners[r].kind];
             kind.places += 0.5 * (seen - kind.places);
         }
     }
 
+    /// Evidence on whether reports come late, in log-odds; neither belief grows so firm that it could not turn.
+    fn weigh(&mut self, evidence: f64) {
+        self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
+    }
+
     fn field(&self, report: &[f64], field: ReportField) -> Option<f64> {
         let nth = self.orders.report_fields.iter().position(|f| *f == field)?;
         report.get(nth).copied()
