--- a/src/brain.rs
+++ b/src/brain.rs
@@ -228,7 +228,7 @@
         // House rule of the operators: further forwards go by billed value.
         let further = f64::from(orders.most_forwards - 1);
         let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
-        let allowance = ops.iter().map(|o| 1 + (further * share(o)).ceil() as u32).collect();
+        let allowance = ops.iter().map(|o| 1 + (further * share(o).sqrt()).ceil() as u32).collect();
         let mut brain = Brain {
             high,
             allowance,
