--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,7 +52,7 @@
 /// In mean times of a forward: how long high, low and late work waits for room before it draws anew. Other
 /// dispatchers' queues are not seen from here: those who ask more often get the slots that come free.
 const RESTS: [f64; 3] = [0.06, 0.12, 1.0];
-/// Waiting places that a runner is thought to have for each slot until one of its kind has bounced work.
+/// Waiting places that a runner is thought to have for each slot.
 const PLACES: f64 = 0.5;
 /// A forward younger than this need not show in a report yet; a report younger than this is new.
 const SETTLED: Micros = 50_000;
@@ -65,7 +65,7 @@
     id: Id,
     hash: u64,
     listed: bool,
-    kind: usize,
+    kind: Id,
     zone: Id,
     cell: i64,
     size: f64,
@@ -90,7 +90,6 @@
     probing: bool,
     /// Connections that are up, as far as is known here.
     links: u32,
-    used_at: Micros,
     /// How long forwards to it waited for their start, where runners tell of starts.
     wait: Recent,
     /// Since when it has shown no sign of life while it held a forward of ours.
@@ -107,12 +106,6 @@
     roster: u64,
 }
 
-struct Kind {
-    id: Id,
-    /// Waiting places for each slot, as bounces show them.
-    places: f64,
-}
-
 struct Forward {
     tgt: usize,
     number: u32,
@@ -140,7 +133,6 @@
     forwards: u32,
     out: Option<Forward>,
     bond: Option<Bond>,
-    avoid: Vec<usize>,
     place: Option<Place>,
     answered: bool,
     /// Draws made so far, and from how many pools.
@@ -175,7 +167,6 @@
     begun: bool,
     following: bool,
     refusals: u32,
-    kinds: Vec<Kind>,
     runners: Vec<Runner>,
     by_id: HashMap<Id, usize>,
     /// Those that the roster lists as on, and those of them in this zone.
@@ -241,7 +232,6 @@
             begun: false,
             following: false,
             refusals: 0,
-            kinds: Vec::new(),
             runners: Vec::new(),
             by_id: HashMap::new(),
             listed: Vec::new(),
@@ -399,21 +389,17 @@
     }
 
     fn enter(&mut self, entry: RosterEntry) {
-        let kind = self.kinds.iter().position(|kind| kind.id == entry.kind).unwrap_or_else(|| {
-            self.kinds.push(Kind { id: entry.kind.clone(), places: PLACES });
-            self.kinds.len() - 1
-        });
         let index = match self.by_id.get(&entry.tgt) {
             Some(index) => *index,
             None => {
                 self.by_id.insert(entry.tgt.clone(), self.runners.len());
-                self.runners.push(Runner::new(&entry, kind, self.now));
+                self.runners.push(Runner::new(&entry, self.now));
                 self.runners.len() - 1
             }
         };
         let runner = &mut self.runners[index];
         runner.listed = entry.readiness == Readiness::On;
-        runner.kind = kind;
+        runner.kind = entry.kind;
         runner.zone = entry.zone;
         runner.cell = entry.cell;
         runner.size = entry.size;
@@ -447,7 +433,6 @@
             forwards: 0,
             out: None,
             bond: None,
-            avoid: Vec::new(),
             place: None,
             answered: false,
             drawn: Vec::new(),
@@ -578,7 +563,6 @@
             }
             runner.links = runner.out;
         }
-        runner.used_at = self.now;
         runner.out_high += u32::from(high);
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
@@ -612,7 +596,6 @@
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
         self.out_all -= 1;
-        runner.used_at = self.now;
         if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
             runner.links = 0;
             self.linked.retain(|r| *r != out.tgt);
@@ -632,12 +615,12 @@
             let (zone, cell) = (runner.zone.clone(), runner.cell);
             inv.bond = Some(Bond { zone, cell, since: out.sent });
         }
-        if outcome.ending != Ending::Succeeded {
-            inv.avoid.push(out.tgt);
-        }
         self.report(out.tgt, &outcome.report);
-        if outcome.ending == Ending::Overloaded {
-            self.bounced(out.tgt, &outcome.report);
+        if outcome.ending == Ending::Overloaded
+            && let Some(free) = self.field(&outcome.report, ReportField::FreeSlots)
+        {
+            // Turned away as full with a report that shows a free slot: the report is late.
+            self.weigh(if free > 0.5 { 2.1 } else { -0.14 });
         }
         self.judge(out.tgt, operation, &outcome);
         if answered {
@@ -749,7 +732,6 @@
             _ => self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect(),
         };
         let mut wanted = self.wanted(inv);
-        let mut shunned = None;
         while wanted > 0 && !pool.is_empty() {
             let r = pool.swap_remove(self.chance.below(pool.len() as u64) as usize);
             if inv.stage == 1 && inv.key.is_none() && self.runners[r].zone != self.orders.my_zone {
@@ -759,19 +741,12 @@
             if inv.drawn.contains(&r) || !self.open(r, inv) || known && !self.has_room(r, inv) {
                 continue;
             }
-            if inv.avoid.contains(&r) {
-                shunned = Some(r);
-                continue;
-            }
             inv.drawn.push(r);
             wanted -= 1;
         }
         if inv.stage == 1 {
             inv.drawn.extend(inv.spare);
         }
-        if inv.drawn.is_empty() {
-            inv.drawn.extend(shunned);
-        }
     }
 
     /// Where probes are allowed, draws with old reports are probed first: among many dispatchers own sends
@@ -888,7 +863,7 @@
         let runner = &self.runners[r];
         let op = &self.orders.operations[inv.operation];
         let fits = runner.listed
-            && op.kind.as_ref().is_none_or(|kind| *kind == self.kinds[runner.kind].id)
+            && op.kind.as_ref().is_none_or(|kind| *kind == runner.kind)
             && match (&inv.bond, op.effect) {
                 (Some(bond), Effect::Deduplicated(Group::Zone)) => bond.zone == runner.zone,
                 (Some(bond), Effect::Deduplicated(Group::Cell)) => bond.cell == runner.cell,
@@ -988,8 +963,7 @@
             let others = (count - f64::from(self.runners[r].out)) / count;
             // Counts in doubt are averages: what seems just full may as well have a slot free.
             let guess = if self.doubt > 0.0 { 1.0 } else { 0.0 };
-            let places = self.kinds[self.runners[r].kind].places;
-            return (slots * (self.warmth(r) + others * places)).round().max(1.0) + guess;
+            return (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess;
         }
         let waits = self.tightest as f64 / self.mean_pace;
         slots * self.warmth(r) + self.capacity(r) * objectives * waits
@@ -1067,24 +1041,6 @@
         self.others_mean.note(level, 0.05, self.now);
     }
 
-    /// What a report that came with a bounce tells: the waiting places of such runners or, where it shows a
-    /// slot free, that reports come late.
-    fn bounced(&mut self, r: usize, report: &[f64]) {
-        let (Some(free), Some(waiting)) =
-            (self.field(report, ReportField::FreeSlots), self.field(report, ReportField::Waiting))
-        else {
-            return;
-        };
-        if free > 0.5 {
-            self.weigh(2.1);
-        } else {
-            self.weigh(-0.14);
-            let seen = waiting.round() / self.slots(r);
-            let kind = &mut self.kinds[self.runners[r].kind];
-            kind.places += 0.5 * (seen - kind.places);
-        }
-    }
-
     /// Evidence on whether reports come late, in log-odds; neither belief grows so firm that it could not turn.
     fn weigh(&mut self, evidence: f64) {
         self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
@@ -1177,7 +1133,10 @@
             && inv.forwards < self.allowance[inv.operation]
             && match op.effect {
                 Effect::Idempotent => true,
-                Effect::Deduplicated(_) => self.now < out.sent + op.memory_span - 2 * MARGIN,
+                Effect::Deduplicated(_) => {
+                    self.now
+                        < inv.bond.as_ref().map_or(out.sent, |bond| bond.since) + op.memory_span - 2 * MARGIN
+                }
                 Effect::NonIdempotent => false,
             };
         if !may_go {
@@ -1229,12 +1188,12 @@
 }
 
 impl Runner {
-    fn new(entry: &RosterEntry, kind: usize, now: Micros) -> Runner {
+    fn new(entry: &RosterEntry, now: Micros) -> Runner {
         Runner {
             id: entry.tgt.clone(),
             hash: hash(entry.tgt.as_bytes()),
             listed: false,
-            kind,
+            kind: entry.kind.clone(),
             zone: entry.zone.clone(),
             cell: entry.cell,
             size: entry.size,
@@ -1254,7 +1213,6 @@
             on_trial: false,
             probing: false,
             links: 0,
-            used_at: now,
             wait: Recent::default(),
             silent_since: now,
             spent: VecDeque::new(),
