--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,7 +28,7 @@
 /// How many homes a key has for each runner that its share of the work would fill.
 const HOMES: f64 = 2.5;
 /// How many jobs more a key's next home by hash is taken to hold, as it may have to fetch.
-const FETCH: f64 = 1.5;
+const FETCH: f64 = 5.0;
 /// How many times its share of own forwards out a key's home may hold.
 const HOME_BOUND: f64 = 1.25;
 /// A key's uses count half after this; as many uses are granted to other keys in advance.
@@ -802,10 +802,11 @@
             // Less what chance alone may have added: one use seen among few is no popularity.
             let share = (known.count - known.count.sqrt()).max(0.0) / (self.uses + USES_GRANTED);
             let mut missing = HOMES * share * self.weight_all;
-            // Own forwards out bound a home before any report could.
+            // Own forwards out bound a home before any report could, more strictly where work would wait.
             let fair = |r: &&usize| {
                 let share = f64::from(self.out_all + 1) * self.weight(**r) / self.weight_all;
-                f64::from(self.runners[**r].out) + 1.0 <= (HOME_BOUND * share).ceil() && self.open(**r, inv)
+                let bound = if self.count(**r) < self.slots(**r) { HOME_BOUND } else { 1.0 };
+                f64::from(self.runners[**r].out) + 1.0 <= (bound * share).ceil() && self.open(**r, inv)
             };
             let mut homes = Vec::new();
             for &r in known.order.iter().filter(fair) {
