--- a/src/brain.rs
+++ b/src/brain.rs
@@ -726,7 +726,6 @@
                 homes
             }
             1 | 2 => self.linked.clone(),
-            _ if inv.key.is_some() => Vec::new(),
             3 => self.near.clone(),
             4 => self.listed.clone(),
             _ => self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect(),
