--- a/src/brain.rs
+++ b/src/brain.rs
@@ -407,6 +407,7 @@
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
             runner.reported_at = None;
+            runner.wait = Recent::default();
             (runner.good, runner.bad) = (0.0, 0.0);
             runner.bench_until = runner.bench_until.min(self.now);
         }
@@ -584,7 +585,10 @@
         // One slowed runner's waits are to say nothing of the others'.
         let wait = (self.now - out.sent).min(self.tightest * 3 / 2) as f64;
         let excess = wait - self.mean_wait();
-        self.runners[out.tgt].wait.note(excess, 0.5, self.now);
+        let tgt = out.tgt;
+        if self.warmth(tgt) >= 1.0 {
+            self.runners[tgt].wait.note(excess, 0.5, self.now);
+        }
         self.wait_mean.note(wait, 0.05, self.now);
     }
 
