--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,14 +2,17 @@
 //!
 //! An adapter makes a [`Brain`] from the standing orders and a seed, then calls [`Brain::decide`] with the
 //! clock and whatever happened since, in order; it gets back what is to be done, in order. The types on both
-//! sides are in `events.rs`, `actions.rs` and `standing.rs`. The brain knows no clock and no chance but these.
+//! sides are in `events.rs`, `actions.rs` and `standing.rs`; what is kept on runners and invocations is in
+//! `books.rs`. The brain knows no clock and no chance but these.
 //!
-//! The way of an invocation: `arrive` queues it, `place` goes through the queue by what is at stake and has
-//! `seek` find a runner, `outcome` ends a forward, and `again` or `give_up` says what follows. `least` is the
-//! design (Pod-SSP); docs/design.md lists each departure from it.
+//! The way of an invocation: `arrive` lets it into the queue, `place` goes through the queue by what is at
+//! stake and has `seek` find a runner, `outcome` ends a forward, and `again` or `give_up` says what follows.
+//! `least` is the design (Pod-SSP); docs/design.md lists each departure from it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use crate::books::{Bond, Forward, Inv, Key, Place, Recent, Runner};
+use crate::chance::{Chance, even, hash};
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
     ReportField, Roster, RosterEntry, StandingOrders,
@@ -22,20 +25,36 @@
 const HEARING: Micros = 30_000;
 /// No invocation is left unanswered nearer to its client timeout than this.
 const MARGIN: Micros = 60_000;
-/// Where counts are old: how many latency objectives of waiting a runner may seem to hold. Too few, and a
-/// stale report of a burst long past turns work away from runners that are idle again.
-const WAITS: f64 = 8.0;
+/// In mean times of a forward: a draw whose report is older is probed before the choice.
+const STALE: f64 = 0.1;
+/// A forward younger than this need not show in a report yet.
+const SETTLED: Micros = 50_000;
+/// In mean times of a forward: how long high, low and late work waits for room before it draws anew. Other
+/// dispatchers' queues are not seen from here: those who ask more often get the slots that come free.
+const RESTS: [f64; 3] = [0.06, 0.12, 1.0];
+/// Queue order of work whose objective has passed.
+const LATE: u8 = 2;
+/// Waiting places that a runner is thought to have for each slot.
+const PLACES: f64 = 0.5;
+/// Shares of draws with a slot free at which no low work, and at which all, is let in.
+const SPARE: (f64, f64) = (0.03, 0.2);
+/// Some low work is always let in: without it nothing would tell that slots are free again.
+const ADMITTED_LEAST: f64 = 0.05;
+/// In mean times of a forward: how long a runner's usual load is believed with no word from it.
+const FADES: f64 = 60.0;
+/// The firmest belief, in log-odds, that reports come late or that they do not.
+const FIRMEST: f64 = 2.5;
 /// How many homes a key has for each runner that its share of the work would fill.
 const HOMES: f64 = 2.5;
 /// How many jobs more a key's next home by hash is taken to hold, as it may have to fetch.
 const FETCH: f64 = 5.0;
-/// How many times its share of own forwards out a key's home may hold.
+/// How many times its share of own forwards out a home with a slot free may hold.
 const HOME_BOUND: f64 = 1.25;
-/// A key's uses count half after this; as many uses are granted to other keys in advance.
+/// A key's uses count half after this; so many uses are granted to other keys in advance.
 const USES_MEMORY: f64 = 3e7;
 const USES_GRANTED: f64 = 20.0;
 const KEYS_KEPT: usize = 10_000;
-/// The share of its cold budget that a dispatcher uses: sizes are known only on average.
+/// The share of the cold budget that is used: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
 /// How far above the fleet's median share of failures a runner may lie.
 const FAILURES_OVER_MEDIAN: f64 = 0.3;
@@ -43,165 +62,77 @@
 const HEALTH_MEMORY: f64 = 4e6;
 const BENCH: Micros = 400_000;
 const BENCH_MOST: Micros = 4_000_000;
-/// In mean times of a forward: a draw whose report is older is probed before the choice.
-const STALE: f64 = 0.1;
-/// Shares of draws with a slot free at which no low work, and at which all, is let in.
-const SPARE: (f64, f64) = (0.03, 0.2);
-/// Some low work is always let in: without it nothing would tell that slots are free again.
-const ADMITTED_LEAST: f64 = 0.05;
-/// In mean times of a forward: how long high, low and late work waits for room before it draws anew. Other
-/// dispatchers' queues are not seen from here: those who ask more often get the slots that come free.
-const RESTS: [f64; 3] = [0.06, 0.12, 1.0];
-/// Waiting places that a runner is thought to have for each slot.
-const PLACES: f64 = 0.5;
-/// A forward younger than this need not show in a report yet; a report younger than this is new.
-const SETTLED: Micros = 50_000;
-/// The firmest belief, in log-odds, that reports come late or that they do not.
-const FIRMEST: f64 = 2.5;
-/// In mean times of a forward: how long a runner's usual load is believed with no word from it.
-const FADES: f64 = 60.0;
-
-struct Runner {
-    id: Id,
-    hash: u64,
-    listed: bool,
-    kind: Id,
-    zone: Id,
-    cell: i64,
-    size: f64,
-    launched: Option<Micros>,
-    out: u32,
-    out_high: u32,
-    /// Others' jobs by the latest report: what it says less own forwards out at that time.
-    others: f64,
-    /// The same, averaged over reports: what remains to go by when the latest is old or comes late.
-    others_usual: f64,
-    reported_at: Option<Micros>,
-    /// It has turned work away as full, and no slot can have come free since.
-    full_until: Micros,
-    slots: Option<f64>,
-    good: f64,
-    bad: f64,
-    judged_at: Micros,
-    bench_until: Micros,
-    bench_count: u32,
-    /// Back from the bench, one forward at a time until it succeeds.
-    on_trial: bool,
-    probing: bool,
-    /// Connections that are up, as far as is known here.
-    links: u32,
-    /// How long forwards to it waited for their start, where runners tell of starts.
-    wait: Recent,
-    /// Since when it has shown no sign of life while it held a forward of ours.
-    silent_since: Micros,
-    spent: VecDeque<(Micros, f64)>,
-}
-
-/// How often a key has been asked for, when last, and its first homes as of some roster.
-#[derive(Default)]
-struct Key {
-    count: f64,
-    at: Micros,
-    order: Vec<usize>,
-    roster: u64,
-}
-
-struct Forward {
-    tgt: usize,
-    number: u32,
-    cancelled: bool,
-    flowing: bool,
-    sent: Micros,
-    sign: Micros,
-}
-
-/// The first forward that may have run binds what may follow.
-struct Bond {
-    zone: Id,
-    cell: i64,
-    since: Micros,
-}
 
-struct Inv {
-    operation: usize,
-    deadline: Micros,
-    /// Until when a start is still in time.
-    in_time: Micros,
-    patience: Micros,
-    slots: f64,
-    key: Option<u64>,
-    forwards: u32,
-    out: Option<Forward>,
-    bond: Option<Bond>,
-    place: Option<Place>,
-    answered: bool,
-    /// Draws made so far, and from how many pools.
-    drawn: Vec<usize>,
-    /// The draw that is no home of its key yet.
-    spare: Option<usize>,
-    stage: usize,
-    heard_by: Micros,
-    rests_until: Micros,
-    due: Option<(Micros, u64)>,
+/// Where draws are made, the cheapest first; the next is drawn from only where the draws so far have no room.
+#[derive(Clone, Copy, PartialEq)]
+enum Pool {
+    /// Cold runners at which this dispatcher has a turn.
+    Turns,
+    /// The homes of the invocation's key.
+    Homes,
+    /// Runners with a connection, in this zone and in all: a new connection may cost more than a wait.
+    LinkedNear,
+    Linked,
+    Near,
+    All,
+    /// Cold runners: among many warm ones their budget would seldom be drawn.
+    Cold,
 }
 
-/// Order in the queue: what is at stake, then who can wait least.
-type Place = (u8, Micros, u64);
-const LATE: u8 = 2;
-/// The last pool to draw from.
-const LAST: usize = 5;
-
 enum Due {
     Look(Id),
     Ask,
 }
 
+#[derive(Default)]
 pub struct Brain {
     orders: StandingOrders,
     high: Vec<bool>,
     /// Forwards that an invocation may have, by operation.
     allowance: Vec<u32>,
     tightest: Micros,
+    /// Pools for work without a key, and with one.
+    pools: [Vec<Pool>; 2],
     chance: Chance,
     now: Micros,
-    begun: bool,
+    todo: Vec<Action>,
     following: bool,
     refusals: u32,
     runners: Vec<Runner>,
     by_id: HashMap<Id, usize>,
-    /// Those that the roster lists as on, and those of them in this zone.
+    /// Those that the roster lists as on, those of them that may still be cold, and those with a connection
+    /// of this dispatcher.
     listed: Vec<usize>,
-    near: Vec<usize>,
-    /// Counts the rosters heard; the sum of the listed runners' weights; own forwards out.
+    cold: Vec<usize>,
+    linked: Vec<usize>,
+    /// Counts the rosters heard.
     rosters: u64,
+    /// The sum of the listed runners' weights; own forwards out.
     weight_all: f64,
     out_all: u32,
-    /// Those with a connection of this dispatcher.
-    linked: Vec<usize>,
-    /// Others' jobs for each unit of weight, and waits for a start, over all runners.
-    others_mean: Recent,
-    wait_mean: Recent,
-    /// The share of probes that found a slot free.
-    free_share: Recent,
     least_slots: f64,
     invs: HashMap<Id, Inv>,
-    keys: HashMap<u64, Key>,
-    uses: f64,
-    used_at: Micros,
     queue: BTreeMap<Place, Id>,
     dues: BTreeMap<(Micros, u64), Due>,
     armed: BTreeSet<Micros>,
     serial: u64,
+    /// A slot has come free since the queue was last gone through.
+    freed: bool,
+    keys: HashMap<u64, Key>,
+    uses: f64,
+    used_at: Micros,
+    /// Others' jobs for each unit of weight, and waits for a start, over all runners.
+    others_mean: Recent,
+    wait_mean: Recent,
+    /// The share of probes that found a slot free.
+    free_share: Recent,
     /// Log-odds that reports come late.
     doubt: f64,
-    /// Mean time of a successful forward, by operation.
-    pace: Vec<Option<f64>>,
+    /// Time of a successful forward, by operation and over all.
+    pace: Vec<Recent>,
     mean_pace: f64,
     /// The most time that an arrival of each operation had left.
     fullest: Vec<Micros>,
-    /// A slot has come free since the queue was last gone through.
-    freed: bool,
-    todo: Vec<Action>,
 }
 
 impl Brain {
@@ -212,62 +143,37 @@
         let objectives = differs(&|a, b| a.latency_objective == b.latency_objective);
         let most = ops.iter().map(|o| o.billed_value).fold(0.0, f64::max);
         let tightest = ops.iter().map(|o| o.latency_objective).min().unwrap_or(0);
-        let high = ops
-            .iter()
-            .map(|o| values && o.billed_value == most || objectives && o.latency_objective == tightest)
-            .collect();
+        let high =
+            |o: &Operation| values && o.billed_value == most || objectives && o.latency_objective == tightest;
         // House rule of the operators: further forwards go by billed value.
         let further = f64::from(orders.most_forwards - 1);
         let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
-        let allowance = ops.iter().map(|o| 1 + (further * share(o).sqrt()).ceil() as u32).collect();
+        let linked: &[Pool] = if orders.connecting_costs { &[Pool::LinkedNear, Pool::Linked] } else { &[] };
+        let mut unkeyed = [linked, &[Pool::Near, Pool::All, Pool::Cold]].concat();
+        if !orders.crossing_costs {
+            unkeyed.retain(|pool| !matches!(pool, Pool::LinkedNear | Pool::Near));
+        }
         let mut brain = Brain {
-            high,
-            allowance,
+            high: ops.iter().map(high).collect(),
+            allowance: ops.iter().map(|o| 1 + (further * share(o).sqrt()).ceil() as u32).collect(),
             tightest,
-            pace: vec![None; orders.operations.len()],
-            fullest: vec![0; orders.operations.len()],
+            pools: [unkeyed, vec![Pool::Turns, Pool::Homes, Pool::Cold]],
+            // Until an operation has been seen to succeed, its objective is the best guess of its time.
+            pace: ops.iter().map(|o| Recent { value: o.latency_objective as f64, noted_at: None }).collect(),
+            fullest: vec![0; ops.len()],
             orders,
             chance: Chance::new(seed),
-            now: 0,
-            begun: false,
-            following: false,
-            refusals: 0,
-            runners: Vec::new(),
-            by_id: HashMap::new(),
-            listed: Vec::new(),
-            near: Vec::new(),
-            rosters: 0,
-            weight_all: 0.0,
-            out_all: 0,
-            linked: Vec::new(),
-            others_mean: Recent::default(),
-            wait_mean: Recent::default(),
-            free_share: Recent::default(),
-            least_slots: f64::MAX,
-            invs: HashMap::new(),
-            keys: HashMap::new(),
-            uses: 0.0,
-            used_at: 0,
-            queue: BTreeMap::new(),
-            dues: BTreeMap::new(),
-            armed: BTreeSet::new(),
-            serial: 0,
             doubt: -FIRMEST,
-            mean_pace: 0.0,
-            freed: false,
-            todo: Vec::new(),
+            ..Brain::default()
         };
         brain.set_mean_pace();
+        brain.due(Micros::MIN, Due::Ask);
         brain
     }
 
     /// The one entry point: what happened up to `now`, in order; what is to be done now, in order.
     pub fn decide(&mut self, now: Micros, happened: Vec<Event>) -> Vec<Action> {
         self.now = now;
-        if !self.begun {
-            self.begun = true;
-            self.ask();
-        }
         for event in happened {
             match event {
                 Event::Arrival(arrival) => self.arrive(arrival),
@@ -319,6 +225,13 @@
         }
     }
 
+    fn watch_queued(&mut self, id: &Id) {
+        let Some(inv) = self.invs.get(id) else { return };
+        let times = [inv.patience, inv.in_time, inv.heard_by, inv.rests_until];
+        let next = times.into_iter().filter(|at| *at > self.now).min();
+        self.watch(id, Some(next.unwrap_or(inv.patience)));
+    }
+
     fn look(&mut self, id: &Id) {
         let Some(inv) = self.invs.get_mut(id) else { return };
         inv.due = None;
@@ -337,13 +250,6 @@
         self.watch_queued(id);
     }
 
-    fn watch_queued(&mut self, id: &Id) {
-        let Some(inv) = self.invs.get(id) else { return };
-        let times = [inv.patience, inv.in_time, inv.heard_by, inv.rests_until];
-        let next = times.into_iter().filter(|at| *at > self.now).min();
-        self.watch(id, Some(next.unwrap_or(inv.patience)));
-    }
-
     // The roster.
 
     fn ask(&mut self) {
@@ -365,49 +271,39 @@
                 self.due(self.now + after, Due::Ask);
                 return;
             }
-            Listing::Changes => self.heard_from_registry(),
-            Listing::All => {
-                self.heard_from_registry();
-                self.runners.iter_mut().for_each(|r| r.listed = false);
-            }
-            Listing::Remembered => self.runners.iter_mut().for_each(|r| r.listed = false),
+            Listing::Changes => {}
+            Listing::All | Listing::Remembered => self.runners.iter_mut().for_each(|r| r.listed = false),
+        }
+        if roster.listing != Listing::Remembered {
+            self.following = true;
+            self.refusals = 0;
         }
         for entry in roster.entries {
             self.enter(entry);
         }
-        let on = |r: &usize| self.runners[*r].listed;
-        self.listed = (0..self.runners.len()).filter(on).collect();
-        self.rosters += 1;
+        self.listed = (0..self.runners.len()).filter(|r| self.runners[*r].listed).collect();
+        self.cold = self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect();
         self.weight_all = self.listed.iter().map(|r| self.weight(*r)).sum();
-        let here = |r: &usize| self.runners[*r].zone == self.orders.my_zone;
-        self.near = self.listed.iter().copied().filter(here).collect();
-    }
-
-    fn heard_from_registry(&mut self) {
-        self.following = true;
-        self.refusals = 0;
+        self.rosters += 1;
     }
 
     fn enter(&mut self, entry: RosterEntry) {
-        let index = match self.by_id.get(&entry.tgt) {
-            Some(index) => *index,
-            None => {
-                self.by_id.insert(entry.tgt.clone(), self.runners.len());
-                self.runners.push(Runner::new(&entry, self.now));
-                self.runners.len() - 1
-            }
-        };
+        let next = self.runners.len();
+        let index = *self.by_id.entry(entry.tgt.clone()).or_insert(next);
+        if index == next {
+            let (id, hash) = (entry.tgt.clone(), hash(entry.tgt.as_bytes()));
+            self.runners.push(Runner { id, hash, launched: entry.launched, ..Runner::default() });
+        }
         let runner = &mut self.runners[index];
         runner.listed = entry.readiness == Readiness::On;
-        runner.kind = entry.kind;
-        runner.zone = entry.zone;
-        runner.cell = entry.cell;
+        runner.near = entry.zone == self.orders.my_zone;
+        (runner.kind, runner.zone, runner.cell) = (entry.kind, entry.zone, entry.cell);
         runner.size = entry.size;
         if runner.launched != entry.launched {
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
             runner.reported_at = None;
-            runner.wait = Recent::default();
+            runner.excess_wait = Recent::default();
             (runner.good, runner.bad) = (0.0, 0.0);
             runner.bench_until = runner.bench_until.min(self.now);
         }
@@ -422,8 +318,8 @@
         let fullest = &mut self.fullest[arrival.operation];
         *fullest = arrival.expires_in.max(*fullest);
         let in_time = self.now + op.latency_objective - (*fullest - arrival.expires_in);
-        let late = op.late_share * op.latency_objective as f64;
-        let patience = in_time.max(self.now) + late as Micros;
+        // Who waits longer than this keeps slots from work that could still be in time.
+        let patience = in_time.max(self.now) + (op.late_share * op.latency_objective as f64) as Micros;
         let inv = Inv {
             operation: arrival.operation,
             deadline,
@@ -431,40 +327,26 @@
             patience: patience.min(deadline - MARGIN),
             slots: arrival.slots,
             key: arrival.key.as_deref().map(|key| hash(key.as_bytes())),
-            forwards: 0,
-            out: None,
-            bond: None,
-            place: None,
-            answered: false,
-            drawn: Vec::new(),
-            spare: None,
-            stage: 0,
-            heard_by: 0,
-            rests_until: 0,
-            due: None,
+            ..Inv::default()
         };
         if let Some(key) = inv.key {
             self.note_key(key);
         }
-        let late = inv.in_time <= self.now;
-        let high = self.high[inv.operation];
+        let admitted = self.admits(&inv);
         self.invs.insert(arrival.inv.clone(), inv);
-        if self.admits(high, late) {
-            self.enqueue(&arrival.inv);
-        } else {
-            self.give_up(&arrival.inv);
-        }
+        if admitted { self.enqueue(&arrival.inv) } else { self.give_up(&arrival.inv) }
     }
 
     /// Low work is let in by the share of draws that have a slot free. Without this, hundreds of dispatchers'
     /// low invocations ask so often that high ones seldom find the slot that has come free.
-    fn admits(&mut self, high: bool, late: bool) -> bool {
-        if !self.orders.may_probe || self.free_share.noted_at.is_none() || high && !late {
+    fn admits(&mut self, inv: &Inv) -> bool {
+        let late = inv.in_time <= self.now;
+        if self.free_share.noted_at.is_none() || self.high[inv.operation] && !late {
             return true;
         }
         let (none, all) = SPARE;
         let share = ((self.free_share.value - none) / (all - none)).clamp(ADMITTED_LEAST, 1.0);
-        if late { share >= 1.0 } else { f64::from(self.chance.next()) < share * f64::from(u32::MAX) }
+        if late { share >= 1.0 } else { self.chance.happens(share) }
     }
 
     fn enqueue(&mut self, id: &Id) {
@@ -481,12 +363,12 @@
     /// The last word of an invocation that is not to be forwarded any more.
     fn give_up(&mut self, id: &Id) {
         let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
-        let harmless = match self.orders.operations[inv.operation].effect {
+        let op = &self.orders.operations[inv.operation];
+        let harmless = match op.effect {
             Effect::Idempotent | Effect::Deduplicated(Group::All) => true,
             Effect::Deduplicated(_) | Effect::NonIdempotent => inv.bond.is_none() && inv.out.is_none(),
         };
-        let objective = self.orders.operations[inv.operation].latency_objective;
-        let come_back = self.orders.come_back_max.map(|most| most.min(objective));
+        let come_back = self.orders.come_back_max.map(|most| most.min(op.latency_objective));
         let inv = id.clone();
         self.todo.push(match harmless {
             true => Action::Throttle { inv, come_back },
@@ -546,25 +428,21 @@
         if let Some(place) = inv.place.take() {
             self.queue.remove(&place);
         }
-        let number = inv.forwards;
+        let (number, sent) = (inv.forwards, self.now);
         inv.forwards += 1;
-        (inv.stage, inv.heard_by, inv.rests_until) = (0, 0, 0);
+        (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
+        inv.out = Some(Forward { tgt, number, cancelled: false, flowing: false, sent, sign: sent });
         let runner = &mut self.runners[tgt];
-        inv.out =
-            Some(Forward { tgt, number, cancelled: false, flowing: false, sent: self.now, sign: self.now });
-        let high = self.high[inv.operation];
         if runner.out == 0 {
             runner.silent_since = self.now;
         }
         runner.out += 1;
+        runner.out_high += u32::from(self.high[inv.operation]);
         self.out_all += 1;
-        if runner.links < runner.out {
-            if runner.links == 0 {
-                self.linked.push(tgt);
-            }
-            runner.links = runner.out;
+        if !runner.linked {
+            runner.linked = true;
+            self.linked.push(tgt);
         }
-        runner.out_high += u32::from(high);
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
         self.watch(id, Some(self.now + stall));
@@ -584,10 +462,9 @@
         let Some(out) = self.invs.get(id).and_then(|inv| inv.out.as_ref()) else { return };
         // One slowed runner's waits are to say nothing of the others'.
         let wait = (self.now - out.sent).min(self.tightest * 3 / 2) as f64;
-        let excess = wait - self.mean_wait();
-        let tgt = out.tgt;
+        let (tgt, excess) = (out.tgt, wait - self.mean_wait());
         if self.warmth(tgt) >= 1.0 {
-            self.runners[tgt].wait.note(excess, 0.5, self.now);
+            self.runners[tgt].excess_wait.note(excess, 0.5, self.now);
         }
         self.wait_mean.note(wait, 0.05, self.now);
     }
@@ -599,23 +476,19 @@
         let answered = inv.answered || outcome.finished;
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
+        runner.out_high -= u32::from(self.high[operation]);
         self.out_all -= 1;
-        if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
-            runner.links = 0;
+        let lost = matches!(outcome.ending, Ending::Unreachable | Ending::Broken);
+        if lost || runner.out == 0 && !self.orders.connecting_costs {
+            // Open connections take a part of a runner's capacity: none is kept idle where none is priced.
+            runner.linked = false;
             self.linked.retain(|r| *r != out.tgt);
-        } else if !self.orders.connecting_costs && runner.out == 0 {
-            runner.links = 0;
-            self.linked.retain(|r| *r != out.tgt);
-            self.todo.push(Action::Disconnect { tgt: runner.id.clone() });
-        }
-        runner.out_high -= u32::from(self.high[operation]);
-        let ran = match outcome.ending {
-            Ending::Succeeded | Ending::Errored | Ending::TimedOut | Ending::Broken | Ending::Withdrawn => {
-                true
+            if !lost {
+                self.todo.push(Action::Disconnect { tgt: runner.id.clone() });
             }
-            Ending::Overloaded | Ending::Unreachable | Ending::Void => false,
-        };
-        if ran && inv.bond.is_none() {
+        }
+        let never_ran = matches!(outcome.ending, Ending::Overloaded | Ending::Unreachable | Ending::Void);
+        if !never_ran && inv.bond.is_none() {
             let (zone, cell) = (runner.zone.clone(), runner.cell);
             inv.bond = Some(Bond { zone, cell, since: out.sent });
         }
@@ -636,24 +509,18 @@
 
     /// Whether the forward that has ended is to be followed by another one.
     fn again(&mut self, id: &Id) {
-        let inv = &self.invs[id];
+        let Some(inv) = self.invs.get_mut(id) else { return };
         let op = &self.orders.operations[inv.operation];
-        let allowed = inv.forwards < self.allowance[inv.operation] && self.now < inv.deadline - MARGIN;
-        let harmless = match (&inv.bond, op.effect) {
-            (None, _) | (Some(_), Effect::Idempotent) => true,
-            (Some(bond), Effect::Deduplicated(_)) => self.now < bond.since + op.memory_span - MARGIN,
-            (Some(_), Effect::NonIdempotent) => false,
-        };
-        if !(allowed && harmless) {
-            return self.give_up(id);
-        }
-        let mut until = (inv.patience.max(self.now + op.latency_objective / 2)).min(inv.deadline - MARGIN);
-        if let (Some(bond), Effect::Deduplicated(_)) = (&inv.bond, op.effect) {
-            until = until.min(bond.since + op.memory_span - MARGIN);
+        let mut until = inv.patience.max(self.now + op.latency_objective / 2).min(inv.deadline - MARGIN);
+        match (&inv.bond, op.effect) {
+            (None, _) | (Some(_), Effect::Idempotent) => {}
+            (Some(bond), Effect::Deduplicated(_)) => until = until.min(bond.since + op.memory_span - MARGIN),
+            (Some(_), Effect::NonIdempotent) => until = self.now,
         }
-        if let Some(inv) = self.invs.get_mut(id) {
-            inv.patience = until;
+        if inv.forwards >= self.allowance[inv.operation] || self.now >= until {
+            return self.give_up(id);
         }
+        inv.patience = until;
         self.enqueue(id);
     }
 
@@ -671,33 +538,41 @@
     }
 
     fn seek_drawn(&mut self, inv: &mut Inv) -> Option<usize> {
-        let may_wait = !self.probes_tell() || inv.place.is_some_and(|place| place.0 == 0);
+        let keyed = usize::from(inv.key.is_some());
         loop {
-            if inv.stage > 0 {
+            if inv.pools > 0 {
                 if self.sound(inv) {
                     return None;
                 }
-                let best = self.least(inv);
-                let enough = inv.stage > 2 || inv.key.is_some() || inv.drawn.len() >= self.wanted(inv);
-                if let Some(r) = best
-                    && enough
-                    && (inv.stage == LAST && may_wait
-                        || inv.stage == 1 && inv.key.is_some()
-                        || inv.stage == 2 && may_wait
-                        || self.count(r) < self.slots(r))
-                {
-                    return best;
-                }
-                if inv.stage == LAST {
-                    (inv.stage, inv.heard_by) = (0, 0);
-                    let tier = inv.place.map_or(LATE, |place| place.0);
-                    // Where no probe is due, looking again costs nothing.
-                    let rest = if self.probes_tell() { RESTS[usize::from(tier)] } else { RESTS[0] };
-                    inv.rests_until = self.now + (rest * self.mean_pace) as Micros;
-                    return None;
+                let pool = self.pools[keyed][inv.pools - 1];
+                if let Some(r) = self.least(inv).filter(|r| self.settles(pool, *r, inv)) {
+                    return Some(r);
                 }
             }
-            self.draw(inv);
+            let Some(pool) = self.pools[keyed].get(inv.pools).copied() else {
+                (inv.pools, inv.heard_by) = (0, 0);
+                let tier = inv.place.map_or(LATE, |place| place.0);
+                // Where reports are not asked for, looking again costs nothing.
+                let rest = if self.doubt > 0.0 { RESTS[0] } else { RESTS[usize::from(tier)] };
+                inv.rests_until = self.now + (rest * self.mean_pace) as Micros;
+                return None;
+            };
+            self.draw(pool, inv);
+        }
+    }
+
+    /// Whether the least of the draws will do, or the next pool is to be drawn from as well. Low work waits
+    /// here, not in runners: there it would take the few waiting places from high work.
+    fn settles(&self, pool: Pool, r: usize, inv: &Inv) -> bool {
+        let free = self.count(r) < self.slots(r);
+        let will_do = free || !self.probes_tell() || inv.place.is_some_and(|place| place.0 == 0);
+        let enough = inv.drawn.len() >= self.wanted(inv);
+        match pool {
+            Pool::Turns | Pool::Homes => true,
+            Pool::LinkedNear => enough && free,
+            Pool::Linked => enough && will_do,
+            Pool::Near | Pool::All => free,
+            Pool::Cold => will_do,
         }
     }
 
@@ -709,45 +584,45 @@
         if self.high[inv.operation] { D2 } else { D1 }
     }
 
-    /// Adds draws from the next pool, the cheapest first: where new connections cost something, runners that
-    /// this dispatcher is connected to before others; where crossing zones does, this zone's before others.
-    fn draw(&mut self, inv: &mut Inv) {
-        if inv.stage == 0 {
+    fn draw(&mut self, pool: Pool, inv: &mut Inv) {
+        if inv.pools == 0 {
             inv.drawn.clear();
+            inv.spare = None;
         }
-        let skipped = |stage| match (stage, inv.key) {
-            (2..=4, Some(_)) => true,
-            (1 | 3, None) if !self.orders.crossing_costs => true,
-            (1 | 2, None) => !self.orders.connecting_costs,
-            _ => false,
-        };
-        inv.stage = (inv.stage + 1..LAST).find(|stage| !skipped(*stage)).unwrap_or(LAST);
+        inv.pools += 1;
         inv.heard_by = 0;
-        let mut pool = match inv.stage {
-            1 if inv.key.is_some() => {
-                let mut homes = inv.key.map_or_else(Vec::new, |key| self.homes(key, inv));
-                inv.spare = homes.pop().filter(|_| !homes.is_empty());
-                homes
+        let mut from = match (pool, inv.key) {
+            (Pool::Homes, Some(key)) => self.homes(key, inv),
+            (Pool::LinkedNear | Pool::Linked, _) => self.linked.clone(),
+            (Pool::Turns | Pool::Cold, _) => {
+                let warm = |r: &usize| self.warmth(*r) >= 1.0;
+                if self.cold.iter().any(warm) {
+                    self.cold = self.cold.iter().copied().filter(|r| !warm(r)).collect();
+                }
+                self.cold.clone()
             }
-            1 | 2 => self.linked.clone(),
-            3 => self.near.clone(),
-            4 => self.listed.clone(),
-            _ => self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect(),
+            _ => self.listed.clone(),
         };
-        let mut wanted = self.wanted(inv);
-        while wanted > 0 && !pool.is_empty() {
-            let r = pool.swap_remove(self.chance.below(pool.len() as u64) as usize);
-            if inv.stage == 1 && inv.key.is_none() && self.runners[r].zone != self.orders.my_zone {
-                continue;
-            }
+        if pool == Pool::Homes && from.len() > 1 {
+            inv.spare = from.pop();
+        }
+        let mut wanted = if pool == Pool::Turns { 1 } else { self.wanted(inv) };
+        while wanted > 0 && !from.is_empty() {
+            let r = from.swap_remove(self.chance.below(from.len() as u64) as usize);
+            let fits = match pool {
+                Pool::LinkedNear | Pool::Near => self.runners[r].near,
+                Pool::Turns => self.cold_share(r) < self.mean_pace,
+                Pool::Homes | Pool::Linked | Pool::All | Pool::Cold => true,
+            };
+            // Only fresh word tells against a draw: a runner rejected on old word would not be heard again.
             let known = !self.probes_tell() || self.age(r) <= STALE * self.mean_pace;
-            if inv.drawn.contains(&r) || !self.open(r, inv) || known && !self.has_room(r, inv) {
-                continue;
+            let drawn = inv.drawn.contains(&r);
+            if fits && !drawn && self.open(r, inv) && (!known || self.has_room(r, inv)) {
+                inv.drawn.push(r);
+                wanted -= 1;
             }
-            inv.drawn.push(r);
-            wanted -= 1;
         }
-        if inv.stage == 1 {
+        if pool == Pool::Homes {
             inv.drawn.extend(inv.spare);
         }
     }
@@ -764,9 +639,9 @@
         }
         let mut out = false;
         for &r in &inv.drawn {
-            let age = self.age(r);
+            let old = self.age(r) > STALE * self.mean_pace;
             let runner = &mut self.runners[r];
-            if first && !runner.probing && age > STALE * self.mean_pace {
+            if first && old && !runner.probing {
                 runner.probing = true;
                 self.todo.push(Action::Probe { tgt: runner.id.clone() });
             }
@@ -784,19 +659,19 @@
             }
             let high = self.high[inv.operation];
             let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
-            let fetch = if inv.spare == Some(r) { FETCH / self.capacity(r) } else { 0.0 };
-            let this = (first, self.load(r) + fetch, r);
-            if best.is_none_or(|best| (this.0, this.1) < (best.0, best.1)) {
-                best = Some(this);
+            let fetch = if inv.spare == Some(r) { FETCH } else { 0.0 };
+            let load = (self.count(r) + 1.0 + fetch) / self.capacity(r);
+            if best.is_none_or(|best| (first, load) < (best.0, best.1)) {
+                best = Some((first, load, r));
             }
         }
         best.map(|(_, _, r)| r)
     }
 
     /// A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
-    /// dispatcher finds the same homes for a key by hashing, with no word between them, and as many of them as
-    /// the key's share of the work asks for: a popular key would swamp a single home unseen, as each of many
-    /// dispatchers has next to nothing out there.
+    /// dispatcher finds the same homes for a key by hashing, with no word between them, and as many as the
+    /// key's share of the work asks for: a popular key would swamp a single home unseen, as each of many
+    /// dispatchers has next to nothing out there. The last one returned is the next home by hash.
     fn homes(&mut self, key: u64, inv: &Inv) -> Vec<usize> {
         let mut length = 8;
         loop {
@@ -812,39 +687,36 @@
                 f64::from(self.runners[**r].out) + 1.0 <= (bound * share).ceil() && self.open(**r, inv)
             };
             let mut homes = Vec::new();
-            for &r in known.order.iter().filter(fair) {
+            for &r in known.homes.iter().filter(fair) {
                 homes.push(r);
                 if missing <= 0.0 && homes.len() > 1 {
                     return homes;
                 }
                 missing -= self.weight(r);
             }
-            if known.order.len() >= self.listed.len() {
+            if known.homes.len() >= self.listed.len() {
                 return homes;
             }
-            length = 4 * known.order.len();
+            length = 4 * known.homes.len();
         }
     }
 
     /// Weighted rendezvous hashing: the first so many runners for a key, the same at every dispatcher.
     fn rank_homes(&mut self, key: u64, length: usize) {
         let length = length.min(self.listed.len());
-        let known = self.keys.get(&key).is_some_and(|k| k.roster == self.rosters && k.order.len() >= length);
-        if known {
+        let known = self.keys.get(&key);
+        if known.is_some_and(|known| known.roster == self.rosters && known.homes.len() >= length) {
             return;
         }
-        let draw = |r: &usize| {
-            let chance = (mix(key ^ self.runners[*r].hash) >> 11) as f64 / (1u64 << 53) as f64;
-            (-chance.ln() / self.weight(*r), *r)
-        };
-        let mut ranks: Vec<(f64, usize)> = self.listed.iter().map(draw).collect();
+        let rank = |r: &usize| (-even(key ^ self.runners[*r].hash).ln() / self.weight(*r), *r);
+        let mut ranks: Vec<(f64, usize)> = self.listed.iter().map(rank).collect();
         if length < ranks.len() {
             ranks.select_nth_unstable_by(length, |a, b| a.0.total_cmp(&b.0));
             ranks.truncate(length);
         }
         ranks.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         if let Some(known) = self.keys.get_mut(&key) {
-            known.order = ranks.into_iter().map(|(_, r)| r).collect();
+            known.homes = ranks.into_iter().map(|(_, r)| r).collect();
             known.roster = self.rosters;
         }
     }
@@ -879,29 +751,40 @@
             && self.within_cold_budget(r, self.work(inv))
     }
 
+    /// Where probes keep counts fresh, waiting is done here rather than in a runner's few waiting places.
+    /// Where they are not allowed and runners tell of starts, waits say more than counts that are old.
     fn has_room(&self, r: usize, inv: &Inv) -> bool {
-        if self.orders.tells_start && !self.orders.may_probe {
+        let slots = self.slots(r);
+        let count = self.count(r);
+        let room = if self.orders.may_probe {
+            // Own forwards tell here when they end, so a job may as well wait here for their slots; where
+            // others hold the slots, none would tell, and it waits in the runner.
+            let others = 1.0 - f64::from(self.runners[r].out) / count.max(1.0);
+            // Counts in doubt are averages: what seems just full may as well have a slot free.
+            let guess = if self.probes_tell() { 0.0 } else { 1.0 };
+            (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess
+        } else if self.orders.tells_start {
             let objective = self.orders.operations[inv.operation].latency_objective as f64;
             return self.expected_wait(r) < objective * if self.high[inv.operation] { 1.0 } else { 0.6 };
-        }
-        self.count(r) + inv.slots <= self.room(r, WAITS).max(inv.slots)
+        } else {
+            slots * self.warmth(r) + self.capacity(r) * self.tightest as f64 / self.mean_pace
+        };
+        count + inv.slots <= room.max(inv.slots)
     }
 
     /// All-class count: own forwards out and what the latest report leaves for others. As a report ages, the
-    /// jobs that it counted end: after about one job's time only the usual figure of that runner says more.
+    /// jobs that it counted end: after about one job's time only the usual figure of that runner says more,
+    /// and in the long run the fleet's mean: a runner once full would else be shunned for good.
     fn count(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
-        let Some(at) = runner.reported_at else { return f64::from(runner.out) + self.mean_others(r) };
-        // What a report said fades: else a runner that once was full would be shunned, never report again
-        // and stay full in our eyes for good.
-        let age = (self.now - at) as f64 / self.mean_pace;
-        let faded = (-age / FADES).exp();
-        let usual = runner.others_usual.max(0.0) * faded + self.mean_others(r) * (1.0 - faded);
-        let others = if self.doubt > 0.0 {
+        let mean = self.others_mean.at(self.now, 8.0 * self.mean_pace) * self.capacity(r);
+        let age = self.age(r) / self.mean_pace;
+        let usual = mean + (-age / FADES).exp() * (runner.others_usual.max(0.0) - mean);
+        let others = match runner.reported_at {
+            None => mean,
             // While reports are late, one runner's say little; the fleet's mean still holds.
-            (usual + self.mean_others(r)) / 2.0
-        } else {
-            (-age).exp() * runner.others + (1.0 - (-age).exp()) * usual
+            Some(_) if self.doubt > 0.0 => (usual + mean) / 2.0,
+            Some(_) => usual + (-age).exp() * (runner.others - usual),
         };
         f64::from(runner.out) + others.max(0.0)
     }
@@ -910,11 +793,6 @@
         self.runners[r].reported_at.map_or(f64::MAX, |at| (self.now - at) as f64)
     }
 
-    /// The fleet's mean of others' jobs, for a runner of this size.
-    fn mean_others(&self, r: usize) -> f64 {
-        self.others_mean.at(self.now, 8.0 * self.mean_pace) * self.capacity(r)
-    }
-
     fn mean_wait(&self) -> f64 {
         self.wait_mean.at(self.now, 8.0 * self.tightest as f64)
     }
@@ -924,29 +802,19 @@
     /// a swamped runner again, the trials alone would keep it swamped.
     fn expected_wait(&self, r: usize) -> f64 {
         let fades = self.tightest as f64 * f64::from(self.orders.dispatchers);
-        self.mean_wait() + self.runners[r].wait.at(self.now, fades)
+        self.mean_wait() + self.runners[r].excess_wait.at(self.now, fades)
     }
 
     fn set_mean_pace(&mut self) {
-        let sum: f64 = (0..self.pace.len()).map(|operation| self.pace_of(operation)).sum();
+        let sum: f64 = self.pace.iter().map(|pace| pace.value).sum();
         self.mean_pace = (sum / (self.pace.len() as f64).max(1.0)).max(1.0);
     }
 
-    /// Until an operation has been seen to succeed, its objective is the best guess of its time.
-    fn pace_of(&self, operation: usize) -> f64 {
-        self.pace[operation].unwrap_or(self.orders.operations[operation].latency_objective as f64)
-    }
-
     fn slots(&self, r: usize) -> f64 {
-        let unknown = if self.least_slots < f64::MAX { self.least_slots } else { 1.0 };
-        self.runners[r].slots.unwrap_or(unknown)
-    }
-
-    fn load(&self, r: usize) -> f64 {
-        (self.count(r) + 1.0) / self.capacity(r)
+        self.runners[r].slots.unwrap_or(if self.least_slots > 0.0 { self.least_slots } else { 1.0 })
     }
 
-    /// What a count is weighed by: the registered size, or else slots, less what is still cold.
+    /// What a count is weighed by: the registered size, or else slots; less what is still cold.
     fn capacity(&self, r: usize) -> f64 {
         self.weight(r) * self.warmth(r)
     }
@@ -956,23 +824,6 @@
         if self.orders.sizes_registered && size > 0.0 { size } else { self.slots(r) }
     }
 
-    /// The most that a runner may hold. Where probes keep counts fresh, waiting is done here rather than in
-    /// a runner's few waiting places; where counts are old, runners must hold what bridges their age.
-    fn room(&self, r: usize, objectives: f64) -> f64 {
-        let slots = self.slots(r);
-        if self.orders.may_probe {
-            // Own forwards tell here when they end, so a job may as well wait here for their slots; where
-            // others hold the slots, none would tell, and it waits in the runner.
-            let count = self.count(r).max(1.0);
-            let others = (count - f64::from(self.runners[r].out)) / count;
-            // Counts in doubt are averages: what seems just full may as well have a slot free.
-            let guess = if self.doubt > 0.0 { 1.0 } else { 0.0 };
-            return (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess;
-        }
-        let waits = self.tightest as f64 / self.mean_pace;
-        slots * self.warmth(r) + self.capacity(r) * objectives * waits
-    }
-
     // Cold runners.
 
     /// The share of its full capacity that a runner surely has.
@@ -983,20 +834,23 @@
     }
 
     fn work(&self, inv: &Inv) -> f64 {
-        self.pace_of(inv.operation) * inv.slots
+        self.pace[inv.operation].value * inv.slots
+    }
+
+    /// An even share of what all dispatchers may send a cold runner in the span that the rule looks at.
+    fn cold_share(&self, r: usize) -> f64 {
+        let most = self.orders.overload_factor * self.warmth(r) * self.slots(r);
+        most * self.orders.tip_after as f64 * COLD_CAUTION / f64::from(self.orders.dispatchers)
     }
 
-    /// All dispatchers' budget is shared out evenly. Among hundreds a share is less than one job and would
-    /// never be used: there they take turns by their own numbers, a time slice each, at whole jobs. Two slices
-    /// touch any span that the rule looks at, so each has half the budget.
+    /// Among hundreds of dispatchers a share is less than one job and would never be used: there they take
+    /// turns by their own numbers, a time slice each, at whole jobs. Two slices touch any span that the rule
+    /// looks at, so each has half the budget.
     fn within_cold_budget(&self, r: usize, work: f64) -> bool {
-        let warmth = self.warmth(r);
-        if warmth >= 1.0 {
+        if self.warmth(r) >= 1.0 {
             return true;
         }
-        let span = self.orders.tip_after.max(1);
-        let all = self.orders.overload_factor * warmth * self.slots(r) * span as f64;
-        let share = all * COLD_CAUTION / f64::from(self.orders.dispatchers);
+        let (span, share) = (self.orders.tip_after.max(1), self.cold_share(r));
         let runner = &self.runners[r];
         let spent = |from| runner.spent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum::<f64>();
         if share >= work {
@@ -1014,38 +868,32 @@
         let of = |field| self.field(values, field);
         let (inflight, free, waiting) =
             (of(ReportField::InFlight), of(ReportField::FreeSlots), of(ReportField::Waiting));
-        let before = self.weight(r);
         let runner = &mut self.runners[r];
         while runner.spent.front().is_some_and(|(at, _)| *at < self.now - self.orders.tip_after) {
             runner.spent.pop_front();
         }
         let Some(inflight) = inflight else { return };
         let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
-        let settled = f64::from(runner.out) - just_sent as f64;
-        let mut evidence = 0.0;
-        if settled > 0.0 {
-            // A fresh report counts at least what has long been there; one that does not is late.
-            evidence = if inflight + 0.5 < settled { 2.3 } else { -0.1 };
-        }
-        runner.others = inflight - settled.max(0.0);
+        let settled = (f64::from(runner.out) - just_sent as f64).max(0.0);
+        runner.others = inflight - settled;
         let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
         runner.others_usual += weight * (runner.others - runner.others_usual);
         runner.reported_at = Some(self.now);
-        if let Some(free) = free {
-            if free > 0.5 || waiting.is_some() {
-                let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
-                let slots = runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots));
-                runner.slots = Some(slots);
-                self.weight_all += self.weight(r) - before;
-                self.least_slots = self.least_slots.min(slots);
-            }
+        if let Some(free) = free.filter(|free| *free > 0.5 || waiting.is_some()) {
+            let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
+            let slots = runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots));
+            runner.slots = Some(slots);
+            self.least_slots = if self.least_slots > 0.0 { self.least_slots.min(slots) } else { slots };
+        }
+        if settled > 0.0 {
+            // A fresh report counts at least what has long been there; one that does not is late.
+            self.weigh(if inflight + 0.5 < settled { 2.3 } else { -0.1 });
         }
-        self.weigh(evidence);
-        let level = (self.runners[r].others.max(0.0) / self.weight(r)).min(1e6);
+        let level = self.runners[r].others.max(0.0) / self.weight(r);
         self.others_mean.note(level, 0.05, self.now);
     }
 
-    /// Evidence on whether reports come late, in log-odds; neither belief grows so firm that it could not turn.
+    /// Evidence on whether reports come late, in log-odds; neither belief grows too firm to turn.
     fn weigh(&mut self, evidence: f64) {
         self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
     }
@@ -1057,7 +905,7 @@
 
     fn judge(&mut self, r: usize, operation: usize, outcome: &Outcome) {
         let now = self.now;
-        let (pace, slots) = (self.mean_pace, self.slots(r));
+        let (mean_pace, slots) = (self.mean_pace, self.slots(r));
         let runner = &mut self.runners[r];
         let faded = 0.5f64.powf((now - runner.judged_at) as f64 / HEALTH_MEMORY);
         runner.judged_at = now;
@@ -1070,36 +918,34 @@
                 runner.on_trial = false;
                 runner.full_until = now;
                 runner.bench_count = 0;
-                let pace = &mut self.pace[operation];
-                let elapsed = outcome.elapsed as f64;
-                *pace = Some(pace.map_or(elapsed, |pace| pace + 0.05 * (elapsed.min(4.0 * pace) - pace)));
                 self.freed = true;
+                let pace = &mut self.pace[operation];
+                // One slowed runner's times are to say little of the others'.
+                pace.note((outcome.elapsed as f64).min(4.0 * pace.value), 0.05, now);
                 self.set_mean_pace();
             }
             Ending::Errored => {
                 runner.bad += 1.0;
                 runner.silent_since = now;
-                let share = runner.share_failed();
-                if runner.bad > 1.5 && share > self.median_share_failed() + FAILURES_OVER_MEDIAN {
+                // Two successes are granted in advance: one failure alone condemns nobody.
+                let share = |runner: &Runner| runner.bad / (runner.good + runner.bad + 2.0);
+                let mut shares: Vec<f64> = self.listed.iter().map(|r| share(&self.runners[*r])).collect();
+                shares.sort_by(f64::total_cmp);
+                let median = shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
+                let runner = &self.runners[r];
+                if runner.bad > 1.5 && share(runner) > median + FAILURES_OVER_MEDIAN {
                     self.bench(r, "errors");
                 }
             }
             Ending::Broken | Ending::Unreachable => self.bench(r, "no connection"),
             Ending::Overloaded => {
                 runner.silent_since = now;
-                runner.full_until = now + (pace / slots) as Micros;
+                runner.full_until = now + (mean_pace / slots) as Micros;
             }
             Ending::TimedOut | Ending::Withdrawn | Ending::Void => {}
         }
     }
 
-    fn median_share_failed(&self) -> f64 {
-        let mut shares: Vec<f64> =
-            self.runners.iter().filter(|r| r.listed).map(Runner::share_failed).collect();
-        shares.sort_by(f64::total_cmp);
-        shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
-    }
-
     fn bench(&mut self, r: usize, why: &str) {
         let runner = &mut self.runners[r];
         if self.now < runner.bench_until {
@@ -1118,8 +964,7 @@
         if self.orders.progress > 0 {
             return self.orders.progress * 3 / 2;
         }
-        let slowest = self.pace.iter().flatten().copied().fold(0.0, f64::max);
-        if slowest > 0.0 { 4 * slowest as Micros } else { 5_000_000 }
+        4 * self.pace.iter().map(|pace| pace.value).fold(0.0, f64::max) as Micros
     }
 
     fn silent(&self, r: usize) -> bool {
@@ -1131,21 +976,16 @@
         let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
         let Some(out) = inv.out.as_ref().filter(|out| !out.flowing && !out.cancelled) else { return };
         let op = &self.orders.operations[inv.operation];
-        let allowed = self.silence_allowed();
-        let tgt = out.tgt;
-        let may_go = self.orders.may_cancel
-            && inv.forwards < self.allowance[inv.operation]
-            && match op.effect {
-                Effect::Idempotent => true,
-                Effect::Deduplicated(_) => {
-                    self.now
-                        < inv.bond.as_ref().map_or(out.sent, |bond| bond.since) + op.memory_span - 2 * MARGIN
-                }
-                Effect::NonIdempotent => false,
-            };
-        if !may_go {
+        let since = inv.bond.as_ref().map_or(out.sent, |bond| bond.since);
+        let may_go = match op.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated(_) => self.now < since + op.memory_span - 2 * MARGIN,
+            Effect::NonIdempotent => false,
+        };
+        if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[inv.operation]) {
             return;
         }
+        let (tgt, allowed) = (out.tgt, self.silence_allowed());
         if self.silent(tgt) && self.now - out.sign >= allowed {
             self.cancel(id);
             self.bench(tgt, "silent");
@@ -1157,108 +997,12 @@
     fn probed(&mut self, id: &Id, alive: bool, report: &[f64]) {
         let Some(&r) = self.by_id.get(id) else { return };
         self.runners[r].probing = false;
-        if alive {
-            self.report(r, report);
-            if let Some(free) = self.field(report, ReportField::FreeSlots) {
-                self.free_share.note(f64::from(u8::from(free > 0.5)), 0.05, self.now);
-            }
-        } else {
-            self.bench(r, "no answer to a probe");
+        if !alive {
+            return self.bench(r, "no answer to a probe");
         }
-    }
-}
-
-/// An average that is believed less as time passes with nothing new.
-#[derive(Default)]
-struct Recent {
-    value: f64,
-    noted_at: Option<Micros>,
-}
-
-impl Recent {
-    fn note(&mut self, value: f64, weight: f64, now: Micros) {
-        let weight = if self.noted_at.is_some() { weight } else { 1.0 };
-        self.value += weight * (value - self.value);
-        self.noted_at = Some(now);
-    }
-
-    fn belief(&self, now: Micros, fades: f64) -> f64 {
-        self.noted_at.map_or(0.0, |at| (-((now - at) as f64) / fades).exp())
-    }
-
-    fn at(&self, now: Micros, fades: f64) -> f64 {
-        self.value * self.belief(now, fades)
-    }
-}
-
-impl Runner {
-    fn new(entry: &RosterEntry, now: Micros) -> Runner {
-        Runner {
-            id: entry.tgt.clone(),
-            hash: hash(entry.tgt.as_bytes()),
-            listed: false,
-            kind: entry.kind.clone(),
-            zone: entry.zone.clone(),
-            cell: entry.cell,
-            size: entry.size,
-            launched: entry.launched,
-            out: 0,
-            out_high: 0,
-            others: 0.0,
-            others_usual: 0.0,
-            reported_at: None,
-            full_until: now,
-            slots: None,
-            good: 0.0,
-            bad: 0.0,
-            judged_at: now,
-            bench_until: now,
-            bench_count: 0,
-            on_trial: false,
-            probing: false,
-            links: 0,
-            wait: Recent::default(),
-            silent_since: now,
-            spent: VecDeque::new(),
+        self.report(r, report);
+        if let Some(free) = self.field(report, ReportField::FreeSlots) {
+            self.free_share.note(f64::from(u8::from(free > 0.5)), 0.05, self.now);
         }
     }
-
-    fn share_failed(&self) -> f64 {
-        // Two successes are granted in advance: one failure alone condemns nobody.
-        self.bad / (self.good + self.bad + 2.0)
-    }
-}
-
-/// A permuted congruential generator (PCG-XSH-RR 64/32).
-struct Chance(u64);
-
-impl Chance {
-    fn new(seed: u64) -> Chance {
-        let mut chance = Chance(seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
-        chance.next();
-        chance
-    }
-
-    fn next(&mut self) -> u32 {
-        let old = self.0;
-        self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
-    }
-
-    /// A number from 0 up to, not including, `bound`.
-    fn below(&mut self, bound: u64) -> u64 {
-        (u64::from(self.next()) * bound) >> 32
-    }
-}
-
-/// The same at every dispatcher, so that all find the same home for a key (FNV-1a, then mixed).
-fn hash(bytes: &[u8]) -> u64 {
-    let fold = |h: u64, byte: &u8| (h ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
-}
-
-fn mix(mut h: u64) -> u64 {
-    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    h ^ (h >> 33)
 }
--- /dev/null
+++ b/src/chance.rs
@@ -0,0 +1,39 @@
+/// A permuted congruential generator (PCG-XSH-RR 64/32).
+#[derive(Default)]
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        let mut chance = Chance(seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        chance.next();
+        chance
+    }
+
+    fn next(&mut self) -> u32 {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+
+    /// A number from 0 up to, not including, `bound`.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        (u64::from(self.next()) * bound) >> 32
+    }
+
+    pub fn happens(&mut self, share: f64) -> bool {
+        f64::from(self.next()) < share * f64::from(u32::MAX)
+    }
+}
+
+/// The same at every dispatcher, so that all rank the same homes for a key (FNV-1a, to be mixed).
+pub fn hash(bytes: &[u8]) -> u64 {
+    let fold = |h: u64, byte: &u8| (h ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
+/// A share of one, even over all hashes.
+pub fn even(mut h: u64) -> f64 {
+    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    ((h ^ (h >> 33)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 //! [`Action`]s into its wire.
 
 mod actions;
+mod books;
 mod brain;
+mod chance;
 mod events;
 mod standing;
 
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -1,7 +1,7 @@
 use crate::{Id, Micros};
 
 /// What a dispatcher is told once, at its start. Only what the brain reads is kept.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct StandingOrders {
     pub operations: Vec<Operation>,
     pub dispatchers: u32,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,9 +1,15 @@
+use std::collections::{BTreeMap, BTreeSet};
 use topazsail::*;
 
 /// One dispatcher, told what happens in a few words; what it does comes back as lines.
 pub struct Desk {
     brain: Brain,
     now: Micros,
+    armed: BTreeSet<Micros>,
+    /// Other dispatchers' jobs as runners tell them; those not here do not answer probes.
+    loads: BTreeMap<String, Vec<f64>>,
+    /// Where each forward still out is.
+    out: BTreeMap<String, String>,
     trace: String,
 }
 
@@ -47,7 +53,9 @@
 impl Desk {
     /// Runners `a`, `b`, ... in zone east, then west, turn by turn.
     pub fn new(orders: StandingOrders, runners: &str) -> Desk {
-        let mut desk = Desk { brain: Brain::new(orders, 7), now: 1_000_000, trace: String::new() };
+        let brain = Brain::new(orders, 7);
+        let (armed, loads, out) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        let mut desk = Desk { brain, now: 1_000_000, armed, loads, out, trace: String::new() };
         desk.roster(Listing::Remembered, runners, Readiness::On, None);
         desk
     }
@@ -58,22 +66,45 @@
     }
 
     fn tell(&mut self, event: Event) -> &mut Desk {
+        let mut answers = Vec::new();
         for action in self.brain.decide(self.now, vec![event]) {
             let line = match action {
-                Action::Tick { .. } | Action::Log(_) => continue,
-                Action::Forward { inv, tgt } => format!("{inv} -> {tgt}"),
+                Action::Log(_) => continue,
+                Action::Tick { after } => {
+                    self.armed.insert(self.now + after);
+                    continue;
+                }
+                Action::Forward { inv, tgt } => {
+                    self.out.insert(inv.to_string(), tgt.to_string());
+                    format!("{inv} -> {tgt}")
+                }
                 Action::Cancel { inv, forward } => format!("cancel {inv} #{forward}"),
                 Action::Throttle { inv, come_back } => format!("throttle {inv}, back in {come_back:?}"),
                 Action::Error { inv } => format!("error {inv}"),
-                Action::Probe { tgt } => format!("probe {tgt}"),
+                Action::Probe { tgt } => {
+                    let line = format!("probe {tgt}");
+                    if let Some(report) = self.load(&tgt) {
+                        answers.push(Event::Probed { tgt, alive: true, report });
+                    }
+                    line
+                }
                 Action::Disconnect { tgt } => format!("disconnect {tgt}"),
                 Action::Follow => "follow".to_owned(),
             };
             self.trace += &format!("{} {line}\n", self.now / 1000);
         }
+        for answer in answers {
+            self.tell(answer);
+        }
         self
     }
 
+    fn load(&self, tgt: &str) -> Option<Vec<f64>> {
+        let own = self.out.values().filter(|out| *out == tgt).count() as f64;
+        let [free, waiting, inflight] = self.loads.get(tgt)?[..] else { return None };
+        Some(vec![(free - own).max(0.0), waiting + (own - free).max(0.0), inflight + own])
+    }
+
     pub fn roster(
         &mut self,
         listing: Listing,
@@ -104,11 +135,18 @@
         self.tell(Event::Arrival(arrival))
     }
 
-    pub fn ends(&mut self, inv: &str, forward: u32, tgt: &str, ending: Ending, report: &[f64]) -> &mut Desk {
+    /// A client's repeat, whose first try came one and a half seconds before.
+    pub fn repeats(&mut self, inv: &str, operation: usize) -> &mut Desk {
+        let arrival = Arrival { inv: inv.into(), operation, expires_in: 3_500_000, slots: 1.0, key: None };
+        self.tell(Event::Arrival(arrival))
+    }
+
+    pub fn ends(&mut self, inv: &str, forward: u32, ending: Ending, report: &[f64]) -> &mut Desk {
+        let tgt = self.out.remove(inv).unwrap_or_default().into();
         self.tell(Event::Outcome(Outcome {
             inv: inv.into(),
             forward,
-            tgt: tgt.into(),
+            tgt,
             ending,
             finished: ending == Ending::Succeeded,
             elapsed: 300_000,
@@ -116,7 +154,9 @@
         }))
     }
 
+    /// Others' jobs in the runner from now on, told at once and with every answer to a probe.
     pub fn reports(&mut self, tgt: &str, report: &[f64]) -> &mut Desk {
+        self.loads.insert(tgt.to_owned(), report.to_vec());
         self.tell(Event::Probed { tgt: tgt.into(), alive: true, report: report.to_vec() })
     }
 
@@ -124,14 +164,31 @@
         self.tell(Event::Gone { inv: inv.into() })
     }
 
-    /// Lets time pass with the periodic timer only.
-    pub fn ticks(&mut self, ms: Micros) -> &mut Desk {
-        for _ in 0..ms / 20 {
-            self.after(20).tell(Event::Tick);
+    pub fn starts(&mut self, inv: &str, forward: u32) -> &mut Desk {
+        self.tell(Event::Started { inv: inv.into(), forward })
+    }
+
+    /// Lets time pass; the timer goes off when it was armed for.
+    pub fn passes(&mut self, ms: Micros) -> &mut Desk {
+        let end = self.now + ms * 1000;
+        while let Some(at) = self.armed.first().copied().filter(|at| *at <= end) {
+            self.armed.remove(&at);
+            self.now = at;
+            self.tell(Event::Tick);
         }
+        self.now = end;
         self
     }
 
+    /// What was done since, runner names in order: `a2 b1`.
+    pub fn counts(&mut self) -> String {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        for tgt in std::mem::take(&mut self.trace).lines().filter_map(|line| line.split(" -> ").nth(1)) {
+            *counts.entry(tgt.to_owned()).or_default() += 1;
+        }
+        counts.iter().map(|(tgt, count)| format!("{tgt}{count} ")).collect()
+    }
+
     pub fn shows(&mut self, expected: expect_test::Expect) {
         expected.assert_eq(&std::mem::take(&mut self.trace));
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -8,7 +8,7 @@
 
 const IDLE: [f64; 3] = [2.0, 0.0, 0.0];
 const BUSY: [f64; 3] = [1.0, 0.0, 1.0];
-const FULL: [f64; 3] = [0.0, 0.0, 2.0];
+const FULL: [f64; 3] = [0.0, 2.0, 4.0];
 
 fn desk(effect: Effect, runners: &str) -> Desk {
     let mut desk = Desk::new(orders(vec![operation(effect)]), runners);
@@ -22,13 +22,15 @@
 fn a_low_invocation_goes_to_the_least_loaded_and_counts_drop_at_every_outcome() {
     let mut desk = desk(Effect::Idempotent, "ab");
     desk.reports("a", &BUSY).arrives("1", 0).arrives("2", 0).arrives("3", 0);
-    desk.after(100).ends("1", 0, "b", Ending::Succeeded, &[]).arrives("4", 0);
+    desk.after(100).ends("1", 0, Ending::Succeeded, &[]).arrives("4", 0);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> b
-         1000 2 -> a
-         1000 3 -> b
-         1100 4 -> b
+        1000 follow
+        1000 1 -> b
+        1000 2 -> a
+        1000 3 -> b
+        1100 probe b
+        1100 probe a
+        1100 4 -> b
     "#]]);
 }
 
@@ -51,15 +53,22 @@
 fn every_invocation_gets_one_answer_in_time() {
     let mut desk = desk(Effect::NonIdempotent, "a");
     desk.arrives("1", 0).arrives("2", 0).arrives("waits", 0).arrives("left", 0).gone("left");
-    desk.ticks(600);
-    desk.after(4400).ends("1", 0, "a", Ending::TimedOut, &[]);
+    desk.passes(600);
+    desk.after(4400).ends("1", 0, Ending::TimedOut, &[]);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         1000 2 -> a
-         1080 probe a
-         1500 throttle waits, back in Some(500000)
-         6000 error 1
+        1000 follow
+        1000 1 -> a
+        1000 2 -> a
+        1060 probe a
+        1120 probe a
+        1180 probe a
+        1240 probe a
+        1300 probe a
+        1360 probe a
+        1420 probe a
+        1480 probe a
+        1500 throttle waits, back in Some(500000)
+        6000 error 1
     "#]]);
 }
 
@@ -67,26 +76,30 @@
 fn a_non_idempotent_goes_again_only_where_nothing_ran() {
     let mut desk = desk(Effect::NonIdempotent, "ab");
     desk.reports("b", &BUSY).arrives("1", 0);
-    desk.ends("1", 0, "a", Ending::Overloaded, &FULL).ends("1", 1, "b", Ending::Errored, &IDLE);
+    desk.ends("1", 0, Ending::Overloaded, &FULL).ends("1", 1, Ending::Errored, &IDLE);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         1000 1 -> b
-         1000 error 1
+        1000 follow
+        1000 1 -> a
+        1000 disconnect a
+        1000 1 -> b
+        1000 disconnect b
+        1000 error 1
     "#]]);
 }
 
 #[test]
 fn a_deduplicated_that_may_have_run_stays_in_its_zone_and_span() {
     let mut desk = desk(Effect::Deduplicated(Group::Zone), "abcd");
-    desk.reports("b", &FULL).reports("d", &FULL).reports("c", &BUSY);
-    desk.arrives("1", 0).ends("1", 0, "a", Ending::Errored, &IDLE);
-    desk.after(3100).ends("1", 1, "c", Ending::Errored, &IDLE);
+    desk.reports("b", &BUSY).reports("c", &BUSY).reports("d", &BUSY).arrives("1", 0);
+    desk.reports("b", &IDLE).reports("d", &IDLE).ends("1", 0, Ending::Errored, &FULL);
+    desk.after(3100).ends("1", 1, Ending::Errored, &IDLE);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         1000 1 -> c
-         4100 error 1
+        1000 follow
+        1000 1 -> a
+        1000 disconnect a
+        1000 1 -> c
+        4100 disconnect c
+        4100 error 1
     "#]]);
 }
 
@@ -98,16 +111,23 @@
     desk.roster(Listing::All, "b", Readiness::On, None);
     desk.arrives("3", 0).arrives("4", 0).arrives("5", 0);
     desk.roster(Listing::Refused, "", Readiness::On, None);
-    desk.ticks(600);
+    desk.passes(600);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> c
-         1000 2 -> b
-         1000 3 -> b
-         1080 probe b
-         1280 follow
-         1500 throttle 4, back in Some(500000)
-         1500 throttle 5, back in Some(500000)
+        1000 follow
+        1000 1 -> b
+        1000 2 -> c
+        1000 3 -> b
+        1060 probe b
+        1120 probe b
+        1180 probe b
+        1240 probe b
+        1300 probe b
+        1360 probe b
+        1380 follow
+        1420 probe b
+        1480 probe b
+        1500 throttle 5, back in Some(500000)
+        1500 throttle 4, back in Some(500000)
     "#]]);
 }
 
@@ -116,16 +136,18 @@
     let mut desk = desk(Effect::Idempotent, "ab");
     desk.roster(Listing::Changes, "a", Readiness::Off, None);
     desk.roster(Listing::Changes, "b", Readiness::On, Some(1_000_000));
-    desk.arrives("1", 0).arrives("2", 0).ticks(400);
-    desk.after(2000).ends("1", 0, "b", Ending::Succeeded, &IDLE);
+    desk.arrives("1", 0).arrives("2", 0).passes(400);
+    desk.after(2000).ends("1", 0, Ending::Succeeded, &IDLE);
     desk.after(5000).arrives("3", 0).arrives("4", 0);
     desk.shows(expect![[r#"
-         1000 follow
-         1080 probe b
-         1220 1 -> b
-         3400 throttle 2, back in Some(500000)
-         8400 3 -> b
-         8400 4 -> b
+        1000 follow
+        1000 probe b
+        1000 1 -> b
+        3400 disconnect b
+        3400 throttle 2, back in Some(500000)
+        8400 probe b
+        8400 3 -> b
+        8400 4 -> b
     "#]]);
 }
 
@@ -134,44 +156,52 @@
     let mut desk = desk(Effect::NonIdempotent, "ab");
     desk.reports("b", &FULL);
     for inv in ["1", "2", "3"] {
-        desk.arrives(inv, 0).after(10).ends(inv, 0, "a", Ending::Errored, &IDLE);
+        desk.arrives(inv, 0).after(10).ends(inv, 0, Ending::Errored, &IDLE);
     }
     desk.arrives("waits", 0).after(500).reports("b", &IDLE).arrives("4", 0);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         1010 error 1
-         1010 2 -> a
-         1020 error 2
-         1530 throttle 3, back in Some(500000)
-         1530 throttle waits, back in Some(500000)
-         1530 4 -> a
+        1000 follow
+        1000 1 -> a
+        1010 disconnect a
+        1010 error 1
+        1010 2 -> a
+        1020 disconnect a
+        1020 error 2
+        1530 throttle 3, back in Some(500000)
+        1530 throttle waits, back in Some(500000)
+        1530 probe a
+        1530 4 -> a
     "#]]);
 }
 
 #[test]
 fn a_runner_without_progress_is_left_and_its_work_moved() {
     let mut desk = desk(Effect::Idempotent, "ab");
-    desk.reports("b", &FULL).arrives("1", 0).reports("b", &IDLE).ticks(1500);
-    desk.ends("1", 0, "a", Ending::Withdrawn, &[]);
+    desk.reports("b", &FULL).arrives("1", 0).reports("b", &IDLE).passes(1500);
+    desk.ends("1", 0, Ending::Withdrawn, &[]);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         2500 cancel 1 #0
-         2500 1 -> b
+        1000 follow
+        1000 1 -> a
+        2500 cancel 1 #0
+        2500 disconnect a
+        2500 probe b
+        2500 1 -> b
     "#]]);
 }
 
 #[test]
 fn a_runner_once_full_is_tried_again_when_its_report_is_old() {
-    let mut desk = desk(Effect::Idempotent, "a");
-    desk.arrives("0", 0).after(300).ends("0", 0, "a", Ending::Succeeded, &FULL);
-    desk.arrives("soon", 0).after(2900).arrives("later", 0);
+    let mut orders = orders(vec![operation(Effect::Idempotent)]);
+    orders.may_probe = false;
+    let mut desk = Desk::new(orders, "a");
+    desk.arrives("0", 0).after(300).ends("0", 0, Ending::Succeeded, &[0.0, 6.0, 8.0]);
+    desk.arrives("soon", 0).passes(60_000).arrives("later", 0);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 0 -> a
-         4200 throttle soon, back in Some(500000)
-         4200 later -> a
+        1000 follow
+        1000 0 -> a
+        1300 disconnect a
+        1800 throttle soon, back in Some(500000)
+        61300 later -> a
     "#]]);
 }
 
@@ -180,44 +210,235 @@
     let mut late = operation(Effect::Idempotent);
     late.late_share = 0.5;
     let mut desk = Desk::new(orders(vec![late]), "a");
-    desk.reports("a", &IDLE).arrives("1", 0).arrives("2", 0).arrives("old", 0).ticks(600);
-    desk.arrives("new", 0).ends("1", 0, "a", Ending::Succeeded, &BUSY);
+    desk.reports("a", &IDLE).arrives("1", 0).arrives("2", 0).arrives("old", 0).passes(600);
+    desk.arrives("new", 0).ends("1", 0, Ending::Succeeded, &BUSY);
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         1000 2 -> a
-         1080 probe a
-         1600 new -> a
+        1000 follow
+        1000 1 -> a
+        1000 2 -> a
+        1060 probe a
+        1120 probe a
+        1180 probe a
+        1240 probe a
+        1300 probe a
+        1360 probe a
+        1420 probe a
+        1480 probe a
+        1540 probe a
+        1600 probe a
+        1600 new -> a
     "#]]);
 }
 
 #[test]
-fn a_key_keeps_its_home_until_that_holds_more_than_its_share() {
-    let mut desk = desk(Effect::Idempotent, "abc");
-    for inv in ["1", "2", "3", "4"] {
+fn reports_that_come_late_are_doubted_and_probes_given_up() {
+    let mut desk = desk(Effect::Idempotent, "ab");
+    desk.reports("b", &BUSY);
+    for inv in ["1", "2", "3"] {
+        desk.arrives(inv, 0).ends(inv, 0, Ending::Overloaded, &IDLE);
+        desk.ends(inv, 1, Ending::Overloaded, &IDLE);
+    }
+    desk.after(400).reports("a", &FULL).reports("b", &BUSY).arrives("4", 0).arrives("5", 0);
+    desk.after(400).arrives("6", 0);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 1 -> a
+        1000 disconnect a
+        1000 1 -> b
+        1000 disconnect b
+        1400 1 -> b
+        1400 2 -> a
+        1400 3 -> b
+        1400 4 -> a
+    "#]]);
+}
+
+#[test]
+fn a_key_stays_with_its_homes_up_to_their_share() {
+    let mut desk = desk(Effect::Idempotent, "abcdef");
+    for inv in ["1", "2", "3", "4", "5", "6"] {
         desk.arrives_with(inv, 0, Some("catalogue"));
     }
     desk.shows(expect![[r#"
-         1000 follow
-         1000 1 -> a
-         1000 2 -> b
-         1000 3 -> a
-         1000 4 -> b
+        1000 follow
+        1000 1 -> e
+        1000 2 -> a
+        1000 3 -> e
+        1000 4 -> a
+        1000 5 -> f
+        1000 6 -> d
     "#]]);
 }
 
 #[test]
-fn reports_that_come_late_are_doubted() {
-    let mut desk = desk(Effect::Idempotent, "ab");
-    desk.reports("b", &BUSY).arrives("1", 0).ends("1", 0, "a", Ending::Overloaded, &IDLE);
-    desk.arrives("2", 0).after(200).reports("a", &FULL).reports("b", &FULL);
-    desk.after(100).arrives("3", 0).arrives("4", 0);
+fn a_popular_key_has_more_homes() {
+    let mut shown = String::new();
+    for (key, every) in [("rare", 10), ("popular", 1)] {
+        let mut desk = desk(Effect::Idempotent, "abcdefgh");
+        for nth in 0..60 {
+            let (inv, other) = (nth.to_string(), format!("other {nth}"));
+            desk.arrives_with(&inv, 0, Some(if nth % every == 0 { key } else { &other }));
+            desk.ends(&inv, 0, Ending::Succeeded, &IDLE);
+        }
+        desk.counts();
+        for nth in 60..80 {
+            let inv = nth.to_string();
+            desk.arrives_with(&inv, 0, Some(key)).ends(&inv, 0, Ending::Succeeded, &IDLE);
+        }
+        shown += &format!("{key}: {}\n", desk.counts());
+    }
+    expect![[r#"
+        rare: a13 c1 g6 
+        popular: a4 b2 c4 d3 f2 g3 h2 
+    "#]]
+    .assert_eq(&shown);
+}
+
+#[test]
+fn low_work_is_let_in_by_the_share_of_probes_that_find_a_free_slot() {
+    let mut high = operation(Effect::Idempotent);
+    high.billed_value = 5.0;
+    let mut desk = Desk::new(orders(vec![operation(Effect::Idempotent), high]), "ab");
+    for _ in 0..80 {
+        desk.reports("a", &FULL);
+    }
+    desk.reports("b", &IDLE).arrives("low1", 0).arrives("low2", 0).arrives("high", 1);
+    for _ in 0..80 {
+        desk.reports("b", &IDLE);
+    }
+    desk.arrives("low3", 0);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 throttle low1, back in Some(500000)
+        1000 throttle low2, back in Some(500000)
+        1000 high -> b
+        1000 low3 -> b
+    "#]]);
+}
+
+#[test]
+fn the_objective_of_a_clients_repeat_runs_from_the_first_try() {
+    let mut late = operation(Effect::Idempotent);
+    late.late_share = 0.5;
+    let mut desk = Desk::new(orders(vec![late]), "a");
+    desk.reports("a", &BUSY).arrives("first", 0).repeats("repeat", 0).arrives("new", 0);
+    desk.passes(200).reports("a", &IDLE).ends("first", 0, Ending::Succeeded, &BUSY);
+    desk.passes(400);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 first -> a
+        1060 probe a
+        1120 probe a
+        1180 probe a
+        1200 disconnect a
+        1200 new -> a
+        1250 throttle repeat, back in Some(500000)
+    "#]]);
+}
+
+#[test]
+fn many_dispatchers_take_turns_at_a_cold_runner_by_whole_jobs() {
+    let mut shown = String::new();
+    for number in 0..40 {
+        let mut orders = orders(vec![operation(Effect::Idempotent)]);
+        (orders.dispatchers, orders.number) = (40, number);
+        let mut desk = Desk::new(orders, "a");
+        desk.roster(Listing::Changes, "a", Readiness::On, Some(1_000_000));
+        desk.reports("a", &IDLE).passes(3_000);
+        for nth in ["1", "2", "3", "4"] {
+            desk.arrives_with(nth, 0, Some(nth));
+        }
+        let counts = desk.counts();
+        if !counts.is_empty() {
+            shown += &format!("dispatcher {number}: {counts}\n");
+        }
+    }
+    expect![[r#"
+        dispatcher 5: a1 
+        dispatcher 18: a1 
+        dispatcher 31: a1 
+    "#]]
+    .assert_eq(&shown);
+}
+
+#[test]
+fn runners_with_a_connection_come_first_where_a_new_one_is_priced() {
+    let mut shown = String::new();
+    for connecting_costs in [true, false] {
+        let mut orders = orders(vec![operation(Effect::Idempotent)]);
+        orders.connecting_costs = connecting_costs;
+        let mut desk = Desk::new(orders, "abcdefgh");
+        for tgt in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+            desk.reports(tgt, &IDLE);
+        }
+        for nth in 0..40 {
+            let inv = nth.to_string();
+            desk.arrives(&inv, 0).ends(&inv, 0, Ending::Succeeded, &IDLE);
+        }
+        shown += &format!("{}\n", desk.counts());
+    }
+    expect![[r#"
+        a40 
+        a3 b7 c7 d1 e10 f5 g4 h3 
+    "#]]
+    .assert_eq(&shown);
+}
+
+#[test]
+fn a_runner_of_the_own_zone_comes_first_where_a_crossing_is_priced() {
+    let mut orders = orders(vec![operation(Effect::Idempotent)]);
+    orders.crossing_costs = true;
+    let mut desk = Desk::new(orders, "abcd");
+    for tgt in ["a", "b", "c", "d"] {
+        desk.reports(tgt, if tgt == "a" { &BUSY } else { &IDLE });
+    }
+    for inv in ["1", "2", "3", "4"] {
+        desk.arrives(inv, 0);
+    }
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 1 -> c
+        1000 2 -> c
+        1000 3 -> a
+        1000 4 -> b
+    "#]]);
+}
+
+#[test]
+fn where_probes_are_not_allowed_work_goes_by_waits_for_a_start() {
+    let mut orders = orders(vec![operation(Effect::Idempotent)]);
+    (orders.may_probe, orders.tells_start) = (false, true);
+    let mut desk = Desk::new(orders, "ab");
+    let invs = ["1", "2", "3", "4", "5", "6"];
+    invs.iter().for_each(|inv| _ = desk.arrives(inv, 0));
+    desk.after(600);
+    invs.iter().for_each(|inv| _ = desk.starts(inv, 0));
+    desk.arrives("7", 0).passes(300);
+    invs.iter().for_each(|inv| _ = desk.ends(inv, 0, Ending::Succeeded, &IDLE));
+    desk.passes(3_000).arrives("8", 0);
     desk.shows(expect![[r#"
         1000 follow
-        1000 1 -> a
         1000 1 -> b
-        1000 2 -> b
-        1300 3 -> a
-        1300 4 -> a
+        1000 2 -> a
+        1000 3 -> a
+        1000 4 -> b
+        1000 5 -> b
+        1000 6 -> a
+        1900 disconnect b
+        1900 disconnect a
+        2100 throttle 7, back in Some(500000)
+        4900 8 -> a
+    "#]]);
+}
+
+#[test]
+fn a_draw_that_does_not_answer_its_probe_is_passed_over() {
+    let mut desk = Desk::new(orders(vec![operation(Effect::Idempotent)]), "ab");
+    desk.reports("a", &BUSY).after(100).arrives("1", 0).passes(40);
+    desk.shows(expect![[r#"
+        1000 follow
+        1100 probe a
+        1100 probe b
+        1130 1 -> a
     "#]]);
 }
