Homes are ranked from a dense list, and anew only when somebody new is listed

A profile showed a third of the time in ranking homes, most of it waiting for the runners' entries, and the drill visited every instance in every batch.

Change: hashes and weights for ranking are kept side by side and renewed only when a roster lists somebody new (homes that are gone are passed over as before); the drill answers for the instances something happened to.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -3,7 +3,7 @@
 mod orders;
 mod wire;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufWriter, Write};
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
@@ -20,6 +20,8 @@
 #[derive(Default)]
 struct House {
     instances: BTreeMap<u64, Instance>,
+    /// Those that something has happened to in this batch.
+    stirred: BTreeSet<u64>,
 }
 
 impl House {
@@ -35,6 +37,7 @@
             Message::Event { inst, event } => {
                 if let Some(instance) = self.instances.get_mut(&inst) {
                     instance.happened.push(event);
+                    self.stirred.insert(inst);
                 }
             }
             Message::PassedOver => {}
@@ -46,14 +49,12 @@
     }
 
     fn reply(&mut self, now: Micros, out: &mut String) {
-        for (inst, instance) in &mut self.instances {
-            if instance.happened.is_empty() {
-                continue;
-            }
+        for inst in std::mem::take(&mut self.stirred) {
+            let Some(instance) = self.instances.get_mut(&inst) else { continue };
             let happened = std::mem::take(&mut instance.happened);
             match panic::catch_unwind(AssertUnwindSafe(|| instance.brain.decide(now, happened))) {
-                Ok(actions) => actions.iter().for_each(|action| wire::write(out, *inst, action)),
-                Err(fault) => wire::write_fault(out, *inst, fault.as_ref()),
+                Ok(actions) => actions.iter().for_each(|action| wire::write(out, inst, action)),
+                Err(fault) => wire::write_fault(out, inst, fault.as_ref()),
             }
         }
         out.push_str("NEXT\n");
--- a/src/books.rs
+++ b/src/books.rs
@@ -62,13 +62,13 @@
     pub spent: VecDeque<(Micros, f64)>,
 }
 
-/// How often a key has been asked for, when last, and its first homes as of some roster.
+/// How often a key has been asked for, when last, and its first homes as of some roster with newcomers.
 #[derive(Default)]
 pub struct Key {
     pub count: f64,
     pub at: Micros,
     pub homes: Vec<usize>,
-    pub roster: u64,
+    pub newcomers: u64,
 }
 
 pub struct Forward {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -105,8 +105,10 @@
     listed: Vec<usize>,
     cold: Vec<usize>,
     linked: Vec<usize>,
-    /// Counts the rosters heard.
-    rosters: u64,
+    /// Counts the rosters that listed somebody new.
+    newcomers: u64,
+    /// What ranks homes: hash and one over weight of each runner listed at the latest of these rosters.
+    bearings: Vec<(u64, f64, usize)>,
     /// The sum of the listed runners' weights; own forwards out.
     weight_all: f64,
     out_all: u32,
@@ -281,10 +283,16 @@
         for entry in roster.entries {
             self.enter(entry);
         }
+        let before = std::mem::take(&mut self.listed);
         self.listed = (0..self.runners.len()).filter(|r| self.runners[*r].listed).collect();
         self.cold = self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect();
         self.weight_all = self.listed.iter().map(|r| self.weight(*r)).sum();
-        self.rosters += 1;
+        // Homes that are gone are passed over; ranks change only where there is somebody new to rank.
+        if self.listed.iter().any(|r| before.binary_search(r).is_err()) {
+            self.newcomers += 1;
+            let bearing = |r: &usize| (self.runners[*r].hash, 1.0 / self.weight(*r), *r);
+            self.bearings = self.listed.iter().map(bearing).collect();
+        }
     }
 
     fn enter(&mut self, entry: RosterEntry) {
@@ -694,7 +702,7 @@
                 }
                 missing -= self.weight(r);
             }
-            if known.homes.len() >= self.listed.len() {
+            if known.homes.len() >= self.bearings.len() {
                 return homes;
             }
             length = 4 * known.homes.len();
@@ -703,22 +711,20 @@
 
     /// Weighted rendezvous hashing: the first so many runners for a key, the same at every dispatcher.
     fn rank_homes(&mut self, key: u64, length: usize) {
-        let length = length.min(self.listed.len());
-        let known = self.keys.get(&key);
-        if known.is_some_and(|known| known.roster == self.rosters && known.homes.len() >= length) {
+        let length = length.min(self.bearings.len());
+        let Some(known) = self.keys.get_mut(&key) else { return };
+        if known.newcomers == self.newcomers && known.homes.len() >= length {
             return;
         }
-        let rank = |r: &usize| (-even(key ^ self.runners[*r].hash).ln() / self.weight(*r), *r);
-        let mut ranks: Vec<(f64, usize)> = self.listed.iter().map(rank).collect();
+        let rank = |(hash, share, r): &(u64, f64, usize)| (-even(key ^ hash).ln() * share, *r);
+        let mut ranks: Vec<(f64, usize)> = self.bearings.iter().map(rank).collect();
         if length < ranks.len() {
             ranks.select_nth_unstable_by(length, |a, b| a.0.total_cmp(&b.0));
             ranks.truncate(length);
         }
         ranks.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some(known) = self.keys.get_mut(&key) {
-            known.homes = ranks.into_iter().map(|(_, r)| r).collect();
-            known.roster = self.rosters;
-        }
+        known.homes = ranks.into_iter().map(|(_, r)| r).collect();
+        known.newcomers = self.newcomers;
     }
 
     fn note_key(&mut self, key: u64) {
