A free slot behind a waiting job is no sign of late reports

The wire showed reports on time but for runners with a slot free and a job waiting: that job lacks memory, which no report field tells, and holds up what comes after it. Each such bounce was taken for a late report; the doubt then stopped all probing.

Change: where a report shows a waiting job, its free slots count for nothing, in the doubt and in the share of free slots.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -502,7 +502,7 @@
         }
         self.report(out.tgt, &outcome.report);
         if outcome.ending == Ending::Overloaded
-            && let Some(free) = self.field(&outcome.report, ReportField::FreeSlots)
+            && let Some(free) = self.free_slots(&outcome.report)
         {
             // Turned away as full with a report that shows a free slot: the report is late.
             self.weigh(if free > 0.5 { 2.1 } else { -0.14 });
@@ -904,6 +904,14 @@
         self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
     }
 
+    /// Slots that a new job could have: none where one waits. What it lacks is then memory, or more slots than
+    /// are free, and what comes after it waits as well.
+    fn free_slots(&self, report: &[f64]) -> Option<f64> {
+        let free = self.field(report, ReportField::FreeSlots)?;
+        let blocked = self.field(report, ReportField::Waiting).is_some_and(|waiting| waiting > 0.5);
+        Some(if blocked { 0.0 } else { free })
+    }
+
     fn field(&self, report: &[f64], field: ReportField) -> Option<f64> {
         let nth = self.orders.report_fields.iter().position(|f| *f == field)?;
         report.get(nth).copied()
@@ -1007,7 +1015,7 @@
             return self.bench(r, "no answer to a probe");
         }
         self.report(r, report);
-        if let Some(free) = self.field(report, ReportField::FreeSlots) {
+        if let Some(free) = self.free_slots(report) {
             self.free_share.note(f64::from(u8::from(free > 0.5)), 0.05, self.now);
         }
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -442,3 +442,27 @@
         1130 1 -> a
     "#]]);
 }
+
+#[test]
+fn a_free_slot_behind_a_waiting_job_is_no_sign_of_late_reports() {
+    let blocked = [1.0, 1.0, 2.0];
+    let mut desk = desk(Effect::Idempotent, "ab");
+    for inv in ["1", "2", "3"] {
+        desk.arrives(inv, 0).ends(inv, 0, Ending::Overloaded, &blocked);
+        desk.ends(inv, 1, Ending::Overloaded, &blocked);
+    }
+    desk.after(600).arrives("4", 0);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 1 -> a
+        1000 disconnect a
+        1000 1 -> b
+        1000 disconnect b
+        1600 throttle 1, back in Some(500000)
+        1600 throttle 2, back in Some(500000)
+        1600 throttle 3, back in Some(500000)
+        1600 probe b
+        1600 probe a
+        1600 4 -> b
+    "#]]);
+}
