--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,14 +45,13 @@
 /// The firmest belief, in log-odds, that reports come late or that they do not.
 const FIRMEST: f64 = 2.5;
 /// How many homes a key has for each runner that its share of the work would fill.
-const HOMES: f64 = 2.5;
+const HOMES: f64 = 2.0;
 /// How many jobs more a key's next home by hash is taken to hold, as it may have to fetch.
 const FETCH: f64 = 5.0;
 /// How many times its share of own forwards out a home with a slot free may hold.
 const HOME_BOUND: f64 = 1.25;
-/// A key's uses count half after this; so many uses are granted to other keys in advance.
+/// A key's uses count half after this.
 const USES_MEMORY: f64 = 3e7;
-const USES_GRANTED: f64 = 20.0;
 const KEYS_KEPT: usize = 10_000;
 /// The share of the cold budget that is used: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
@@ -685,8 +684,8 @@
         loop {
             self.rank_homes(key, length);
             let Some(known) = self.keys.get(&key) else { return Vec::new() };
-            // Less what chance alone may have added: one use seen among few is no popularity.
-            let share = (known.count - known.count.sqrt()).max(0.0) / (self.uses + USES_GRANTED);
+            // Less the use that made it known: one use seen among few is no popularity.
+            let share = (known.count - 1.0).max(0.0) / self.uses;
             let mut missing = HOMES * share * self.weight_all;
             // Own forwards out bound a home before any report could, more strictly where work would wait.
             let fair = |r: &&usize| {
