--- a/src/brain.rs
+++ b/src/brain.rs
@@ -559,9 +559,7 @@
             let Some(pool) = self.pools[keyed].get(inv.pools).copied() else {
                 (inv.pools, inv.heard_by) = (0, 0);
                 let tier = inv.place.map_or(LATE, |place| place.0);
-                // Where reports are not asked for, looking again costs nothing.
-                let rest = if self.doubt > 0.0 { RESTS[0] } else { RESTS[usize::from(tier)] };
-                inv.rests_until = self.now + (rest * self.mean_pace) as Micros;
+                inv.rests_until = self.now + (RESTS[usize::from(tier)] * self.mean_pace) as Micros;
                 return None;
             };
             self.draw(pool, inv);
@@ -766,7 +764,7 @@
             // others hold the slots, none would tell, and it waits in the runner.
             let others = 1.0 - f64::from(self.runners[r].out) / count.max(1.0);
             // Counts in doubt are averages: what seems just full may as well have a slot free.
-            let guess = if self.probes_tell() { 0.0 } else { 1.0 };
+            let guess = if self.probes_tell() { 0.0 } else { 0.5 };
             (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess
         } else if self.orders.tells_start {
             let objective = self.orders.operations[inv.operation].latency_objective as f64;
