Room in doubt by this dispatcher's share: one job over the slots alone, half among many

Late reports show jobs of its own that have ended as others', and half a job does not cover them; a slot of two or three then stays empty.

Change: half a job, and half of one times this dispatcher's share.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -763,8 +763,10 @@
             // Own forwards tell here when they end, so a job may as well wait here for their slots; where
             // others hold the slots, none would tell, and it waits in the runner.
             let others = 1.0 - f64::from(self.runners[r].out) / count.max(1.0);
-            // Counts in doubt are averages: what seems just full may as well have a slot free.
-            let guess = if self.probes_tell() { 0.0 } else { 0.5 };
+            // Counts in doubt are averages: what seems just full may as well have a slot free, the likelier
+            // the more of what reports show are jobs of this dispatcher that have since ended.
+            let own = 1.0 / f64::from(self.orders.dispatchers.max(1));
+            let guess = if self.probes_tell() { 0.0 } else { 0.5 + 0.5 * own };
             (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess
         } else if self.orders.tells_start {
             let objective = self.orders.operations[inv.operation].latency_objective as f64;
