--- a/src/brain.rs
+++ b/src/brain.rs
@@ -766,7 +766,7 @@
             // Counts in doubt are averages: what seems just full may as well have a slot free, the likelier
             // the more of what reports show are jobs of this dispatcher that have since ended.
             let own = 1.0 / f64::from(self.orders.dispatchers.max(1));
-            let guess = if self.probes_tell() { 0.0 } else { 0.5 + 0.5 * own };
+            let guess = if self.probes_tell() { 0.0 } else { 0.5 + 0.5 * own.powi(4) };
             (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess
         } else if self.orders.tells_start {
             let objective = self.orders.operations[inv.operation].latency_objective as f64;
