Tidy: one half-life, one test of a stale report, no unread setting; a killed instance is not stirred

- The half-life of keys' uses and of failures is one function; so is whether a report is stale.
- Cold runners are pruned in one pass; the fleet's median of failures is taken only where a runner could lie over it.
- The client timeout was decoded and kept but no longer read: out of the standing orders, its range still checked.
- The drill skips an instance that was killed and made anew in one batch and has been told nothing, as it did before the instances something happened to were kept in a set.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -50,7 +50,9 @@
 
     fn reply(&mut self, now: Micros, out: &mut String) {
         for inst in std::mem::take(&mut self.stirred) {
-            let Some(instance) = self.instances.get_mut(&inst) else { continue };
+            let Some(instance) = self.instances.get_mut(&inst).filter(|i| !i.happened.is_empty()) else {
+                continue;
+            };
             let happened = std::mem::take(&mut instance.happened);
             match panic::catch_unwind(AssertUnwindSafe(|| instance.brain.decide(now, happened))) {
                 Ok(actions) => actions.iter().for_each(|action| wire::write(out, inst, action)),
--- a/drill/src/orders.rs
+++ b/drill/src/orders.rs
@@ -57,9 +57,9 @@
                 Some(named.ok_or_else(|| format!("familyInfo.classKind has the bad value '{text}'"))?)
             }
         };
+        self.within::<i64>(&path("clientTimeout"), 1, SPAN)?;
         Ok(Operation {
             latency_objective: self.within(&path("latencyObjective"), 0, SPAN)?,
-            client_timeout: self.within(&path("clientTimeout"), 1, SPAN)?,
             effect,
             memory_span,
             billed_value: self.within(&path("billedValue"), 0.0, f64::MAX)?,
--- a/src/books.rs
+++ b/src/books.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// What remains of a sum that counts half after each half-life.
+pub fn remains(age: Micros, half_life: f64) -> f64 {
+    0.5f64.powf(age as f64 / half_life)
+}
+
 #[derive(Default)]
 pub struct Runner {
     pub id: Id,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::books::{Bond, Forward, Inv, Key, Place, Recent, Runner};
+use crate::books::{Bond, Forward, Inv, Key, Place, Recent, Runner, remains};
 use crate::chance::{Chance, even, hash};
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
@@ -600,10 +600,8 @@
             (Pool::Homes, Some(key)) => self.homes(key, inv),
             (Pool::LinkedNear | Pool::Linked, _) => self.linked.clone(),
             (Pool::Turns | Pool::Cold, _) => {
-                let warm = |r: &usize| self.warmth(*r) >= 1.0;
-                if self.cold.iter().any(warm) {
-                    self.cold = self.cold.iter().copied().filter(|r| !warm(r)).collect();
-                }
+                let cold = std::mem::take(&mut self.cold);
+                self.cold = cold.into_iter().filter(|r| self.warmth(*r) < 1.0).collect();
                 self.cold.clone()
             }
             _ => self.listed.clone(),
@@ -620,7 +618,7 @@
                 Pool::Homes | Pool::Linked | Pool::All | Pool::Cold => true,
             };
             // Only fresh word tells against a draw: a runner rejected on old word would not be heard again.
-            let known = !self.probes_tell() || self.age(r) <= STALE * self.mean_pace;
+            let known = !self.probes_tell() || !self.stale(r);
             let drawn = inv.drawn.contains(&r);
             if fits && !drawn && self.open(r, inv) && (!known || self.has_room(r, inv)) {
                 inv.drawn.push(r);
@@ -644,7 +642,7 @@
         }
         let mut out = false;
         for &r in &inv.drawn {
-            let old = self.age(r) > STALE * self.mean_pace;
+            let old = self.stale(r);
             let runner = &mut self.runners[r];
             if first && old && !runner.probing {
                 runner.probing = true;
@@ -726,7 +724,7 @@
 
     fn note_key(&mut self, key: u64) {
         let now = self.now;
-        let fades = |since: Micros| 0.5f64.powf((now - since) as f64 / USES_MEMORY);
+        let fades = |since: Micros| remains(now - since, USES_MEMORY);
         let known = self.keys.entry(key).or_default();
         known.count = known.count * fades(known.at) + 1.0;
         known.at = now;
@@ -798,6 +796,10 @@
         self.runners[r].reported_at.map_or(f64::MAX, |at| (self.now - at) as f64)
     }
 
+    fn stale(&self, r: usize) -> bool {
+        self.age(r) > STALE * self.mean_pace
+    }
+
     fn mean_wait(&self) -> f64 {
         self.wait_mean.at(self.now, 8.0 * self.tightest as f64)
     }
@@ -920,7 +922,7 @@
         let now = self.now;
         let (mean_pace, slots) = (self.mean_pace, self.slots(r));
         let runner = &mut self.runners[r];
-        let faded = 0.5f64.powf((now - runner.judged_at) as f64 / HEALTH_MEMORY);
+        let faded = remains(now - runner.judged_at, HEALTH_MEMORY);
         runner.judged_at = now;
         runner.good *= faded;
         runner.bad *= faded;
@@ -940,13 +942,16 @@
             Ending::Errored => {
                 runner.bad += 1.0;
                 runner.silent_since = now;
+                if runner.bad <= 1.5 {
+                    return;
+                }
                 // Two successes are granted in advance: one failure alone condemns nobody.
                 let share = |runner: &Runner| runner.bad / (runner.good + runner.bad + 2.0);
                 let mut shares: Vec<f64> = self.listed.iter().map(|r| share(&self.runners[*r])).collect();
                 shares.sort_by(f64::total_cmp);
                 let median = shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
                 let runner = &self.runners[r];
-                if runner.bad > 1.5 && share(runner) > median + FAILURES_OVER_MEDIAN {
+                if share(runner) > median + FAILURES_OVER_MEDIAN {
                     self.bench(r, "errors");
                 }
             }
--- a/src/events.rs
+++ b/src/events.rs
@@ -30,7 +30,7 @@
         report: Vec<f64>,
     },
     Roster(Roster),
-    /// The periodic timer.
+    /// A timer that was armed has gone off.
     Tick,
 }
 
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -35,7 +35,6 @@
 #[derive(Clone, Debug)]
 pub struct Operation {
     pub latency_objective: Micros,
-    pub client_timeout: Micros,
     pub effect: Effect,
     pub memory_span: Micros,
     pub billed_value: f64,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -16,7 +16,6 @@
 pub fn operation(effect: Effect) -> Operation {
     Operation {
         latency_objective: 500_000,
-        client_timeout: 5_000_000,
         effect,
         memory_span: 3_000_000,
         billed_value: 1.0,
@@ -130,15 +129,17 @@
     }
 
     pub fn arrives_with(&mut self, inv: &str, operation: usize, key: Option<&str>) -> &mut Desk {
-        let (inv, key) = (inv.into(), key.map(Id::from));
-        let arrival = Arrival { inv, operation, expires_in: 5_000_000, slots: 1.0, key };
-        self.tell(Event::Arrival(arrival))
+        self.comes(inv, operation, 5_000_000, key)
     }
 
     /// A client's repeat, whose first try came one and a half seconds before.
     pub fn repeats(&mut self, inv: &str, operation: usize) -> &mut Desk {
-        let arrival = Arrival { inv: inv.into(), operation, expires_in: 3_500_000, slots: 1.0, key: None };
-        self.tell(Event::Arrival(arrival))
+        self.comes(inv, operation, 3_500_000, None)
+    }
+
+    fn comes(&mut self, inv: &str, operation: usize, expires_in: Micros, key: Option<&str>) -> &mut Desk {
+        let (inv, key) = (inv.into(), key.map(Id::from));
+        self.tell(Event::Arrival(Arrival { inv, operation, expires_in, slots: 1.0, key }))
     }
 
     pub fn ends(&mut self, inv: &str, forward: u32, ending: Ending, report: &[f64]) -> &mut Desk {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -4,14 +4,19 @@
 
 use expect_test::expect;
 use helper::{Desk, operation, orders};
-use topazsail::{Effect, Ending, Group, Listing, Readiness};
+use topazsail::{Effect, Ending, Group, Listing, Readiness, StandingOrders};
 
 const IDLE: [f64; 3] = [2.0, 0.0, 0.0];
 const BUSY: [f64; 3] = [1.0, 0.0, 1.0];
 const FULL: [f64; 3] = [0.0, 2.0, 4.0];
 
 fn desk(effect: Effect, runners: &str) -> Desk {
-    let mut desk = Desk::new(orders(vec![operation(effect)]), runners);
+    idle(orders(vec![operation(effect)]), runners)
+}
+
+/// A dispatcher that has heard from each runner that it holds nothing.
+fn idle(orders: StandingOrders, runners: &str) -> Desk {
+    let mut desk = Desk::new(orders, runners);
     for tgt in runners.split("").filter(|tgt| !tgt.is_empty()) {
         desk.reports(tgt, &IDLE);
     }
@@ -367,10 +372,7 @@
     for connecting_costs in [true, false] {
         let mut orders = orders(vec![operation(Effect::Idempotent)]);
         orders.connecting_costs = connecting_costs;
-        let mut desk = Desk::new(orders, "abcdefgh");
-        for tgt in ["a", "b", "c", "d", "e", "f", "g", "h"] {
-            desk.reports(tgt, &IDLE);
-        }
+        let mut desk = idle(orders, "abcdefgh");
         for nth in 0..40 {
             let inv = nth.to_string();
             desk.arrives(&inv, 0).ends(&inv, 0, Ending::Succeeded, &IDLE);
