--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts topazsail instances on the drill wire. It translates and decides nothing.
 
-mod orders;
 mod wire;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -10,8 +10,6 @@
     StandingOrders,
 };
 
-use crate::orders;
-
 /// The one timer that an instance keeps needs no more than one handle.
 const TICK: u64 = 1;
 
@@ -196,7 +194,10 @@
                 parts.text("dispatcherId")?;
                 let seed = parts.number("seed")?;
                 let info = parts.text("info")?;
-                let (orders, operations) = orders::read(info).map_err(|fault| parts.fault("info", fault))?;
+                let decoded = pairs(info)
+                    .and_then(topazsail_orders::decode)
+                    .map_err(|fault| parts.fault("info", fault))?;
+                let (orders, operations) = (decoded.standing, decoded.operations);
                 return Ok(Some(Message::Create { inst, seed, orders, operations }));
             }
             "KILL" => {
@@ -299,6 +300,11 @@
     }
 }
 
+fn pairs(info: &str) -> Result<Vec<(&str, &str)>, String> {
+    let pairs = info.split(' ').filter(|pair| !pair.is_empty());
+    pairs.map(|pair| pair.split_once('=').ok_or_else(|| format!("'{pair}' is no pair"))).collect()
+}
+
 fn entry(parts: &mut Parts) -> Result<RosterEntry, Malformed> {
     let cell = parts.number_or("bay", -1)?;
     let size = parts.real("powerHint", 1.0)?.max(0.0);
--- /dev/null
+++ b/node/src/clients.rs
@@ -0,0 +1,318 @@
+//! Connections that others open to us: clients' invocations, runners' call-backs, and readiness.
+//!
+//! It owns what each such connection is about to say or is owed. It decodes an invocation or a call-back once
+//! and hands it on; it must never judge one, and never answer an invocation but as it is told.
+
+use std::collections::BTreeMap;
+use std::mem;
+
+use serde::Deserialize;
+use topazsail::{Id, Micros};
+
+use crate::conn::{Callbacks, Due, End, Link, Wires};
+use crate::http::{self, Fault, Request, encode_answer};
+use crate::log::log;
+
+const READY: &str = "/healthz";
+const CALL_BACKS: &str = "/v1/job-events";
+/// A request that has begun must be whole by then.
+const REQUEST_WITHIN: Micros = 10_000_000;
+const IDLE_MOST: Micros = 120_000_000;
+/// No client waits longer; it keeps due times far from the end of their type.
+const TIMEOUT_MOST: Micros = 3_600_000_000;
+/// An answer on its way when the client's time ends is as good as none.
+const WAY_BACK: Micros = 20_000;
+const ID_MOST: usize = 128;
+
+#[derive(Debug)]
+pub struct Invocation {
+    pub link: Link,
+    pub id: Id,
+    pub operation: usize,
+    /// When the client gives up, less the way back.
+    pub deadline: Micros,
+    pub slots: f64,
+    pub key: Option<Id>,
+    /// Request line and headers as they go to runners, but for the time left and the length.
+    pub head: Vec<u8>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    Started,
+    Running,
+    Done,
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// What a runner tells of a job.
+#[derive(Debug, Deserialize)]
+pub struct CallBack {
+    pub id: String,
+    pub from: String,
+    pub state: State,
+    pub result: Option<String>,
+    pub load: Option<serde_json::Value>,
+}
+
+#[derive(Debug)]
+pub enum Heard {
+    Invocation(Invocation),
+    /// With a hash of its bytes, by which a repeat may be known.
+    CallBack(CallBack, u64),
+    Gone(Link, Id),
+}
+
+enum Phase {
+    Idle,
+    /// A request has begun to come.
+    Reading,
+    Owed(Id),
+}
+
+struct Client {
+    phase: Phase,
+    since: Micros,
+    keep: bool,
+    /// A runner's, for call-backs.
+    caller: bool,
+}
+
+pub struct Clients {
+    conns: BTreeMap<Link, Client>,
+    operations: Vec<String>,
+    draining: bool,
+    /// Connections beyond these cost an idle one its place.
+    most: usize,
+    pub heard: Vec<Heard>,
+}
+
+impl Clients {
+    pub fn new(operations: Vec<String>, sockets: usize) -> Clients {
+        // The rest is kept back for runners, the watch and whoever must still be let in to be answered.
+        let most = sockets * 5 / 8;
+        Clients { conns: BTreeMap::new(), operations, draining: false, most, heard: Vec::new() }
+    }
+
+    /// Whether one more can be let in; room is made by ending the one that has been idle longest.
+    pub fn room(&mut self, wires: &mut dyn Wires) -> bool {
+        if self.conns.len() < self.most {
+            return true;
+        }
+        let idle = self.conns.iter().filter(|(_, client)| matches!(client.phase, Phase::Idle));
+        if let Some(link) = idle.min_by_key(|(_, client)| client.since).map(|(link, _)| *link) {
+            self.end(link, End::MadeRoom, wires);
+            return true;
+        }
+        self.conns.len() < self.most + self.most / 5
+    }
+
+    pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
+        let since = wires.now();
+        self.conns.insert(link, Client { phase: Phase::Idle, since, keep: true, caller: false });
+        wires.wake(Due::Link(link), since + REQUEST_WITHIN);
+    }
+
+    /// The one final answer of an invocation, or what a malformed request gets.
+    pub fn answer(
+        &mut self,
+        link: Link,
+        status: u16,
+        come_back: Option<Micros>,
+        body: &[u8],
+        wires: &mut dyn Wires,
+    ) {
+        let Some(client) = self.conns.get_mut(&link) else { return };
+        let more = come_back.map(|after| format!("Retry-After: {:.3}\r\n", after as f64 / 1e6));
+        let keep = client.keep && !self.draining;
+        wires.send(link, &encode_answer(status, more.as_deref().unwrap_or_default(), body, keep));
+        client.phase = Phase::Idle;
+        client.since = wires.now();
+        if keep {
+            wires.revisit(link);
+        } else {
+            self.conns.remove(&link);
+            wires.finish(link, if self.draining { End::Terminated } else { End::AnsweredLast });
+        }
+    }
+
+    /// From now on connections are not kept, and nobody new is told that this dispatcher is ready.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Ends idle connections of clients; runners may still have something to tell on theirs.
+    pub fn end_idle(&mut self, wires: &mut dyn Wires) {
+        let idle = |client: &Client| matches!(client.phase, Phase::Idle) && !client.caller;
+        let links: Vec<Link> = self.conns.iter().filter(|(_, c)| idle(c)).map(|(link, _)| *link).collect();
+        for link in links {
+            self.end(link, End::Terminated, wires);
+        }
+    }
+
+    /// Whether some request is still to be read whole or to be answered.
+    pub fn busy(&self) -> bool {
+        self.conns.values().any(|client| !matches!(client.phase, Phase::Idle))
+    }
+
+    fn end(&mut self, link: Link, end: End, wires: &mut dyn Wires) {
+        self.conns.remove(&link);
+        wires.finish(link, end);
+    }
+
+    pub fn refuse(&mut self, link: Link, Fault(status, why): Fault, wires: &mut dyn Wires) {
+        log!("bad-request", "link={link} status={status} reason={why}");
+        wires.send(link, &encode_answer(status, "", why.as_bytes(), false));
+        self.end(link, End::BadInput, wires);
+    }
+
+    fn take(&mut self, link: Link, request: Request, wires: &mut dyn Wires) -> Result<(), Fault> {
+        let Some(client) = self.conns.get_mut(&link) else { return Ok(()) };
+        client.keep = request.keep;
+        match (request.path(), request.method) {
+            (READY, "GET") => {
+                let status = if self.draining { 503 } else { 200 };
+                self.answer(link, status, None, b"", wires);
+            }
+            (CALL_BACKS, "POST") => {
+                let told = serde_json::from_slice(&request.body).map_err(|_| Fault(400, "bad_call_back"))?;
+                client.caller = true;
+                self.heard.push(Heard::CallBack(told, hash(&request.body)));
+                // Its runner needs the connection for the calls to come, also while we go down.
+                let draining = mem::take(&mut self.draining);
+                self.answer(link, 200, None, b"", wires);
+                self.draining = draining;
+            }
+            (READY | CALL_BACKS, _) => return Err(Fault(405, "wrong_method")),
+            (path, method) => {
+                let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+                let operation = self.operations.iter().position(|known| known == name);
+                let operation = operation.ok_or(Fault(404, "unknown_operation"))?;
+                if method != "POST" {
+                    return Err(Fault(405, "wrong_method"));
+                }
+                let invocation = invocation(link, operation, client.since, request)?;
+                client.phase = Phase::Owed(invocation.id.clone());
+                self.heard.push(Heard::Invocation(invocation));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// FNV-1a: only tells a repeat from another call-back.
+fn hash(bytes: &[u8]) -> u64 {
+    let fold = |h: u64, byte: &u8| (h ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
+fn invocation(link: Link, operation: usize, began: Micros, request: Request) -> Result<Invocation, Fault> {
+    let id = request.only("x-request-id")?.ok_or(Fault(400, "missing_id"))?;
+    // It stands in the path of a cancel, so that nothing may need escaping there.
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:~".contains(&byte);
+    if id.is_empty() || id.len() > ID_MOST || !id.bytes().all(plain) {
+        return Err(Fault(400, "bad_id"));
+    }
+    let timeout = request.only("x-deadline-ms")?.ok_or(Fault(400, "missing_timeout"))?;
+    let timeout: u32 = timeout.parse().map_err(|_| Fault(400, "bad_timeout"))?;
+    let timeout = (Micros::from(timeout) * 1000).min(TIMEOUT_MOST);
+    let slots = request.only("x-extras")?.and_then(|extras| extra(extras, &["slots", "width"]));
+    let key = request.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cookie"));
+    let key = key.filter_map(|(_, value)| std::str::from_utf8(value).ok()).find_map(cookie);
+    Ok(Invocation {
+        link,
+        id: id.into(),
+        operation,
+        deadline: began + timeout - WAY_BACK,
+        slots: slots.unwrap_or(1.0),
+        key: key.map(Into::into),
+        head: forwarded_head(&request),
+        body: request.body,
+    })
+}
+
+fn extra(extras: &str, names: &[&str]) -> Option<f64> {
+    let pairs = extras.split(',').filter_map(|pair| pair.trim().split_once('='));
+    let value = pairs.filter(|(name, _)| names.contains(name)).find_map(|(_, value)| value.parse().ok());
+    value.filter(|value: &f64| value.is_finite() && *value > 0.0)
+}
+
+fn cookie(value: &str) -> Option<&str> {
+    let pairs = value.split(';').filter_map(|pair| pair.trim().split_once('='));
+    pairs.filter(|(name, _)| *name == "sid").map(|(_, value)| value).next()
+}
+
+/// Everything that is meant for the runner, unchanged; what concerns one connection only stays here.
+fn forwarded_head(request: &Request) -> Vec<u8> {
+    const OURS: [&str; 10] = [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+    ];
+    let mut head = format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
+    for (name, value) in &request.headers {
+        if !OURS.iter().any(|ours| name.eq_ignore_ascii_case(ours)) {
+            head.extend_from_slice(name.as_bytes());
+            head.extend_from_slice(b": ");
+            head.extend_from_slice(value);
+            head.extend_from_slice(b"\r\n");
+        }
+    }
+    head
+}
+
+impl Callbacks for Clients {
+    fn up(&mut self, _: Link, _: &mut dyn Wires) {}
+
+    fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
+        while let Some(client) = self.conns.get_mut(&link) {
+            if input.is_empty() || matches!(client.phase, Phase::Owed(_)) {
+                return;
+            }
+            if matches!(client.phase, Phase::Idle) {
+                client.phase = Phase::Reading;
+                client.since = wires.now();
+            }
+            let used = match http::request(input) {
+                Ok(None) => return,
+                Ok(Some((request, used))) => self.take(link, request, wires).map(|()| used),
+                Err(fault) => Err(fault),
+            };
+            match used {
+                Ok(used) => drop(input.drain(..used)),
+                Err(fault) => return self.refuse(link, fault, wires),
+            }
+        }
+    }
+
+    fn ended(&mut self, link: Link, _: End, _: bool, _: &[u8], _: &mut dyn Wires) {
+        if let Some(Client { phase: Phase::Owed(id), .. }) = self.conns.remove(&link) {
+            self.heard.push(Heard::Gone(link, id));
+        }
+    }
+
+    fn due(&mut self, link: Link, wires: &mut dyn Wires) {
+        let Some(client) = self.conns.get(&link) else { return };
+        let now = wires.now();
+        match client.phase {
+            Phase::Reading if now >= client.since + REQUEST_WITHIN => self.end(link, End::SlowRequest, wires),
+            Phase::Idle if wires.unsent(link) && now >= client.since + REQUEST_WITHIN => {
+                self.conns.remove(&link);
+                wires.cut(link, End::SlowReader);
+            }
+            Phase::Idle if now >= client.since + IDLE_MOST => self.end(link, End::Idle, wires),
+            _ => wires.wake(Due::Link(link), now + REQUEST_WITHIN),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,99 @@
+//! What a dispatcher is told at its start: the file that `RELAY_CONFIG` names, decoded once.
+//!
+//! It owns the form of that file. It must never guess at what is missing: a fault names its field.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use topazsail_orders::Decoded;
+
+use crate::roster::Listed;
+
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory: usize,
+    pub sockets: usize,
+    pub decoded: Decoded,
+    /// The list of runners as this dispatcher last had it.
+    pub known: Listed,
+}
+
+/// From the file named on the command line, or else in the environment.
+pub fn load(path: Option<String>) -> Result<Dispatcher, String> {
+    let path = path
+        .or_else(|| env::var("RELAY_CONFIG").ok())
+        .ok_or("no configuration: RELAY_CONFIG is not set and no file is named")?;
+    let text = fs::read_to_string(&path).map_err(|error| format!("configuration {path}: {error}"))?;
+    decode(&text).map_err(|fault| format!("configuration {path}: {fault}"))
+}
+
+pub fn decode(text: &str) -> Result<Dispatcher, String> {
+    let json: Value = serde_json::from_str(text).map_err(|error| format!("no JSON: {error}"))?;
+    let field = |name: &str| json.get(name).ok_or_else(|| format!("{name} is missing"));
+    let string = |name: &str| {
+        field(name)?.as_str().map(str::to_owned).ok_or_else(|| format!("{name} is not a string"))
+    };
+    let address = |name: &str| {
+        let text = string(name)?;
+        text.parse().map_err(|_| format!("{name} has the bad address '{text}'"))
+    };
+    let limit = |name: &str, absent: u64| match json.pointer(&format!("/limits/{name}")) {
+        None => Ok(absent),
+        Some(value) => match value.as_f64() {
+            Some(value) if value >= 1.0 => Ok(value as u64),
+            _ => Err(format!("limits.{name} has the bad value {value}")),
+        },
+    };
+    let seed = string("seed")?;
+    let mut pairs = Vec::new();
+    flatten("", field("settings")?, &mut pairs);
+    let decoded = topazsail_orders::decode(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())))
+        .map_err(|fault| format!("settings: {fault}"))?;
+    Ok(Dispatcher {
+        name: string("name")?,
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
+        memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
+        sockets: limit("sockets", 1024)?.max(64) as usize,
+        decoded,
+        known: match json.get("known") {
+            None | Some(Value::Null) => Listed::default(),
+            Some(known) => Listed::from_value(known.clone()).map_err(|fault| format!("known: {fault}"))?,
+        },
+    })
+}
+
+/// Nested JSON as the pairs that the decoder of settings takes.
+fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
+    let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Null => {}
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                flatten(&below(name), value, pairs);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.push((below("count"), items.len().to_string()));
+            for (nth, item) in items.iter().enumerate() {
+                flatten(&below(&nth.to_string()), item, pairs);
+            }
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            pairs.push((path.to_owned(), items.join(",")));
+        }
+        value => pairs.push((path.to_owned(), plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/node/src/conn.rs
@@ -0,0 +1,238 @@
+//! One connection: its socket, its buffers, and the reason why it ended.
+//!
+//! It owns reading, writing and their bounds. It must never look into the bytes; what they mean is for the
+//! owner, who is called back through [`Callbacks`] and acts through [`Wires`].
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+
+use topazsail::{Id, Micros};
+
+use crate::http::MESSAGE_MOST;
+
+/// A connection's number; none is used twice.
+pub type Link = u64;
+
+/// Whose connection it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    Client,
+    Runner,
+    Roster,
+}
+
+impl Side {
+    pub fn code(self) -> &'static str {
+        match self {
+            Side::Client => "client",
+            Side::Runner => "runner",
+            Side::Roster => "roster",
+        }
+    }
+}
+
+/// Why a connection ended; each has its code in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    PeerClosed,
+    Reset,
+    Refused,
+    DialTimeout,
+    /// Idle for longer than it is worth its descriptor.
+    Idle,
+    /// The longest idle, ended for a newcomer.
+    MadeRoom,
+    /// Ended after its answer, as either side had said.
+    AnsweredLast,
+    BadInput,
+    SlowRequest,
+    SlowReader,
+    /// A forward was given up before its 202.
+    GivenUp,
+    NoAnswer,
+    BadAnswer,
+    /// Found ended, or with bytes that nobody asked for, when it was to be used again.
+    Stale,
+    /// The runner is gone or has another address.
+    Unlisted,
+    Disconnected,
+    WatchSilent,
+    WatchReplaced,
+    Terminated,
+}
+
+impl End {
+    pub fn code(self) -> &'static str {
+        match self {
+            End::PeerClosed => "peer_closed",
+            End::Reset => "reset",
+            End::Refused => "refused",
+            End::DialTimeout => "dial_timeout",
+            End::Idle => "idle",
+            End::MadeRoom => "made_room",
+            End::AnsweredLast => "answered_last",
+            End::BadInput => "bad_input",
+            End::SlowRequest => "slow_request",
+            End::SlowReader => "slow_reader",
+            End::GivenUp => "given_up",
+            End::NoAnswer => "no_answer",
+            End::BadAnswer => "bad_answer",
+            End::Stale => "stale",
+            End::Unlisted => "unlisted",
+            End::Disconnected => "disconnected",
+            End::WatchSilent => "watch_silent",
+            End::WatchReplaced => "watch_replaced",
+            End::Terminated => "terminated",
+        }
+    }
+}
+
+/// What a due time is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The owner of a connection wants to look at it.
+    Link(Link),
+    /// A connection that is being finished has had its time.
+    Finish(Link),
+    /// An invocation's client gives up.
+    Inv(Id),
+    /// The brain's one timer.
+    Tick,
+    /// Accepting, after it could not go on.
+    Accept,
+    /// A step of going down.
+    Down,
+}
+
+/// What the owner of connections is called back for.
+pub trait Callbacks {
+    /// A dialled connection is up.
+    fn up(&mut self, link: Link, wires: &mut dyn Wires);
+    /// Bytes have come; what is understood is taken out of `input`, the rest stays there.
+    fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires);
+    /// The other side has ended it, or it never came up: `unsent` says that not all was written, `input`
+    /// holds what was not taken out. An end of the owner's own making is not told.
+    fn ended(&mut self, link: Link, end: End, unsent: bool, input: &[u8], wires: &mut dyn Wires);
+    /// A time asked for by [`Wires::wake`] has come.
+    fn due(&mut self, link: Link, wires: &mut dyn Wires);
+}
+
+/// What owners of connections may do.
+pub trait Wires {
+    fn now(&self) -> Micros;
+    /// A new connection, not yet up; none where no descriptor is left.
+    fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link>;
+    fn send(&mut self, link: Link, bytes: &[u8]);
+    /// Whether a connection at rest can be used: not ended, and with nothing to read.
+    fn fresh(&mut self, link: Link) -> bool;
+    /// Whether something sent has not yet been written.
+    fn unsent(&self, link: Link) -> bool;
+    /// Calls the owner back with what has been read, even if nothing more comes.
+    fn revisit(&mut self, link: Link);
+    /// Ends it as soon as all is written.
+    fn finish(&mut self, link: Link, end: End);
+    fn cut(&mut self, link: Link, end: End);
+    fn wake(&mut self, due: Due, at: Micros);
+}
+
+pub struct Conn {
+    pub stream: TcpStream,
+    pub side: Side,
+    pub peer: SocketAddr,
+    pub dialling: bool,
+    /// Why it ends once all is written.
+    pub finishing: Option<End>,
+    /// Our side is shut; only the other side's end is waited for, so that the last answer is not reset away.
+    pub lingering: bool,
+    pub since: Micros,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    /// What the poller watches it for: reading, writing.
+    pub watched: (bool, bool),
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream, side: Side, peer: SocketAddr, dialling: bool, since: Micros) -> Conn {
+        Conn {
+            stream,
+            side,
+            peer,
+            dialling,
+            finishing: None,
+            lingering: false,
+            since,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            watched: (false, false),
+        }
+    }
+
+    pub fn wants(&self) -> (bool, bool) {
+        let reads = !self.dialling && (self.lingering || self.input.len() < MESSAGE_MOST);
+        (reads, self.dialling || self.unsent())
+    }
+
+    pub fn unsent(&self) -> bool {
+        self.written < self.output.len()
+    }
+
+    pub fn queue(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Writes what the socket takes.
+    pub fn flush(&mut self) -> Result<(), End> {
+        while self.unsent() && !self.dialling {
+            match self.stream.write(&self.output[self.written..]) {
+                Ok(0) => return Err(End::Reset),
+                Ok(written) => self.written += written,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(_) => return Err(End::Reset),
+            }
+        }
+        if !self.unsent() {
+            self.output.clear();
+            self.output.shrink_to(MESSAGE_MOST / 32);
+            self.written = 0;
+        }
+        Ok(())
+    }
+
+    /// Reads what there is, up to one buffer's worth; the poller tells if there is more.
+    pub fn read(&mut self, scratch: &mut [u8]) -> Result<(), End> {
+        match self.stream.read(scratch) {
+            Ok(0) => Err(End::PeerClosed),
+            Ok(_) if self.lingering => Ok(()),
+            Ok(read) => {
+                self.input.extend_from_slice(&scratch[..read]);
+                Ok(())
+            }
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(()),
+            Err(_) => Err(End::Reset),
+        }
+    }
+
+    /// Whether a dial has come to its end, and how.
+    pub fn dialled(&self) -> Result<(), End> {
+        match self.stream.take_error() {
+            Ok(None) => Ok(()),
+            Ok(Some(error)) if error.kind() == ErrorKind::TimedOut => Err(End::DialTimeout),
+            _ => Err(End::Refused),
+        }
+    }
+
+    pub fn fresh(&self) -> bool {
+        let nothing = |read: io::Result<usize>| read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        self.input.is_empty() && nothing(self.stream.peek(&mut [0]))
+    }
+
+    pub fn linger(&mut self) {
+        self.lingering = true;
+        self.input = Vec::new();
+        // An error here means that the other side is gone, which reading will tell.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+}
--- /dev/null
+++ b/node/src/desk.rs
@@ -0,0 +1,378 @@
+//! The open invocations and their forwards: what the parts heard becomes the brain's events, and what the
+//! brain decides becomes calls of the parts.
+//!
+//! It is the only caller of the brain, and owns what each invocation is still owed: one final answer, and one
+//! outcome for each forward. It must never choose a runner, a retry or an answer of its own, but for the error
+//! that an invocation gets when its client's time is over, and must never send a forward twice.
+
+use std::collections::BTreeMap;
+
+use topazsail::{
+    Action, Arrival, Brain, Ending, Event, Id, Listing, Micros, Outcome, Readiness, Roster as List,
+};
+
+use crate::clients::{self, CallBack, Clients, Invocation, State};
+use crate::config::Dispatcher;
+use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::http::Fault;
+use crate::log::log;
+use crate::roster::{self, Roster};
+use crate::runners::{self, Runners};
+
+const SUCCEEDED: u16 = 200;
+const THROTTLED: u16 = 429;
+const ERRORED: u16 = 502;
+/// Taken, but not to be held: nothing has been forwarded.
+const NO_ROOM: u16 = 503;
+/// How long an error may take that the brain owes when the client's time is over.
+const OVERDUE: Micros = 10_000;
+/// After being told to end: idle clients keep their connections for so long, and whatever is not answered by
+/// then is answered with an error, before we are killed (3.7 s at the earliest).
+const DOWN_IDLE: Micros = 500_000;
+const DOWN_ALL: Micros = 3_300_000;
+
+struct Forward {
+    tgt: Id,
+    at: Micros,
+    out: bool,
+    /// Its runner has answered 202.
+    taken: bool,
+    /// The call-back that ended it.
+    told: Option<u64>,
+}
+
+struct Open {
+    link: Link,
+    deadline: Micros,
+    head: Vec<u8>,
+    body: Vec<u8>,
+    answered: bool,
+    forwards: Vec<Forward>,
+}
+
+impl Open {
+    fn out(&self) -> Option<u32> {
+        self.forwards.iter().position(|forward| forward.out).map(|number| number as u32)
+    }
+
+    fn size(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+}
+
+pub struct Desk {
+    brain: Brain,
+    pub clients: Clients,
+    runners: Runners,
+    roster: Roster,
+    invs: BTreeMap<Id, Open>,
+    happened: Vec<Event>,
+    open_cap: usize,
+    /// Bytes held for further forwards, and the most there may be.
+    held: usize,
+    held_most: usize,
+    down_since: Option<Micros>,
+}
+
+impl Desk {
+    pub fn new(told: Dispatcher, wires: &mut dyn Wires) -> Desk {
+        let decoded = told.decoded;
+        let mut desk = Desk {
+            clients: Clients::new(decoded.operations.clone(), told.sockets),
+            runners: Runners::new(&decoded),
+            roster: Roster::new(told.discovery, told.known.generation),
+            brain: Brain::new(decoded.standing, told.seed),
+            invs: BTreeMap::new(),
+            happened: Vec::new(),
+            open_cap: decoded.open_cap,
+            held: 0,
+            held_most: told.memory / 4,
+            down_since: None,
+        };
+        desk.list(roster::Heard { listing: Listing::Remembered, entries: told.known.entries() }, wires);
+        desk
+    }
+
+    pub fn callbacks(&mut self, side: Side) -> &mut dyn Callbacks {
+        match side {
+            Side::Client => &mut self.clients,
+            Side::Runner => &mut self.runners,
+            Side::Roster => &mut self.roster,
+        }
+    }
+
+    /// Told to end: what has been taken is still answered, and clients are sent elsewhere.
+    pub fn go_down(&mut self, wires: &mut dyn Wires) {
+        if self.down_since.is_some() {
+            return;
+        }
+        let now = wires.now();
+        log!("going-down", "open={} runner_connections={}", self.invs.len(), self.runners.open());
+        self.down_since = Some(now);
+        self.clients.drain();
+        wires.wake(Due::Down, now + DOWN_IDLE);
+        wires.wake(Due::Down, now + DOWN_ALL);
+    }
+
+    /// Whether all is said and done after having been told to end.
+    pub fn is_down(&self, now: Micros) -> bool {
+        let Some(since) = self.down_since else { return false };
+        let owed = self.invs.values().any(|open| !open.answered);
+        let at_work = owed || self.clients.busy() || self.runners.cancelling();
+        now >= since + DOWN_IDLE && !at_work || now >= since + DOWN_ALL + 2 * OVERDUE
+    }
+
+    pub fn due(&mut self, due: Due, wires: &mut dyn Wires) {
+        match due {
+            Due::Tick => self.happened.push(Event::Tick),
+            Due::Inv(id) => self.overdue(&id, wires),
+            Due::Down => {
+                self.clients.end_idle(wires);
+                if self.down_since.is_some_and(|since| wires.now() >= since + DOWN_ALL) {
+                    for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
+                        self.cut_short(&id, wires);
+                    }
+                }
+            }
+            Due::Link(_) | Due::Finish(_) | Due::Accept => {}
+        }
+    }
+
+    /// Whether the brain has something to hear at once.
+    pub fn pending(&self) -> bool {
+        !self.happened.is_empty()
+    }
+
+    /// Hands the brain all that happened in this turn and does what it decides.
+    pub fn settle(&mut self, wires: &mut dyn Wires) {
+        self.collect(wires);
+        if self.happened.is_empty() {
+            return;
+        }
+        let happened = std::mem::take(&mut self.happened);
+        for action in self.brain.decide(wires.now(), happened) {
+            self.act(action, wires);
+        }
+        self.collect(wires);
+    }
+
+    fn act(&mut self, action: Action, wires: &mut dyn Wires) {
+        match action {
+            Action::Forward { inv, tgt } => self.forward(&inv, tgt, wires),
+            Action::Cancel { inv, forward } => {
+                let sent = self.invs.get(&inv).and_then(|open| open.forwards.get(forward as usize));
+                if let Some(sent) = sent.filter(|sent| sent.out) {
+                    self.runners.give_up(&sent.tgt, &inv, forward, wires);
+                }
+            }
+            Action::Throttle { inv, come_back } => self.answer(&inv, THROTTLED, come_back, b"", wires),
+            Action::Error { inv } => self.answer(&inv, ERRORED, None, b"", wires),
+            Action::Probe { tgt } => self.runners.probe(&tgt, wires),
+            Action::Disconnect { tgt } => self.runners.cut_idle(&tgt, End::Disconnected, wires),
+            Action::Follow => self.roster.follow(wires),
+            Action::Tick { after } => wires.wake(Due::Tick, wires.now() + after),
+            Action::Log(text) => log!("brain", "{}", text.escape_debug()),
+        }
+    }
+
+    fn forward(&mut self, inv: &Id, tgt: Id, wires: &mut dyn Wires) {
+        let Some(open) = self.invs.get_mut(inv) else { return };
+        let number = open.forwards.len() as u32;
+        let sendable = !open.answered && open.out().is_none();
+        let at = wires.now();
+        open.forwards.push(Forward { tgt: tgt.clone(), at, out: true, taken: false, told: None });
+        if sendable {
+            let message = (open.head.as_slice(), open.body.as_slice());
+            self.runners.forward(&tgt, (inv, number), message, open.deadline, wires);
+        } else {
+            self.end(inv, number, Ending::Void, Vec::new(), at);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        inv: &Id,
+        status: u16,
+        come_back: Option<Micros>,
+        body: &[u8],
+        wires: &mut dyn Wires,
+    ) {
+        let Some(open) = self.invs.get_mut(inv).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        self.held -= open.size();
+        (open.head, open.body) = (Vec::new(), Vec::new());
+        let (link, out) = (open.link, open.out());
+        self.clients.answer(link, status, come_back, body, wires);
+        if out.is_none() {
+            self.invs.remove(inv);
+        }
+    }
+
+    /// A forward's one outcome.
+    fn end(&mut self, inv: &Id, number: u32, ending: Ending, report: Vec<f64>, now: Micros) {
+        let Some(open) = self.invs.get_mut(inv) else { return };
+        let finished = open.answered;
+        let sent = open.forwards.get_mut(number as usize).filter(|sent| sent.out);
+        let Some(sent) = sent else { return };
+        sent.out = false;
+        let (tgt, elapsed, forward) = (sent.tgt.clone(), now - sent.at, number);
+        let outcome = Outcome { inv: inv.clone(), forward, tgt, ending, finished, elapsed, report };
+        self.happened.push(Event::Outcome(outcome));
+        if finished && open.out().is_none() {
+            self.invs.remove(inv);
+        }
+    }
+
+    /// The client's time is over: a forward still out is timed out, and the brain owes the error now.
+    fn overdue(&mut self, inv: &Id, wires: &mut dyn Wires) {
+        let Some(open) = self.invs.get(inv) else { return };
+        let now = wires.now();
+        if now < open.deadline {
+            return wires.wake(Due::Inv(inv.clone()), open.deadline);
+        }
+        self.cut_short(inv, wires);
+    }
+
+    fn cut_short(&mut self, inv: &Id, wires: &mut dyn Wires) {
+        let Some(open) = self.invs.get(inv) else { return };
+        let now = wires.now();
+        if let Some(number) = open.out() {
+            let tgt = open.forwards[number as usize].tgt.clone();
+            self.end(inv, number, Ending::TimedOut, Vec::new(), now);
+            self.runners.give_up(&tgt, inv, number, wires);
+            wires.wake(Due::Inv(inv.clone()), now + OVERDUE);
+        } else if !open.answered {
+            log!("overdue", "inv={inv} forwards={}", open.forwards.len());
+            self.answer(inv, ERRORED, None, b"", wires);
+            self.happened.push(Event::Gone { inv: inv.clone() });
+        }
+    }
+
+    /// Turns what the parts have heard into events.
+    pub fn collect(&mut self, wires: &mut dyn Wires) {
+        for heard in std::mem::take(&mut self.roster.heard) {
+            self.list(heard, wires);
+        }
+        for heard in std::mem::take(&mut self.clients.heard) {
+            match heard {
+                clients::Heard::Invocation(invocation) => self.take(invocation, wires),
+                clients::Heard::CallBack(told, hash) => self.called_back(told, hash, wires),
+                clients::Heard::Gone(link, id) => self.gone(link, id),
+            }
+        }
+        for heard in std::mem::take(&mut self.runners.heard) {
+            match heard {
+                runners::Heard::Taken { inv, number } => {
+                    let open = self.invs.get_mut(&inv);
+                    if let Some(sent) = open.and_then(|open| open.forwards.get_mut(number as usize)) {
+                        sent.taken = true;
+                    }
+                }
+                runners::Heard::Ended { inv, number, ending, report } => {
+                    self.end(&inv, number, ending, report, wires.now());
+                }
+                runners::Heard::Dropped { inv, number } => {
+                    self.end(&inv, number, Ending::Withdrawn, Vec::new(), wires.now());
+                }
+                runners::Heard::Probed { tgt, alive, report } => {
+                    self.happened.push(Event::Probed { tgt, alive, report });
+                }
+            }
+        }
+    }
+
+    fn list(&mut self, heard: roster::Heard, wires: &mut dyn Wires) {
+        let whole = matches!(heard.listing, Listing::All | Listing::Remembered);
+        if whole {
+            self.runners.forget_all();
+        }
+        let mut entries = Vec::new();
+        for (entry, address) in heard.entries {
+            let listed = entry.readiness != Readiness::Off;
+            self.runners.note(&entry.tgt, listed, address, wires);
+            entries.push(entry);
+        }
+        if whole {
+            self.runners.tidy(wires);
+        }
+        self.happened.push(Event::Roster(List { listing: heard.listing, entries }));
+    }
+
+    fn take(&mut self, told: Invocation, wires: &mut dyn Wires) {
+        let now = wires.now();
+        if self.invs.contains_key(&told.id) {
+            return self.clients.refuse(told.link, Fault(400, "repeated_id"), wires);
+        }
+        let size = told.head.len() + told.body.len();
+        let full = self.invs.len() >= self.open_cap || self.held + size > self.held_most;
+        if full || told.deadline <= now {
+            log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
+            return self.clients.answer(told.link, NO_ROOM, None, b"", wires);
+        }
+        self.held += size;
+        wires.wake(Due::Inv(told.id.clone()), told.deadline);
+        let (inv, operation, slots, key) = (told.id.clone(), told.operation, told.slots, told.key);
+        let expires_in = told.deadline - now;
+        self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, key }));
+        let (link, deadline, head, body) = (told.link, told.deadline, told.head, told.body);
+        let open = Open { link, deadline, head, body, answered: false, forwards: Vec::new() };
+        self.invs.insert(told.id, open);
+    }
+
+    fn gone(&mut self, link: Link, id: Id) {
+        let Some(open) = self.invs.get_mut(&id).filter(|open| open.link == link && !open.answered) else {
+            return;
+        };
+        open.answered = true;
+        self.held -= open.size();
+        (open.head, open.body) = (Vec::new(), Vec::new());
+        if open.out().is_none() {
+            self.invs.remove(&id);
+        }
+        self.happened.push(Event::Gone { inv: id });
+    }
+
+    /// News of a job. The newest forward to its runner is meant; what has ended stays ended.
+    fn called_back(&mut self, told: CallBack, hash: u64, wires: &mut dyn Wires) {
+        let report = told.load.as_ref().map(|load| self.runners.read_report(load)).unwrap_or_default();
+        let Some((inv, open)) = self.invs.get_key_value(told.id.as_str()) else { return };
+        let inv = inv.clone();
+        let Some(at) = open.forwards.iter().rposition(|sent| *sent.tgt == *told.from) else {
+            return log!("odd-call-back", "inv={inv} from={:?}", told.from);
+        };
+        let (sent, number) = (&open.forwards[at], at as u32);
+        // Again to the same runner: what ended the earlier forward may be told once more, and is no word on
+        // this one.
+        let earlier = open.forwards[..at].iter().any(|past| past.tgt == sent.tgt && past.told == Some(hash));
+        if earlier && !sent.taken {
+            return;
+        }
+        let (out, answered, now) = (sent.out, open.answered, wires.now());
+        let ending = match told.state {
+            State::Started if out => {
+                return self.happened.push(Event::Started { inv, forward: number });
+            }
+            State::Running if out => {
+                return self.happened.push(Event::Progress { inv, forward: number });
+            }
+            State::Started | State::Running => return,
+            State::Done => Ending::Succeeded,
+            State::Failed => Ending::Errored,
+            State::Returned => Ending::Overloaded,
+            State::Lost => Ending::Broken,
+        };
+        if ending == Ending::Succeeded && !answered {
+            let result = told.result.unwrap_or_default();
+            self.answer(&inv, SUCCEEDED, None, result.as_bytes(), wires);
+            if !out {
+                // Given up, but it came to its end all the same: this is the result that is owed.
+                log!("late-result", "inv={inv} runner={}", told.from);
+                self.happened.push(Event::Gone { inv: inv.clone() });
+            }
+        }
+        if let Some(open) = self.invs.get_mut(&inv) {
+            open.forwards[at].told = Some(hash);
+        }
+        self.end(&inv, number, ending, report, now);
+    }
+}
--- /dev/null
+++ b/node/src/reactor.rs
@@ -0,0 +1,398 @@
+//! The one loop: waits on all sockets, calls their owners back, and lets the desk settle each turn.
+//!
+//! It owns the poller, the listener, every connection, every due time, the clock and the signal. It must never
+//! know what a connection is for beyond whose it is, and never wait for anything but the poller.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use polling::{Event, Events, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use topazsail::Micros;
+
+use crate::config::Dispatcher;
+use crate::conn::{Conn, Due, End, Link, Side, Wires};
+use crate::desk::Desk;
+use crate::log::log;
+
+const LISTENER: usize = 0;
+const SIGNAL: usize = 1;
+const FIRST_LINK: Link = 2;
+const BACKLOG: i32 = 1024;
+/// Newcomers in one turn: those who are already here come first.
+const ACCEPTS: usize = 64;
+/// Accepting rests for so long where no descriptor is left.
+const ACCEPT_AGAIN: Micros = 50_000;
+/// How long the other side may take to read a last answer and to end.
+const FINISH_WITHIN: Micros = 2_000_000;
+
+/// Unix time at the start, and from then on only what the monotonic clock adds: steps of the system's clock
+/// do no harm.
+struct Clock {
+    started: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    fn now(&self) -> Micros {
+        self.unix + self.started.elapsed().as_micros() as Micros
+    }
+}
+
+pub struct Reactor {
+    poller: Poller,
+    clock: Clock,
+    now: Micros,
+    conns: HashMap<Link, Conn>,
+    next: Link,
+    dues: BTreeMap<(Micros, u64), Due>,
+    serial: u64,
+    /// Connections that broke under a write: their owners are called back in the next turn.
+    broken: Vec<(Link, End)>,
+    revisits: Vec<Link>,
+    scratch: Vec<u8>,
+}
+
+pub fn serve(told: Dispatcher) -> Result<(), String> {
+    let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
+    let (signal, raised) = UnixStream::pair().map_err(fault("signal"))?;
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raised).map_err(fault("signal"))?;
+    let address = told.listen;
+    let listener = listen(address).map_err(|error| format!("listen {address}: {error}"))?;
+    let mut reactor = Reactor::new().map_err(fault("poller"))?;
+    // SAFETY: both outlive the poller's use of them: they are dropped after the loop has ended.
+    unsafe {
+        reactor
+            .poller
+            .add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)
+            .and_then(|()| reactor.poller.add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot))
+            .map_err(fault("poller"))?;
+    }
+    log!("serving", "name={} listen={address} discovery={}", told.name, told.discovery);
+    let mut desk = Desk::new(told, &mut reactor);
+    reactor.run(&mut desk, &listener).map_err(fault("poller"))?;
+    log!("ended", "connections={}", reactor.conns.len());
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+impl Reactor {
+    fn new() -> io::Result<Reactor> {
+        let clock = Clock::new();
+        Ok(Reactor {
+            poller: Poller::new()?,
+            now: clock.now(),
+            clock,
+            conns: HashMap::new(),
+            next: FIRST_LINK,
+            dues: BTreeMap::new(),
+            serial: 0,
+            broken: Vec::new(),
+            revisits: Vec::new(),
+            scratch: vec![0; 64 << 10],
+        })
+    }
+
+    fn run(&mut self, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
+        let mut events = Events::new();
+        desk.settle(self);
+        while !(desk.is_down(self.now) && self.conns.values().all(|conn| !conn.unsent())) {
+            events.clear();
+            match self.poller.wait(&mut events, self.patience(desk)) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                waited => drop(waited?),
+            }
+            self.now = self.clock.now();
+            for event in events.iter() {
+                match event.key {
+                    LISTENER => self.accept(desk, listener)?,
+                    SIGNAL => desk.go_down(self),
+                    key => self.ready(key as Link, event, desk),
+                }
+            }
+            self.call_back(desk);
+            while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let due = entry.remove();
+                self.fall_due(due, desk, listener)?;
+            }
+            desk.settle(self);
+        }
+        Ok(())
+    }
+
+    /// How long the poller may wait: until the next due time, not at all where something is left to do.
+    fn patience(&self, desk: &Desk) -> Option<Duration> {
+        if desk.pending() || !self.broken.is_empty() || !self.revisits.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let at = self.dues.keys().next()?.0;
+        Some(Duration::from_micros((at - self.clock.now()).max(0) as u64))
+    }
+
+    fn fall_due(&mut self, due: Due, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
+        match due {
+            Due::Link(link) => {
+                if let Some(side) = self.conns.get(&link).map(|conn| conn.side) {
+                    desk.callbacks(side).due(link, self);
+                    desk.collect(self);
+                }
+            }
+            Due::Finish(link) => {
+                if let Some(end) = self.conns.get(&link).and_then(|conn| conn.finishing) {
+                    self.remove(link, end);
+                }
+            }
+            Due::Accept => {
+                let readable = Event::readable(LISTENER);
+                self.poller.modify_with_mode(listener, readable, PollMode::Level)?;
+            }
+            due => desk.due(due, self),
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
+        for _ in 0..ACCEPTS {
+            if !desk.clients.room(self) {
+                log!("accept-paused", "connections={} reason=no_room", self.conns.len());
+                return self.pause(listener);
+            }
+            match listener.accept() {
+                Ok((stream, peer)) => {
+                    // Where this fails the stream is not usable, which reading will tell.
+                    let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+                    if let Some(link) = self.add(Conn::new(stream, Side::Client, peer, false, self.now)) {
+                        desk.clients.accepted(link, self);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
+                    log!("accept-paused", "connections={} reason={error}", self.conns.len());
+                    return self.pause(listener);
+                }
+                // The newcomer has left again, or was interrupted: the next one may be well.
+                Err(error) => log!("accept-failed", "reason={error}"),
+            }
+        }
+        Ok(())
+    }
+
+    fn pause(&mut self, listener: &TcpListener) -> io::Result<()> {
+        self.wake(Due::Accept, self.now + ACCEPT_AGAIN);
+        self.poller.modify_with_mode(listener, Event::none(LISTENER), PollMode::Level)
+    }
+
+    fn add(&mut self, mut conn: Conn) -> Option<Link> {
+        let link = self.next;
+        self.next += 1;
+        let (reads, writes) = conn.wants();
+        // SAFETY: `remove` takes the socket out of the poller before it is closed.
+        let added = unsafe {
+            let event = Event::new(link as usize, reads, writes);
+            self.poller.add_with_mode(&conn.stream, event, PollMode::Level)
+        };
+        if let Err(error) = added {
+            log!("connection-refused", "side={} reason={error}", conn.side.code());
+            return None;
+        }
+        conn.watched = (reads, writes);
+        self.conns.insert(link, conn);
+        Some(link)
+    }
+
+    fn remove(&mut self, link: Link, end: End) {
+        let Some(conn) = self.conns.remove(&link) else { return };
+        let _ = self.poller.delete(&conn.stream);
+        let (side, peer, ms) = (conn.side.code(), conn.peer, (self.now - conn.since) / 1000);
+        let unsent = u8::from(conn.unsent());
+        log!(
+            "connection",
+            "link={link} side={side} peer={peer} reason={} ms={ms} unsent={unsent}",
+            end.code()
+        );
+    }
+
+    /// Has the poller watch a connection for what it now wants.
+    fn watch(&mut self, link: Link) {
+        let Some(conn) = self.conns.get_mut(&link) else { return };
+        let wants = conn.wants();
+        if wants != conn.watched {
+            conn.watched = wants;
+            let event = Event::new(link as usize, wants.0, wants.1);
+            if let Err(error) = self.poller.modify_with_mode(&conn.stream, event, PollMode::Level) {
+                log!("poller", "link={link} reason={error}");
+                self.broken.push((link, End::Reset));
+            }
+        }
+    }
+
+    fn ready(&mut self, link: Link, event: Event, desk: &mut Desk) {
+        let Some(conn) = self.conns.get_mut(&link) else { return };
+        let side = conn.side;
+        if conn.dialling {
+            if !event.writable {
+                return;
+            }
+            if let Err(end) = conn.dialled() {
+                return self.lost(link, end, desk);
+            }
+            conn.dialling = false;
+            let flushed = conn.flush();
+            desk.callbacks(side).up(link, self);
+            if let Err(end) = flushed {
+                self.broken.push((link, end));
+            }
+            return self.watch(link);
+        }
+        if event.writable
+            && let Err(end) = conn.flush()
+        {
+            return self.lost(link, end, desk);
+        }
+        let mut end = None;
+        if event.readable {
+            let had = conn.input.len();
+            end = conn.read(&mut self.scratch).err();
+            if conn.input.len() > had {
+                self.tell(link, desk);
+            }
+        }
+        if let Some(end) = end {
+            return self.lost(link, end, desk);
+        }
+        self.finished(link);
+        self.watch(link);
+    }
+
+    /// Gives the owner what has been read.
+    fn tell(&mut self, link: Link, desk: &mut Desk) {
+        let Some(conn) = self.conns.get_mut(&link).filter(|conn| conn.finishing.is_none()) else { return };
+        let (side, mut input) = (conn.side, std::mem::take(&mut conn.input));
+        desk.callbacks(side).bytes(link, &mut input, self);
+        desk.collect(self);
+        if let Some(conn) = self.conns.get_mut(&link).filter(|conn| !conn.lingering) {
+            input.shrink_to(if input.is_empty() { 4 << 10 } else { usize::MAX });
+            conn.input = input;
+        }
+        self.watch(link);
+    }
+
+    /// The other side has ended a connection, or it never came up.
+    fn lost(&mut self, link: Link, end: End, desk: &mut Desk) {
+        let Some(conn) = self.conns.get_mut(&link) else { return };
+        if let Some(end) = conn.finishing {
+            return self.remove(link, end);
+        }
+        let (side, unsent, input) = (conn.side, conn.unsent(), std::mem::take(&mut conn.input));
+        self.remove(link, end);
+        desk.callbacks(side).ended(link, end, unsent, &input, self);
+        desk.collect(self);
+    }
+
+    /// Shuts our side of a connection that was to end once all is written.
+    fn finished(&mut self, link: Link) {
+        let Some(conn) = self.conns.get_mut(&link) else { return };
+        if conn.finishing.is_some() && !conn.lingering && !conn.unsent() {
+            conn.linger();
+        }
+    }
+
+    fn call_back(&mut self, desk: &mut Desk) {
+        for (link, end) in std::mem::take(&mut self.broken) {
+            self.lost(link, end, desk);
+        }
+        for link in std::mem::take(&mut self.revisits) {
+            if self.conns.get(&link).is_some_and(|conn| !conn.input.is_empty()) {
+                self.tell(link, desk);
+            }
+        }
+    }
+}
+
+/// EMFILE and ENFILE, or no memory for one more.
+fn out_of_descriptors(error: i32) -> bool {
+    matches!(error, 12 | 23 | 24 | 105)
+}
+
+impl Wires for Reactor {
+    fn now(&self) -> Micros {
+        self.now
+    }
+
+    fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
+        let dialled = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).and_then(|s| {
+            s.set_nonblocking(true)?;
+            s.set_tcp_nodelay(true)?;
+            Ok(s)
+        });
+        let socket = match dialled {
+            Ok(socket) => socket,
+            Err(error) => {
+                log!("dial-failed", "side={} peer={to} reason={error}", side.code());
+                return None;
+            }
+        };
+        // Whatever else this says, such as that it is under way, is told again when it has come to its end.
+        let failed = socket.connect(&to.into()).err().filter(|error| error.raw_os_error() != Some(115));
+        let link = self.add(Conn::new(socket.into(), side, to, true, self.now))?;
+        if failed.is_some() {
+            self.broken.push((link, End::Refused));
+        }
+        Some(link)
+    }
+
+    fn send(&mut self, link: Link, bytes: &[u8]) {
+        let Some(conn) = self.conns.get_mut(&link) else { return };
+        conn.queue(bytes);
+        match conn.flush() {
+            Ok(()) => self.watch(link),
+            Err(end) => self.broken.push((link, end)),
+        }
+    }
+
+    fn fresh(&mut self, link: Link) -> bool {
+        let broken = self.broken.iter().any(|(known, _)| *known == link);
+        !broken && self.conns.get(&link).is_some_and(Conn::fresh)
+    }
+
+    fn unsent(&self, link: Link) -> bool {
+        self.conns.get(&link).is_some_and(Conn::unsent)
+    }
+
+    fn revisit(&mut self, link: Link) {
+        self.revisits.push(link);
+    }
+
+    fn finish(&mut self, link: Link, end: End) {
+        let Some(conn) = self.conns.get_mut(&link) else { return };
+        conn.finishing = Some(end);
+        self.finished(link);
+        self.wake(Due::Finish(link), self.now + FINISH_WITHIN);
+        self.watch(link);
+    }
+
+    fn cut(&mut self, link: Link, end: End) {
+        self.remove(link, end);
+    }
+
+    fn wake(&mut self, due: Due, at: Micros) {
+        self.serial += 1;
+        self.dues.insert((at, self.serial), due);
+    }
+}
--- /dev/null
+++ b/node/src/roster.rs
@@ -0,0 +1,225 @@
+//! The list of runners: asks discovery, follows its watch, and turns lines into listings.
+//!
+//! It owns the one watch, how far it has come, and how long it may be silent. It must never decide whether to
+//! ask again, and never lose a change: a version counts as had only once its entries have been handed on.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::Value;
+use topazsail::{Listing, Micros, Readiness, RosterEntry};
+
+use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::http::{self, Chunks, Framing, encode_bare};
+use crate::log::log;
+
+/// A call that waits its turn for longer is as good as failed.
+const HEAD_WITHIN: Micros = 5_000_000;
+/// An empty line comes every 2 s; with a second one missing the watch is taken for dead.
+const SILENT_MOST: Micros = 4_500_000;
+const LINE_MOST: usize = 4 << 20;
+
+#[derive(Debug, Default, Deserialize)]
+pub struct Listed {
+    pub generation: u64,
+    #[serde(default)]
+    pub reset: bool,
+    instances: Vec<Value>,
+}
+
+impl Listed {
+    pub fn from_value(value: Value) -> Result<Listed, String> {
+        serde_json::from_value(value).map_err(|error| error.to_string())
+    }
+
+    /// The entries that can be read; each of the others leaves a line in the log.
+    pub fn entries(self) -> Vec<(RosterEntry, Option<SocketAddr>)> {
+        let entry = |value| match serde_json::from_value::<Instance>(value) {
+            Ok(instance) => instance.read(),
+            Err(error) => Err(error.to_string()),
+        };
+        let told = |fault: &String| log!("bad-entry", "reason={fault:?}");
+        self.instances.into_iter().filter_map(|value| entry(value).inspect_err(told).ok()).collect()
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: Option<String>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    cell: Option<i64>,
+    lifecycle: String,
+    weight: Option<f64>,
+    #[serde(default)]
+    started_at_ms: i64,
+}
+
+impl Instance {
+    fn read(self) -> Result<(RosterEntry, Option<SocketAddr>), String> {
+        let readiness = match self.lifecycle.as_str() {
+            "up" => Readiness::On,
+            "draining" => Readiness::Fading,
+            "removed" => Readiness::Off,
+            other => return Err(format!("{} has the unknown lifecycle {other}", self.instance_id)),
+        };
+        let address = match self.host_port.as_deref().filter(|text| !text.is_empty()) {
+            Some(text) => Some(text.parse().map_err(|_| format!("{} has a bad address", self.instance_id))?),
+            None if readiness == Readiness::On => return Err(format!("{} has no address", self.instance_id)),
+            None => None,
+        };
+        let weight = self.weight.filter(|weight| weight.is_finite()).unwrap_or(1.0);
+        let entry = RosterEntry {
+            tgt: self.instance_id.into(),
+            cell: self.cell.unwrap_or(-1),
+            size: weight.max(0.0),
+            kind: self.machine_type.into(),
+            zone: self.zone.into(),
+            readiness,
+            // Far beyond any real time, and far enough from the type's end.
+            launched: Some(self.started_at_ms).filter(|ms| (1..1 << 50).contains(ms)).map(|ms| ms * 1000),
+        };
+        Ok((entry, address))
+    }
+}
+
+#[derive(Debug)]
+pub struct Heard {
+    pub listing: Listing,
+    pub entries: Vec<(RosterEntry, Option<SocketAddr>)>,
+}
+
+struct Watch {
+    link: Link,
+    /// How the body is framed, once the head has come.
+    framing: Option<Framing>,
+    chunks: Chunks,
+    text: Vec<u8>,
+    heard_at: Micros,
+}
+
+pub struct Roster {
+    discovery: SocketAddr,
+    generation: u64,
+    watch: Option<Watch>,
+    pub heard: Vec<Heard>,
+}
+
+impl Roster {
+    pub fn new(discovery: SocketAddr, generation: u64) -> Roster {
+        Roster { discovery, generation, watch: None, heard: Vec::new() }
+    }
+
+    /// Asks for what has changed since, and for all changes to come.
+    pub fn follow(&mut self, wires: &mut dyn Wires) {
+        if let Some(watch) = self.watch.take() {
+            wires.cut(watch.link, End::WatchReplaced);
+        }
+        let Some(link) = wires.dial(self.discovery, Side::Roster) else { return self.refused("no_socket") };
+        let target = format!("/v1/servers?follow=1&since={}", self.generation);
+        wires.send(link, &encode_bare("GET", &target, self.discovery));
+        let (chunks, heard_at) = (Chunks::default(), wires.now());
+        self.watch = Some(Watch { link, framing: None, chunks, text: Vec::new(), heard_at });
+        wires.wake(Due::Link(link), heard_at + HEAD_WITHIN);
+    }
+
+    fn refused(&mut self, why: &str) {
+        log!("watch-lost", "generation={} reason={why}", self.generation);
+        self.watch = None;
+        self.heard.push(Heard { listing: Listing::Refused, entries: Vec::new() });
+    }
+
+    fn line(&mut self, line: &[u8]) -> Result<(), &'static str> {
+        if line.is_empty() {
+            return Ok(());
+        }
+        let listed: Listed = serde_json::from_slice(line).map_err(|_| "bad_line")?;
+        let listing = if listed.reset { Listing::All } else { Listing::Changes };
+        self.generation = listed.generation;
+        self.heard.push(Heard { listing, entries: listed.entries() });
+        Ok(())
+    }
+
+    /// All that `input` holds, or why the watch is of no more use.
+    fn read(&mut self, input: &mut Vec<u8>, now: Micros) -> Result<(), &'static str> {
+        let Some(watch) = &mut self.watch else { return Ok(()) };
+        let framing = match watch.framing {
+            Some(framing) => framing,
+            None => match http::answer_head(input).map_err(|_| "bad_answer")? {
+                None => return Ok(()),
+                Some((answer, _, _)) if answer.status != 200 => return Err("not_served"),
+                Some((_, framing, head)) => {
+                    drop(input.drain(..head));
+                    watch.framing = Some(framing);
+                    framing
+                }
+            },
+        };
+        watch.heard_at = now;
+        match framing {
+            Framing::Chunked => {
+                let used = watch.chunks.feed(input, &mut watch.text).map_err(|_| "bad_chunk")?;
+                drop(input.drain(..used));
+            }
+            Framing::Length(_) | Framing::UntilEnd => watch.text.append(input),
+        }
+        let mut text = std::mem::take(&mut watch.text);
+        let mut read = 0;
+        while let Some(length) = text[read..].iter().position(|byte| *byte == b'\n') {
+            self.line(text[read..read + length].trim_ascii())?;
+            read += length + 1;
+        }
+        drop(text.drain(..read));
+        if text.len() > LINE_MOST {
+            return Err("line_too_long");
+        }
+        match &mut self.watch {
+            Some(watch) if watch.chunks.done() => Err("watch_done"),
+            Some(watch) => {
+                watch.text = text;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn is(&self, link: Link) -> bool {
+        self.watch.as_ref().is_some_and(|watch| watch.link == link)
+    }
+}
+
+impl Callbacks for Roster {
+    fn up(&mut self, _: Link, _: &mut dyn Wires) {}
+
+    fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
+        if !self.is(link) {
+            return;
+        }
+        if let Err(why) = self.read(input, wires.now()) {
+            wires.cut(link, End::BadAnswer);
+            self.refused(why);
+        }
+    }
+
+    fn ended(&mut self, link: Link, end: End, _: bool, _: &[u8], _: &mut dyn Wires) {
+        if self.is(link) {
+            self.refused(end.code());
+        }
+    }
+
+    fn due(&mut self, link: Link, wires: &mut dyn Wires) {
+        let Some(watch) = self.watch.as_ref().filter(|watch| watch.link == link) else { return };
+        let most = if watch.framing.is_some() { SILENT_MOST } else { HEAD_WITHIN };
+        let at = watch.heard_at + most;
+        if wires.now() >= at {
+            wires.cut(link, End::WatchSilent);
+            self.refused("silent");
+        } else {
+            wires.wake(Due::Link(link), at.min(wires.now() + SILENT_MOST));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/runners.rs
@@ -0,0 +1,438 @@
+//! Connections to runners: a pool for each, and what is asked on them: forwards, probes and cancels.
+//!
+//! It owns which connection carries what, and when that counts as not answered. It tells how each forward
+//! ended as far as its own connection shows; it must never send one twice, nor choose a runner.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use topazsail::{Ending, Id, Micros};
+use topazsail_orders::Decoded;
+
+use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::http::{self, Answer, encode_bare};
+use crate::log::log;
+
+/// A cancel that gets no answer by then is taken for done: the runner is cut off or stands still.
+const CANCEL_WITHIN: Micros = 250_000;
+/// How long an answer that is too late to count may still come, so that its connection can be kept.
+const LATE_MOST: Micros = 2_000_000;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Task {
+    Forward { inv: Id, number: u32 },
+    Probe,
+    Cancel { inv: Id, number: u32 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// The runner has taken a forward: call-backs tell the rest.
+    Taken {
+        inv: Id,
+        number: u32,
+    },
+    Ended {
+        inv: Id,
+        number: u32,
+        ending: Ending,
+        report: Vec<f64>,
+    },
+    /// A forward has been given up at its runner, as far as that can be done.
+    Dropped {
+        inv: Id,
+        number: u32,
+    },
+    Probed {
+        tgt: Id,
+        alive: bool,
+        report: Vec<f64>,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Dialling,
+    Idle,
+    Busy,
+}
+
+/// One connection.
+struct Line {
+    tgt: Id,
+    phase: Phase,
+    since: Micros,
+    task: Option<Task>,
+    /// The message of a task that waits for the dial.
+    message: Vec<u8>,
+    /// When what it is at must have come to an end.
+    due: Micros,
+    /// The task's end has been told as not answered; the answer may still come.
+    overdue: bool,
+    /// When it will next be looked at for having been idle too long.
+    rest_check: Micros,
+}
+
+struct Runner {
+    address: SocketAddr,
+    listed: bool,
+    lines: Vec<Link>,
+    /// The most recently used last.
+    idle: Vec<Link>,
+}
+
+pub struct Runners {
+    by_id: BTreeMap<Id, Runner>,
+    lines: BTreeMap<Link, Line>,
+    report_fields: Vec<String>,
+    dial_timeout: Micros,
+    probe_within: Micros,
+    idle_most: Micros,
+    may_cancel: bool,
+    pub heard: Vec<Heard>,
+}
+
+impl Runners {
+    pub fn new(decoded: &Decoded) -> Runners {
+        Runners {
+            by_id: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            report_fields: decoded.report_fields.clone(),
+            dial_timeout: decoded.dial_timeout,
+            // A probe answers beside the queue: one as slow as a dial may be tells as much as none.
+            probe_within: decoded.dial_timeout / 2,
+            // Well before the runner does, or a request could cross its closing.
+            idle_most: decoded.idle_close / 2,
+            may_cancel: decoded.standing.may_cancel,
+            heard: Vec::new(),
+        }
+    }
+
+    /// What the roster says of a runner's whereabouts.
+    pub fn note(&mut self, tgt: &Id, listed: bool, address: Option<SocketAddr>, wires: &mut dyn Wires) {
+        if let Some(runner) = self.by_id.get_mut(tgt) {
+            let moved = address.is_some_and(|address| address != runner.address);
+            runner.listed = listed;
+            runner.address = address.unwrap_or(runner.address);
+            if moved || !listed {
+                self.cut_idle(tgt, End::Unlisted, wires);
+            }
+        } else if let Some(address) = address.filter(|_| listed) {
+            let runner = Runner { address, listed, lines: Vec::new(), idle: Vec::new() };
+            self.by_id.insert(tgt.clone(), runner);
+        }
+    }
+
+    /// A whole list: whoever is not noted after this is gone.
+    pub fn forget_all(&mut self) {
+        self.by_id.values_mut().for_each(|runner| runner.listed = false);
+    }
+
+    /// Lets go of those that are gone and have no connection left.
+    pub fn tidy(&mut self, wires: &mut dyn Wires) {
+        let gone: Vec<Id> = self.by_id.iter().filter(|(_, r)| !r.listed).map(|(id, _)| id.clone()).collect();
+        gone.iter().for_each(|tgt| self.cut_idle(tgt, End::Unlisted, wires));
+        self.by_id.retain(|_, runner| runner.listed || !runner.lines.is_empty());
+    }
+
+    pub fn cut_idle(&mut self, tgt: &Id, end: End, wires: &mut dyn Wires) {
+        let idle = self.by_id.get_mut(tgt).map(|runner| std::mem::take(&mut runner.idle));
+        for link in idle.unwrap_or_default() {
+            self.drop_line(link);
+            wires.cut(link, end);
+        }
+    }
+
+    /// `head` and `body` as they came, and when nobody waits for the outcome any more.
+    pub fn forward(
+        &mut self,
+        tgt: &Id,
+        (inv, number): (&Id, u32),
+        (head, body): (&[u8], &[u8]),
+        deadline: Micros,
+        wires: &mut dyn Wires,
+    ) {
+        let left = (deadline - wires.now()).max(0) / 1000;
+        let mut message = head.to_vec();
+        let more = format!("X-Deadline-Ms: {left}\r\nContent-Length: {}\r\n\r\n", body.len());
+        message.extend_from_slice(more.as_bytes());
+        message.extend_from_slice(body);
+        let task = Task::Forward { inv: inv.clone(), number };
+        self.ask(tgt, task, message, deadline + LATE_MOST, wires);
+    }
+
+    pub fn probe(&mut self, tgt: &Id, wires: &mut dyn Wires) {
+        let target = if self.report_fields.is_empty() { "/healthz" } else { "/load" };
+        let message = self.by_id.get(tgt).map(|r| encode_bare("GET", target, r.address)).unwrap_or_default();
+        self.ask(tgt, Task::Probe, message, wires.now() + self.probe_within, wires);
+    }
+
+    /// Gives up a forward: unsent it is simply dropped; before its 202 its connection is closed, and the job
+    /// is deleted all the same, as the 202 may be under way.
+    pub fn give_up(&mut self, tgt: &Id, inv: &Id, number: u32, wires: &mut dyn Wires) {
+        let forward = Task::Forward { inv: inv.clone(), number };
+        let lines = self.by_id.get(tgt).map(|runner| runner.lines.as_slice()).unwrap_or_default();
+        let carries = |link: &&Link| self.lines.get(link).and_then(|l| l.task.as_ref()) == Some(&forward);
+        if let Some(link) = lines.iter().find(carries).copied()
+            && let Some(line) = self.lines.get_mut(&link)
+        {
+            line.task = None;
+            if line.phase == Phase::Dialling {
+                line.message.clear();
+                return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
+            }
+            let unsent = wires.unsent(link);
+            self.drop_line(link);
+            wires.cut(link, End::GivenUp);
+            if unsent {
+                return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
+            }
+        }
+        let Some(runner) = self.by_id.get(tgt).filter(|_| self.may_cancel) else {
+            return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
+        };
+        let message = encode_bare("DELETE", &format!("/jobs/{inv}"), runner.address);
+        let due = wires.now() + CANCEL_WITHIN;
+        self.ask(tgt, Task::Cancel { inv: inv.clone(), number }, message, due, wires);
+    }
+
+    fn ask(&mut self, tgt: &Id, task: Task, message: Vec<u8>, due: Micros, wires: &mut dyn Wires) {
+        let Some(runner) = self.by_id.get_mut(tgt) else { return self.not_sent(tgt, task, Ending::Void) };
+        let address = runner.address;
+        while let Some(link) = self.by_id.get_mut(tgt).and_then(|runner| runner.idle.pop()) {
+            if wires.fresh(link) {
+                return self.start(link, task, &message, due, wires);
+            }
+            self.drop_line(link);
+            wires.cut(link, End::Stale);
+        }
+        let Some(link) = wires.dial(address, Side::Runner) else {
+            return self.not_sent(tgt, task, Ending::Unreachable);
+        };
+        if let Some(runner) = self.by_id.get_mut(tgt) {
+            runner.lines.push(link);
+        }
+        let since = wires.now();
+        let (phase, task, tgt) = (Phase::Dialling, Some(task), tgt.clone());
+        let line = Line { tgt, phase, since, task, message, due, overdue: false, rest_check: 0 };
+        self.lines.insert(link, line);
+        wires.wake(Due::Link(link), since + self.dial_timeout);
+    }
+
+    /// Writes a task's message to a connection that is up.
+    fn start(&mut self, link: Link, task: Task, message: &[u8], due: Micros, wires: &mut dyn Wires) {
+        let Some(line) = self.lines.get_mut(&link) else { return };
+        (line.phase, line.since, line.due, line.overdue) = (Phase::Busy, wires.now(), due, false);
+        line.task = Some(task);
+        wires.send(link, message);
+        wires.wake(Due::Link(link), due);
+    }
+
+    /// A connection has come free: it takes over a task that waits for a dial, or is kept for the next one.
+    fn rest(&mut self, link: Link, wires: &mut dyn Wires) {
+        let Some(tgt) = self.lines.get(&link).map(|line| line.tgt.clone()) else { return };
+        let Some(runner) = self.by_id.get_mut(&tgt) else { return };
+        let waits = |other: &Link| {
+            self.lines.get(other).is_some_and(|line| line.phase == Phase::Dialling && line.task.is_some())
+        };
+        if let Some(other) = runner.lines.iter().copied().find(waits)
+            && let Some(line) = self.lines.get_mut(&other)
+            && let Some(task) = line.task.take()
+        {
+            let (message, due) = (std::mem::take(&mut line.message), line.due);
+            return self.start(link, task, &message, due, wires);
+        }
+        if !runner.listed {
+            self.drop_line(link);
+            return wires.cut(link, End::Unlisted);
+        }
+        runner.idle.push(link);
+        let Some(line) = self.lines.get_mut(&link) else { return };
+        (line.phase, line.since, line.task, line.due) = (Phase::Idle, wires.now(), None, Micros::MAX);
+        if line.rest_check <= line.since {
+            line.rest_check = line.since + self.idle_most;
+            wires.wake(Due::Link(link), line.rest_check);
+        }
+    }
+
+    fn drop_line(&mut self, link: Link) -> Option<Line> {
+        let line = self.lines.remove(&link)?;
+        if let Some(runner) = self.by_id.get_mut(&line.tgt) {
+            runner.lines.retain(|known| *known != link);
+            runner.idle.retain(|known| *known != link);
+        }
+        Some(line)
+    }
+
+    /// A task that came to its end without an answer.
+    fn not_sent(&mut self, tgt: &Id, task: Task, ending: Ending) {
+        self.heard.push(match task {
+            Task::Forward { inv, number } => Heard::Ended { inv, number, ending, report: Vec::new() },
+            Task::Cancel { inv, number } => Heard::Dropped { inv, number },
+            Task::Probe => Heard::Probed { tgt: tgt.clone(), alive: false, report: Vec::new() },
+        });
+    }
+
+    fn answered(&mut self, tgt: &Id, task: Task, answer: &Answer) {
+        self.heard.push(match task {
+            Task::Cancel { inv, number } => Heard::Dropped { inv, number },
+            Task::Probe => {
+                let report = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+                Heard::Probed {
+                    tgt: tgt.clone(),
+                    alive: answer.status == 200,
+                    report: read_report(&self.report_fields, &report),
+                }
+            }
+            Task::Forward { inv, number } if answer.status == 202 => Heard::Taken { inv, number },
+            Task::Forward { inv, number } => {
+                let load = answer.header("x-load").and_then(|text| serde_json::from_str(text).ok());
+                let report = load.map(|load| read_report(&self.report_fields, &load)).unwrap_or_default();
+                let not_run = answer.header("x-not-run") == Some("1");
+                let ending = match answer.status {
+                    503 | 504 if not_run => Ending::Overloaded,
+                    status => {
+                        log!("forward-failed", "inv={inv} runner={tgt} status={status}");
+                        Ending::Errored
+                    }
+                };
+                Heard::Ended { inv, number, ending, report }
+            }
+        });
+    }
+
+    pub fn read_report(&self, load: &Value) -> Vec<f64> {
+        read_report(&self.report_fields, load)
+    }
+
+    /// How many connections there are to runners.
+    pub fn open(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Whether a cancel is still on its way.
+    pub fn cancelling(&self) -> bool {
+        self.lines.values().any(|line| matches!(line.task, Some(Task::Cancel { .. })) && !line.overdue)
+    }
+}
+
+/// The values of a load report in the order of the settings; none where one is missing or no number. The
+/// settings and the sockets have their own names for the same value.
+fn read_report(fields: &[String], load: &Value) -> Vec<f64> {
+    const ALSO: [(&str, &str); 6] = [
+        ("outstanding", "inflight"),
+        ("backlog", "queue"),
+        ("utilization", "util"),
+        ("recent_ms", "latency_ms"),
+        ("throughput", "qps"),
+        ("errors_per_s", "eps"),
+    ];
+    let value = |name: &String| {
+        let also = ALSO.iter().find(|(known, _)| known == name).and_then(|(_, also)| load.get(also));
+        load.get(name).or(also)?.as_f64().filter(|value| value.is_finite())
+    };
+    fields.iter().map(value).collect::<Option<Vec<f64>>>().unwrap_or_default()
+}
+
+impl Callbacks for Runners {
+    fn up(&mut self, link: Link, wires: &mut dyn Wires) {
+        let Some(line) = self.lines.get_mut(&link) else { return };
+        match line.task.take() {
+            Some(task) => {
+                let (message, due) = (std::mem::take(&mut line.message), line.due);
+                self.start(link, task, &message, due, wires);
+            }
+            None => self.rest(link, wires),
+        }
+    }
+
+    fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
+        let Some(line) = self.lines.get_mut(&link) else { return };
+        if line.phase != Phase::Busy {
+            self.drop_line(link);
+            return wires.cut(link, End::Stale);
+        }
+        let tgt = line.tgt.clone();
+        let (keep, used) = match http::answer(input, false) {
+            Ok(None) => return,
+            Ok(Some((answer, used))) => {
+                let task = line.task.take().filter(|_| !line.overdue);
+                if let Some(task) = task {
+                    self.answered(&tgt, task, &answer);
+                }
+                (answer.keep, used)
+            }
+            Err(fault) => {
+                let task = line.task.take().filter(|_| !line.overdue);
+                log!("bad-answer", "link={link} runner={tgt} reason={}", fault.1);
+                self.drop_line(link);
+                wires.cut(link, End::BadAnswer);
+                if let Some(task) = task {
+                    self.not_sent(&tgt, task, Ending::Broken);
+                }
+                return;
+            }
+        };
+        drop(input.drain(..used));
+        if keep && input.is_empty() {
+            self.rest(link, wires);
+        } else {
+            self.drop_line(link);
+            wires.cut(link, if keep { End::Stale } else { End::AnsweredLast });
+        }
+    }
+
+    fn ended(&mut self, link: Link, _: End, unsent: bool, input: &[u8], _: &mut dyn Wires) {
+        let Some(line) = self.drop_line(link) else { return };
+        let Some(task) = line.task.filter(|_| !line.overdue) else { return };
+        if line.phase == Phase::Dialling || unsent {
+            return self.not_sent(&line.tgt, task, Ending::Unreachable);
+        }
+        match http::answer(input, true) {
+            Ok(Some((answer, _))) => self.answered(&line.tgt, task, &answer),
+            _ => self.not_sent(&line.tgt, task, Ending::Broken),
+        }
+    }
+
+    fn due(&mut self, link: Link, wires: &mut dyn Wires) {
+        let now = wires.now();
+        let Some(line) = self.lines.get_mut(&link) else { return };
+        match line.phase {
+            Phase::Dialling if now >= line.since + self.dial_timeout => {
+                wires.cut(link, End::DialTimeout);
+                if let Some(line) = self.drop_line(link)
+                    && let Some(task) = line.task
+                {
+                    self.not_sent(&line.tgt, task, Ending::Unreachable);
+                }
+            }
+            Phase::Idle if now >= line.since + self.idle_most => {
+                self.drop_line(link);
+                wires.cut(link, End::Idle);
+            }
+            Phase::Idle if now >= line.rest_check => {
+                line.rest_check = line.since + self.idle_most;
+                wires.wake(Due::Link(link), line.rest_check);
+            }
+            // A forward is never told as not answered here: whoever waits for it has long given it up.
+            Phase::Busy
+                if now >= line.due
+                    && (line.overdue || matches!(line.task, None | Some(Task::Forward { .. }))) =>
+            {
+                self.drop_line(link);
+                wires.cut(link, End::NoAnswer);
+            }
+            Phase::Busy if now >= line.due => {
+                line.overdue = true;
+                line.due = now + LATE_MOST;
+                wires.wake(Due::Link(link), line.due);
+                let (tgt, task) = (line.tgt.clone(), line.task.clone());
+                if let Some(task) = task {
+                    self.not_sent(&tgt, task, Ending::Broken);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- a/drill/src/orders.rs
+++ b/orders/src/lib.rs
@@ -1,9 +1,13 @@
-//! The settings of the wire, read into standing orders.
+//! A deployment's settings, decoded once: what the brain reads into standing orders, and the few figures that
+//! whoever carries out its actions needs beside them. The one decoder for every protocol.
+//!
+//! Settings come as pairs of path and value; a list of plain values is one value with commas, a list of objects
+//! has a `count`. What is not read here is passed over.
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use topazsail::{Effect, Group, Operation, ReportField, StandingOrders};
+use topazsail::{Effect, Group, Micros, Operation, ReportField, StandingOrders};
 
 struct Info<'a>(BTreeMap<&'a str, &'a str>);
 
@@ -81,14 +85,23 @@
 /// No span of the settings is longer: about two years.
 const SPAN: i64 = 1 << 46;
 
-/// The standing orders, and the operations' names in their order.
-pub fn read(info: &str) -> Result<(StandingOrders, Vec<String>), String> {
-    let pairs = info.split(' ').filter(|pair| !pair.is_empty());
-    let info = Info(
-        pairs
-            .map(|pair| pair.split_once('=').ok_or_else(|| format!("'{pair}' is no pair")))
-            .collect::<Result<_, _>>()?,
-    );
+#[derive(Debug)]
+pub struct Decoded {
+    pub standing: StandingOrders,
+    /// Names of the operations, in the order of the standing orders.
+    pub operations: Vec<String>,
+    /// Names of the values of a load report, in the order of the standing orders.
+    pub report_fields: Vec<String>,
+    /// A connection that is not up by then counts as never up.
+    pub dial_timeout: Micros,
+    /// Runners close a connection that has been idle for this long.
+    pub idle_close: Micros,
+    /// How many invocations a dispatcher may hold.
+    pub open_cap: usize,
+}
+
+pub fn decode<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Decoded, String> {
+    let info = Info(pairs.into_iter().collect());
     let (mut operations, mut names) = (Vec::new(), Vec::new());
     for index in 0..info.value("operations.count")? {
         names.push(info.text(&format!("operations.{index}.name"))?.to_owned());
@@ -100,7 +113,7 @@
         other => return Err(format!("registryMode has the bad value '{other}'")),
     };
     let flag = |path: &str| info.value_or(path, false);
-    let orders = StandingOrders {
+    let standing = StandingOrders {
         operations,
         dispatchers: info.within("balancers", 1, u32::MAX)?,
         number: info.value_or("selfIndex", 0)?,
@@ -126,5 +139,12 @@
         tells_start: flag("familyInfo.tellsStart")?,
         progress: info.value_or("familyInfo.progress", 0)?,
     };
-    Ok((orders, names))
+    Ok(Decoded {
+        standing,
+        operations: names,
+        report_fields: info.list("report.fields").map(str::to_owned).collect(),
+        dial_timeout: info.value_or("limits.dialTimeout", 250_000)?.clamp(1, SPAN),
+        idle_close: info.value_or("limits.idleClose", 60_000_000)?.clamp(1, SPAN),
+        open_cap: info.value_or("limits.openCap", usize::MAX)?,
+    })
 }
