A forward is out until its cancel is answered; free slots known on sockets too

Checked in a trace of forwards and cancels: each of the three forwards flagged had a cancel whose dial never came up, as the runner was cut off; the node had taken that for given up after 250 ms and reported it withdrawn. Cancels that were answered (204) were never flagged. Ruled out: call-backs of an earlier forward, and forwards before the 202. At fault: Runners::give_up and not_sent, which told Dropped for a cancel without an answer. Now only an answer (2xx, 404, 410), a refused connection or a forward that never got out ends it as withdrawn; else the cancel is tried again, more and more seldom, until the client timeout.

Also seen in the logged configuration: on sockets familyInfo.reportX0 is 'free slots', on the wire 'free_slots', so that the decoder passed over free slots. Both are read now. Load reports name their fields as the settings do.

--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -96,6 +96,8 @@
     Finish(Link),
     /// An invocation's client gives up.
     Inv(Id),
+    /// A cancel is to be tried again.
+    Cancel(Id, u32),
     /// The brain's one timer.
     Tick,
     /// Accepting, after it could not go on.
@@ -135,6 +137,15 @@
     fn wake(&mut self, due: Due, at: Micros);
 }
 
+/// Why a connection never came up. Only a refusal says that no process listens there.
+pub fn never_up(error: &io::Error) -> End {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => End::Refused,
+        ErrorKind::TimedOut => End::DialTimeout,
+        _ => End::Reset,
+    }
+}
+
 pub struct Conn {
     pub stream: TcpStream,
     pub side: Side,
@@ -219,8 +230,7 @@
     pub fn dialled(&self) -> Result<(), End> {
         match self.stream.take_error() {
             Ok(None) => Ok(()),
-            Ok(Some(error)) if error.kind() == ErrorKind::TimedOut => Err(End::DialTimeout),
-            _ => Err(End::Refused),
+            Ok(Some(error)) | Err(error) => Err(never_up(&error)),
         }
     }
 
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -26,6 +26,9 @@
 const NO_ROOM: u16 = 503;
 /// How long an error may take that the brain owes when the client's time is over.
 const OVERDUE: Micros = 10_000;
+/// A cancel that failed is tried again after this, doubled each time: the forward is out until then.
+const CANCEL_AGAIN: Micros = 125_000;
+const CANCEL_AGAIN_MOST: Micros = 2_000_000;
 /// After being told to end: idle clients keep their connections for so long, and whatever is not answered by
 /// then is answered with an error, before we are killed (3.7 s at the earliest).
 const DOWN_IDLE: Micros = 500_000;
@@ -37,6 +40,8 @@
     out: bool,
     /// Its runner has answered 202.
     taken: bool,
+    /// How often a cancel has failed.
+    cancels: u32,
     /// The call-back that ended it.
     told: Option<u64>,
 }
@@ -126,6 +131,7 @@
         match due {
             Due::Tick => self.happened.push(Event::Tick),
             Due::Inv(id) => self.overdue(&id, wires),
+            Due::Cancel(id, number) => self.cancel(&id, number, wires),
             Due::Down => {
                 self.clients.end_idle(wires);
                 if self.down_since.is_some_and(|since| wires.now() >= since + DOWN_ALL) {
@@ -159,12 +165,7 @@
     fn act(&mut self, action: Action, wires: &mut dyn Wires) {
         match action {
             Action::Forward { inv, tgt } => self.forward(&inv, tgt, wires),
-            Action::Cancel { inv, forward } => {
-                let sent = self.invs.get(&inv).and_then(|open| open.forwards.get(forward as usize));
-                if let Some(sent) = sent.filter(|sent| sent.out) {
-                    self.runners.give_up(&sent.tgt, &inv, forward, wires);
-                }
-            }
+            Action::Cancel { inv, forward } => self.cancel(&inv, forward, wires),
             Action::Throttle { inv, come_back } => self.answer(&inv, THROTTLED, come_back, b"", wires),
             Action::Error { inv } => self.answer(&inv, ERRORED, None, b"", wires),
             Action::Probe { tgt } => self.runners.probe(&tgt, wires),
@@ -180,7 +181,7 @@
         let number = open.forwards.len() as u32;
         let sendable = !open.answered && open.out().is_none();
         let at = wires.now();
-        open.forwards.push(Forward { tgt: tgt.clone(), at, out: true, taken: false, told: None });
+        open.forwards.push(Forward { tgt: tgt.clone(), at, out: true, taken: false, cancels: 0, told: None });
         if sendable {
             let message = (open.head.as_slice(), open.body.as_slice());
             self.runners.forward(&tgt, (inv, number), message, open.deadline, wires);
@@ -189,6 +190,13 @@
         }
     }
 
+    fn cancel(&mut self, inv: &Id, number: u32, wires: &mut dyn Wires) {
+        let sent = self.invs.get(inv).and_then(|open| open.forwards.get(number as usize));
+        if let Some(sent) = sent.filter(|sent| sent.out) {
+            self.runners.give_up(&sent.tgt, inv, number, wires);
+        }
+    }
+
     fn answer(
         &mut self,
         inv: &Id,
@@ -274,6 +282,16 @@
                 runners::Heard::Dropped { inv, number } => {
                     self.end(&inv, number, Ending::Withdrawn, Vec::new(), wires.now());
                 }
+                runners::Heard::NotDropped { inv, number } => {
+                    let open = self.invs.get_mut(&inv);
+                    let sent = open.and_then(|open| open.forwards.get_mut(number as usize));
+                    if let Some(sent) = sent.filter(|sent| sent.out) {
+                        log!("not-cancelled", "inv={inv} runner={}", sent.tgt);
+                        sent.cancels += 1;
+                        let after = (CANCEL_AGAIN << sent.cancels.min(8)).min(CANCEL_AGAIN_MOST);
+                        wires.wake(Due::Cancel(inv, number), wires.now() + after);
+                    }
+                }
                 runners::Heard::Probed { tgt, alive, report } => {
                     self.happened.push(Event::Probed { tgt, alive, report });
                 }
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -14,7 +14,7 @@
 use topazsail::Micros;
 
 use crate::config::Dispatcher;
-use crate::conn::{Conn, Due, End, Link, Side, Wires};
+use crate::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::desk::Desk;
 use crate::log::log;
 
@@ -351,8 +351,8 @@
         // Whatever else this says, such as that it is under way, is told again when it has come to its end.
         let failed = socket.connect(&to.into()).err().filter(|error| error.raw_os_error() != Some(115));
         let link = self.add(Conn::new(socket.into(), side, to, true, self.now))?;
-        if failed.is_some() {
-            self.broken.push((link, End::Refused));
+        if let Some(error) = failed {
+            self.broken.push((link, never_up(&error)));
         }
         Some(link)
     }
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -14,7 +14,7 @@
 use crate::http::{self, Answer, encode_bare};
 use crate::log::log;
 
-/// A cancel that gets no answer by then is taken for done: the runner is cut off or stands still.
+/// A cancel that gets no answer by then has failed: the runner is cut off or stands still.
 const CANCEL_WITHIN: Micros = 250_000;
 /// How long an answer that is too late to count may still come, so that its connection can be kept.
 const LATE_MOST: Micros = 2_000_000;
@@ -39,11 +39,16 @@
         ending: Ending,
         report: Vec<f64>,
     },
-    /// A forward has been given up at its runner, as far as that can be done.
+    /// A forward is given up: it never got out, its runner has said so, or its process is gone.
     Dropped {
         inv: Id,
         number: u32,
     },
+    /// A cancel was not answered: the forward may still run.
+    NotDropped {
+        inv: Id,
+        number: u32,
+    },
     Probed {
         tgt: Id,
         alive: bool,
@@ -169,7 +174,8 @@
     }
 
     /// Gives up a forward: unsent it is simply dropped; before its 202 its connection is closed, and the job
-    /// is deleted all the same, as the 202 may be under way.
+    /// is deleted all the same, as the 202 may be under way. As long as the runner has not answered, the job
+    /// may go on there, and another forward would be a second copy.
     pub fn give_up(&mut self, tgt: &Id, inv: &Id, number: u32, wires: &mut dyn Wires) {
         let forward = Task::Forward { inv: inv.clone(), number };
         let lines = self.by_id.get(tgt).map(|runner| runner.lines.as_slice()).unwrap_or_default();
@@ -189,7 +195,10 @@
                 return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
             }
         }
-        let Some(runner) = self.by_id.get(tgt).filter(|_| self.may_cancel) else {
+        if !self.may_cancel {
+            return self.heard.push(Heard::NotDropped { inv: inv.clone(), number });
+        }
+        let Some(runner) = self.by_id.get(tgt) else {
             return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
         };
         let message = encode_bare("DELETE", &format!("/jobs/{inv}"), runner.address);
@@ -198,7 +207,9 @@
     }
 
     fn ask(&mut self, tgt: &Id, task: Task, message: Vec<u8>, due: Micros, wires: &mut dyn Wires) {
-        let Some(runner) = self.by_id.get_mut(tgt) else { return self.not_sent(tgt, task, Ending::Void) };
+        let Some(runner) = self.by_id.get_mut(tgt) else {
+            return self.unanswered(tgt, task, Ending::Void, false);
+        };
         let address = runner.address;
         while let Some(link) = self.by_id.get_mut(tgt).and_then(|runner| runner.idle.pop()) {
             if wires.fresh(link) {
@@ -208,7 +219,7 @@
             wires.cut(link, End::Stale);
         }
         let Some(link) = wires.dial(address, Side::Runner) else {
-            return self.not_sent(tgt, task, Ending::Unreachable);
+            return self.unanswered(tgt, task, Ending::Unreachable, false);
         };
         if let Some(runner) = self.by_id.get_mut(tgt) {
             runner.lines.push(link);
@@ -266,17 +277,22 @@
     }
 
     /// A task that came to its end without an answer.
-    fn not_sent(&mut self, tgt: &Id, task: Task, ending: Ending) {
+    fn unanswered(&mut self, tgt: &Id, task: Task, ending: Ending, refused: bool) {
         self.heard.push(match task {
             Task::Forward { inv, number } => Heard::Ended { inv, number, ending, report: Vec::new() },
-            Task::Cancel { inv, number } => Heard::Dropped { inv, number },
+            // Nobody listens there any more: the process is gone, and the job with it.
+            Task::Cancel { inv, number } if refused => Heard::Dropped { inv, number },
+            Task::Cancel { inv, number } => Heard::NotDropped { inv, number },
             Task::Probe => Heard::Probed { tgt: tgt.clone(), alive: false, report: Vec::new() },
         });
     }
 
     fn answered(&mut self, tgt: &Id, task: Task, answer: &Answer) {
         self.heard.push(match task {
-            Task::Cancel { inv, number } => Heard::Dropped { inv, number },
+            Task::Cancel { inv, number } => match answer.status {
+                200..=299 | 404 | 410 => Heard::Dropped { inv, number },
+                _ => Heard::NotDropped { inv, number },
+            },
             Task::Probe => {
                 let report = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
                 Heard::Probed {
@@ -369,7 +385,7 @@
                 self.drop_line(link);
                 wires.cut(link, End::BadAnswer);
                 if let Some(task) = task {
-                    self.not_sent(&tgt, task, Ending::Broken);
+                    self.unanswered(&tgt, task, Ending::Broken, false);
                 }
                 return;
             }
@@ -383,15 +399,15 @@
         }
     }
 
-    fn ended(&mut self, link: Link, _: End, unsent: bool, input: &[u8], _: &mut dyn Wires) {
+    fn ended(&mut self, link: Link, end: End, unsent: bool, input: &[u8], _: &mut dyn Wires) {
         let Some(line) = self.drop_line(link) else { return };
         let Some(task) = line.task.filter(|_| !line.overdue) else { return };
         if line.phase == Phase::Dialling || unsent {
-            return self.not_sent(&line.tgt, task, Ending::Unreachable);
+            return self.unanswered(&line.tgt, task, Ending::Unreachable, end == End::Refused);
         }
         match http::answer(input, true) {
             Ok(Some((answer, _))) => self.answered(&line.tgt, task, &answer),
-            _ => self.not_sent(&line.tgt, task, Ending::Broken),
+            _ => self.unanswered(&line.tgt, task, Ending::Broken, false),
         }
     }
 
@@ -404,7 +420,7 @@
                 if let Some(line) = self.drop_line(link)
                     && let Some(task) = line.task
                 {
-                    self.not_sent(&line.tgt, task, Ending::Unreachable);
+                    self.unanswered(&line.tgt, task, Ending::Unreachable, false);
                 }
             }
             Phase::Idle if now >= line.since + self.idle_most => {
@@ -429,7 +445,7 @@
                 wires.wake(Due::Link(link), line.due);
                 let (tgt, task) = (line.tgt.clone(), line.task.clone());
                 if let Some(task) = task {
-                    self.not_sent(&tgt, task, Ending::Broken);
+                    self.unanswered(&tgt, task, Ending::Broken, false);
                 }
             }
             _ => {}
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -76,7 +76,10 @@
         match name {
             "outstanding" => ReportField::InFlight,
             "backlog" => ReportField::Waiting,
-            "x0" if self.0.get("familyInfo.reportX0") == Some(&"free_slots") => ReportField::FreeSlots,
+            // One wire cannot carry a space, the other one can.
+            "x0" if matches!(self.0.get("familyInfo.reportX0"), Some(&"free_slots" | &"free slots")) => {
+                ReportField::FreeSlots
+            }
             _ => ReportField::Other,
         }
     }
