--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# What a newcomer needs; CI runs .ci/run, which is lint and test on the locked versions.
+.PHONY: build test lint run
+
+build:
+	cargo build --release
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# make run CONFIG=file.json
+run: build
+	target/release/topazsail serve $(if $(CONFIG),--config $(CONFIG))
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -10,7 +10,7 @@
 use topazsail::{Id, Micros};
 
 use crate::conn::{Callbacks, Due, End, Link, Wires};
-use crate::http::{self, Fault, Request, encode_answer};
+use crate::http::{self, Fault, MESSAGE_MOST, Request, encode_answer};
 use crate::log::log;
 
 const READY: &str = "/healthz";
@@ -86,21 +86,21 @@
     conns: BTreeMap<Link, Client>,
     operations: Vec<String>,
     draining: bool,
-    /// Connections beyond these cost an idle one its place.
-    most: usize,
+    /// Connections of all sides beyond these cost an idle client its place; beyond the second figure nobody is
+    /// let in. The rest is kept back for runners and the watch.
+    most: (usize, usize),
     pub heard: Vec<Heard>,
 }
 
 impl Clients {
     pub fn new(operations: Vec<String>, sockets: usize) -> Clients {
-        // The rest is kept back for runners, the watch and whoever must still be let in to be answered.
-        let most = sockets * 5 / 8;
+        let most = (sockets * 5 / 8, sockets * 3 / 4);
         Clients { conns: BTreeMap::new(), operations, draining: false, most, heard: Vec::new() }
     }
 
     /// Whether one more can be let in; room is made by ending the one that has been idle longest.
     pub fn room(&mut self, wires: &mut dyn Wires) -> bool {
-        if self.conns.len() < self.most {
+        if wires.connections() < self.most.0 {
             return true;
         }
         let idle = self.conns.iter().filter(|(_, client)| matches!(client.phase, Phase::Idle));
@@ -108,7 +108,7 @@
             self.end(link, End::MadeRoom, wires);
             return true;
         }
-        self.conns.len() < self.most + self.most / 5
+        wires.connections() < self.most.1
     }
 
     pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
@@ -285,6 +285,7 @@
                 client.since = wires.now();
             }
             let used = match http::request(input) {
+                Ok(None) if input.len() >= MESSAGE_MOST => Err(Fault(413, "message_too_long")),
                 Ok(None) => return,
                 Ok(Some((request, used))) => self.take(link, request, wires).map(|()| used),
                 Err(fault) => Err(fault),
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -122,6 +122,8 @@
 /// What owners of connections may do.
 pub trait Wires {
     fn now(&self) -> Micros;
+    /// How many connections there are, of all sides.
+    fn connections(&self) -> usize;
     /// A new connection, not yet up; none where no descriptor is left.
     fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link>;
     fn send(&mut self, link: Link, bytes: &[u8]);
@@ -206,7 +208,7 @@
         }
         if !self.unsent() {
             self.output.clear();
-            self.output.shrink_to(MESSAGE_MOST / 32);
+            self.output.shrink_to(4 << 10);
             self.written = 0;
         }
         Ok(())
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -91,7 +91,7 @@
             happened: Vec::new(),
             open_cap: decoded.open_cap,
             held: 0,
-            held_most: told.memory / 4,
+            held_most: told.memory / 6,
             down_since: None,
         };
         desk.list(roster::Heard { listing: Listing::Remembered, entries: told.known.entries() }, wires);
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -8,8 +8,8 @@
 pub const BODY_MOST: usize = 64 << 10;
 const HEAD_MOST: usize = 16 << 10;
 const HEADERS_MOST: usize = 64;
-/// The longest message on a connection, with room for the framing of chunks.
-pub const MESSAGE_MOST: usize = HEAD_MOST + 2 * BODY_MOST;
+/// The longest message on a connection, with some room for the framing of chunks.
+pub const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + HEAD_MOST;
 
 /// Why bytes are no message: the status to answer with, and a code for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -335,6 +335,10 @@
         self.now
     }
 
+    fn connections(&self) -> usize {
+        self.conns.len()
+    }
+
     fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
         let dialled = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).and_then(|s| {
             s.set_nonblocking(true)?;
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -13,6 +13,8 @@
 use crate::http::{self, Chunks, Framing, encode_bare};
 use crate::log::log;
 
+/// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets through.
+const DIAL_WITHIN: Micros = 1_000_000;
 /// A call that waits its turn for longer is as good as failed.
 const HEAD_WITHIN: Micros = 5_000_000;
 /// An empty line comes every 2 s; with a second one missing the watch is taken for dead.
@@ -95,6 +97,7 @@
 
 struct Watch {
     link: Link,
+    up: bool,
     /// How the body is framed, once the head has come.
     framing: Option<Framing>,
     chunks: Chunks,
@@ -123,8 +126,8 @@
         let target = format!("/v1/servers?follow=1&since={}", self.generation);
         wires.send(link, &encode_bare("GET", &target, self.discovery));
         let (chunks, heard_at) = (Chunks::default(), wires.now());
-        self.watch = Some(Watch { link, framing: None, chunks, text: Vec::new(), heard_at });
-        wires.wake(Due::Link(link), heard_at + HEAD_WITHIN);
+        self.watch = Some(Watch { link, up: false, framing: None, chunks, text: Vec::new(), heard_at });
+        wires.wake(Due::Link(link), heard_at + DIAL_WITHIN);
     }
 
     fn refused(&mut self, why: &str) {
@@ -193,7 +196,11 @@
 }
 
 impl Callbacks for Roster {
-    fn up(&mut self, _: Link, _: &mut dyn Wires) {}
+    fn up(&mut self, link: Link, _: &mut dyn Wires) {
+        if let Some(watch) = self.watch.as_mut().filter(|watch| watch.link == link) {
+            watch.up = true;
+        }
+    }
 
     fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
         if !self.is(link) {
@@ -213,7 +220,11 @@
 
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
         let Some(watch) = self.watch.as_ref().filter(|watch| watch.link == link) else { return };
-        let most = if watch.framing.is_some() { SILENT_MOST } else { HEAD_WITHIN };
+        let most = match watch.framing {
+            None if !watch.up => DIAL_WITHIN,
+            None => HEAD_WITHIN,
+            Some(_) => SILENT_MOST,
+        };
         let at = watch.heard_at + most;
         if wires.now() >= at {
             wires.cut(link, End::WatchSilent);
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -11,7 +11,7 @@
 use topazsail_orders::Decoded;
 
 use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
-use crate::http::{self, Answer, encode_bare};
+use crate::http::{self, Answer, MESSAGE_MOST, encode_bare};
 use crate::log::log;
 
 /// A cancel that gets no answer by then has failed: the runner is cut off or stands still.
@@ -371,17 +371,20 @@
         }
         let tgt = line.tgt.clone();
         let (keep, used) = match http::answer(input, false) {
-            Ok(None) => return,
+            Ok(None) if input.len() < MESSAGE_MOST => return,
             Ok(Some((answer, used))) => {
-                let task = line.task.take().filter(|_| !line.overdue);
+                // Late word on a probe says nothing any more; that a job is deleted still holds.
+                let counts = |task: &Task| !line.overdue || matches!(task, Task::Cancel { .. });
+                let task = line.task.take().filter(counts);
                 if let Some(task) = task {
                     self.answered(&tgt, task, &answer);
                 }
                 (answer.keep, used)
             }
-            Err(fault) => {
+            unread => {
+                let why = unread.err().map_or("too_long", |fault| fault.1);
                 let task = line.task.take().filter(|_| !line.overdue);
-                log!("bad-answer", "link={link} runner={tgt} reason={}", fault.1);
+                log!("bad-answer", "link={link} runner={tgt} reason={why}");
                 self.drop_line(link);
                 wires.cut(link, End::BadAnswer);
                 if let Some(task) = task {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1,1 +1,774 @@
+//! The node from bytes and a clock to bytes: what is sent, dialled and ended, as short traces.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use expect_test::{Expect, expect};
+use topazsail::{Id, Micros};
+
+use crate::clients::{Clients, Heard, State};
+use crate::config;
+use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::desk::Desk;
+use crate::http::{self, Fault};
+use crate::roster::Roster;
+
+const START: Micros = 1_700_000_000_000_000;
+
+/// Sockets that only write down what is done to them.
+#[derive(Default)]
+struct Stage {
+    now: Micros,
+    next: Link,
+    sides: BTreeMap<Link, Side>,
+    inputs: BTreeMap<Link, Vec<u8>>,
+    /// Connections whose other side has ended unnoticed, and those that take no bytes.
+    stale: BTreeSet<Link>,
+    stuck: BTreeSet<Link>,
+    dues: BTreeMap<(Micros, u64), Due>,
+    serial: u64,
+    revisits: Vec<Link>,
+    trace: String,
+}
+
+impl Stage {
+    fn say(&mut self, line: &str) {
+        writeln!(self.trace, "{:6} {line}", (self.now - START) / 1000).unwrap();
+    }
+
+    fn open(&mut self, side: Side) -> Link {
+        self.next += 1;
+        self.sides.insert(self.next, side);
+        self.inputs.insert(self.next, Vec::new());
+        self.next
+    }
+}
+
+impl Wires for Stage {
+    fn now(&self) -> Micros {
+        self.now
+    }
+
+    fn connections(&self) -> usize {
+        self.sides.len()
+    }
+
+    fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
+        let link = self.open(side);
+        self.say(&format!("#{link} dials {to}"));
+        Some(link)
+    }
+
+    fn send(&mut self, link: Link, bytes: &[u8]) {
+        let text = String::from_utf8_lossy(bytes).replace("HTTP/1.1 ", "").replace(" HTTP/1.1", "");
+        let text = text.trim_end().replace("\r\n\r\n", " = ").replace("\r\n", "; ");
+        self.say(&format!("#{link} < {text}"));
+    }
+
+    fn fresh(&mut self, link: Link) -> bool {
+        !self.stale.contains(&link)
+    }
+
+    fn unsent(&self, link: Link) -> bool {
+        self.stuck.contains(&link)
+    }
+
+    fn revisit(&mut self, link: Link) {
+        self.revisits.push(link);
+    }
+
+    fn finish(&mut self, link: Link, end: End) {
+        self.cut(link, end);
+    }
+
+    fn cut(&mut self, link: Link, end: End) {
+        self.sides.remove(&link);
+        self.say(&format!("#{link} ends: {}", end.code()));
+    }
+
+    fn wake(&mut self, due: Due, at: Micros) {
+        self.serial += 1;
+        self.dues.insert((at, self.serial), due);
+    }
+}
+
+struct Node {
+    desk: Desk,
+    stage: Stage,
+}
+
+const RUNNERS: [(&str, &str); 2] = [("s-a", "127.0.0.1:3001"), ("s-b", "127.0.0.1:3002")];
+
+fn configuration(runners: &[(&str, &str)]) -> String {
+    let instance = |(id, address): &(&str, &str)| {
+        format!(
+            r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"z","machineType":"m","cell":1,
+                "lifecycle":"up","weight":1.0,"startedAtMs":0}}"#
+        )
+    };
+    let instances: Vec<String> = runners.iter().map(instance).collect();
+    let operation = |name: &str, effect: &str, timeout: u32| {
+        format!(
+            r#"{{"name":"{name}","effect":"{effect}","group":"all","memorySpan":7500000,"billedValue":2.0,
+                "latencyObjective":500000,"clientTimeout":{timeout},"lateBilledValue":0.5}}"#
+        )
+    };
+    let operations = [
+        operation("plan", "idempotent", 8_000_000),
+        operation("lodge", "deduplicated", 5_000_000),
+        operation("book", "at_most_once", 5_000_000),
+    ];
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":64}},"more":null,
+        "known":{{"generation":41,"reset":true,"instances":[{}]}},
+        "settings":{{"balancers":1,"selfIndex":0,"operations":[{}],"registryMode":"subscribe",
+        "familyInfo":{{"progress":1000000,"reportX0":"free slots","tellsStart":false,"classKind":[-1,-1,-1]}},
+        "invariants":{{"askWithin":10000000,"coldFrom":0.2,"warmWithin":10000000,"overloadFactor":3.0,
+            "tipAfter":2000000}},
+        "limits":{{"mostForwards":3,"cancel":true,"probes":false,"retryAfter":true,"maxRetryAfter":2000000,
+            "dialTimeout":250000,"idleClose":60000000,"openCap":20000}},
+        "prices":{{"handshake":0.08}},"report":{{"fields":["x0","outstanding"]}},"myZone":"z","weights":"off"}}}}"#,
+        instances.join(","),
+        operations.join(",")
+    )
+}
+
+impl Node {
+    fn new(runners: &[(&str, &str)]) -> Node {
+        let mut stage = Stage { now: START, ..Stage::default() };
+        let told = config::decode(&configuration(runners)).unwrap();
+        let mut node = Node { desk: Desk::new(told, &mut stage), stage };
+        node.settle();
+        node
+    }
+
+    /// One that has its list from the watch, told from here on.
+    fn followed(runners: &[(&str, &str)]) -> Node {
+        let mut node = Node::new(runners);
+        node.up(1);
+        node.feed(1, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        node.feed(1, &chunk("{\"generation\":42,\"reset\":false,\"instances\":[]}\n"));
+        node.stage.trace.clear();
+        node
+    }
+
+    fn settle(&mut self) {
+        loop {
+            self.desk.settle(&mut self.stage);
+            for link in std::mem::take(&mut self.stage.revisits) {
+                self.feed(link, "");
+            }
+            if !self.desk.pending() {
+                return;
+            }
+        }
+    }
+
+    fn accept(&mut self) -> Link {
+        assert!(self.desk.clients.room(&mut self.stage));
+        let link = self.stage.open(Side::Client);
+        self.desk.clients.accepted(link, &mut self.stage);
+        link
+    }
+
+    fn feed(&mut self, link: Link, text: &str) {
+        let Some(side) = self.stage.sides.get(&link).copied() else { return };
+        let mut input = self.stage.inputs.remove(&link).unwrap_or_default();
+        input.extend_from_slice(text.as_bytes());
+        self.desk.callbacks(side).bytes(link, &mut input, &mut self.stage);
+        self.stage.inputs.insert(link, input);
+        self.settle();
+    }
+
+    fn up(&mut self, link: Link) {
+        let side = self.stage.sides[&link];
+        self.desk.callbacks(side).up(link, &mut self.stage);
+        self.settle();
+    }
+
+    /// The other side ends a connection.
+    fn end(&mut self, link: Link, end: End) {
+        let side = self.stage.sides.remove(&link).unwrap();
+        let (unsent, input) = (self.stage.unsent(link), self.stage.inputs[&link].clone());
+        self.desk.callbacks(side).ended(link, end, unsent, &input, &mut self.stage);
+        self.settle();
+    }
+
+    fn pass(&mut self, ms: i64) {
+        let until = self.stage.now + ms * 1000;
+        while let Some(entry) = self.stage.dues.first_entry().filter(|entry| entry.key().0 <= until) {
+            self.stage.now = entry.key().0.max(self.stage.now);
+            match entry.remove() {
+                Due::Link(link) => {
+                    if let Some(side) = self.stage.sides.get(&link).copied() {
+                        self.desk.callbacks(side).due(link, &mut self.stage);
+                    }
+                }
+                due => self.desk.due(due, &mut self.stage),
+            }
+            self.settle();
+        }
+        self.stage.now = until;
+    }
+
+    fn invoke(&mut self, operation: &str, id: &str) -> Link {
+        let link = self.accept();
+        self.feed(
+            link,
+            &format!(
+                "POST /{operation}/7?x=1 HTTP/1.1\r\nHost: o\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 5000\r\n\
+                 Idempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi"
+            ),
+        );
+        link
+    }
+
+    fn call_back(&mut self, told: &str) {
+        let link = self.accept();
+        let length = told.len();
+        self.feed(link, &format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{told}"));
+    }
+
+    fn shows(&self, expected: Expect) {
+        expected.assert_eq(&self.stage.trace);
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+const BEAT: &str = "1\r\n\n\r\n";
+const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+const DELETED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+#[test]
+fn a_forward_is_taken_and_its_result_answered() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.pass(1);
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.pass(300);
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"running","share":0.4}"#);
+    node.call_back(
+        r#"{"id":"i1","from":"s-a","state":"done","result":"a \"b\"","load":{"x0":1,"outstanding":2}}"#,
+    );
+    // Told again, as if the 200 had been lost.
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"a \"b\""}"#);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             1 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+           301 #4 < 200 OK; Content-Length: 0
+           301 #5 < 200 OK; Content-Length: 0
+           301 #2 < 200 OK; Content-Length: 5 = a "b"
+           301 #6 < 200 OK; Content-Length: 0
+    "#]]);
+}
+
+#[test]
+fn a_call_back_may_come_before_the_202() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    node.feed(3, TAKEN);
+    // The connection is free again.
+    node.invoke("book", "i2");
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #4 < 200 OK; Content-Length: 0
+             0 #2 < 200 OK; Content-Length: 1 = r
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+    "#]]);
+}
+
+#[test]
+fn a_connection_found_ended_is_not_used_again() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.stage.stale.insert(3);
+    node.invoke("plan", "i2");
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #3 ends: stale
+             0 #5 dials 127.0.0.1:3001
+    "#]]);
+}
+
+#[test]
+fn a_connection_that_comes_free_takes_over_what_waits_for_a_dial() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.invoke("plan", "i2");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.up(5);
+    node.feed(3, TAKEN);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #5 dials 127.0.0.1:3001
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+    "#]]);
+}
+
+#[test]
+fn what_never_ran_goes_elsewhere_or_is_throttled() {
+    let mut node = Node::followed(&RUNNERS);
+    node.invoke("book", "i1");
+    node.pass(260);
+    node.up(4);
+    node.feed(
+        4,
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Load: {\"x0\":0,\"outstanding\":2}\r\n\
+         Content-Length: 0\r\n\r\n",
+    );
+    node.pass(600);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3002
+           250 #3 ends: dial_timeout
+           250 #4 dials 127.0.0.1:3001
+           260 #4 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4730; Content-Length: 2 = hi
+           750 #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+    "#]]);
+}
+
+#[test]
+fn what_was_written_whole_may_have_run() {
+    let mut node = Node::followed(&RUNNERS);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.end(3, End::Reset);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3002
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #2 < 502 Bad Gateway; Content-Length: 0
+    "#]]);
+}
+
+#[test]
+fn a_request_not_written_whole_never_ran() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.stage.stuck.insert(3);
+    node.end(3, End::Reset);
+    node.pass(1500);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+           420 #4 dials 127.0.0.1:3001
+           670 #4 ends: dial_timeout
+           920 #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+    "#]]);
+}
+
+/// A forward at a runner that is cut off is out for as long as its cancel is not answered: another one would
+/// be a second copy.
+#[test]
+fn a_cancel_is_tried_until_it_is_answered() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.stage.stale.insert(3);
+    let changed = concat!(
+        r#"{"generation":43,"reset":false,"instances":[{"instanceId":"s-b","hostPort":"127.0.0.1:3002","#,
+        r#""lifecycle":"up"}]}"#
+    );
+    node.feed(1, &chunk(&format!("{changed}\n")));
+    // Progress is missing.
+    for _ in 0..3 {
+        node.pass(999);
+        node.feed(1, BEAT);
+    }
+    let link = *node.stage.sides.iter().rfind(|(_, side)| **side == Side::Runner).unwrap().0;
+    node.up(link);
+    node.feed(link, DELETED);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+          1500 #3 ends: stale
+          1500 #4 dials 127.0.0.1:3001
+          1750 #4 ends: dial_timeout
+          2000 #5 dials 127.0.0.1:3001
+          2250 #5 ends: dial_timeout
+          2750 #6 dials 127.0.0.1:3001
+          2997 #6 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+          2997 #6 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 1983; Content-Length: 2 = hi
+    "#]]);
+}
+
+#[test]
+fn a_client_that_leaves_has_its_job_deleted() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let client = node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.end(client, End::PeerClosed);
+    node.feed(3, DELETED);
+    // Before the 202 its connection is closed as well.
+    let client = node.invoke("plan", "i2");
+    node.end(client, End::PeerClosed);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #3 ends: given_up
+             0 #5 dials 127.0.0.1:3001
+    "#]]);
+}
+
+/// Given up by the brain, but the runner had finished: the result is the one that is owed.
+#[test]
+fn a_late_result_is_answered_while_it_is_owed() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.pass(1600);
+    node.feed(3, DELETED);
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+          1500 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+          1600 #4 < 200 OK; Content-Length: 0
+          1600 #2 < 200 OK; Content-Length: 1 = r
+    "#]]);
+}
+
+/// The repeat of what ended an earlier forward to the same runner says nothing of the new one.
+#[test]
+fn a_repeated_return_ends_no_later_forward() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    let returned = r#"{"id":"i1","from":"s-a","state":"returned","load":{"x0":2,"outstanding":0}}"#;
+    node.call_back(returned);
+    node.pass(400);
+    node.call_back(returned);
+    node.feed(3, TAKEN);
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #4 < 200 OK; Content-Length: 0
+           300 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4680; Content-Length: 2 = hi
+           400 #5 < 200 OK; Content-Length: 0
+           400 #6 < 200 OK; Content-Length: 0
+           400 #2 < 200 OK; Content-Length: 1 = r
+    "#]]);
+}
+
+#[test]
+fn a_client_timeout_is_answered_in_time() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    for _ in 0..6 {
+        node.pass(900);
+        node.feed(1, BEAT);
+        node.call_back(r#"{"id":"i1","from":"s-a","state":"running","share":0.1}"#);
+    }
+    let trace = std::mem::take(&mut node.stage.trace);
+    node.stage.trace = trace.lines().filter(|line| !line.contains("200 OK")).collect::<Vec<_>>().join("\n");
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+          4980 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+          4980 #2 < 502 Bad Gateway; Content-Length: 0"#]]);
+}
+
+#[test]
+fn a_watch_that_falls_silent_or_ends_is_asked_for_again() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.pass(2000);
+    node.feed(1, BEAT);
+    node.pass(5000);
+    node.up(2);
+    node.feed(2, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    node.pass(1200);
+    // Not even a dial comes up.
+    node.pass(1500);
+    node.shows(expect![[r#"
+          6500 #1 ends: watch_silent
+          6993 #2 dials 127.0.0.1:8500
+          6993 #2 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+          7000 #2 ends: bad_answer
+          7586 #3 dials 127.0.0.1:8500
+          7586 #3 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+          8586 #3 ends: watch_silent
+    "#]]);
+}
+
+#[test]
+fn a_listed_address_is_used_at_once_and_a_bad_entry_passed_over() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    let moved = concat!(
+        r#"{"generation":43,"reset":true,"instances":[{"instanceId":"s-x","lifecycle":"odd"},"#,
+        r#"{"instanceId":"s-a","hostPort":"127.0.0.1:3009","lifecycle":"up"}]}"#
+    );
+    node.feed(1, &chunk(&format!("{moved}\n")));
+    node.invoke("plan", "i2");
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #3 ends: unlisted
+             0 #5 dials 127.0.0.1:3009
+    "#]]);
+}
+
+#[test]
+fn told_to_end_it_answers_what_it_has_taken() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let idle = node.accept();
+    node.invoke("plan", "i1");
+    node.up(4);
+    node.feed(4, TAKEN);
+    node.desk.go_down(&mut node.stage);
+    let late = node.accept();
+    node.feed(late, "GET /healthz HTTP/1.1\r\n\r\n");
+    node.pass(600);
+    node.stage.say(&format!(
+        "idle left: {}, down: {}",
+        node.stage.sides.contains_key(&idle),
+        node.desk.is_down(node.stage.now)
+    ));
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.shows(expect![[r#"
+             0 #4 dials 127.0.0.1:3001
+             0 #4 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #5 < 503 Service Unavailable; Connection: close; Content-Length: 0
+             0 #5 ends: terminated
+           500 #2 ends: terminated
+           600 idle left: false, down: false
+           600 #6 < 200 OK; Content-Length: 0
+           600 #3 < 200 OK; Connection: close; Content-Length: 1 = r
+           600 #3 ends: terminated
+           600 down: true
+    "#]]);
+}
+
+#[test]
+fn told_to_end_it_leaves_nothing_unanswered() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.desk.go_down(&mut node.stage);
+    node.pass(2200);
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"running","share":0.4}"#);
+    node.pass(1200);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+          2200 #4 < 200 OK; Content-Length: 0
+          3300 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+          3300 #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
+          3300 #2 ends: terminated
+          3400 down: true
+    "#]]);
+}
+
+#[test]
+fn a_newcomer_takes_the_place_of_the_longest_idle() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    for _ in 0..41 {
+        node.accept();
+        node.pass(1);
+    }
+    node.shows(expect![[r#"
+            39 #2 ends: made_room
+            40 #3 ends: made_room
+    "#]]);
+}
+
+fn refusal(request: &str) -> String {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let link = node.accept();
+    node.feed(link, request);
+    let unharmed = node.accept();
+    node.feed(unharmed, "GET /healthz HTTP/1.1\r\n\r\n");
+    node.stage.trace.lines().map(|line| line[7..].to_owned() + "\n").collect()
+}
+
+#[test]
+fn bad_input_is_refused_and_does_no_harm() {
+    let call =
+        |body: &str| format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let plan = |headers: &str| format!("POST /plan HTTP/1.1\r\n{headers}\r\n");
+    let requests = [
+        "nonsense\r\n\r\n".to_owned(),
+        "GET /plan HTTP/1.1\r\n\r\n".to_owned(),
+        "POST /other HTTP/1.1\r\n\r\n".to_owned(),
+        "POST /healthz HTTP/1.1\r\n\r\n".to_owned(),
+        plan("X-Deadline-Ms: 5\r\n"),
+        plan("X-Request-Id: a\r\nX-Request-Id: b\r\nX-Deadline-Ms: 5\r\n"),
+        plan("X-Request-Id: a/b\r\nX-Deadline-Ms: 5\r\n"),
+        plan("X-Request-Id: a\r\n"),
+        plan("X-Request-Id: a\r\nX-Deadline-Ms: -5\r\n"),
+        plan("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+        plan("Content-Length: x\r\n"),
+        plan("Content-Length: 99999\r\n"),
+        plan("Transfer-Encoding: gzip\r\n"),
+        plan(&format!("A: {}\r\n", "b".repeat(17 << 10))),
+        plan(&"A: b\r\n".repeat(65)),
+        call("{"),
+        call(r#"{"id":"i1","from":"s-a","state":"odd"}"#),
+        call(r#"{"id":"i1","from":"s-a","state":"done"}"#),
+        plan("X-Request-Id: a\r\nX-Deadline-Ms: 15\r\n"),
+    ];
+    let outcomes: String = requests.iter().map(|request| refusal(request)).collect();
+    let health = outcomes.matches("200 OK; Content-Length: 0").count();
+    let shown: Vec<&str> = outcomes.lines().filter(|line| !line.contains("200 OK")).collect();
+    assert_eq!(health, requests.len() + 1);
+    expect![[r#"
+        #2 < 400 Bad Request; Connection: close; Content-Length: 9 = malformed
+        #2 ends: bad_input
+        #2 < 405 Method Not Allowed; Connection: close; Content-Length: 12 = wrong_method
+        #2 ends: bad_input
+        #2 < 404 Not Found; Connection: close; Content-Length: 17 = unknown_operation
+        #2 ends: bad_input
+        #2 < 405 Method Not Allowed; Connection: close; Content-Length: 12 = wrong_method
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 10 = missing_id
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 15 = repeated_header
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 6 = bad_id
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 15 = missing_timeout
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 11 = bad_timeout
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 17 = length_and_coding
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_length
+        #2 ends: bad_input
+        #2 < 413 Content Too Large; Connection: close; Content-Length: 14 = body_too_large
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_coding
+        #2 ends: bad_input
+        #2 < 431 Request Header Fields Too Large; Connection: close; Content-Length: 14 = head_too_large
+        #2 ends: bad_input
+        #2 < 431 Request Header Fields Too Large; Connection: close; Content-Length: 16 = too_many_headers
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 13 = bad_call_back
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 13 = bad_call_back
+        #2 ends: bad_input
+        #2 < 503 Service Unavailable; Content-Length: 0"#]]
+    .assert_eq(&shown.join("\n"));
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.invoke("plan", "i1");
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #4 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
+             0 #4 ends: bad_input
+    "#]]);
+}
+
+#[test]
+fn an_answer_that_cannot_be_read_may_have_run() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("book", "i1");
+    node.up(3);
+    node.feed(3, "SMTP ready\r\n\r\n");
+    node.shows(expect![[r#"
+             0 #3 dials 127.0.0.1:3001
+             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+             0 #3 ends: bad_answer
+             0 #2 < 502 Bad Gateway; Content-Length: 0
+    "#]]);
+}
+
+#[test]
+fn messages_may_be_split_anywhere() {
+    let request = "POST /lodge/1?q HTTP/1.1\r\nHost: o\r\nX-Request-Id: r\r\nCookie: a=b; sid=k\r\n\
+        X-Extras: slots=2\r\nX-Deadline-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n\
+        3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: t\r\n\r\n";
+    for cut in 1..request.len() {
+        let mut stage = Stage { now: START, ..Stage::default() };
+        let mut clients = Clients::new(vec!["plan".into(), "lodge".into()], 64);
+        clients.accepted(7, &mut stage);
+        let mut input = request.as_bytes()[..cut].to_vec();
+        clients.bytes(7, &mut input, &mut stage);
+        assert!(clients.heard.is_empty());
+        input.extend_from_slice(&request.as_bytes()[cut..]);
+        clients.bytes(7, &mut input, &mut stage);
+        let Some(Heard::Invocation(told)) = clients.heard.pop() else {
+            panic!("nothing heard, cut at {cut}")
+        };
+        assert_eq!((told.operation, told.slots, told.key), (1, 2.0, Some(Id::from("k"))));
+        assert_eq!((told.body.as_slice(), input.len()), (b"abcde".as_slice(), 0));
+    }
+    let answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    for cut in 1..answer.len() {
+        assert!(http::answer(&answer.as_bytes()[..cut], false).unwrap().is_none());
+    }
+    let (whole, used) = http::answer(answer.as_bytes(), false).unwrap().unwrap();
+    assert_eq!((whole.status, whole.body.as_slice(), used), (200, b"body".as_slice(), answer.len()));
+    let watch = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+        2e\r\n{\"generation\":7,\"reset\":true,\"instances\":[]}\n\n\r\n\
+        4\r\n{\"ge\r\n2a\r\nneration\":8,\"instances\":[{},{\"a\":1}]}\n\n\n\n\n\r\n";
+    for cut in 1..watch.len() {
+        let mut stage = Stage { now: START, ..Stage::default() };
+        let mut roster = Roster::new("127.0.0.1:1".parse().unwrap(), 0);
+        roster.follow(&mut stage);
+        let mut input = watch.as_bytes()[..cut].to_vec();
+        roster.bytes(1, &mut input, &mut stage);
+        input.extend_from_slice(&watch.as_bytes()[cut..]);
+        roster.bytes(1, &mut input, &mut stage);
+        let heard: Vec<_> = roster.heard.iter().map(|heard| (heard.listing, heard.entries.len())).collect();
+        assert_eq!(format!("{heard:?}"), "[(All, 0), (Changes, 0)]", "cut at {cut}");
+    }
+    assert_eq!(
+        http::request(b"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n").unwrap_err(),
+        Fault(400, "bad_length")
+    );
+    assert!(serde_json::from_str::<State>("\"lost\"").is_ok());
+}
+
+#[test]
+fn a_bad_configuration_names_the_field() {
+    let good = configuration(&RUNNERS);
+    let bad = [
+        ("\"127.0.0.1:0\"", "\"nowhere\""),
+        ("8c1f30d27a5be964", "xyz"),
+        ("\"settings\"", "\"other\""),
+        ("\"memory_mb\":192", "\"memory_mb\":\"x\""),
+        ("\"deduplicated\"", "\"sometimes\""),
+        ("\"instances\"", "\"others\""),
+        ("}}", "}"),
+    ];
+    let faults = bad.iter().map(|(was, is)| config::decode(&good.replacen(was, is, 1)).unwrap_err());
+    expect![[r#"
+        listen has the bad address 'nowhere'
+        seed has the bad value 'xyz'
+        settings is missing
+        limits.memory_mb has the bad value "x"
+        settings: operations.1.effect has the bad value 'sometimes'
+        known: missing field `instances`
+        no JSON: EOF while parsing an object at line 15 column 106"#]]
+    .assert_eq(&faults.collect::<Vec<_>>().join("\n"));
+    let decoded = config::decode(&good).unwrap().decoded;
+    expect![[r#"["x0", "outstanding"] [FreeSlots, InFlight]"#]]
+        .assert_eq(&format!("{:?} {:?}", decoded.report_fields, decoded.standing.report_fields));
+}
