--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -34,7 +34,7 @@
 
 impl Stage {
     fn say(&mut self, line: &str) {
-        writeln!(self.trace, "{:6} {line}", (self.now - START) / 1000).unwrap();
+        writeln!(self.trace, "{:<5} {line}", (self.now - START) / 1000).unwrap();
     }
 
     fn open(&mut self, side: Side) -> Link {
@@ -259,12 +259,12 @@
     // Told again, as if the 200 had been lost.
     node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"a \"b\""}"#);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             1 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-           301 #4 < 200 OK; Content-Length: 0
-           301 #5 < 200 OK; Content-Length: 0
-           301 #2 < 200 OK; Content-Length: 5 = a "b"
-           301 #6 < 200 OK; Content-Length: 0
+        0     #3 dials 127.0.0.1:3001
+        1     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        301   #4 < 200 OK; Content-Length: 0
+        301   #5 < 200 OK; Content-Length: 0
+        301   #2 < 200 OK; Content-Length: 5 = a "b"
+        301   #6 < 200 OK; Content-Length: 0
     "#]]);
 }
 
@@ -278,11 +278,11 @@
     // The connection is free again.
     node.invoke("book", "i2");
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #4 < 200 OK; Content-Length: 0
-             0 #2 < 200 OK; Content-Length: 1 = r
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #4 < 200 OK; Content-Length: 0
+        0     #2 < 200 OK; Content-Length: 1 = r
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
     "#]]);
 }
 
@@ -295,10 +295,10 @@
     node.stage.stale.insert(3);
     node.invoke("plan", "i2");
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #3 ends: stale
-             0 #5 dials 127.0.0.1:3001
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 ends: stale
+        0     #5 dials 127.0.0.1:3001
     "#]]);
 }
 
@@ -312,10 +312,10 @@
     node.up(5);
     node.feed(3, TAKEN);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #5 dials 127.0.0.1:3001
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 dials 127.0.0.1:3001
+        0     #5 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
     "#]]);
 }
 
@@ -332,11 +332,11 @@
     );
     node.pass(600);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3002
-           250 #3 ends: dial_timeout
-           250 #4 dials 127.0.0.1:3001
-           260 #4 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4730; Content-Length: 2 = hi
-           750 #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        0     #3 dials 127.0.0.1:3002
+        250   #3 ends: dial_timeout
+        250   #4 dials 127.0.0.1:3001
+        260   #4 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4730; Content-Length: 2 = hi
+        750   #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
     "#]]);
 }
 
@@ -347,9 +347,9 @@
     node.up(3);
     node.end(3, End::Reset);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3002
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #2 < 502 Bad Gateway; Content-Length: 0
+        0     #3 dials 127.0.0.1:3002
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #2 < 502 Bad Gateway; Content-Length: 0
     "#]]);
 }
 
@@ -362,11 +362,11 @@
     node.end(3, End::Reset);
     node.pass(1500);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-           420 #4 dials 127.0.0.1:3001
-           670 #4 ends: dial_timeout
-           920 #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        420   #4 dials 127.0.0.1:3001
+        670   #4 ends: dial_timeout
+        920   #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
     "#]]);
 }
 
@@ -393,16 +393,16 @@
     node.up(link);
     node.feed(link, DELETED);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-          1500 #3 ends: stale
-          1500 #4 dials 127.0.0.1:3001
-          1750 #4 ends: dial_timeout
-          2000 #5 dials 127.0.0.1:3001
-          2250 #5 ends: dial_timeout
-          2750 #6 dials 127.0.0.1:3001
-          2997 #6 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
-          2997 #6 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 1983; Content-Length: 2 = hi
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        1500  #3 ends: stale
+        1500  #4 dials 127.0.0.1:3001
+        1750  #4 ends: dial_timeout
+        2000  #5 dials 127.0.0.1:3001
+        2250  #5 ends: dial_timeout
+        2750  #6 dials 127.0.0.1:3001
+        2997  #6 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+        2997  #6 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 1983; Content-Length: 2 = hi
     "#]]);
 }
 
@@ -418,12 +418,12 @@
     let client = node.invoke("plan", "i2");
     node.end(client, End::PeerClosed);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #3 ends: given_up
-             0 #5 dials 127.0.0.1:3001
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 ends: given_up
+        0     #5 dials 127.0.0.1:3001
     "#]]);
 }
 
@@ -438,11 +438,11 @@
     node.feed(3, DELETED);
     node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-          1500 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
-          1600 #4 < 200 OK; Content-Length: 0
-          1600 #2 < 200 OK; Content-Length: 1 = r
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        1500  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+        1600  #4 < 200 OK; Content-Length: 0
+        1600  #2 < 200 OK; Content-Length: 1 = r
     "#]]);
 }
 
@@ -460,13 +460,13 @@
     node.feed(3, TAKEN);
     node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #4 < 200 OK; Content-Length: 0
-           300 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4680; Content-Length: 2 = hi
-           400 #5 < 200 OK; Content-Length: 0
-           400 #6 < 200 OK; Content-Length: 0
-           400 #2 < 200 OK; Content-Length: 1 = r
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #4 < 200 OK; Content-Length: 0
+        300   #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4680; Content-Length: 2 = hi
+        400   #5 < 200 OK; Content-Length: 0
+        400   #6 < 200 OK; Content-Length: 0
+        400   #2 < 200 OK; Content-Length: 1 = r
     "#]]);
 }
 
@@ -484,10 +484,10 @@
     let trace = std::mem::take(&mut node.stage.trace);
     node.stage.trace = trace.lines().filter(|line| !line.contains("200 OK")).collect::<Vec<_>>().join("\n");
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-          4980 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
-          4980 #2 < 502 Bad Gateway; Content-Length: 0"#]]);
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        4980  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+        4980  #2 < 502 Bad Gateway; Content-Length: 0"#]]);
 }
 
 #[test]
@@ -502,13 +502,13 @@
     // Not even a dial comes up.
     node.pass(1500);
     node.shows(expect![[r#"
-          6500 #1 ends: watch_silent
-          6993 #2 dials 127.0.0.1:8500
-          6993 #2 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
-          7000 #2 ends: bad_answer
-          7586 #3 dials 127.0.0.1:8500
-          7586 #3 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
-          8586 #3 ends: watch_silent
+        6500  #1 ends: watch_silent
+        6993  #2 dials 127.0.0.1:8500
+        6993  #2 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        7000  #2 ends: bad_answer
+        7586  #3 dials 127.0.0.1:8500
+        7586  #3 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        8586  #3 ends: watch_silent
     "#]]);
 }
 
@@ -525,10 +525,10 @@
     node.feed(1, &chunk(&format!("{moved}\n")));
     node.invoke("plan", "i2");
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #3 ends: unlisted
-             0 #5 dials 127.0.0.1:3009
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 ends: unlisted
+        0     #5 dials 127.0.0.1:3009
     "#]]);
 }
 
@@ -551,16 +551,16 @@
     node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
     node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
     node.shows(expect![[r#"
-             0 #4 dials 127.0.0.1:3001
-             0 #4 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #5 < 503 Service Unavailable; Connection: close; Content-Length: 0
-             0 #5 ends: terminated
-           500 #2 ends: terminated
-           600 idle left: false, down: false
-           600 #6 < 200 OK; Content-Length: 0
-           600 #3 < 200 OK; Connection: close; Content-Length: 1 = r
-           600 #3 ends: terminated
-           600 down: true
+        0     #4 dials 127.0.0.1:3001
+        0     #4 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #5 < 503 Service Unavailable; Connection: close; Content-Length: 0
+        0     #5 ends: terminated
+        500   #2 ends: terminated
+        600   idle left: false, down: false
+        600   #6 < 200 OK; Content-Length: 0
+        600   #3 < 200 OK; Connection: close; Content-Length: 1 = r
+        600   #3 ends: terminated
+        600   down: true
     "#]]);
 }
 
@@ -576,13 +576,13 @@
     node.pass(1200);
     node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-          2200 #4 < 200 OK; Content-Length: 0
-          3300 #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
-          3300 #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
-          3300 #2 ends: terminated
-          3400 down: true
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        2200  #4 < 200 OK; Content-Length: 0
+        3300  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+        3300  #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
+        3300  #2 ends: terminated
+        3400  down: true
     "#]]);
 }
 
@@ -594,8 +594,8 @@
         node.pass(1);
     }
     node.shows(expect![[r#"
-            39 #2 ends: made_room
-            40 #3 ends: made_room
+        39    #2 ends: made_room
+        40    #3 ends: made_room
     "#]]);
 }
 
@@ -605,7 +605,7 @@
     node.feed(link, request);
     let unharmed = node.accept();
     node.feed(unharmed, "GET /healthz HTTP/1.1\r\n\r\n");
-    node.stage.trace.lines().map(|line| line[7..].to_owned() + "\n").collect()
+    node.stage.trace.lines().map(|line| line[6..].to_owned() + "\n").collect()
 }
 
 #[test]
@@ -679,9 +679,9 @@
     node.invoke("plan", "i1");
     node.invoke("plan", "i1");
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #4 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
-             0 #4 ends: bad_input
+        0     #3 dials 127.0.0.1:3001
+        0     #4 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
+        0     #4 ends: bad_input
     "#]]);
 }
 
@@ -692,10 +692,10 @@
     node.up(3);
     node.feed(3, "SMTP ready\r\n\r\n");
     node.shows(expect![[r#"
-             0 #3 dials 127.0.0.1:3001
-             0 #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-             0 #3 ends: bad_answer
-             0 #2 < 502 Bad Gateway; Content-Length: 0
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 ends: bad_answer
+        0     #2 < 502 Bad Gateway; Content-Length: 0
     "#]]);
 }
 
