--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -4,7 +4,6 @@
 //! and hands it on; it must never judge one, and never answer an invocation but as it is told.
 
 use std::collections::BTreeMap;
-use std::mem;
 
 use serde::Deserialize;
 use topazsail::{Id, Micros};
@@ -117,7 +116,7 @@
         wires.wake(Due::Link(link), since + REQUEST_WITHIN);
     }
 
-    /// The one final answer of an invocation, or what a malformed request gets.
+    /// The one final answer of an invocation.
     pub fn answer(
         &mut self,
         link: Link,
@@ -126,17 +125,28 @@
         body: &[u8],
         wires: &mut dyn Wires,
     ) {
-        let Some(client) = self.conns.get_mut(&link) else { return };
         let more = come_back.map(|after| format!("Retry-After: {:.3}\r\n", after as f64 / 1e6));
-        let keep = client.keep && !self.draining;
-        wires.send(link, &encode_answer(status, more.as_deref().unwrap_or_default(), body, keep));
+        let message = |keep| encode_answer(status, more.as_deref().unwrap_or_default(), body, keep);
+        self.reply(link, message, !self.draining, wires);
+    }
+
+    fn reply(
+        &mut self,
+        link: Link,
+        message: impl Fn(bool) -> Vec<u8>,
+        may_keep: bool,
+        wires: &mut dyn Wires,
+    ) {
+        let Some(client) = self.conns.get_mut(&link) else { return };
+        let keep = client.keep && may_keep;
+        wires.send(link, &message(keep));
         client.phase = Phase::Idle;
         client.since = wires.now();
         if keep {
             wires.revisit(link);
         } else {
             self.conns.remove(&link);
-            wires.finish(link, if self.draining { End::Terminated } else { End::AnsweredLast });
+            wires.finish(link, if may_keep { End::AnsweredLast } else { End::Terminated });
         }
     }
 
@@ -183,9 +193,7 @@
                 client.caller = true;
                 self.heard.push(Heard::CallBack(told, hash(&request.body)));
                 // Its runner needs the connection for the calls to come, also while we go down.
-                let draining = mem::take(&mut self.draining);
-                self.answer(link, 200, None, b"", wires);
-                self.draining = draining;
+                self.reply(link, |keep| encode_answer(200, "", b"", keep), true, wires);
             }
             (READY | CALL_BACKS, _) => return Err(Fault(405, "wrong_method")),
             (path, method) => {
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -112,7 +112,7 @@
     fn run(&mut self, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
         let mut events = Events::new();
         desk.settle(self);
-        while !(desk.is_down(self.now) && self.conns.values().all(|conn| !conn.unsent())) {
+        while !(desk.is_down(self.now) && self.all_told()) {
             events.clear();
             match self.poller.wait(&mut events, self.patience(desk)) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -136,6 +136,11 @@
         Ok(())
     }
 
+    /// Whether all answers to clients have been written.
+    fn all_told(&self) -> bool {
+        self.conns.values().all(|conn| conn.side != Side::Client || !conn.unsent())
+    }
+
     /// How long the poller may wait: until the next due time, not at all where something is left to do.
     fn patience(&self, desk: &Desk) -> Option<Duration> {
         if desk.pending() || !self.broken.is_empty() || !self.revisits.is_empty() {
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -63,6 +63,10 @@
 
 impl Instance {
     fn read(self) -> Result<(RosterEntry, Option<SocketAddr>), String> {
+        // It stands in the log and is told back by runners.
+        if self.instance_id.is_empty() || self.instance_id.contains(|c: char| c.is_control() || c == ' ') {
+            return Err(format!("bad id {:?}", self.instance_id));
+        }
         let readiness = match self.lifecycle.as_str() {
             "up" => Readiness::On,
             "draining" => Readiness::Fading,
