A request that has just come is read before its idle connection ends; words of the house

Clients::end shut its side first and then read on, so that a crossing request was taken and thrown away; now a connection is ended only with nothing to read, and at once. Errno values come from libc by name.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -29,7 +29,7 @@
     pub id: Id,
     pub operation: usize,
     /// When the client gives up, less the way back.
-    pub deadline: Micros,
+    pub expires_at: Micros,
     pub slots: f64,
     pub key: Option<Id>,
     /// Request line and headers as they go to runners, but for the time left and the length.
@@ -103,11 +103,10 @@
             return true;
         }
         let idle = self.conns.iter().filter(|(_, client)| matches!(client.phase, Phase::Idle));
-        if let Some(link) = idle.min_by_key(|(_, client)| client.since).map(|(link, _)| *link) {
-            self.end(link, End::MadeRoom, wires);
-            return true;
-        }
-        wires.connections() < self.most.1
+        let mut idle: Vec<(Micros, Link)> = idle.map(|(link, client)| (client.since, *link)).collect();
+        idle.sort_unstable();
+        let made = idle.iter().any(|(_, link)| self.end_idle(*link, End::MadeRoom, wires));
+        made || wires.connections() < self.most.1
     }
 
     pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
@@ -156,12 +155,23 @@
     }
 
     /// Ends idle connections of clients; runners may still have something to tell on theirs.
-    pub fn end_idle(&mut self, wires: &mut dyn Wires) {
+    pub fn end_all_idle(&mut self, wires: &mut dyn Wires) {
         let idle = |client: &Client| matches!(client.phase, Phase::Idle) && !client.caller;
         let links: Vec<Link> = self.conns.iter().filter(|(_, c)| idle(c)).map(|(link, _)| *link).collect();
         for link in links {
-            self.end(link, End::Terminated, wires);
+            self.end_idle(link, End::Terminated, wires);
+        }
+    }
+
+    /// Ends a connection between requests. Where one has just come it is read first: to end the connection
+    /// would be to lose what was taken.
+    fn end_idle(&mut self, link: Link, end: End, wires: &mut dyn Wires) -> bool {
+        if wires.unsent(link) || !wires.fresh(link) {
+            return false;
         }
+        self.conns.remove(&link);
+        wires.cut(link, end);
+        true
     }
 
     /// Whether some request is still to be read whole or to be answered.
@@ -169,15 +179,11 @@
         self.conns.values().any(|client| !matches!(client.phase, Phase::Idle))
     }
 
-    fn end(&mut self, link: Link, end: End, wires: &mut dyn Wires) {
-        self.conns.remove(&link);
-        wires.finish(link, end);
-    }
-
-    pub fn refuse(&mut self, link: Link, Fault(status, why): Fault, wires: &mut dyn Wires) {
+    pub fn reject(&mut self, link: Link, Fault(status, why): Fault, wires: &mut dyn Wires) {
         log!("bad-request", "link={link} status={status} reason={why}");
         wires.send(link, &encode_answer(status, "", why.as_bytes(), false));
-        self.end(link, End::BadInput, wires);
+        self.conns.remove(&link);
+        wires.finish(link, End::BadInput);
     }
 
     fn take(&mut self, link: Link, request: Request, wires: &mut dyn Wires) -> Result<(), Fault> {
@@ -235,7 +241,7 @@
         link,
         id: id.into(),
         operation,
-        deadline: began + timeout - WAY_BACK,
+        expires_at: began + timeout - WAY_BACK,
         slots: slots.unwrap_or(1.0),
         key: key.map(Into::into),
         head: forwarded_head(&request),
@@ -300,7 +306,7 @@
             };
             match used {
                 Ok(used) => drop(input.drain(..used)),
-                Err(fault) => return self.refuse(link, fault, wires),
+                Err(fault) => return self.reject(link, fault, wires),
             }
         }
     }
@@ -314,14 +320,18 @@
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
         let Some(client) = self.conns.get(&link) else { return };
         let now = wires.now();
-        match client.phase {
-            Phase::Reading if now >= client.since + REQUEST_WITHIN => self.end(link, End::SlowRequest, wires),
-            Phase::Idle if wires.unsent(link) && now >= client.since + REQUEST_WITHIN => {
-                self.conns.remove(&link);
-                wires.cut(link, End::SlowReader);
-            }
-            Phase::Idle if now >= client.since + IDLE_MOST => self.end(link, End::Idle, wires),
-            _ => wires.wake(Due::Link(link), now + REQUEST_WITHIN),
+        let overdue = now >= client.since + REQUEST_WITHIN;
+        let end = match client.phase {
+            Phase::Reading if overdue => End::SlowRequest,
+            Phase::Idle if overdue && wires.unsent(link) => End::SlowReader,
+            Phase::Idle if now >= client.since + IDLE_MOST => End::Idle,
+            _ => return wires.wake(Due::Link(link), now + REQUEST_WITHIN),
+        };
+        if end != End::Idle {
+            self.conns.remove(&link);
+            wires.cut(link, end);
+        } else if !self.end_idle(link, end, wires) {
+            wires.wake(Due::Link(link), now + REQUEST_WITHIN);
         }
     }
 }
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -48,7 +48,7 @@
 
 struct Open {
     link: Link,
-    deadline: Micros,
+    expires_at: Micros,
     head: Vec<u8>,
     body: Vec<u8>,
     answered: bool,
@@ -133,7 +133,7 @@
             Due::Inv(id) => self.overdue(&id, wires),
             Due::Cancel(id, number) => self.cancel(&id, number, wires),
             Due::Down => {
-                self.clients.end_idle(wires);
+                self.clients.end_all_idle(wires);
                 if self.down_since.is_some_and(|since| wires.now() >= since + DOWN_ALL) {
                     for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
                         self.cut_short(&id, wires);
@@ -184,7 +184,7 @@
         open.forwards.push(Forward { tgt: tgt.clone(), at, out: true, taken: false, cancels: 0, told: None });
         if sendable {
             let message = (open.head.as_slice(), open.body.as_slice());
-            self.runners.forward(&tgt, (inv, number), message, open.deadline, wires);
+            self.runners.forward(&tgt, (inv, number), message, open.expires_at, wires);
         } else {
             self.end(inv, number, Ending::Void, Vec::new(), at);
         }
@@ -235,8 +235,8 @@
     fn overdue(&mut self, inv: &Id, wires: &mut dyn Wires) {
         let Some(open) = self.invs.get(inv) else { return };
         let now = wires.now();
-        if now < open.deadline {
-            return wires.wake(Due::Inv(inv.clone()), open.deadline);
+        if now < open.expires_at {
+            return wires.wake(Due::Inv(inv.clone()), open.expires_at);
         }
         self.cut_short(inv, wires);
     }
@@ -319,21 +319,21 @@
     fn take(&mut self, told: Invocation, wires: &mut dyn Wires) {
         let now = wires.now();
         if self.invs.contains_key(&told.id) {
-            return self.clients.refuse(told.link, Fault(400, "repeated_id"), wires);
+            return self.clients.reject(told.link, Fault(400, "repeated_id"), wires);
         }
         let size = told.head.len() + told.body.len();
         let full = self.invs.len() >= self.open_cap || self.held + size > self.held_most;
-        if full || told.deadline <= now {
+        if full || told.expires_at <= now {
             log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
             return self.clients.answer(told.link, NO_ROOM, None, b"", wires);
         }
         self.held += size;
-        wires.wake(Due::Inv(told.id.clone()), told.deadline);
+        wires.wake(Due::Inv(told.id.clone()), told.expires_at);
         let (inv, operation, slots, key) = (told.id.clone(), told.operation, told.slots, told.key);
-        let expires_in = told.deadline - now;
+        let expires_in = told.expires_at - now;
         self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, key }));
-        let (link, deadline, head, body) = (told.link, told.deadline, told.head, told.body);
-        let open = Open { link, deadline, head, body, answered: false, forwards: Vec::new() };
+        let (link, expires_at, head, body) = (told.link, told.expires_at, told.head, told.body);
+        let open = Open { link, expires_at, head, body, answered: false, forwards: Vec::new() };
         self.invs.insert(told.id, open);
     }
 
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -94,7 +94,7 @@
     if version == 0 { says("keep-alive") } else { !says("close") }
 }
 
-fn refused(error: httparse::Error) -> Fault {
+fn malformed(error: httparse::Error) -> Fault {
     match error {
         httparse::Error::TooManyHeaders => Fault(431, "too_many_headers"),
         _ => Fault(400, "malformed"),
@@ -126,7 +126,7 @@
 pub fn request(input: &[u8]) -> Result<Option<(Request<'_>, usize)>, Fault> {
     let mut room = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Request::new(&mut room);
-    let head = match parsed.parse(&input[..input.len().min(HEAD_MOST)]).map_err(refused)? {
+    let head = match parsed.parse(&input[..input.len().min(HEAD_MOST)]).map_err(malformed)? {
         httparse::Status::Complete(head) => head,
         httparse::Status::Partial if input.len() >= HEAD_MOST => return Err(Fault(431, "head_too_large")),
         httparse::Status::Partial => return Ok(None),
@@ -145,7 +145,7 @@
     loop {
         let mut room = [httparse::EMPTY_HEADER; HEADERS_MOST];
         let mut parsed = httparse::Response::new(&mut room);
-        let head = match parsed.parse(&input[..input.len().min(HEAD_MOST)]).map_err(refused)? {
+        let head = match parsed.parse(&input[..input.len().min(HEAD_MOST)]).map_err(malformed)? {
             httparse::Status::Complete(head) => head,
             httparse::Status::Partial if input.len() >= HEAD_MOST => {
                 return Err(Fault(431, "head_too_large"));
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -330,9 +330,8 @@
     }
 }
 
-/// EMFILE and ENFILE, or no memory for one more.
 fn out_of_descriptors(error: i32) -> bool {
-    matches!(error, 12 | 23 | 24 | 105)
+    matches!(error, libc::EMFILE | libc::ENFILE | libc::ENOMEM | libc::ENOBUFS)
 }
 
 impl Wires for Reactor {
@@ -358,7 +357,8 @@
             }
         };
         // Whatever else this says, such as that it is under way, is told again when it has come to its end.
-        let failed = socket.connect(&to.into()).err().filter(|error| error.raw_os_error() != Some(115));
+        let failed =
+            socket.connect(&to.into()).err().filter(|error| error.raw_os_error() != Some(libc::EINPROGRESS));
         let link = self.add(Conn::new(socket.into(), side, to, true, self.now))?;
         if let Some(error) = failed {
             self.broken.push((link, never_up(&error)));
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -15,7 +15,7 @@
 
 /// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets through.
 const DIAL_WITHIN: Micros = 1_000_000;
-/// A call that waits its turn for longer is as good as failed.
+/// A call that waits its turn for longer is as good as lost.
 const HEAD_WITHIN: Micros = 5_000_000;
 /// An empty line comes every 2 s; with a second one missing the watch is taken for dead.
 const SILENT_MOST: Micros = 4_500_000;
@@ -126,7 +126,7 @@
         if let Some(watch) = self.watch.take() {
             wires.cut(watch.link, End::WatchReplaced);
         }
-        let Some(link) = wires.dial(self.discovery, Side::Roster) else { return self.refused("no_socket") };
+        let Some(link) = wires.dial(self.discovery, Side::Roster) else { return self.lost("no_socket") };
         let target = format!("/v1/servers?follow=1&since={}", self.generation);
         wires.send(link, &encode_bare("GET", &target, self.discovery));
         let (chunks, heard_at) = (Chunks::default(), wires.now());
@@ -134,7 +134,7 @@
         wires.wake(Due::Link(link), heard_at + DIAL_WITHIN);
     }
 
-    fn refused(&mut self, why: &str) {
+    fn lost(&mut self, why: &str) {
         log!("watch-lost", "generation={} reason={why}", self.generation);
         self.watch = None;
         self.heard.push(Heard { listing: Listing::Refused, entries: Vec::new() });
@@ -158,7 +158,7 @@
             Some(framing) => framing,
             None => match http::answer_head(input).map_err(|_| "bad_answer")? {
                 None => return Ok(()),
-                Some((answer, _, _)) if answer.status != 200 => return Err("not_served"),
+                Some((answer, _, _)) if answer.status != 200 => return Err("bad_status"),
                 Some((_, framing, head)) => {
                     drop(input.drain(..head));
                     watch.framing = Some(framing);
@@ -212,13 +212,13 @@
         }
         if let Err(why) = self.read(input, wires.now()) {
             wires.cut(link, End::BadAnswer);
-            self.refused(why);
+            self.lost(why);
         }
     }
 
     fn ended(&mut self, link: Link, end: End, _: bool, _: &[u8], _: &mut dyn Wires) {
         if self.is(link) {
-            self.refused(end.code());
+            self.lost(end.code());
         }
     }
 
@@ -232,7 +232,7 @@
         let at = watch.heard_at + most;
         if wires.now() >= at {
             wires.cut(link, End::WatchSilent);
-            self.refused("silent");
+            self.lost("silent");
         } else {
             wires.wake(Due::Link(link), at.min(wires.now() + SILENT_MOST));
         }
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -155,16 +155,16 @@
         tgt: &Id,
         (inv, number): (&Id, u32),
         (head, body): (&[u8], &[u8]),
-        deadline: Micros,
+        expires_at: Micros,
         wires: &mut dyn Wires,
     ) {
-        let left = (deadline - wires.now()).max(0) / 1000;
+        let left = (expires_at - wires.now()).max(0) / 1000;
         let mut message = head.to_vec();
         let more = format!("X-Deadline-Ms: {left}\r\nContent-Length: {}\r\n\r\n", body.len());
         message.extend_from_slice(more.as_bytes());
         message.extend_from_slice(body);
         let task = Task::Forward { inv: inv.clone(), number };
-        self.ask(tgt, task, message, deadline + LATE_MOST, wires);
+        self.ask(tgt, task, message, expires_at + LATE_MOST, wires);
     }
 
     pub fn probe(&mut self, tgt: &Id, wires: &mut dyn Wires) {
@@ -309,7 +309,7 @@
                 let ending = match answer.status {
                     503 | 504 if not_run => Ending::Overloaded,
                     status => {
-                        log!("forward-failed", "inv={inv} runner={tgt} status={status}");
+                        log!("forward-errored", "inv={inv} runner={tgt} status={status}");
                         Ending::Errored
                     }
                 };
