No room is told with advice when to come back, where clients are handed it

The house rule: what is given up on is answered at once, with come-back advice where allowed. Desk::take gave none. Test: a second invocation over the cap of open ones.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -24,6 +24,7 @@
 const ERRORED: u16 = 502;
 /// Taken, but not to be held: nothing has been forwarded.
 const NO_ROOM: u16 = 503;
+const ROOM_AGAIN: Micros = 1_000_000;
 /// How long an error may take that the brain owes when the client's time is over.
 const OVERDUE: Micros = 10_000;
 /// A cancel that failed is tried again after this, doubled each time: the forward is out until then.
@@ -76,12 +77,15 @@
     /// Bytes held for further forwards, and the most there may be.
     held: usize,
     held_most: usize,
+    /// When to come back where there is no room now, if clients are told.
+    come_back: Option<Micros>,
     down_since: Option<Micros>,
 }
 
 impl Desk {
     pub fn new(told: Dispatcher, wires: &mut dyn Wires) -> Desk {
         let decoded = told.decoded;
+        let come_back = decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN));
         let mut desk = Desk {
             clients: Clients::new(decoded.operations.clone(), told.sockets),
             runners: Runners::new(&decoded),
@@ -92,6 +96,7 @@
             open_cap: decoded.open_cap,
             held: 0,
             held_most: told.memory / 6,
+            come_back,
             down_since: None,
         };
         desk.list(roster::Heard { listing: Listing::Remembered, entries: told.known.entries() }, wires);
@@ -325,7 +330,8 @@
         let full = self.invs.len() >= self.open_cap || self.held + size > self.held_most;
         if full || told.expires_at <= now {
             log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
-            return self.clients.answer(told.link, NO_ROOM, None, b"", wires);
+            let come_back = self.come_back.filter(|_| full);
+            return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
         }
         self.held += size;
         wires.wake(Due::Inv(told.id.clone()), told.expires_at);
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -599,6 +599,22 @@
     "#]]);
 }
 
+#[test]
+fn beyond_what_it_may_hold_it_turns_away_at_once() {
+    let text = configuration(&RUNNERS[..1]).replace("\"openCap\":20000", "\"openCap\":1");
+    let mut stage = Stage { now: START, ..Stage::default() };
+    let desk = Desk::new(config::decode(&text).unwrap(), &mut stage);
+    let mut node = Node { desk, stage };
+    node.invoke("plan", "i1");
+    node.invoke("plan", "i2");
+    node.shows(expect![[r#"
+        0     #2 dials 127.0.0.1:8500
+        0     #2 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
+        0     #3 dials 127.0.0.1:3001
+        0     #4 < 503 Service Unavailable; Retry-After: 1.000; Content-Length: 0
+    "#]]);
+}
+
 fn refusal(request: &str) -> String {
     let mut node = Node::followed(&RUNNERS[..1]);
     let link = node.accept();
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -2,7 +2,8 @@
 //! whoever carries out its actions needs beside them. The one decoder for every protocol.
 //!
 //! Settings come as pairs of path and value; a list of plain values is one value with commas, a list of objects
-//! has a `count`. What is not read here is passed over.
+//! has a `count`. What is not read here is passed over. It must never guess: a value that is missing or out of range
+//! is a fault that names its path.
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
