A runner off the list may still be at it: its jobs are cancelled, not taken for gone

A refused connection counted as the end of the job as well, though a runner whose connections are all taken may refuse too. Addresses are kept for 60 s after the last listing so that a cancel can be sent, and are let go of at every listing, not at whole ones alone. Test: a removed runner whose cancel first hangs and is then refused.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -307,7 +307,7 @@
     fn list(&mut self, heard: roster::Heard, wires: &mut dyn Wires) {
         let whole = matches!(heard.listing, Listing::All | Listing::Remembered);
         if whole {
-            self.runners.forget_all();
+            self.runners.forget_all(wires.now());
         }
         let mut entries = Vec::new();
         for (entry, address) in heard.entries {
@@ -315,9 +315,7 @@
             self.runners.note(&entry.tgt, listed, address, wires);
             entries.push(entry);
         }
-        if whole {
-            self.runners.tidy(wires);
-        }
+        self.runners.tidy(wires);
         self.happened.push(Event::Roster(List { listing: heard.listing, entries }));
     }
 
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -16,6 +16,8 @@
 
 /// A cancel that gets no answer by then has failed: the runner is cut off or stands still.
 const CANCEL_WITHIN: Micros = 250_000;
+/// How long a runner's address is kept after it was listed last: its jobs may still have to be cancelled.
+const GONE_KEPT: Micros = 60_000_000;
 /// How long an answer that is too late to count may still come, so that its connection can be kept.
 const LATE_MOST: Micros = 2_000_000;
 
@@ -81,7 +83,8 @@
 
 struct Runner {
     address: SocketAddr,
-    listed: bool,
+    /// Since when it is listed no more.
+    gone_since: Option<Micros>,
     lines: Vec<Link>,
     /// The most recently used last.
     idle: Vec<Link>,
@@ -118,27 +121,30 @@
     pub fn note(&mut self, tgt: &Id, listed: bool, address: Option<SocketAddr>, wires: &mut dyn Wires) {
         if let Some(runner) = self.by_id.get_mut(tgt) {
             let moved = address.is_some_and(|address| address != runner.address);
-            runner.listed = listed;
+            let since = runner.gone_since.unwrap_or(wires.now());
+            runner.gone_since = Some(since).filter(|_| !listed);
             runner.address = address.unwrap_or(runner.address);
             if moved || !listed {
                 self.cut_idle(tgt, End::Unlisted, wires);
             }
         } else if let Some(address) = address.filter(|_| listed) {
-            let runner = Runner { address, listed, lines: Vec::new(), idle: Vec::new() };
+            let runner = Runner { address, gone_since: None, lines: Vec::new(), idle: Vec::new() };
             self.by_id.insert(tgt.clone(), runner);
         }
     }
 
     /// A whole list: whoever is not noted after this is gone.
-    pub fn forget_all(&mut self) {
-        self.by_id.values_mut().for_each(|runner| runner.listed = false);
+    pub fn forget_all(&mut self, now: Micros) {
+        self.by_id.values_mut().for_each(|runner| runner.gone_since = runner.gone_since.or(Some(now)));
     }
 
-    /// Lets go of those that are gone and have no connection left.
+    /// Lets go of those that are gone, once nobody can have work there any more.
     pub fn tidy(&mut self, wires: &mut dyn Wires) {
-        let gone: Vec<Id> = self.by_id.iter().filter(|(_, r)| !r.listed).map(|(id, _)| id.clone()).collect();
+        let gone = self.by_id.iter().filter(|(_, runner)| runner.gone_since.is_some());
+        let gone: Vec<Id> = gone.map(|(id, _)| id.clone()).collect();
         gone.iter().for_each(|tgt| self.cut_idle(tgt, End::Unlisted, wires));
-        self.by_id.retain(|_, runner| runner.listed || !runner.lines.is_empty());
+        let long_gone = |since: Micros| wires.now() - since > GONE_KEPT;
+        self.by_id.retain(|_, runner| !runner.gone_since.is_some_and(long_gone) || !runner.lines.is_empty());
     }
 
     pub fn cut_idle(&mut self, tgt: &Id, end: End, wires: &mut dyn Wires) {
@@ -195,11 +201,9 @@
                 return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
             }
         }
-        if !self.may_cancel {
+        // A runner that is listed no more may still be at it, cut off from whoever keeps the list.
+        let Some(runner) = self.by_id.get(tgt).filter(|_| self.may_cancel) else {
             return self.heard.push(Heard::NotDropped { inv: inv.clone(), number });
-        }
-        let Some(runner) = self.by_id.get(tgt) else {
-            return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
         };
         let message = encode_bare("DELETE", &format!("/jobs/{inv}"), runner.address);
         let due = wires.now() + CANCEL_WITHIN;
@@ -254,7 +258,7 @@
             let (message, due) = (std::mem::take(&mut line.message), line.due);
             return self.start(link, task, &message, due, wires);
         }
-        if !runner.listed {
+        if runner.gone_since.is_some() {
             self.drop_line(link);
             return wires.cut(link, End::Unlisted);
         }
@@ -278,10 +282,12 @@
 
     /// A task that came to its end without an answer.
     fn unanswered(&mut self, tgt: &Id, task: Task, ending: Ending, refused: bool) {
+        let gone = self.by_id.get(tgt).is_none_or(|runner| runner.gone_since.is_some());
         self.heard.push(match task {
             Task::Forward { inv, number } => Heard::Ended { inv, number, ending, report: Vec::new() },
-            // Nobody listens there any more: the process is gone, and the job with it.
-            Task::Cancel { inv, number } if refused => Heard::Dropped { inv, number },
+            // Listed no more, and nobody listens: the process is gone, and the job with it. A refusal alone
+            // may come from a runner whose connections are all taken.
+            Task::Cancel { inv, number } if refused && gone => Heard::Dropped { inv, number },
             Task::Cancel { inv, number } => Heard::NotDropped { inv, number },
             Task::Probe => Heard::Probed { tgt: tgt.clone(), alive: false, report: Vec::new() },
         });
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -406,6 +406,34 @@
     "#]]);
 }
 
+/// Off the list is not off the net: a forward is out until its cancel is answered, or nobody listens there
+/// any more.
+#[test]
+fn a_runner_that_is_listed_no_more_may_still_be_at_it() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    let removed = r#"{"generation":43,"reset":false,"instances":[{"instanceId":"s-a","lifecycle":"removed"},
+        {"instanceId":"s-b","hostPort":"127.0.0.1:3002","lifecycle":"up"}]}"#;
+    node.feed(1, &chunk(&format!("{}\n", removed.replace('\n', ""))));
+    for _ in 0..2 {
+        node.pass(999);
+        node.feed(1, BEAT);
+    }
+    node.pass(60);
+    node.end(5, End::Refused);
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 ends: unlisted
+        1500  #4 dials 127.0.0.1:3001
+        1750  #4 ends: dial_timeout
+        2000  #5 dials 127.0.0.1:3001
+        2058  #6 dials 127.0.0.1:3002
+    "#]]);
+}
+
 #[test]
 fn a_client_that_leaves_has_its_job_deleted() {
     let mut node = Node::followed(&RUNNERS[..1]);
