Going down, the last look at the sockets comes after the last answer

Desk::is_down now waits for clients' connections to be gone (looked at every 50 ms), and Reactor::run ends only after a poll that brings nothing. Test: a request that arrives as its connection was to be ended as idle.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -174,9 +174,9 @@
         true
     }
 
-    /// Whether some request is still to be read whole or to be answered.
-    pub fn busy(&self) -> bool {
-        self.conns.values().any(|client| !matches!(client.phase, Phase::Idle))
+    /// Whether some client still has a connection: what comes on it would have been taken.
+    pub fn remain(&self) -> bool {
+        self.conns.values().any(|client| !client.caller || !matches!(client.phase, Phase::Idle))
     }
 
     pub fn reject(&mut self, link: Link, Fault(status, why): Fault, wires: &mut dyn Wires) {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -34,6 +34,7 @@
 /// then is answered with an error, before we are killed (3.7 s at the earliest).
 const DOWN_IDLE: Micros = 500_000;
 const DOWN_ALL: Micros = 3_300_000;
+const DOWN_STEP: Micros = 50_000;
 
 struct Forward {
     tgt: Id,
@@ -121,14 +122,13 @@
         self.down_since = Some(now);
         self.clients.drain();
         wires.wake(Due::Down, now + DOWN_IDLE);
-        wires.wake(Due::Down, now + DOWN_ALL);
     }
 
     /// Whether all is said and done after having been told to end.
     pub fn is_down(&self, now: Micros) -> bool {
         let Some(since) = self.down_since else { return false };
         let owed = self.invs.values().any(|open| !open.answered);
-        let at_work = owed || self.clients.busy() || self.runners.cancelling();
+        let at_work = owed || self.clients.remain() || self.runners.cancelling();
         now >= since + DOWN_IDLE && !at_work || now >= since + DOWN_ALL + 2 * OVERDUE
     }
 
@@ -137,18 +137,22 @@
             Due::Tick => self.happened.push(Event::Tick),
             Due::Inv(id) => self.overdue(&id, wires),
             Due::Cancel(id, number) => self.cancel(&id, number, wires),
-            Due::Down => {
-                self.clients.end_all_idle(wires);
-                if self.down_since.is_some_and(|since| wires.now() >= since + DOWN_ALL) {
-                    for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
-                        self.cut_short(&id, wires);
-                    }
-                }
-            }
+            Due::Down => self.step_down(wires),
             Due::Link(_) | Due::Finish(_) | Due::Accept => {}
         }
     }
 
+    fn step_down(&mut self, wires: &mut dyn Wires) {
+        let (Some(since), now) = (self.down_since, wires.now()) else { return };
+        self.clients.end_all_idle(wires);
+        if now < since + DOWN_ALL {
+            return wires.wake(Due::Down, (now + DOWN_STEP).min(since + DOWN_ALL));
+        }
+        for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
+            self.cut_short(&id, wires);
+        }
+    }
+
     /// Whether the brain has something to hear at once.
     pub fn pending(&self) -> bool {
         !self.happened.is_empty()
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -112,12 +112,18 @@
     fn run(&mut self, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
         let mut events = Events::new();
         desk.settle(self);
-        while !(desk.is_down(self.now) && self.all_told()) {
+        loop {
+            // The last look before the end: what has come meanwhile has been taken, and is still answered.
+            let last = desk.is_down(self.now) && self.all_told();
+            let patience = if last { Some(Duration::ZERO) } else { self.patience(desk) };
             events.clear();
-            match self.poller.wait(&mut events, self.patience(desk)) {
+            match self.poller.wait(&mut events, patience) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 waited => drop(waited?),
             }
+            if last && events.is_empty() {
+                return Ok(());
+            }
             self.now = self.clock.now();
             for event in events.iter() {
                 match event.key {
@@ -133,7 +139,6 @@
             }
             desk.settle(self);
         }
-        Ok(())
     }
 
     /// Whether all answers to clients have been written.
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -568,6 +568,7 @@
     node.up(4);
     node.feed(4, TAKEN);
     node.desk.go_down(&mut node.stage);
+    node.desk.go_down(&mut node.stage);
     let late = node.accept();
     node.feed(late, "GET /healthz HTTP/1.1\r\n\r\n");
     node.pass(600);
@@ -592,6 +593,30 @@
     "#]]);
 }
 
+/// What has come on a connection that was to be ended as idle has been taken.
+#[test]
+fn told_to_end_it_reads_what_has_just_come() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let client = node.accept();
+    node.stage.stale.insert(client);
+    node.desk.go_down(&mut node.stage);
+    node.pass(500);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.feed(client, "POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 900\r\n\r\n");
+    node.end(3, End::Refused);
+    node.pass(900);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.shows(expect![[r#"
+        500   down: false
+        500   #3 dials 127.0.0.1:3001
+        920   #4 dials 127.0.0.1:3001
+        1170  #4 ends: dial_timeout
+        1320  #2 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
+        1320  #2 ends: terminated
+        1400  down: true
+    "#]]);
+}
+
 #[test]
 fn told_to_end_it_leaves_nothing_unanswered() {
     let mut node = Node::followed(&RUNNERS[..1]);
