--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
 //! topazsail decides, for one dispatcher, where each invocation is forwarded.
 //!
 //! `brain` holds every decision; the other files hold the plain types that it takes and returns.
-//! None of them knows a protocol: an adapter (today `drill`) turns its wire into [`Event`]s and
-//! [`Action`]s into its wire.
+//! None of them knows a protocol: an adapter (`drill` on the simulator's wire, `node` on
+//! sockets) turns what it hears into [`Event`]s and carries out [`Action`]s.
 
 mod actions;
 mod books;
