Going down, what is still open is answered before the brain may forward it anew

Found on reading the change again: the check for an early due time in Desk::overdue could be reached only after the cut at 3.3 s from SIGTERM, and there it did harm. A forward was told as timed out, an invocation that may be repeated was queued and forwarded anew in the same turn, while its cancel was not answered yet, and the second look 10 ms later put it off to its client timeout: the process ended with it unanswered. Now the cut ends the forward and answers the invocation at once; the brain hears that it is gone. The check is out, as due times of invocations come at the client timeout or after. No trace kept before has changed; the new one is added.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -149,7 +149,8 @@
             return wires.wake(Due::Down, (now + DOWN_STEP).min(since + DOWN_ALL));
         }
         for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
-            self.cut_short(&id, wires);
+            self.time_out(&id, wires);
+            self.error(&id, wires);
         }
     }
 
@@ -242,27 +243,28 @@
 
     /// The client's time is over: a forward still out is timed out, and the brain owes the error now.
     fn overdue(&mut self, inv: &Id, wires: &mut dyn Wires) {
-        let Some(open) = self.invs.get(inv) else { return };
-        let now = wires.now();
-        if now < open.expires_at {
-            return wires.wake(Due::Inv(inv.clone()), open.expires_at);
+        if self.time_out(inv, wires) {
+            wires.wake(Due::Inv(inv.clone()), wires.now() + OVERDUE);
+        } else if let Some(open) = self.invs.get(inv).filter(|open| !open.answered) {
+            log!("overdue", "inv={inv} forwards={}", open.forwards.len());
+            self.error(inv, wires);
         }
-        self.cut_short(inv, wires);
     }
 
-    fn cut_short(&mut self, inv: &Id, wires: &mut dyn Wires) {
-        let Some(open) = self.invs.get(inv) else { return };
-        let now = wires.now();
-        if let Some(number) = open.out() {
-            let tgt = open.forwards[number as usize].tgt.clone();
-            self.end(inv, number, Ending::TimedOut, Vec::new(), now);
-            self.runners.give_up(&tgt, inv, number, wires);
-            wires.wake(Due::Inv(inv.clone()), now + OVERDUE);
-        } else if !open.answered {
-            log!("overdue", "inv={inv} forwards={}", open.forwards.len());
-            self.answer(inv, ERRORED, None, b"", wires);
-            self.happened.push(Event::Gone { inv: inv.clone() });
-        }
+    /// Ends the forward that is out, if one is.
+    fn time_out(&mut self, inv: &Id, wires: &mut dyn Wires) -> bool {
+        let Some(open) = self.invs.get(inv) else { return false };
+        let Some(number) = open.out() else { return false };
+        let tgt = open.forwards[number as usize].tgt.clone();
+        self.end(inv, number, Ending::TimedOut, Vec::new(), wires.now());
+        self.runners.give_up(&tgt, inv, number, wires);
+        true
+    }
+
+    /// Answers without waiting for the brain, which hears that nothing more is owed.
+    fn error(&mut self, inv: &Id, wires: &mut dyn Wires) {
+        self.answer(inv, ERRORED, None, b"", wires);
+        self.happened.push(Event::Gone { inv: inv.clone() });
     }
 
     /// Turns what the parts have heard into events.
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -639,6 +639,27 @@
     "#]]);
 }
 
+/// What may be repeated would be forwarded anew, and be lost when the process ends.
+#[test]
+fn told_to_end_it_forwards_nothing_anew_at_the_last_moment() {
+    let mut node = Node::followed(&RUNNERS);
+    node.desk.go_down(&mut node.stage);
+    node.pass(2900);
+    node.invoke("plan", "i1");
+    node.up(3);
+    node.feed(3, TAKEN);
+    node.pass(430);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.shows(expect![[r#"
+        2900  #3 dials 127.0.0.1:3002
+        2900  #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        3300  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3002; Content-Length: 0
+        3300  #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
+        3300  #2 ends: terminated
+        3330  down: true
+    "#]]);
+}
+
 #[test]
 fn a_newcomer_takes_the_place_of_the_longest_idle() {
     let mut node = Node::followed(&RUNNERS[..1]);
