--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# What a newcomer needs; CI runs .ci/run, which is lint and test on the locked versions.
+# What a newcomer needs; CI runs lint and test.
 .PHONY: build test lint run
 
 build:
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
-use topazsail::{Id, Micros};
+use topazsail::{Id, Micros, hash};
 
 use crate::conn::{Callbacks, Due, End, Link, Wires};
 use crate::http::{self, Fault, MESSAGE_MOST, Request, encode_answer};
@@ -125,20 +125,21 @@
         wires: &mut dyn Wires,
     ) {
         let more = come_back.map(|after| format!("Retry-After: {:.3}\r\n", after as f64 / 1e6));
-        let message = |keep| encode_answer(status, more.as_deref().unwrap_or_default(), body, keep);
-        self.reply(link, message, !self.draining, wires);
+        self.reply(link, status, more.as_deref().unwrap_or_default(), body, !self.draining, wires);
     }
 
     fn reply(
         &mut self,
         link: Link,
-        message: impl Fn(bool) -> Vec<u8>,
+        status: u16,
+        more: &str,
+        body: &[u8],
         may_keep: bool,
         wires: &mut dyn Wires,
     ) {
         let Some(client) = self.conns.get_mut(&link) else { return };
         let keep = client.keep && may_keep;
-        wires.send(link, &message(keep));
+        wires.send(link, &encode_answer(status, more, body, keep));
         client.phase = Phase::Idle;
         client.since = wires.now();
         if keep {
@@ -199,7 +200,7 @@
                 client.caller = true;
                 self.heard.push(Heard::CallBack(told, hash(&request.body)));
                 // Its runner needs the connection for the calls to come, also while we go down.
-                self.reply(link, |keep| encode_answer(200, "", b"", keep), true, wires);
+                self.reply(link, 200, "", b"", true, wires);
             }
             (READY | CALL_BACKS, _) => return Err(Fault(405, "wrong_method")),
             (path, method) => {
@@ -218,12 +219,6 @@
     }
 }
 
-/// FNV-1a: only tells a repeat from another call-back.
-fn hash(bytes: &[u8]) -> u64 {
-    let fold = |h: u64, byte: &u8| (h ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
-}
-
 fn invocation(link: Link, operation: usize, began: Micros, request: Request) -> Result<Invocation, Fault> {
     let id = request.only("x-request-id")?.ok_or(Fault(400, "missing_id"))?;
     // It stands in the path of a cancel, so that nothing may need escaping there.
@@ -234,30 +229,27 @@
     let timeout = request.only("x-deadline-ms")?.ok_or(Fault(400, "missing_timeout"))?;
     let timeout: u32 = timeout.parse().map_err(|_| Fault(400, "bad_timeout"))?;
     let timeout = (Micros::from(timeout) * 1000).min(TIMEOUT_MOST);
-    let slots = request.only("x-extras")?.and_then(|extras| extra(extras, &["slots", "width"]));
-    let key = request.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cookie"));
-    let key = key.filter_map(|(_, value)| std::str::from_utf8(value).ok()).find_map(cookie);
+    let extras = request.only("x-extras")?.unwrap_or_default();
+    let slots = named(extras, ',', &["slots", "width"]).find_map(|value| value.parse::<f64>().ok());
+    let cookies = request.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cookie"));
+    let mut cookies = cookies.filter_map(|(_, value)| std::str::from_utf8(value).ok());
+    let key = cookies.find_map(|value| named(value, ';', &["sid"]).next());
     Ok(Invocation {
         link,
         id: id.into(),
         operation,
         expires_at: began + timeout - WAY_BACK,
-        slots: slots.unwrap_or(1.0),
+        slots: slots.filter(|slots| slots.is_finite() && *slots > 0.0).unwrap_or(1.0),
         key: key.map(Into::into),
         head: forwarded_head(&request),
         body: request.body,
     })
 }
 
-fn extra(extras: &str, names: &[&str]) -> Option<f64> {
-    let pairs = extras.split(',').filter_map(|pair| pair.trim().split_once('='));
-    let value = pairs.filter(|(name, _)| names.contains(name)).find_map(|(_, value)| value.parse().ok());
-    value.filter(|value: &f64| value.is_finite() && *value > 0.0)
-}
-
-fn cookie(value: &str) -> Option<&str> {
-    let pairs = value.split(';').filter_map(|pair| pair.trim().split_once('='));
-    pairs.filter(|(name, _)| *name == "sid").map(|(_, value)| value).next()
+/// The values that go by one of these names in a list of `name=value`.
+fn named<'a>(list: &'a str, between: char, names: &[&str]) -> impl Iterator<Item = &'a str> {
+    let pairs = list.split(between).filter_map(|pair| pair.trim().split_once('='));
+    pairs.filter(|(name, _)| names.contains(name)).map(|(_, value)| value)
 }
 
 /// Everything that is meant for the runner, unchanged; what concerns one connection only stays here.
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -215,15 +215,26 @@
         body: &[u8],
         wires: &mut dyn Wires,
     ) {
-        let Some(open) = self.invs.get_mut(inv).filter(|open| !open.answered) else { return };
+        if let Some(link) = self.close(inv) {
+            self.clients.answer(link, status, come_back, body, wires);
+        }
+    }
+
+    /// Nothing more is owed to the client; a forward still out keeps its entry until it ends.
+    fn close(&mut self, inv: &Id) -> Option<Link> {
+        let open = self.invs.get_mut(inv).filter(|open| !open.answered)?;
         open.answered = true;
         self.held -= open.size();
         (open.head, open.body) = (Vec::new(), Vec::new());
-        let (link, out) = (open.link, open.out());
-        self.clients.answer(link, status, come_back, body, wires);
-        if out.is_none() {
+        let link = open.link;
+        if open.out().is_none() {
             self.invs.remove(inv);
         }
+        Some(link)
+    }
+
+    fn sent(&mut self, inv: &Id, number: u32) -> Option<&mut Forward> {
+        self.invs.get_mut(inv)?.forwards.get_mut(number as usize)
     }
 
     /// A forward's one outcome.
@@ -282,8 +293,7 @@
         for heard in std::mem::take(&mut self.runners.heard) {
             match heard {
                 runners::Heard::Taken { inv, number } => {
-                    let open = self.invs.get_mut(&inv);
-                    if let Some(sent) = open.and_then(|open| open.forwards.get_mut(number as usize)) {
+                    if let Some(sent) = self.sent(&inv, number) {
                         sent.taken = true;
                     }
                 }
@@ -294,9 +304,7 @@
                     self.end(&inv, number, Ending::Withdrawn, Vec::new(), wires.now());
                 }
                 runners::Heard::NotDropped { inv, number } => {
-                    let open = self.invs.get_mut(&inv);
-                    let sent = open.and_then(|open| open.forwards.get_mut(number as usize));
-                    if let Some(sent) = sent.filter(|sent| sent.out) {
+                    if let Some(sent) = self.sent(&inv, number).filter(|sent| sent.out) {
                         log!("not-cancelled", "inv={inv} runner={}", sent.tgt);
                         sent.cancels += 1;
                         let after = (CANCEL_AGAIN << sent.cancels.min(8)).min(CANCEL_AGAIN_MOST);
@@ -348,16 +356,11 @@
     }
 
     fn gone(&mut self, link: Link, id: Id) {
-        let Some(open) = self.invs.get_mut(&id).filter(|open| open.link == link && !open.answered) else {
-            return;
-        };
-        open.answered = true;
-        self.held -= open.size();
-        (open.head, open.body) = (Vec::new(), Vec::new());
-        if open.out().is_none() {
-            self.invs.remove(&id);
+        let owed = self.invs.get(&id).is_some_and(|open| open.link == link && !open.answered);
+        if owed {
+            self.close(&id);
+            self.happened.push(Event::Gone { inv: id });
         }
-        self.happened.push(Event::Gone { inv: id });
     }
 
     /// News of a job. The newest forward to its runner is meant; what has ended stays ended.
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -140,17 +140,6 @@
         self.heard.push(Heard { listing: Listing::Refused, entries: Vec::new() });
     }
 
-    fn line(&mut self, line: &[u8]) -> Result<(), &'static str> {
-        if line.is_empty() {
-            return Ok(());
-        }
-        let listed: Listed = serde_json::from_slice(line).map_err(|_| "bad_line")?;
-        let listing = if listed.reset { Listing::All } else { Listing::Changes };
-        self.generation = listed.generation;
-        self.heard.push(Heard { listing, entries: listed.entries() });
-        Ok(())
-    }
-
     /// All that `input` holds, or why the watch is of no more use.
     fn read(&mut self, input: &mut Vec<u8>, now: Micros) -> Result<(), &'static str> {
         let Some(watch) = &mut self.watch else { return Ok(()) };
@@ -174,40 +163,39 @@
             }
             Framing::Length(_) | Framing::UntilEnd => watch.text.append(input),
         }
-        let mut text = std::mem::take(&mut watch.text);
         let mut read = 0;
-        while let Some(length) = text[read..].iter().position(|byte| *byte == b'\n') {
-            self.line(text[read..read + length].trim_ascii())?;
+        while let Some(length) = watch.text[read..].iter().position(|byte| *byte == b'\n') {
+            let line = watch.text[read..read + length].trim_ascii();
             read += length + 1;
+            if line.is_empty() {
+                continue;
+            }
+            let listed: Listed = serde_json::from_slice(line).map_err(|_| "bad_line")?;
+            let listing = if listed.reset { Listing::All } else { Listing::Changes };
+            self.generation = listed.generation;
+            self.heard.push(Heard { listing, entries: listed.entries() });
         }
-        drop(text.drain(..read));
-        if text.len() > LINE_MOST {
+        drop(watch.text.drain(..read));
+        if watch.text.len() > LINE_MOST {
             return Err("line_too_long");
         }
-        match &mut self.watch {
-            Some(watch) if watch.chunks.done() => Err("watch_done"),
-            Some(watch) => {
-                watch.text = text;
-                Ok(())
-            }
-            None => Ok(()),
-        }
+        if watch.chunks.done() { Err("watch_done") } else { Ok(()) }
     }
 
-    fn is(&self, link: Link) -> bool {
-        self.watch.as_ref().is_some_and(|watch| watch.link == link)
+    fn on(&mut self, link: Link) -> Option<&mut Watch> {
+        self.watch.as_mut().filter(|watch| watch.link == link)
     }
 }
 
 impl Callbacks for Roster {
     fn up(&mut self, link: Link, _: &mut dyn Wires) {
-        if let Some(watch) = self.watch.as_mut().filter(|watch| watch.link == link) {
+        if let Some(watch) = self.on(link) {
             watch.up = true;
         }
     }
 
     fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
-        if !self.is(link) {
+        if self.on(link).is_none() {
             return;
         }
         if let Err(why) = self.read(input, wires.now()) {
@@ -217,13 +205,13 @@
     }
 
     fn ended(&mut self, link: Link, end: End, _: bool, _: &[u8], _: &mut dyn Wires) {
-        if self.is(link) {
+        if self.on(link).is_some() {
             self.lost(end.code());
         }
     }
 
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
-        let Some(watch) = self.watch.as_ref().filter(|watch| watch.link == link) else { return };
+        let Some(watch) = self.on(link) else { return };
         let most = match watch.framing {
             None if !watch.up => DIAL_WITHIN,
             None => HEAD_WITHIN,
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -81,6 +81,14 @@
     rest_check: Micros,
 }
 
+impl Line {
+    /// The task that waits for the dial, with its message and when it is due.
+    fn take_waiting(&mut self) -> Option<(Task, Vec<u8>, Micros)> {
+        let task = self.task.take_if(|_| self.phase == Phase::Dialling)?;
+        Some((task, std::mem::take(&mut self.message), self.due))
+    }
+}
+
 struct Runner {
     address: SocketAddr,
     /// Since when it is listed no more.
@@ -150,8 +158,7 @@
     pub fn cut_idle(&mut self, tgt: &Id, end: End, wires: &mut dyn Wires) {
         let idle = self.by_id.get_mut(tgt).map(|runner| std::mem::take(&mut runner.idle));
         for link in idle.unwrap_or_default() {
-            self.drop_line(link);
-            wires.cut(link, end);
+            self.end_line(link, end, wires);
         }
     }
 
@@ -195,8 +202,7 @@
                 return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
             }
             let unsent = wires.unsent(link);
-            self.drop_line(link);
-            wires.cut(link, End::GivenUp);
+            self.end_line(link, End::GivenUp, wires);
             if unsent {
                 return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
             }
@@ -219,8 +225,7 @@
             if wires.fresh(link) {
                 return self.start(link, task, &message, due, wires);
             }
-            self.drop_line(link);
-            wires.cut(link, End::Stale);
+            self.end_line(link, End::Stale, wires);
         }
         let Some(link) = wires.dial(address, Side::Runner) else {
             return self.unanswered(tgt, task, Ending::Unreachable, false);
@@ -248,19 +253,12 @@
     fn rest(&mut self, link: Link, wires: &mut dyn Wires) {
         let Some(tgt) = self.lines.get(&link).map(|line| line.tgt.clone()) else { return };
         let Some(runner) = self.by_id.get_mut(&tgt) else { return };
-        let waits = |other: &Link| {
-            self.lines.get(other).is_some_and(|line| line.phase == Phase::Dialling && line.task.is_some())
-        };
-        if let Some(other) = runner.lines.iter().copied().find(waits)
-            && let Some(line) = self.lines.get_mut(&other)
-            && let Some(task) = line.task.take()
-        {
-            let (message, due) = (std::mem::take(&mut line.message), line.due);
+        let mut waiting = |other: &Link| self.lines.get_mut(other).and_then(Line::take_waiting);
+        if let Some((task, message, due)) = runner.lines.iter().find_map(&mut waiting) {
             return self.start(link, task, &message, due, wires);
         }
         if runner.gone_since.is_some() {
-            self.drop_line(link);
-            return wires.cut(link, End::Unlisted);
+            return self.end_line(link, End::Unlisted, wires);
         }
         runner.idle.push(link);
         let Some(line) = self.lines.get_mut(&link) else { return };
@@ -280,6 +278,11 @@
         Some(line)
     }
 
+    fn end_line(&mut self, link: Link, end: End, wires: &mut dyn Wires) {
+        self.drop_line(link);
+        wires.cut(link, end);
+    }
+
     /// A task that came to its end without an answer.
     fn unanswered(&mut self, tgt: &Id, task: Task, ending: Ending, refused: bool) {
         let gone = self.by_id.get(tgt).is_none_or(|runner| runner.gone_since.is_some());
@@ -360,11 +363,8 @@
 impl Callbacks for Runners {
     fn up(&mut self, link: Link, wires: &mut dyn Wires) {
         let Some(line) = self.lines.get_mut(&link) else { return };
-        match line.task.take() {
-            Some(task) => {
-                let (message, due) = (std::mem::take(&mut line.message), line.due);
-                self.start(link, task, &message, due, wires);
-            }
+        match line.take_waiting() {
+            Some((task, message, due)) => self.start(link, task, &message, due, wires),
             None => self.rest(link, wires),
         }
     }
@@ -372,8 +372,7 @@
     fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
         let Some(line) = self.lines.get_mut(&link) else { return };
         if line.phase != Phase::Busy {
-            self.drop_line(link);
-            return wires.cut(link, End::Stale);
+            return self.end_line(link, End::Stale, wires);
         }
         let tgt = line.tgt.clone();
         let (keep, used) = match http::answer(input, false) {
@@ -391,8 +390,7 @@
                 let why = unread.err().map_or("too_long", |fault| fault.1);
                 let task = line.task.take().filter(|_| !line.overdue);
                 log!("bad-answer", "link={link} runner={tgt} reason={why}");
-                self.drop_line(link);
-                wires.cut(link, End::BadAnswer);
+                self.end_line(link, End::BadAnswer, wires);
                 if let Some(task) = task {
                     self.unanswered(&tgt, task, Ending::Broken, false);
                 }
@@ -403,8 +401,7 @@
         if keep && input.is_empty() {
             self.rest(link, wires);
         } else {
-            self.drop_line(link);
-            wires.cut(link, if keep { End::Stale } else { End::AnsweredLast });
+            self.end_line(link, if keep { End::Stale } else { End::AnsweredLast }, wires);
         }
     }
 
@@ -425,37 +422,30 @@
         let Some(line) = self.lines.get_mut(&link) else { return };
         match line.phase {
             Phase::Dialling if now >= line.since + self.dial_timeout => {
-                wires.cut(link, End::DialTimeout);
-                if let Some(line) = self.drop_line(link)
-                    && let Some(task) = line.task
-                {
-                    self.unanswered(&line.tgt, task, Ending::Unreachable, false);
+                let (tgt, task) = (line.tgt.clone(), line.task.take());
+                self.end_line(link, End::DialTimeout, wires);
+                if let Some(task) = task {
+                    self.unanswered(&tgt, task, Ending::Unreachable, false);
                 }
             }
             Phase::Idle if now >= line.since + self.idle_most => {
-                self.drop_line(link);
-                wires.cut(link, End::Idle);
+                self.end_line(link, End::Idle, wires);
             }
             Phase::Idle if now >= line.rest_check => {
                 line.rest_check = line.since + self.idle_most;
                 wires.wake(Due::Link(link), line.rest_check);
             }
-            // A forward is never told as not answered here: whoever waits for it has long given it up.
-            Phase::Busy
-                if now >= line.due
-                    && (line.overdue || matches!(line.task, None | Some(Task::Forward { .. }))) =>
-            {
-                self.drop_line(link);
-                wires.cut(link, End::NoAnswer);
-            }
             Phase::Busy if now >= line.due => {
+                // A forward is never told as not answered here: whoever waits for it has long given it up.
+                let told = |task: &Task| !line.overdue && !matches!(task, Task::Forward { .. });
+                let Some(task) = line.task.clone().filter(told) else {
+                    return self.end_line(link, End::NoAnswer, wires);
+                };
                 line.overdue = true;
                 line.due = now + LATE_MOST;
                 wires.wake(Due::Link(link), line.due);
-                let (tgt, task) = (line.tgt.clone(), line.task.clone());
-                if let Some(task) = task {
-                    self.unanswered(&tgt, task, Ending::Broken, false);
-                }
+                let tgt = line.tgt.clone();
+                self.unanswered(&tgt, task, Ending::Broken, false);
             }
             _ => {}
         }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -154,6 +154,15 @@
         node
     }
 
+    /// One whose only runner has taken `i1`, from the client on connection 2, over connection 3.
+    fn holding(operation: &str) -> Node {
+        let mut node = Node::followed(&RUNNERS[..1]);
+        node.invoke(operation, "i1");
+        node.up(3);
+        node.feed(3, TAKEN);
+        node
+    }
+
     fn settle(&mut self) {
         loop {
             self.desk.settle(&mut self.stage);
@@ -288,10 +297,7 @@
 
 #[test]
 fn a_connection_found_ended_is_not_used_again() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("plan", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("plan");
     node.stage.stale.insert(3);
     node.invoke("plan", "i2");
     node.shows(expect![[r#"
@@ -374,10 +380,7 @@
 /// be a second copy.
 #[test]
 fn a_cancel_is_tried_until_it_is_answered() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("plan", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("plan");
     node.stage.stale.insert(3);
     let changed = concat!(
         r#"{"generation":43,"reset":false,"instances":[{"instanceId":"s-b","hostPort":"127.0.0.1:3002","#,
@@ -410,10 +413,7 @@
 /// any more.
 #[test]
 fn a_runner_that_is_listed_no_more_may_still_be_at_it() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("plan", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("plan");
     let removed = r#"{"generation":43,"reset":false,"instances":[{"instanceId":"s-a","lifecycle":"removed"},
         {"instanceId":"s-b","hostPort":"127.0.0.1:3002","lifecycle":"up"}]}"#;
     node.feed(1, &chunk(&format!("{}\n", removed.replace('\n', ""))));
@@ -458,10 +458,7 @@
 /// Given up by the brain, but the runner had finished: the result is the one that is owed.
 #[test]
 fn a_late_result_is_answered_while_it_is_owed() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("plan", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("plan");
     node.pass(1600);
     node.feed(3, DELETED);
     node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
@@ -477,10 +474,7 @@
 /// The repeat of what ended an earlier forward to the same runner says nothing of the new one.
 #[test]
 fn a_repeated_return_ends_no_later_forward() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("book", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("book");
     let returned = r#"{"id":"i1","from":"s-a","state":"returned","load":{"x0":2,"outstanding":0}}"#;
     node.call_back(returned);
     node.pass(400);
@@ -500,10 +494,7 @@
 
 #[test]
 fn a_client_timeout_is_answered_in_time() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("book", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("book");
     for _ in 0..6 {
         node.pass(900);
         node.feed(1, BEAT);
@@ -542,10 +533,7 @@
 
 #[test]
 fn a_listed_address_is_used_at_once_and_a_bad_entry_passed_over() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("plan", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("plan");
     let moved = concat!(
         r#"{"generation":43,"reset":true,"instances":[{"instanceId":"s-x","lifecycle":"odd"},"#,
         r#"{"instanceId":"s-a","hostPort":"127.0.0.1:3009","lifecycle":"up"}]}"#
@@ -619,10 +607,7 @@
 
 #[test]
 fn told_to_end_it_leaves_nothing_unanswered() {
-    let mut node = Node::followed(&RUNNERS[..1]);
-    node.invoke("book", "i1");
-    node.up(3);
-    node.feed(3, TAKEN);
+    let mut node = Node::holding("book");
     node.desk.go_down(&mut node.stage);
     node.pass(2200);
     node.call_back(r#"{"id":"i1","from":"s-a","state":"running","share":0.4}"#);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use actions::Action;
 pub use brain::Brain;
+pub use chance::hash;
 pub use events::{Arrival, Ending, Event, Listing, Outcome, Readiness, Roster, RosterEntry};
 pub use standing::{Effect, Group, Operation, ReportField, StandingOrders};
 
