SIGHUP reads the configuration again and moves the watch; it ended the process before

Checked: the exit code is that of an unhandled SIGHUP; reactor.rs registered SIGTERM alone.

The file is decoded again; a bad one, or none, leaves one line (configuration-refused) and changes nothing. Limits and the address of discovery are applied; name, listen and settings wait for a restart and are named in the line (reloaded). The watch moves at once. Versions at the new address are its own, so the whole list is asked for there first, which the protocol promises without a version, and then what changes from there, on the same connection.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -92,9 +92,12 @@
 }
 
 impl Clients {
-    pub fn new(operations: Vec<String>, sockets: usize) -> Clients {
-        let most = (sockets * 5 / 8, sockets * 3 / 4);
-        Clients { conns: BTreeMap::new(), operations, draining: false, most, heard: Vec::new() }
+    pub fn new(operations: Vec<String>) -> Clients {
+        Clients { conns: BTreeMap::new(), operations, draining: false, most: (0, 0), heard: Vec::new() }
+    }
+
+    pub fn limit(&mut self, sockets: usize) {
+        self.most = (sockets * 5 / 8, sockets * 3 / 4);
     }
 
     /// Whether one more can be let in; room is made by ending the one that has been idle longest.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,4 +1,5 @@
-//! What a dispatcher is told at its start: the file that `RELAY_CONFIG` names, decoded once.
+//! What a dispatcher is told at its start and again on SIGHUP: the file that `RELAY_CONFIG` names, decoded once
+//! each time.
 //!
 //! It owns the form of that file. It must never guess at what is missing: a fault names its field.
 
@@ -19,17 +20,22 @@
     pub seed: u64,
     pub memory: usize,
     pub sockets: usize,
+    /// As they stand in the file, by which a change of them is known.
+    pub settings: Value,
     pub decoded: Decoded,
     /// The list of runners as this dispatcher last had it.
     pub known: Listed,
 }
 
-/// From the file named on the command line, or else in the environment.
-pub fn load(path: Option<String>) -> Result<Dispatcher, String> {
-    let path = path
+/// The file named on the command line, or else in the environment.
+pub fn path(named: Option<String>) -> Result<String, String> {
+    named
         .or_else(|| env::var("RELAY_CONFIG").ok())
-        .ok_or("no configuration: RELAY_CONFIG is not set and no file is named")?;
-    let text = fs::read_to_string(&path).map_err(|error| format!("configuration {path}: {error}"))?;
+        .ok_or_else(|| "no configuration: RELAY_CONFIG is not set and no file is named".to_owned())
+}
+
+pub fn load(path: &str) -> Result<Dispatcher, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("configuration {path}: {error}"))?;
     decode(&text).map_err(|fault| format!("configuration {path}: {fault}"))
 }
 
@@ -62,6 +68,7 @@
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
         memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
         sockets: limit("sockets", 1024)?.max(64) as usize,
+        settings: field("settings")?.clone(),
         decoded,
         known: match json.get("known") {
             None | Some(Value::Null) => Listed::default(),
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -6,6 +6,7 @@
 //! that an invocation gets when its client's time is over, and must never send a forward twice.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use topazsail::{
     Action, Arrival, Brain, Ending, Event, Id, Listing, Micros, Outcome, Readiness, Roster as List,
@@ -69,6 +70,10 @@
 
 pub struct Desk {
     brain: Brain,
+    /// What only a start can change.
+    name: String,
+    listen: SocketAddr,
+    settings: serde_json::Value,
     pub clients: Clients,
     runners: Runners,
     roster: Roster,
@@ -88,22 +93,47 @@
         let decoded = told.decoded;
         let come_back = decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN));
         let mut desk = Desk {
-            clients: Clients::new(decoded.operations.clone(), told.sockets),
+            clients: Clients::new(decoded.operations.clone()),
             runners: Runners::new(&decoded),
             roster: Roster::new(told.discovery, told.known.generation),
             brain: Brain::new(decoded.standing, told.seed),
+            name: told.name,
+            listen: told.listen,
+            settings: told.settings,
             invs: BTreeMap::new(),
             happened: Vec::new(),
             open_cap: decoded.open_cap,
             held: 0,
-            held_most: told.memory / 6,
+            held_most: 0,
             come_back,
             down_since: None,
         };
+        desk.limit(told.sockets, told.memory);
         desk.list(roster::Heard { listing: Listing::Remembered, entries: told.known.entries() }, wires);
         desk
     }
 
+    fn limit(&mut self, sockets: usize, memory: usize) {
+        self.clients.limit(sockets);
+        self.held_most = memory / 6;
+    }
+
+    /// The configuration has been read again. Limits and the address of discovery hold from now on; the list that
+    /// the file remembers says less than the watch, and a new seed is for a new start.
+    pub fn reload(&mut self, told: Dispatcher, wires: &mut dyn Wires) {
+        let kept = [
+            ("name", told.name != self.name),
+            ("listen", told.listen != self.listen),
+            ("settings", told.settings != self.settings),
+        ];
+        let kept: Vec<&str> = kept.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect();
+        let kept = if kept.is_empty() { "none".to_owned() } else { kept.join(",") };
+        log!("reloaded", "discovery={} changed_but_kept={kept}", told.discovery);
+        self.limit(told.sockets, told.memory);
+        self.roster.move_to(told.discovery, wires);
+        self.collect(wires);
+    }
+
     pub fn callbacks(&mut self, side: Side) -> &mut dyn Callbacks {
         match side {
             Side::Client => &mut self.clients,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -23,7 +23,7 @@
 const HELP: &str = "\
 topazsail, a dispatcher that pushes jobs to runners
 
-    topazsail serve [--config FILE]   serve until SIGTERM
+    topazsail serve [--config FILE]   serve until SIGTERM; SIGHUP reads the configuration again
     topazsail check [--config FILE]   read the configuration and say what it holds
     topazsail version
 
@@ -42,9 +42,9 @@
         return Err(format!("unexpected {more:?}; see --help"));
     }
     match command.as_deref() {
-        Some("serve") => reactor::serve(config::load(path)?),
+        Some("serve") => reactor::serve(&config::path(path)?),
         Some("check") => {
-            let told = config::load(path)?;
+            let told = config::load(&config::path(path)?)?;
             let operations = told.decoded.operations.join(", ");
             println!("{} listens on {} and asks {}", told.name, told.listen, told.discovery);
             println!("operations: {operations}; runners known: {}", told.known.entries().len());
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -1,10 +1,10 @@
 //! The one loop: waits on all sockets, calls their owners back, and lets the desk settle each turn.
 //!
-//! It owns the poller, the listener, every connection, every due time, the clock and the signal. It must never
+//! It owns the poller, the listener, every connection, every due time, the clock and the signals. It must never
 //! know what a connection is for beyond whose it is, and never wait for anything but the poller.
 
 use std::collections::{BTreeMap, HashMap};
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -13,14 +13,15 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use topazsail::Micros;
 
-use crate::config::Dispatcher;
+use crate::config;
 use crate::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::desk::Desk;
 use crate::log::log;
 
 const LISTENER: usize = 0;
 const SIGNAL: usize = 1;
-const FIRST_LINK: Link = 2;
+const RELOAD: usize = 2;
+const FIRST_LINK: Link = 3;
 const BACKLOG: i32 = 1024;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
@@ -61,24 +62,35 @@
     scratch: Vec<u8>,
 }
 
-pub fn serve(told: Dispatcher) -> Result<(), String> {
+/// The end of a pipe that gets a byte whenever the signal is raised.
+fn raised(signal: i32) -> io::Result<UnixStream> {
+    let (read, raised) = UnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    signal_hook::low_level::pipe::register(signal, raised)?;
+    Ok(read)
+}
+
+/// Serves by the configuration in `path`, which is read again at each SIGHUP.
+pub fn serve(path: &str) -> Result<(), String> {
     let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
-    let (signal, raised) = UnixStream::pair().map_err(fault("signal"))?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raised).map_err(fault("signal"))?;
+    let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
+    let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
+    let told = config::load(path)?;
     let address = told.listen;
     let listener = listen(address).map_err(|error| format!("listen {address}: {error}"))?;
     let mut reactor = Reactor::new().map_err(fault("poller"))?;
-    // SAFETY: both outlive the poller's use of them: they are dropped after the loop has ended.
+    // SAFETY: all three outlive the poller's use of them: they are dropped after the loop has ended.
     unsafe {
         reactor
             .poller
             .add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)
             .and_then(|()| reactor.poller.add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot))
+            .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level))
             .map_err(fault("poller"))?;
     }
     log!("serving", "name={} listen={address} discovery={}", told.name, told.discovery);
     let mut desk = Desk::new(told, &mut reactor);
-    reactor.run(&mut desk, &listener).map_err(fault("poller"))?;
+    reactor.run(&mut desk, &listener, (&reload, path)).map_err(fault("poller"))?;
     log!("ended", "connections={}", reactor.conns.len());
     Ok(())
 }
@@ -109,7 +121,12 @@
         })
     }
 
-    fn run(&mut self, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
+    fn run(
+        &mut self,
+        desk: &mut Desk,
+        listener: &TcpListener,
+        (reload, path): (&UnixStream, &str),
+    ) -> io::Result<()> {
         let mut events = Events::new();
         desk.settle(self);
         loop {
@@ -129,6 +146,7 @@
                 match event.key {
                     LISTENER => self.accept(desk, listener)?,
                     SIGNAL => desk.go_down(self),
+                    RELOAD => self.reload(desk, reload, path),
                     key => self.ready(key as Link, event, desk),
                 }
             }
@@ -141,6 +159,16 @@
         }
     }
 
+    /// SIGHUP, once or more: what is running goes on whatever the file holds.
+    fn reload(&mut self, desk: &mut Desk, mut raised: &UnixStream, path: &str) {
+        // All bytes are taken before the file is read: a signal that comes after that has it read once more.
+        while raised.read(&mut self.scratch).is_ok_and(|read| read > 0) {}
+        match config::load(path) {
+            Ok(told) => desk.reload(told, self),
+            Err(fault) => log!("configuration-refused", "reason={fault:?}"),
+        }
+    }
+
     /// Whether all answers to clients have been written.
     fn all_told(&self) -> bool {
         self.conns.values().all(|conn| conn.side != Side::Client || !conn.unsent())
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -102,8 +102,12 @@
 struct Watch {
     link: Link,
     up: bool,
+    /// The whole list is asked for first, as discovery has another address and versions of its own there.
+    whole: bool,
     /// How the body is framed, once the head has come.
     framing: Option<Framing>,
+    /// Whether the connection outlives this answer.
+    keep: bool,
     chunks: Chunks,
     text: Vec<u8>,
     heard_at: Micros,
@@ -111,44 +115,74 @@
 
 pub struct Roster {
     discovery: SocketAddr,
-    generation: u64,
+    /// How far discovery has been heard; none where it has not been heard at this address.
+    generation: Option<u64>,
+    /// Whether the watch is wanted at all.
+    follows: bool,
     watch: Option<Watch>,
     pub heard: Vec<Heard>,
 }
 
 impl Roster {
     pub fn new(discovery: SocketAddr, generation: u64) -> Roster {
-        Roster { discovery, generation, watch: None, heard: Vec::new() }
+        Roster { discovery, generation: Some(generation), follows: false, watch: None, heard: Vec::new() }
     }
 
-    /// Asks for what has changed since, and for all changes to come.
+    /// Asks for what has changed since, and for all changes to come; a watch that is under way is kept.
     pub fn follow(&mut self, wires: &mut dyn Wires) {
-        if let Some(watch) = self.watch.take() {
-            wires.cut(watch.link, End::WatchReplaced);
+        self.follows = true;
+        if self.watch.is_some() {
+            return;
         }
         let Some(link) = wires.dial(self.discovery, Side::Roster) else { return self.lost("no_socket") };
-        let target = format!("/v1/servers?follow=1&since={}", self.generation);
+        self.ask(link, false, wires);
+        wires.wake(Due::Link(link), wires.now() + DIAL_WITHIN);
+    }
+
+    fn ask(&mut self, link: Link, up: bool, wires: &mut dyn Wires) {
+        let target = match self.generation {
+            Some(generation) => format!("/v1/servers?follow=1&since={generation}"),
+            None => "/v1/servers".to_owned(),
+        };
         wires.send(link, &encode_bare("GET", &target, self.discovery));
-        let (chunks, heard_at) = (Chunks::default(), wires.now());
-        self.watch = Some(Watch { link, up: false, framing: None, chunks, text: Vec::new(), heard_at });
-        wires.wake(Due::Link(link), heard_at + DIAL_WITHIN);
+        let (whole, heard_at) = (self.generation.is_none(), wires.now());
+        let (framing, chunks, text) = (None, Chunks::default(), Vec::new());
+        self.watch = Some(Watch { link, up, whole, framing, keep: false, chunks, text, heard_at });
+    }
+
+    /// Discovery is elsewhere from now on. Versions are its own: what the old one counted says nothing there.
+    pub fn move_to(&mut self, discovery: SocketAddr, wires: &mut dyn Wires) {
+        if discovery == self.discovery {
+            return;
+        }
+        (self.discovery, self.generation) = (discovery, None);
+        if let Some(watch) = self.watch.take() {
+            wires.cut(watch.link, End::WatchReplaced);
+        }
+        if self.follows {
+            self.follow(wires);
+        }
     }
 
     fn lost(&mut self, why: &str) {
-        log!("watch-lost", "generation={} reason={why}", self.generation);
+        let generation =
+            self.generation.map_or_else(|| "none".to_owned(), |generation| generation.to_string());
+        log!("watch-lost", "generation={generation} reason={why}");
         self.watch = None;
         self.heard.push(Heard { listing: Listing::Refused, entries: Vec::new() });
     }
 
     /// All that `input` holds, or why the watch is of no more use.
-    fn read(&mut self, input: &mut Vec<u8>, now: Micros) -> Result<(), &'static str> {
+    fn read(&mut self, input: &mut Vec<u8>, wires: &mut dyn Wires) -> Result<(), &'static str> {
+        let now = wires.now();
         let Some(watch) = &mut self.watch else { return Ok(()) };
         let framing = match watch.framing {
             Some(framing) => framing,
             None => match http::answer_head(input).map_err(|_| "bad_answer")? {
                 None => return Ok(()),
                 Some((answer, _, _)) if answer.status != 200 => return Err("bad_status"),
-                Some((_, framing, head)) => {
+                Some((answer, framing, head)) => {
+                    watch.keep = answer.keep;
                     drop(input.drain(..head));
                     watch.framing = Some(framing);
                     framing
@@ -163,6 +197,18 @@
             }
             Framing::Length(_) | Framing::UntilEnd => watch.text.append(input),
         }
+        if watch.whole {
+            let done = match framing {
+                Framing::Length(length) => watch.text.len() >= length,
+                Framing::Chunked => watch.chunks.done(),
+                Framing::UntilEnd => false,
+            };
+            return match done {
+                true => self.whole(wires),
+                false if watch.text.len() > LINE_MOST => Err("line_too_long"),
+                false => Ok(()),
+            };
+        }
         let mut read = 0;
         while let Some(length) = watch.text[read..].iter().position(|byte| *byte == b'\n') {
             let line = watch.text[read..read + length].trim_ascii();
@@ -172,7 +218,7 @@
             }
             let listed: Listed = serde_json::from_slice(line).map_err(|_| "bad_line")?;
             let listing = if listed.reset { Listing::All } else { Listing::Changes };
-            self.generation = listed.generation;
+            self.generation = Some(listed.generation);
             self.heard.push(Heard { listing, entries: listed.entries() });
         }
         drop(watch.text.drain(..read));
@@ -182,6 +228,21 @@
         if watch.chunks.done() { Err("watch_done") } else { Ok(()) }
     }
 
+    /// The whole list has come: what changes from here on is asked for, on the same connection if it is kept.
+    fn whole(&mut self, wires: &mut dyn Wires) -> Result<(), &'static str> {
+        let Some(watch) = self.watch.take() else { return Ok(()) };
+        let listed: Listed = serde_json::from_slice(&watch.text).map_err(|_| "bad_line")?;
+        self.generation = Some(listed.generation);
+        self.heard.push(Heard { listing: Listing::All, entries: listed.entries() });
+        if watch.keep {
+            self.ask(watch.link, true, wires);
+        } else {
+            wires.cut(watch.link, End::AnsweredLast);
+            self.follow(wires);
+        }
+        Ok(())
+    }
+
     fn on(&mut self, link: Link) -> Option<&mut Watch> {
         self.watch.as_mut().filter(|watch| watch.link == link)
     }
@@ -198,14 +259,17 @@
         if self.on(link).is_none() {
             return;
         }
-        if let Err(why) = self.read(input, wires.now()) {
+        if let Err(why) = self.read(input, wires) {
             wires.cut(link, End::BadAnswer);
             self.lost(why);
         }
     }
 
-    fn ended(&mut self, link: Link, end: End, _: bool, _: &[u8], _: &mut dyn Wires) {
-        if self.on(link).is_some() {
+    fn ended(&mut self, link: Link, end: End, _: bool, _: &[u8], wires: &mut dyn Wires) {
+        let Some(watch) = self.on(link) else { return };
+        // A whole list may be ended by the connection's end.
+        let whole = watch.whole && watch.framing == Some(Framing::UntilEnd) && end == End::PeerClosed;
+        if !whole || self.whole(wires).is_err() {
             self.lost(end.code());
         }
     }
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -106,11 +106,34 @@
     assert_eq!(forward.hear(), "POST /plan?a=b HTTP/1.1 i1 hi");
     forward.say("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
 
-    // Told to end, it answers what it has taken, and lets runners tell it what became of that.
-    let pid = program.0.id();
-    assert!(Command::new("sh").arg("-c").arg(format!("kill -TERM {pid}")).status().unwrap().success());
+    // Neither a file that is half written nor none at all changes anything; a new discovery is asked at once.
     let mut log = BufReader::new(program.0.stderr.take().unwrap()).lines();
-    while !log.next().unwrap().unwrap().starts_with("going-down") {}
+    let mut logged = |code: &str| while !log.next().unwrap().unwrap().starts_with(code) {};
+    let pid = program.0.id();
+    let signal = |name: &str| {
+        let kill = format!("kill -{name} {pid}");
+        assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
+    };
+    fs::write(&path, r#"{"name":"n0","listen":"#).unwrap();
+    signal("HUP");
+    logged("configuration-refused");
+    fs::remove_file(&path).unwrap();
+    signal("HUP");
+    logged("configuration-refused");
+    let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
+    fs::write(&path, configuration(listen, elsewhere.local_addr().unwrap())).unwrap();
+    signal("HUP");
+    logged("reloaded");
+    assert!(watch.is_ended());
+    let mut watch = Peer::from(&elsewhere);
+    assert_eq!(watch.hear(), "GET /v1/servers HTTP/1.1 ");
+    let list = r#"{"generation":5,"reset":true,"instances":[]}"#;
+    watch.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=5 HTTP/1.1 ");
+
+    // Told to end, it answers what it has taken, and lets runners tell it what became of that.
+    signal("TERM");
+    logged("going-down");
     let mut call = Peer::new(TcpStream::connect(listen).unwrap());
     let told = r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#;
     call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -531,6 +531,47 @@
     "#]]);
 }
 
+#[test]
+fn a_new_discovery_is_asked_for_its_whole_list_at_once() {
+    let mut node = Node::followed(&RUNNERS);
+    let moved = |port: &str| {
+        let text = configuration(&RUNNERS).replace("8500", port).replace("\"sockets\":64", "\"sockets\":128");
+        config::decode(&text).unwrap()
+    };
+    node.desk.reload(moved("8501"), &mut node.stage);
+    // The same again leaves the watch that is under way alone.
+    node.desk.reload(moved("8501"), &mut node.stage);
+    node.up(2);
+    node.feed(2, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    node.pass(600);
+    node.up(3);
+    let list = r#"{"generation":7,"reset":true,"instances":[{"instanceId":"s-b","lifecycle":"up",
+        "hostPort":"127.0.0.1:3002"}]}"#;
+    node.feed(3, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+    node.feed(3, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    // Nothing more goes to a runner that the new list does not know.
+    for id in ["i1", "i2", "i3"] {
+        node.invoke("plan", id);
+    }
+    // Told to end while yet another watch is being dialled.
+    node.desk.reload(moved("8502"), &mut node.stage);
+    node.desk.go_down(&mut node.stage);
+    node.shows(expect![[r#"
+        0     #1 ends: watch_replaced
+        0     #2 dials 127.0.0.1:8501
+        0     #2 < GET /v1/servers; Host: 127.0.0.1:8501
+        0     #2 ends: bad_answer
+        493   #3 dials 127.0.0.1:8501
+        493   #3 < GET /v1/servers; Host: 127.0.0.1:8501
+        600   #3 < GET /v1/servers?follow=1&since=7; Host: 127.0.0.1:8501
+        600   #5 dials 127.0.0.1:3002
+        600   #7 dials 127.0.0.1:3002
+        600   #3 ends: watch_replaced
+        600   #9 dials 127.0.0.1:8502
+        600   #9 < GET /v1/servers; Host: 127.0.0.1:8502
+    "#]]);
+}
+
 #[test]
 fn a_listed_address_is_used_at_once_and_a_bad_entry_passed_over() {
     let mut node = Node::holding("plan");
@@ -781,7 +822,7 @@
         3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: t\r\n\r\n";
     for cut in 1..request.len() {
         let mut stage = Stage { now: START, ..Stage::default() };
-        let mut clients = Clients::new(vec!["plan".into(), "lodge".into()], 64);
+        let mut clients = Clients::new(vec!["plan".into(), "lodge".into()]);
         clients.accepted(7, &mut stage);
         let mut input = request.as_bytes()[..cut].to_vec();
         clients.bytes(7, &mut input, &mut stage);
