Going down, clients keep their connections for 2 s: the other dispatcher may not be back

Checked with a line for each invocation taken (not kept): none came to either dispatcher for 1.5 s after the second one had been told to end, while the first was not back yet (4.4 s after its own SIGTERM, however soon it ends). Ruled out: the watch, runners, and jobs lost at 3.3 s (one or two a restart). At fault: desk.rs and clients.rs closed every connection at its next answer, idle ones after 0.5 s, and who comes anew is not let through by then. Connections are now kept for 2 s and let go after that; what is taken last has 1.3 s.

What comes to nobody in the 1.5 s above has no connection to come on: not ours to mend.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -84,7 +84,9 @@
 pub struct Clients {
     conns: BTreeMap<Link, Client>,
     operations: Vec<String>,
+    /// Nobody new is told that this dispatcher is ready, and then no connection is kept.
     draining: bool,
+    letting_go: bool,
     /// Connections of all sides beyond these cost an idle client its place; beyond the second figure nobody is
     /// let in. The rest is kept back for runners and the watch.
     most: (usize, usize),
@@ -93,7 +95,14 @@
 
 impl Clients {
     pub fn new(operations: Vec<String>) -> Clients {
-        Clients { conns: BTreeMap::new(), operations, draining: false, most: (0, 0), heard: Vec::new() }
+        Clients {
+            conns: BTreeMap::new(),
+            operations,
+            draining: false,
+            letting_go: false,
+            most: (0, 0),
+            heard: Vec::new(),
+        }
     }
 
     pub fn limit(&mut self, sockets: usize) {
@@ -128,7 +137,7 @@
         wires: &mut dyn Wires,
     ) {
         let more = come_back.map(|after| format!("Retry-After: {:.3}\r\n", after as f64 / 1e6));
-        self.reply(link, status, more.as_deref().unwrap_or_default(), body, !self.draining, wires);
+        self.reply(link, status, more.as_deref().unwrap_or_default(), body, !self.letting_go, wires);
     }
 
     fn reply(
@@ -153,13 +162,15 @@
         }
     }
 
-    /// From now on connections are not kept, and nobody new is told that this dispatcher is ready.
+    /// From now on nobody new is told that this dispatcher is ready.
     pub fn drain(&mut self) {
         self.draining = true;
     }
 
-    /// Ends idle connections of clients; runners may still have something to tell on theirs.
-    pub fn end_all_idle(&mut self, wires: &mut dyn Wires) {
+    /// From now on clients' connections are not kept, and idle ones end; runners may still have something to tell
+    /// on theirs.
+    pub fn let_go(&mut self, wires: &mut dyn Wires) {
+        self.letting_go = true;
         let idle = |client: &Client| matches!(client.phase, Phase::Idle) && !client.caller;
         let links: Vec<Link> = self.conns.iter().filter(|(_, c)| idle(c)).map(|(link, _)| *link).collect();
         for link in links {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -31,9 +31,10 @@
 /// A cancel that failed is tried again after this, doubled each time: the forward is out until then.
 const CANCEL_AGAIN: Micros = 125_000;
 const CANCEL_AGAIN_MOST: Micros = 2_000_000;
-/// After being told to end: idle clients keep their connections for so long, and whatever is not answered by
-/// then is answered with an error, before we are killed (3.7 s at the earliest).
-const DOWN_IDLE: Micros = 500_000;
+/// After being told to end: clients keep their connections for so long, as the dispatcher that was restarted
+/// before us may not be back yet, and whatever is not answered by the second time is given up, before we are
+/// killed (3.7 s at the earliest). What is taken last has the time between the two.
+const DOWN_KEPT: Micros = 2_000_000;
 const DOWN_ALL: Micros = 3_300_000;
 const DOWN_STEP: Micros = 50_000;
 
@@ -151,7 +152,7 @@
         log!("going-down", "open={} runner_connections={}", self.invs.len(), self.runners.open());
         self.down_since = Some(now);
         self.clients.drain();
-        wires.wake(Due::Down, now + DOWN_IDLE);
+        wires.wake(Due::Down, now + DOWN_KEPT);
     }
 
     /// Whether all is said and done after having been told to end.
@@ -159,7 +160,7 @@
         let Some(since) = self.down_since else { return false };
         let owed = self.invs.values().any(|open| !open.answered);
         let at_work = owed || self.clients.remain() || self.runners.cancelling();
-        now >= since + DOWN_IDLE && !at_work || now >= since + DOWN_ALL + 2 * OVERDUE
+        now >= since + DOWN_KEPT && !at_work || now >= since + DOWN_ALL + 2 * OVERDUE
     }
 
     pub fn due(&mut self, due: Due, wires: &mut dyn Wires) {
@@ -174,7 +175,7 @@
 
     fn step_down(&mut self, wires: &mut dyn Wires) {
         let (Some(since), now) = (self.down_since, wires.now()) else { return };
-        self.clients.end_all_idle(wires);
+        self.clients.let_go(wires);
         if now < since + DOWN_ALL {
             return wires.wake(Due::Down, (now + DOWN_STEP).min(since + DOWN_ALL));
         }
