Newcomers have 2.5 s, ids answered are not taken again, what no runner can use is tried once

Ruled out: forms that we read otherwise than runners do. At fault: clients.rs gave 5 s to 10 s, desk.rs knew open ids only, runners.rs took 400 for an error of the runner's. Also mended, found by reading: // and # in targets, +5 and huge client timeouts, answers piling up for whoever sends on and does not read, and room made at the cost of clients that had brought invocations.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -14,10 +14,12 @@
 
 const READY: &str = "/healthz";
 const CALL_BACKS: &str = "/v1/job-events";
-/// A request that has begun must be whole by then.
-const REQUEST_WITHIN: Micros = 5_000_000;
+/// A request that has begun must be whole by then, the first one so long after its connection was accepted.
+const REQUEST_WITHIN: Micros = 2_500_000;
+/// A newcomer that has asked nothing yet keeps its place for so long, however many others want it.
+const NEWCOMER_KEPT: Micros = 250_000;
 const IDLE_MOST: Micros = 120_000_000;
-/// No client waits longer; it keeps due times far from the end of their type.
+/// No client waits longer than an hour; it keeps due times far from the end of their type.
 const TIMEOUT_MOST: Micros = 3_600_000_000;
 /// An answer on its way when the client's time ends is as good as none.
 const WAY_BACK: Micros = 20_000;
@@ -76,7 +78,11 @@
 struct Client {
     phase: Phase,
     since: Micros,
+    /// When it was accepted, until a first whole request has come.
+    newcomer: Option<Micros>,
     keep: bool,
+    /// Whether an invocation has come on it.
+    invokes: bool,
     /// A runner's, for call-backs.
     caller: bool,
 }
@@ -109,21 +115,30 @@
         self.most = (sockets * 5 / 8, sockets * 3 / 4);
     }
 
-    /// Whether one more can be let in; room is made by ending the one that has been idle longest.
+    /// Whether one more can be let in. Room is made by ending one that only lingers, one that has not come to ask
+    /// anything yet, or the one that has been idle longest; those that have brought invocations go last, as they
+    /// will bring more.
     pub fn room(&mut self, wires: &mut dyn Wires) -> bool {
-        if wires.connections() < self.most.0 {
+        if wires.connections() < self.most.0 || wires.end_lingering() {
             return true;
         }
-        let idle = self.conns.iter().filter(|(_, client)| matches!(client.phase, Phase::Idle));
-        let mut idle: Vec<(Micros, Link)> = idle.map(|(link, client)| (client.since, *link)).collect();
+        let now = wires.now();
+        let rank = |(link, client): (&Link, &Client)| match (&client.phase, client.newcomer) {
+            (Phase::Idle | Phase::Reading, Some(at)) => (now >= at + NEWCOMER_KEPT).then_some((0, at, *link)),
+            (Phase::Idle, None) => Some((1 + u8::from(client.invokes), client.since, *link)),
+            _ => None,
+        };
+        let mut idle: Vec<(u8, Micros, Link)> = self.conns.iter().filter_map(rank).collect();
         idle.sort_unstable();
-        let made = idle.iter().any(|(_, link)| self.end_idle(*link, End::MadeRoom, wires));
+        let made = idle.iter().any(|(_, _, link)| self.end_idle(*link, End::MadeRoom, wires));
         made || wires.connections() < self.most.1
     }
 
     pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
         let since = wires.now();
-        self.conns.insert(link, Client { phase: Phase::Idle, since, keep: true, caller: false });
+        let (phase, newcomer) = (Phase::Idle, Some(since));
+        let client = Client { phase, since, newcomer, keep: true, invokes: false, caller: false };
+        self.conns.insert(link, client);
         wires.wake(Due::Link(link), since + REQUEST_WITHIN);
     }
 
@@ -203,7 +218,7 @@
 
     fn take(&mut self, link: Link, request: Request, wires: &mut dyn Wires) -> Result<(), Fault> {
         let Some(client) = self.conns.get_mut(&link) else { return Ok(()) };
-        client.keep = request.keep;
+        (client.keep, client.newcomer) = (request.keep, None);
         match (request.path(), request.method) {
             (READY, "GET") => {
                 let status = if self.draining { 503 } else { 200 };
@@ -218,7 +233,8 @@
             }
             (READY | CALL_BACKS, _) => return Err(Fault(405, "wrong_method")),
             (path, method) => {
-                let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+                // One slash and the operation: a runner may read other forms otherwise than we do.
+                let name = path.strip_prefix('/').and_then(|path| path.split('/').next()).unwrap_or_default();
                 let operation = self.operations.iter().position(|known| known == name);
                 let operation = operation.ok_or(Fault(404, "unknown_operation"))?;
                 if method != "POST" {
@@ -226,6 +242,7 @@
                 }
                 let invocation = invocation(link, operation, client.since, request)?;
                 client.phase = Phase::Owed(invocation.id.clone());
+                client.invokes = true;
                 self.heard.push(Heard::Invocation(invocation));
             }
         }
@@ -241,8 +258,13 @@
         return Err(Fault(400, "bad_id"));
     }
     let timeout = request.only("x-deadline-ms")?.ok_or(Fault(400, "missing_timeout"))?;
-    let timeout: u32 = timeout.parse().map_err(|_| Fault(400, "bad_timeout"))?;
-    let timeout = (Micros::from(timeout) * 1000).min(TIMEOUT_MOST);
+    let digits = timeout.bytes().all(|byte| byte.is_ascii_digit());
+    let timeout = timeout.parse().ok().filter(|_| digits).and_then(|ms: Micros| ms.checked_mul(1000));
+    let timeout = timeout.filter(|timeout| *timeout <= TIMEOUT_MOST).ok_or(Fault(400, "bad_timeout"))?;
+    request.only("idempotency-key")?;
+    if request.target.bytes().any(|byte| byte == b'#' || !byte.is_ascii_graphic()) {
+        return Err(Fault(400, "bad_target"));
+    }
     let extras = request.only("x-extras")?.unwrap_or_default();
     let slots = named(extras, ',', &["slots", "width"]).find_map(|value| value.parse::<f64>().ok());
     let cookies = request.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cookie"));
@@ -297,15 +319,18 @@
 
     fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
         while let Some(client) = self.conns.get_mut(&link) {
-            if input.is_empty() || matches!(client.phase, Phase::Owed(_)) {
+            // Whoever does not read what it is owed is read no further: answers would pile up.
+            if input.is_empty() || matches!(client.phase, Phase::Owed(_)) || wires.unsent(link) {
                 return;
             }
+            let begins = matches!(client.phase, Phase::Idle);
             if matches!(client.phase, Phase::Idle) {
                 client.phase = Phase::Reading;
                 client.since = wires.now();
             }
             let used = match http::request(input) {
                 Ok(None) if input.len() >= MESSAGE_MOST => Err(Fault(413, "message_too_long")),
+                Ok(None) if begins => return wires.wake(Due::Link(link), wires.now() + REQUEST_WITHIN),
                 Ok(None) => return,
                 Ok(Some((request, used))) => self.take(link, request, wires).map(|()| used),
                 Err(fault) => Err(fault),
@@ -326,14 +351,15 @@
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
         let Some(client) = self.conns.get(&link) else { return };
         let now = wires.now();
-        let overdue = now >= client.since + REQUEST_WITHIN;
+        let overdue = now >= client.newcomer.unwrap_or(client.since) + REQUEST_WITHIN;
         let end = match client.phase {
             Phase::Reading if overdue => End::SlowRequest,
             Phase::Idle if overdue && wires.unsent(link) => End::SlowReader,
+            Phase::Idle if overdue && client.newcomer.is_some() => End::Silent,
             Phase::Idle if now >= client.since + IDLE_MOST => End::Idle,
             _ => return wires.wake(Due::Link(link), now + REQUEST_WITHIN),
         };
-        if end != End::Idle {
+        if !matches!(end, End::Idle | End::Silent) {
             self.conns.remove(&link);
             wires.cut(link, end);
         } else if !self.end_idle(link, end, wires) {
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -38,6 +38,8 @@
     Reset,
     Refused,
     DialTimeout,
+    /// Has come, and asks nothing.
+    Silent,
     /// Idle for longer than it is worth its descriptor.
     Idle,
     /// The longest idle, ended for a newcomer.
@@ -68,6 +70,7 @@
             End::Reset => "reset",
             End::Refused => "refused",
             End::DialTimeout => "dial_timeout",
+            End::Silent => "silent",
             End::Idle => "idle",
             End::MadeRoom => "made_room",
             End::AnsweredLast => "answered_last",
@@ -124,6 +127,8 @@
     fn now(&self) -> Micros;
     /// How many connections there are, of all sides.
     fn connections(&self) -> usize;
+    /// Ends the client's connection that has waited longest for the other side's end, its last answer written.
+    fn end_lingering(&mut self) -> bool;
     /// A new connection, not yet up; none where no descriptor is left.
     fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link>;
     fn send(&mut self, link: Link, bytes: &[u8]);
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -5,7 +5,7 @@
 //! outcome for each forward. It must never choose a runner, a retry or an answer of its own, but for the error
 //! that an invocation gets when its client's time is over, and must never send a forward twice.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use topazsail::{
@@ -26,6 +26,11 @@
 /// Taken, but not to be held: nothing has been forwarded.
 const NO_ROOM: u16 = 503;
 const ROOM_AGAIN: Micros = 1_000_000;
+/// What a client gets whose request a runner will not take in this form.
+const UNUSABLE: u16 = 400;
+/// How many ids are known after their final answer: each is for one request only, and whoever sends one again has
+/// it from somebody else.
+const CLOSED_KEPT: usize = 4096;
 /// How long an error may take that the brain owes when the client's time is over.
 const OVERDUE: Micros = 10_000;
 /// A cancel that failed is tried again after this, doubled each time: the forward is out until then.
@@ -79,6 +84,8 @@
     runners: Runners,
     roster: Roster,
     invs: BTreeMap<Id, Open>,
+    /// The latest ids that have had their final answer, in order and by id.
+    closed: (VecDeque<Id>, BTreeSet<Id>),
     happened: Vec<Event>,
     open_cap: usize,
     /// Bytes held for further forwards, and the most there may be.
@@ -102,6 +109,7 @@
             listen: told.listen,
             settings: told.settings,
             invs: BTreeMap::new(),
+            closed: Default::default(),
             happened: Vec::new(),
             open_cap: decoded.open_cap,
             held: 0,
@@ -255,6 +263,12 @@
     fn close(&mut self, inv: &Id) -> Option<Link> {
         let open = self.invs.get_mut(inv).filter(|open| !open.answered)?;
         open.answered = true;
+        let (order, known) = &mut self.closed;
+        if order.len() >= CLOSED_KEPT {
+            order.pop_front().map(|oldest| known.remove(&oldest));
+        }
+        order.push_back(inv.clone());
+        known.insert(inv.clone());
         self.held -= open.size();
         (open.head, open.body) = (Vec::new(), Vec::new());
         let link = open.link;
@@ -331,6 +345,11 @@
                 runners::Heard::Ended { inv, number, ending, report } => {
                     self.end(&inv, number, ending, report, wires.now());
                 }
+                runners::Heard::Unusable { inv, number } => {
+                    // No runner will take it, and it says nothing against this one.
+                    self.answer(&inv, UNUSABLE, None, b"", wires);
+                    self.end(&inv, number, Ending::Void, Vec::new(), wires.now());
+                }
                 runners::Heard::Dropped { inv, number } => {
                     self.end(&inv, number, Ending::Withdrawn, Vec::new(), wires.now());
                 }
@@ -366,7 +385,7 @@
 
     fn take(&mut self, told: Invocation, wires: &mut dyn Wires) {
         let now = wires.now();
-        if self.invs.contains_key(&told.id) {
+        if self.invs.contains_key(&told.id) || self.closed.1.contains(&told.id) {
             return self.clients.reject(told.link, Fault(400, "repeated_id"), wires);
         }
         let size = told.head.len() + told.body.len();
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -298,10 +298,14 @@
             }
             return self.watch(link);
         }
-        if event.writable
-            && let Err(end) = conn.flush()
-        {
-            return self.lost(link, end, desk);
+        if event.writable {
+            if let Err(end) = conn.flush() {
+                return self.lost(link, end, desk);
+            }
+            // What came meanwhile has waited for this.
+            if !conn.unsent() && !conn.input.is_empty() {
+                self.revisits.push(link);
+            }
         }
         let mut end = None;
         if event.readable {
@@ -376,6 +380,13 @@
         self.conns.len()
     }
 
+    fn end_lingering(&mut self) -> bool {
+        let lingers = |conn: &Conn| conn.lingering && conn.side == Side::Client;
+        let longest = self.conns.iter().filter(|(_, conn)| lingers(conn)).map(|(link, _)| *link).min();
+        let end = longest.and_then(|link| Some((link, self.conns.get(&link)?.finishing?)));
+        end.inspect(|(link, end)| self.remove(*link, *end)).is_some()
+    }
+
     fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
         let dialled = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).and_then(|s| {
             s.set_nonblocking(true)?;
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -41,6 +41,11 @@
         ending: Ending,
         report: Vec<f64>,
     },
+    /// The runner will not take a forward as it was sent, and has not run it.
+    Unusable {
+        inv: Id,
+        number: u32,
+    },
     /// A forward is given up: it never got out, its runner has said so, or its process is gone.
     Dropped {
         inv: Id,
@@ -311,6 +316,10 @@
                 }
             }
             Task::Forward { inv, number } if answer.status == 202 => Heard::Taken { inv, number },
+            Task::Forward { inv, number } if matches!(answer.status, 400..=428 | 430..=499) => {
+                log!("forward-unusable", "inv={inv} runner={tgt} status={}", answer.status);
+                Heard::Unusable { inv, number }
+            }
             Task::Forward { inv, number } => {
                 let load = answer.header("x-load").and_then(|text| serde_json::from_str(text).ok());
                 let report = load.map(|load| read_report(&self.report_fields, &load)).unwrap_or_default();
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -26,6 +26,7 @@
     /// Connections whose other side has ended unnoticed, and those that take no bytes.
     stale: BTreeSet<Link>,
     stuck: BTreeSet<Link>,
+    lingering: Vec<Link>,
     dues: BTreeMap<(Micros, u64), Due>,
     serial: u64,
     revisits: Vec<Link>,
@@ -54,6 +55,11 @@
         self.sides.len()
     }
 
+    fn end_lingering(&mut self) -> bool {
+        let ended = self.lingering.pop().inspect(|link| self.cut(*link, End::BadInput));
+        ended.is_some()
+    }
+
     fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
         let link = self.open(side);
         self.say(&format!("#{link} dials {to}"));
@@ -691,16 +697,114 @@
     "#]]);
 }
 
+/// Who asks nothing goes first, then who has only asked whether we are ready, then whoever was idle longest.
 #[test]
-fn a_newcomer_takes_the_place_of_the_longest_idle() {
+fn a_newcomer_takes_the_place_of_one_that_asks_nothing() {
     let mut node = Node::followed(&RUNNERS[..1]);
-    for _ in 0..41 {
+    let usual = node.accept();
+    node.feed(usual, "POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 15\r\n\r\n");
+    let asked = node.accept();
+    node.feed(asked, "GET /healthz HTTP/1.1\r\n\r\n");
+    for _ in 0..36 {
         node.accept();
-        node.pass(1);
+        node.pass(5);
+    }
+    node.stage.trace.clear();
+    let lingers = node.stage.open(Side::Client);
+    node.stage.lingering.push(lingers);
+    node.accept();
+    // All newcomers are too young.
+    node.accept();
+    node.accept();
+    node.pass(110);
+    node.accept();
+    node.feed(4, "POST /plan HTTP/1.1\r\nX-");
+    node.pass(5);
+    node.accept();
+    node.shows(expect![[r#"
+        180   #40 ends: bad_input
+        180   #3 ends: made_room
+        180   #2 ends: made_room
+        290   #4 ends: made_room
+        295   #5 ends: made_room
+    "#]]);
+}
+
+#[test]
+fn whoever_asks_nothing_whole_in_time_is_let_go() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let links = [node.accept(), node.accept(), node.accept()];
+    for _ in 0..12 {
+        node.pass(200);
+        node.feed(links[1], "G");
+        node.feed(links[2], "GET /healthz HTTP/1.1\r\n\r\n");
     }
+    node.stage.trace.clear();
+    node.feed(1, BEAT);
+    node.pass(1000);
+    // One that has asked before may rest, but its next request must be whole in time too.
+    node.feed(links[2], "GET /hea");
+    node.pass(3000);
+    node.shows(expect![[r#"
+        2500  #2 ends: silent
+        2500  #3 ends: slow_request
+        5900  #4 ends: slow_request
+    "#]]);
+}
+
+#[test]
+fn whoever_reads_no_answers_is_read_no_further() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let client = node.accept();
+    node.feed(client, "GET /healthz HTTP/1.1\r\n\r\nGET /healthz HTTP/1.1\r\n\r\n");
+    node.stage.stuck.insert(client);
+    node.feed(client, &"GET /healthz HTTP/1.1\r\n\r\n".repeat(2));
+    node.stage.say("reads");
+    node.stage.stuck.clear();
+    node.feed(client, "");
+    node.stage.stuck.insert(client);
+    node.pass(3000);
+    node.shows(expect![[r#"
+        0     #2 < 200 OK; Content-Length: 0
+        0     #2 < 200 OK; Content-Length: 0
+        0     reads
+        0     #2 < 200 OK; Content-Length: 0
+        0     #2 < 200 OK; Content-Length: 0
+        2500  #2 ends: slow_reader
+    "#]]);
+}
+
+/// An id is for one request: sent again after its answer it is somebody else's.
+#[test]
+fn an_id_that_has_been_answered_is_not_taken_again() {
+    let mut node = Node::holding("plan");
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    node.stage.trace.clear();
+    node.invoke("plan", "i1");
     node.shows(expect![[r#"
-        39    #2 ends: made_room
-        40    #3 ends: made_room
+        0     #5 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
+        0     #5 ends: bad_input
+    "#]]);
+}
+
+#[test]
+fn what_a_runner_cannot_use_is_not_tried_again_nor_held_against_it() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    for id in ["i1", "i2", "i3"] {
+        node.invoke("plan", id);
+        if id == "i1" {
+            node.up(3);
+        }
+        node.feed(3, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    }
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #2 < 400 Bad Request; Content-Length: 0
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #4 < 400 Bad Request; Content-Length: 0
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i3; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #5 < 400 Bad Request; Content-Length: 0
     "#]]);
 }
 
@@ -744,6 +848,12 @@
         plan("X-Request-Id: a/b\r\nX-Deadline-Ms: 5\r\n"),
         plan("X-Request-Id: a\r\n"),
         plan("X-Request-Id: a\r\nX-Deadline-Ms: -5\r\n"),
+        plan("X-Request-Id: a\r\nX-Deadline-Ms: +5\r\n"),
+        plan("X-Request-Id: a\r\nX-Deadline-Ms: 99999999999999999999\r\n"),
+        plan("X-Request-Id: a\r\nX-Deadline-Ms: 3600001\r\n"),
+        plan("X-Request-Id: a\r\nX-Deadline-Ms: 5\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n"),
+        "POST //plan HTTP/1.1\r\nX-Request-Id: a\r\nX-Deadline-Ms: 5\r\n\r\n".to_owned(),
+        "POST /plan#a HTTP/1.1\r\nX-Request-Id: a\r\nX-Deadline-Ms: 5\r\n\r\n".to_owned(),
         plan("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
         plan("Content-Length: x\r\n"),
         plan("Content-Length: 99999\r\n"),
@@ -778,6 +888,18 @@
         #2 ends: bad_input
         #2 < 400 Bad Request; Connection: close; Content-Length: 11 = bad_timeout
         #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 11 = bad_timeout
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 11 = bad_timeout
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 11 = bad_timeout
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 15 = repeated_header
+        #2 ends: bad_input
+        #2 < 404 Not Found; Connection: close; Content-Length: 17 = unknown_operation
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_target
+        #2 ends: bad_input
         #2 < 400 Bad Request; Connection: close; Content-Length: 17 = length_and_coding
         #2 ends: bad_input
         #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_length
