A probe on a kept connection that breaks is asked once more: it told nothing of the runner

Checked in the log: 240 resets of kept connections at the next request, one set-aside for nearly each; the runner answered the next dial. Ruled out: idle times of ours (runners let go after about 0.25 s, far below the settings), forwards (8 of 240, each right after a probe on another connection). At fault: runners.rs told the module that the runner had not answered.

--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -76,6 +76,8 @@
     phase: Phase,
     since: Micros,
     task: Option<Task>,
+    /// Whether it has been answered on before: its runner may have let go of it since.
+    kept: bool,
     /// The message of a task that waits for the dial.
     message: Vec<u8>,
     /// When what it is at must have come to an end.
@@ -185,8 +187,12 @@
         self.ask(tgt, task, message, expires_at + LATE_MOST, wires);
     }
 
+    fn probes_at(&self) -> &'static str {
+        if self.report_fields.is_empty() { "/healthz" } else { "/load" }
+    }
+
     pub fn probe(&mut self, tgt: &Id, wires: &mut dyn Wires) {
-        let target = if self.report_fields.is_empty() { "/healthz" } else { "/load" };
+        let target = self.probes_at();
         let message = self.by_id.get(tgt).map(|r| encode_bare("GET", target, r.address)).unwrap_or_default();
         self.ask(tgt, Task::Probe, message, wires.now() + self.probe_within, wires);
     }
@@ -232,6 +238,19 @@
             }
             self.end_line(link, End::Stale, wires);
         }
+        self.ask_anew(tgt, task, message, due, address, wires);
+    }
+
+    /// On a connection of its own, however many are idle.
+    fn ask_anew(
+        &mut self,
+        tgt: &Id,
+        task: Task,
+        message: Vec<u8>,
+        due: Micros,
+        address: SocketAddr,
+        wires: &mut dyn Wires,
+    ) {
         let Some(link) = wires.dial(address, Side::Runner) else {
             return self.unanswered(tgt, task, Ending::Unreachable, false);
         };
@@ -240,7 +259,7 @@
         }
         let since = wires.now();
         let (phase, task, tgt) = (Phase::Dialling, Some(task), tgt.clone());
-        let line = Line { tgt, phase, since, task, message, due, overdue: false, rest_check: 0 };
+        let line = Line { tgt, phase, since, task, kept: false, message, due, overdue: false, rest_check: 0 };
         self.lines.insert(link, line);
         wires.wake(Due::Link(link), since + self.dial_timeout);
     }
@@ -390,6 +409,7 @@
                 // Late word on a probe says nothing any more; that a job is deleted still holds.
                 let counts = |task: &Task| !line.overdue || matches!(task, Task::Cancel { .. });
                 let task = line.task.take().filter(counts);
+                line.kept = true;
                 if let Some(task) = task {
                     self.answered(&tgt, task, &answer);
                 }
@@ -414,9 +434,19 @@
         }
     }
 
-    fn ended(&mut self, link: Link, end: End, unsent: bool, input: &[u8], _: &mut dyn Wires) {
+    fn ended(&mut self, link: Link, end: End, unsent: bool, input: &[u8], wires: &mut dyn Wires) {
         let Some(line) = self.drop_line(link) else { return };
         let Some(task) = line.task.filter(|_| !line.overdue) else { return };
+        // A kept connection that breaks at its next request tells of the connection, not of the runner: a probe is
+        // asked once more. Anything else sent again might be a second copy.
+        if line.kept
+            && input.is_empty()
+            && task == Task::Probe
+            && let Some(address) = self.by_id.get(&line.tgt).map(|runner| runner.address)
+        {
+            let message = encode_bare("GET", self.probes_at(), address);
+            return self.ask_anew(&line.tgt, task, message, line.due, address, wires);
+        }
         if line.phase == Phase::Dialling || unsent {
             return self.unanswered(&line.tgt, task, Ending::Unreachable, end == End::Refused);
         }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -13,6 +13,7 @@
 use crate::desk::Desk;
 use crate::http::{self, Fault};
 use crate::roster::Roster;
+use crate::runners::Runners;
 
 const START: Micros = 1_700_000_000_000_000;
 
@@ -314,6 +315,37 @@
     "#]]);
 }
 
+/// It tells of the connection, not of the runner. One that has just been made is another matter.
+#[test]
+fn a_probe_on_a_kept_connection_that_breaks_is_asked_once_more() {
+    let mut stage = Stage { now: START, ..Stage::default() };
+    let told = config::decode(&configuration(&RUNNERS[..1])).unwrap();
+    let mut runners = Runners::new(&told.decoded);
+    let tgt = Id::from("s-a");
+    runners.note(&tgt, true, Some("127.0.0.1:3001".parse().unwrap()), &mut stage);
+    runners.probe(&tgt, &mut stage);
+    runners.up(1, &mut stage);
+    let mut answer = b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{\"x0\":1,\"inflight\":0} ".to_vec();
+    runners.bytes(1, &mut answer, &mut stage);
+    runners.probe(&tgt, &mut stage);
+    runners.ended(1, End::Reset, false, b"", &mut stage);
+    runners.up(2, &mut stage);
+    runners.ended(2, End::Reset, false, b"", &mut stage);
+    for heard in runners.heard {
+        stage.say(&format!("{heard:?}"));
+    }
+    expect![[r#"
+        0     #1 dials 127.0.0.1:3001
+        0     #1 < GET /load; Host: 127.0.0.1:3001
+        0     #1 < GET /load; Host: 127.0.0.1:3001
+        0     #2 dials 127.0.0.1:3001
+        0     #2 < GET /load; Host: 127.0.0.1:3001
+        0     Probed { tgt: "s-a", alive: true, report: [1.0, 0.0] }
+        0     Probed { tgt: "s-a", alive: false, report: [] }
+    "#]]
+    .assert_eq(&stage.trace);
+}
+
 #[test]
 fn a_connection_that_comes_free_takes_over_what_waits_for_a_dial() {
     let mut node = Node::followed(&RUNNERS[..1]);
