A broken connection counts as a failure and sets no runner aside by itself

Compared: who was set aside in the log against the next answer of the same runner. Ruled out: refused dials (none). At fault: brain.rs, judge, took a broken forward for a runner that is gone. One that is down refuses the next dial, which sets it aside as before; one that breaks forward after forward fails more than the fleet.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -939,7 +939,8 @@
                 pace.note((outcome.elapsed as f64).min(4.0 * pace.value), 0.05, now);
                 self.set_mean_pace();
             }
-            Ending::Errored => {
+            // A connection that breaks may say nothing of its runner: one that is down refuses the next dial.
+            Ending::Errored | Ending::Broken => {
                 runner.bad += 1.0;
                 runner.silent_since = now;
                 if runner.bad <= 1.5 {
@@ -955,7 +956,7 @@
                     self.bench(r, "errors");
                 }
             }
-            Ending::Broken | Ending::Unreachable => self.bench(r, "no connection"),
+            Ending::Unreachable => self.bench(r, "no connection"),
             Ending::Overloaded => {
                 runner.silent_since = now;
                 runner.full_until = now + (mean_pace / slots) as Micros;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -468,3 +468,20 @@
         1600 4 -> b
     "#]]);
 }
+
+/// One breaks for many reasons, and a runner that is down refuses the next dial; one that breaks forward after
+/// forward is another matter.
+#[test]
+fn a_broken_connection_sets_no_runner_aside_by_itself() {
+    let mut desk = desk(Effect::Idempotent, "ab");
+    desk.reports("b", &FULL).arrives("1", 0).after(5).ends("1", 0, Ending::Broken, &[]);
+    desk.after(5).ends("1", 1, Ending::Succeeded, &[]);
+    desk.after(5).arrives("2", 0).after(5).ends("2", 0, Ending::Broken, &[]);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 1 -> a
+        1005 1 -> a
+        1010 disconnect a
+        1015 2 -> a
+    "#]]);
+}
