--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -93,8 +93,8 @@
     /// Nobody new is told that this dispatcher is ready, and then no connection is kept.
     draining: bool,
     letting_go: bool,
-    /// Connections of all sides beyond these cost an idle client its place; beyond the second figure nobody is
-    /// let in. The rest is kept back for runners and the watch.
+    /// Connections of all sides beyond these cost an idle client its place; beyond the second figure nobody
+    /// is let in. The rest is kept back for runners and the watch.
     most: (usize, usize),
     pub heard: Vec<Heard>,
 }
@@ -115,9 +115,9 @@
         self.most = (sockets * 5 / 8, sockets * 3 / 4);
     }
 
-    /// Whether one more can be let in. Room is made by ending one that only lingers, one that has not come to ask
-    /// anything yet, or the one that has been idle longest; those that have brought invocations go last, as they
-    /// will bring more.
+    /// Whether one more can be let in. Room is made by ending one that only lingers, one that has not come to
+    /// ask anything yet, or the one that has been idle longest; those that have brought invocations go last,
+    /// as they will bring more.
     pub fn room(&mut self, wires: &mut dyn Wires) -> bool {
         if wires.connections() < self.most.0 || wires.end_lingering() {
             return true;
@@ -182,8 +182,8 @@
         self.draining = true;
     }
 
-    /// From now on clients' connections are not kept, and idle ones end; runners may still have something to tell
-    /// on theirs.
+    /// From now on clients' connections are not kept, and idle ones end; runners may still have something to
+    /// tell on theirs.
     pub fn let_go(&mut self, wires: &mut dyn Wires) {
         self.letting_go = true;
         let idle = |client: &Client| matches!(client.phase, Phase::Idle) && !client.caller;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,5 @@
-//! What a dispatcher is told at its start and again on SIGHUP: the file that `RELAY_CONFIG` names, decoded once
-//! each time.
+//! What a dispatcher is told at its start and again on SIGHUP: the file that `RELAY_CONFIG` names, decoded
+//! once each time.
 //!
 //! It owns the form of that file. It must never guess at what is missing: a fault names its field.
 
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -2,8 +2,8 @@
 //! brain decides becomes calls of the parts.
 //!
 //! It is the only caller of the brain, and owns what each invocation is still owed: one final answer, and one
-//! outcome for each forward. It must never choose a runner, a retry or an answer of its own, but for the error
-//! that an invocation gets when its client's time is over, and must never send a forward twice.
+//! outcome for each forward. It must never choose a runner, a retry or an answer of its own, but for the
+//! error that an invocation gets when its client's time is over, and must never send a forward twice.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -28,8 +28,8 @@
 const ROOM_AGAIN: Micros = 1_000_000;
 /// What a client gets whose request a runner will not take in this form.
 const UNUSABLE: u16 = 400;
-/// How many ids are known after their final answer: each is for one request only, and whoever sends one again has
-/// it from somebody else.
+/// How many ids are known after their final answer: each is for one request only, and whoever sends one again
+/// has it from somebody else.
 const CLOSED_KEPT: usize = 4096;
 /// How long an error may take that the brain owes when the client's time is over.
 const OVERDUE: Micros = 10_000;
@@ -127,8 +127,8 @@
         self.held_most = memory / 6;
     }
 
-    /// The configuration has been read again. Limits and the address of discovery hold from now on; the list that
-    /// the file remembers says less than the watch, and a new seed is for a new start.
+    /// The configuration has been read again. Limits and the address of discovery hold from now on; the list
+    /// that the file remembers says less than the watch, and a new seed is for a new start.
     pub fn reload(&mut self, told: Dispatcher, wires: &mut dyn Wires) {
         let kept = [
             ("name", told.name != self.name),
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -1,7 +1,7 @@
 //! The one loop: waits on all sockets, calls their owners back, and lets the desk settle each turn.
 //!
-//! It owns the poller, the listener, every connection, every due time, the clock and the signals. It must never
-//! know what a connection is for beyond whose it is, and never wait for anything but the poller.
+//! It owns the poller, the listener, every connection, every due time, the clock and the signals. It must
+//! never know what a connection is for beyond whose it is, and never wait for anything but the poller.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Read};
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -13,7 +13,8 @@
 use crate::http::{self, Chunks, Framing, encode_bare};
 use crate::log::log;
 
-/// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets through.
+/// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets
+/// through.
 const DIAL_WITHIN: Micros = 1_000_000;
 /// A call that waits its turn for longer is as good as lost.
 const HEAD_WITHIN: Micros = 5_000_000;
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -437,8 +437,8 @@
     fn ended(&mut self, link: Link, end: End, unsent: bool, input: &[u8], wires: &mut dyn Wires) {
         let Some(line) = self.drop_line(link) else { return };
         let Some(task) = line.task.filter(|_| !line.overdue) else { return };
-        // A kept connection that breaks at its next request tells of the connection, not of the runner: a probe is
-        // asked once more. Anything else sent again might be a second copy.
+        // A kept connection that breaks at its next request tells of the connection, not of the runner: a
+        // probe is asked once more. Anything else sent again might be a second copy.
         if line.kept
             && input.is_empty()
             && task == Task::Probe
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -1,9 +1,9 @@
 //! A deployment's settings, decoded once: what the brain reads into standing orders, and the few figures that
 //! whoever carries out its actions needs beside them. The one decoder for every protocol.
 //!
-//! Settings come as pairs of path and value; a list of plain values is one value with commas, a list of objects
-//! has a `count`. What is not read here is passed over. It must never guess: a value that is missing or out of range
-//! is a fault that names its path.
+//! Settings come as pairs of path and value; a list of plain values is one value with commas, a list of
+//! objects has a `count`. What is not read here is passed over. It must never guess: a value that is missing
+//! or out of range is a fault that names its path.
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -905,8 +905,8 @@
         self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
     }
 
-    /// Slots that a new job could have: none where one waits. What it lacks is then memory, or more slots than
-    /// are free, and what comes after it waits as well.
+    /// Slots that a new job could have: none where one waits. What it lacks is then memory, or more slots
+    /// than are free, and what comes after it waits as well.
     fn free_slots(&self, report: &[f64]) -> Option<f64> {
         let free = self.field(report, ReportField::FreeSlots)?;
         let blocked = self.field(report, ReportField::Waiting).is_some_and(|waiting| waiting > 0.5);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -469,8 +469,8 @@
     "#]]);
 }
 
-/// One breaks for many reasons, and a runner that is down refuses the next dial; one that breaks forward after
-/// forward is another matter.
+/// One breaks for many reasons, and a runner that is down refuses the next dial; one that breaks forward
+/// after forward is another matter.
 #[test]
 fn a_broken_connection_sets_no_runner_aside_by_itself() {
     let mut desk = desk(Effect::Idempotent, "ab");
