--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -784,6 +784,36 @@
     "#]]);
 }
 
+#[test]
+fn half_a_request_and_a_close_reach_no_runner_and_many_at_once_are_taken_in_turn() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    let half = node.accept();
+    node.feed(
+        half,
+        "POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 900\r\nContent-Length: 9\r\n\r\nhi",
+    );
+    node.end(half, End::PeerClosed);
+    let hasty = node.accept();
+    let request = |id| format!("POST /plan HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 900\r\n\r\n");
+    node.feed(hasty, &(request("i1") + &request("i2") + &request("i2") + &request("i3")));
+    node.up(4);
+    for id in ["i1", "i2"] {
+        node.feed(4, TAKEN);
+        node.call_back(&format!(r#"{{"id":"{id}","from":"s-a","state":"done","result":"r"}}"#));
+    }
+    node.shows(expect![[r#"
+        0     #4 dials 127.0.0.1:3001
+        0     #4 < POST /plan; X-Request-Id: i1; X-Deadline-Ms: 880; Content-Length: 0
+        0     #5 < 200 OK; Content-Length: 0
+        0     #3 < 200 OK; Content-Length: 1 = r
+        0     #4 < POST /plan; X-Request-Id: i2; X-Deadline-Ms: 880; Content-Length: 0
+        0     #6 < 200 OK; Content-Length: 0
+        0     #3 < 200 OK; Content-Length: 1 = r
+        0     #3 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
+        0     #3 ends: bad_input
+    "#]]);
+}
+
 #[test]
 fn whoever_reads_no_answers_is_read_no_further() {
     let mut node = Node::followed(&RUNNERS[..1]);
@@ -888,6 +918,10 @@
         "POST /plan#a HTTP/1.1\r\nX-Request-Id: a\r\nX-Deadline-Ms: 5\r\n\r\n".to_owned(),
         plan("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
         plan("Content-Length: x\r\n"),
+        plan("Content-Length: -1\r\n"),
+        plan("Content-Length: 99999999999999999999999\r\n"),
+        plan("Content-Length: 3\r\nContent-Length: 4\r\n"),
+        plan("Transfer-Encoding: chunked\r\n") + "zz\r\n",
         plan("Content-Length: 99999\r\n"),
         plan("Transfer-Encoding: gzip\r\n"),
         plan(&format!("A: {}\r\n", "b".repeat(17 << 10))),
@@ -936,6 +970,14 @@
         #2 ends: bad_input
         #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_length
         #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_length
+        #2 ends: bad_input
+        #2 < 413 Content Too Large; Connection: close; Content-Length: 14 = body_too_large
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_length
+        #2 ends: bad_input
+        #2 < 400 Bad Request; Connection: close; Content-Length: 9 = bad_chunk
+        #2 ends: bad_input
         #2 < 413 Content Too Large; Connection: close; Content-Length: 14 = body_too_large
         #2 ends: bad_input
         #2 < 400 Bad Request; Connection: close; Content-Length: 10 = bad_coding
