--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! The topazsail dispatcher on sockets, as a library under a thin binary.
+//!
+//! It owns the list of its modules. Only what the command line and the lab need is public.
+
+pub mod cli;
+mod clients;
+pub mod config;
+mod conn;
+mod desk;
+mod http;
+mod log;
+mod reactor;
+mod roster;
+mod runners;
+
+#[cfg(test)]
+#[path = "../tests/traces.rs"]
+mod traces;
