--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,10 @@
 # What a newcomer needs; CI runs lint and test.
-.PHONY: build test lint run
+.PHONY: lab build test lint run
+
+# The main job, shown: a quiet scenario through the real dispatcher on sockets, judged and reported.
+lab:
+	cargo build --release --locked -p topazsail-node -p topazsail-lab
+	target/release/topazsail-lab run lab/scenarios/quiet.toml --clock sockets --report lab-report
 
 build:
 	cargo build --release
--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,243 @@
+//! Experiments: one scenario many times, by seed, by value, or by who decides.
+//!
+//! It owns pairing and what may be said of differences. It must never compare runs of different seeds with
+//! each other, and never count a run that is void.
+
+use std::path::{Path, PathBuf};
+
+use rayon::prelude::*;
+use serde::Serialize;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+use crate::policy::Policy;
+use crate::scenario::Scenario;
+use crate::sockets;
+use crate::tally::{Outcome, round};
+use crate::virtual_clock::{self, Options};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Who {
+    /// In virtual time.
+    Policy(Policy),
+    /// On sockets.
+    Program(PathBuf),
+}
+
+impl Who {
+    /// A policy's name, or a program's path, which has a '/' in it.
+    pub fn parse(text: &str) -> Result<Who, String> {
+        if text.contains('/') { Ok(Who::Program(text.into())) } else { text.parse().map(Who::Policy) }
+    }
+
+    pub fn name(&self) -> String {
+        match self {
+            Who::Policy(policy) => format!("{policy:?}"),
+            Who::Program(path) => path.display().to_string(),
+        }
+    }
+
+    pub fn play(&self, scenario: &Scenario, seed: u64, progress: &dyn Fn(f64)) -> Result<Outcome, String> {
+        match self {
+            Who::Policy(policy) => {
+                virtual_clock::play(scenario, *policy, seed, Options::default()).map(|run| run.outcome)
+            }
+            Who::Program(path) => sockets::play(scenario, path, seed, progress),
+        }
+    }
+}
+
+/// Mean of the paired differences and the half-width of its 95% interval, by Student's t.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Difference {
+    pub mean: f64,
+    pub half_width: f64,
+}
+
+impl Difference {
+    pub fn of(pairs: &[(f64, f64)]) -> Option<Difference> {
+        let n = pairs.len() as f64;
+        if n < 2.0 {
+            return None;
+        }
+        let differences: Vec<f64> = pairs.iter().map(|(a, b)| a - b).collect();
+        let mean = differences.iter().sum::<f64>() / n;
+        let square = differences.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        let t = StudentsT::new(0.0, 1.0, n - 1.0).ok()?.inverse_cdf(0.975);
+        Some(Difference { mean: round(mean), half_width: round(t * (square / n).sqrt()) })
+    }
+
+    /// Whether the interval leaves out zero.
+    pub fn shows(&self) -> bool {
+        self.mean.abs() > self.half_width
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Comparison {
+    pub scenario: String,
+    pub ours: String,
+    pub against: String,
+    /// Seed, goodput of ours and of the other, p99 in ms of both, rules broken by both.
+    pub pairs: Vec<Pair>,
+    pub goodput: Option<Difference>,
+    pub p99: Option<Difference>,
+    pub void: usize,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Pair {
+    pub seed: u64,
+    pub goodput: (f64, f64),
+    pub p99: (f64, f64),
+    pub broken: (u64, u64),
+}
+
+/// The same seeds with both; a pair with a void run is left out and counted.
+pub fn compare(
+    scenario: &Scenario,
+    ours: &Who,
+    against: &Who,
+    pairs: u32,
+    progress: &(dyn Fn(f64) + Sync),
+) -> Result<Comparison, String> {
+    let seeds: Vec<u64> = (0..u64::from(pairs)).map(|nth| scenario.seed + nth).collect();
+    let one = |seed: &u64| -> Result<(Outcome, Outcome), String> {
+        Ok((ours.play(scenario, *seed, &|_| ())?, against.play(scenario, *seed, &|_| ())?))
+    };
+    let in_memory = |who: &Who| matches!(who, Who::Policy(_));
+    let played: Vec<(Outcome, Outcome)> = if in_memory(ours) && in_memory(against) {
+        seeds.par_iter().map(one).collect::<Result<_, _>>()?
+    } else {
+        // Real time: one after the other, or they would take the processor from each other.
+        let mut played = Vec::new();
+        for (nth, seed) in seeds.iter().enumerate() {
+            played.push(one(seed)?);
+            progress((nth + 1) as f64 / seeds.len() as f64);
+        }
+        played
+    };
+    let void = played.iter().filter(|(a, b)| !(a.void.is_empty() && b.void.is_empty())).count();
+    let broken = |outcome: &Outcome| outcome.broken.values().sum();
+    let pairs: Vec<Pair> = played
+        .iter()
+        .filter(|(a, b)| a.void.is_empty() && b.void.is_empty())
+        .map(|(a, b)| Pair {
+            seed: a.seed,
+            goodput: (a.goodput, b.goodput),
+            p99: (a.latency.p99, b.latency.p99),
+            broken: (broken(a), broken(b)),
+        })
+        .collect();
+    let of = |figure: fn(&Pair) -> (f64, f64)| Difference::of(&pairs.iter().map(figure).collect::<Vec<_>>());
+    Ok(Comparison {
+        scenario: scenario.name.clone(),
+        ours: ours.name(),
+        against: against.name(),
+        goodput: of(|pair| pair.goodput),
+        p99: of(|pair| pair.p99),
+        void,
+        pairs,
+    })
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Step {
+    pub value: String,
+    pub outcomes: Vec<Outcome>,
+}
+
+impl Step {
+    pub fn mean(&self, figure: impl Fn(&Outcome) -> f64) -> f64 {
+        self.outcomes.iter().map(figure).sum::<f64>() / self.outcomes.len().max(1) as f64
+    }
+}
+
+/// The scenario with one field set to another value, for each value.
+pub fn vary(path: &Path, field: &str, values: &[String]) -> Result<Vec<(String, Scenario)>, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
+    Scenario::parse(&name, &text)?;
+    let table: toml::Table = toml::from_str(&text).map_err(|error| format!("{name}: {}", error.message()))?;
+    let one = |value: &String| {
+        let mut table = table.clone();
+        set(&mut table, field, value).map_err(|fault| format!("{name}: {fault}"))?;
+        let text = toml::to_string(&table).map_err(|error| format!("{name}: {error}"))?;
+        let scenario = Scenario::parse(&format!("{name} with {field}={value}"), &text)?;
+        Ok((value.clone(), scenario))
+    };
+    values.iter().map(one).collect()
+}
+
+/// Sets a dotted path, with numbers for places in lists: `clients.load`, `fault.0.size`.
+fn set(table: &mut toml::Table, field: &str, value: &str) -> Result<(), String> {
+    let parsed = format!("v = {value}").parse::<toml::Table>().ok().and_then(|mut table| table.remove("v"));
+    let value = parsed.unwrap_or_else(|| toml::Value::String(value.to_owned()));
+    let (parents, last) = field.rsplit_once('.').unwrap_or(("", field));
+    let mut at = table;
+    let mut parts = parents.split('.').filter(|part| !part.is_empty());
+    while let Some(part) = parts.next() {
+        let next = at.entry(part).or_insert_with(|| toml::Value::Table(toml::Table::new()));
+        at = match next {
+            toml::Value::Table(table) => table,
+            toml::Value::Array(items) => {
+                let nth =
+                    parts.next().ok_or_else(|| format!("{field}: {part} is a list; name a place in it"))?;
+                let item = nth.parse().ok().and_then(|nth: usize| items.get_mut(nth));
+                item.and_then(toml::Value::as_table_mut).ok_or_else(|| format!("{field}: no place {nth}"))?
+            }
+            _ => return Err(format!("{field}: {part} holds no fields")),
+        };
+    }
+    at.insert(last.to_owned(), value);
+    Ok(())
+}
+
+pub fn sweep(
+    steps: Vec<(String, Scenario)>,
+    who: &Who,
+    seeds: u32,
+    progress: &(dyn Fn(f64) + Sync),
+) -> Result<Vec<Step>, String> {
+    let all = steps.len();
+    let mut done = Vec::new();
+    for (nth, (value, scenario)) in steps.into_iter().enumerate() {
+        let seeds = (0..u64::from(seeds)).map(|nth| scenario.seed + nth);
+        let outcomes: Result<Vec<Outcome>, String> = match who {
+            Who::Policy(_) => {
+                let seeds: Vec<u64> = seeds.collect();
+                seeds.par_iter().map(|seed| who.play(&scenario, *seed, &|_| ())).collect()
+            }
+            Who::Program(_) => seeds.map(|seed| who.play(&scenario, seed, &|_| ())).collect(),
+        };
+        done.push(Step { value, outcomes: outcomes? });
+        progress((nth + 1) as f64 / all as f64);
+    }
+    Ok(done)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_difference_has_the_textbook_interval() {
+        // Differences 1, 2, 3: mean 2, standard deviation 1, t(0.975, 2) = 4.3027.
+        let found = Difference::of(&[(1.0, 0.0), (2.0, 0.0), (3.0, 0.0)]).unwrap();
+        assert_eq!((found.mean, found.half_width), (2.0, 2.4841));
+        assert!(!found.shows());
+        assert!(Difference::of(&[(1.0, 0.0)]).is_none());
+    }
+
+    #[test]
+    fn a_field_is_set_by_its_path_or_refused() {
+        let text = "a = 1\n[clients]\nload = 0.5\n[[fault]]\nsize = 1.0\n";
+        let mut table: toml::Table = toml::from_str(text).unwrap();
+        set(&mut table, "clients.load", "0.7").unwrap();
+        set(&mut table, "fault.0.at", "5s").unwrap();
+        assert_eq!(table["clients"]["load"].as_float(), Some(0.7));
+        assert_eq!(table["fault"][0]["at"].as_str(), Some("5s"));
+        for bad in ["fault.size", "fault.3.size", "a.b"] {
+            assert!(set(&mut table, bad, "1").unwrap_err().starts_with(bad), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/judge.rs
@@ -0,0 +1,642 @@
+//! The judge: whether the four rules were kept, by what was seen on the wires alone.
+//!
+//! It owns the rules and the history of each open invocation. It shares nothing with what it judges but the
+//! ids on the wire: no type, no code, no word of the dispatcher on what it did. It does no I/O and reads no
+//! clock. It must never take a dispatcher's intent for what happened, and never pass over what it cannot
+//! place: an ending for a forward that nobody sent is a fault of the lab, and said.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::fmt;
+
+use serde::Serialize;
+use topazsail::Micros;
+
+use crate::scenario::{Effect, Group, Operation, Scenario};
+
+pub type Inv = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    Succeeded,
+    Throttled,
+    Errored,
+}
+
+/// How a forward came back, as it was put on the wire to the dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Back {
+    Succeeded,
+    MayHaveRun,
+    NeverRan,
+}
+
+/// One thing seen on a wire.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    /// An invocation's last byte has reached a dispatcher.
+    Taken {
+        inv: Inv,
+        dispatcher: u32,
+        operation: usize,
+        expires_at: Micros,
+    },
+    Answered {
+        inv: Inv,
+        how: Final,
+    },
+    /// A success came with what no runner made for this invocation.
+    Forged {
+        inv: Inv,
+    },
+    /// The client has left: nothing more is owed.
+    Left {
+        inv: Inv,
+    },
+    /// The dispatcher that owed it was killed outright.
+    Lost {
+        inv: Inv,
+    },
+    /// A forward has left the dispatcher; at a cold runner, with its true capacity now.
+    Forwarded {
+        inv: Inv,
+        dispatcher: u32,
+        runner: u32,
+        work: f64,
+        cold: Option<f64>,
+    },
+    Ended {
+        inv: Inv,
+        runner: u32,
+        how: Back,
+    },
+    /// The dispatcher has withdrawn a forward that was out.
+    Withdrawn {
+        inv: Inv,
+        runner: u32,
+    },
+    /// A runner has begun on it and its effect is new there.
+    Ran {
+        inv: Inv,
+        runner: u32,
+    },
+    /// Discovery knows a runner's state from now on.
+    Listed {
+        runner: u32,
+        wanted: bool,
+        launched: Option<Micros>,
+    },
+    /// Discovery has written a runner's state to a dispatcher.
+    Told {
+        dispatcher: u32,
+        runner: u32,
+        wanted: bool,
+    },
+    /// A dispatcher has begun anew and knows nothing.
+    Began {
+        dispatcher: u32,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    OneAnswer,
+    NoEffectTwice,
+    NothingToDraining,
+    ColdBudget,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        to.write_str(match self {
+            Rule::OneAnswer => "one-answer",
+            Rule::NoEffectTwice => "no-effect-twice",
+            Rule::NothingToDraining => "nothing-to-draining",
+            Rule::ColdBudget => "cold-budget",
+        })
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Violation {
+    pub rule: Rule,
+    pub at: Micros,
+    pub inv: Inv,
+    pub what: String,
+    /// All that was seen of the invocation until then, a line each.
+    pub history: Vec<String>,
+}
+
+/// What the judge must know of a deployment.
+pub struct Terms {
+    pub operations: Vec<Operation>,
+    /// Zone and cell of each runner.
+    pub places: Vec<(usize, i64)>,
+    pub drain_grace: Micros,
+    pub ask_within: Micros,
+    pub overload_factor: f64,
+    pub tip_after: Micros,
+    /// How much later than its order says something may be seen: what the lab cannot tell from the wire's way.
+    pub slack: Micros,
+    /// The same for a final answer against the client timeout.
+    pub answer_slack: Micros,
+}
+
+impl Terms {
+    pub fn of(scenario: &Scenario, places: Vec<(usize, i64)>, slack: Micros, answer_slack: Micros) -> Terms {
+        Terms {
+            operations: scenario.operation.clone(),
+            places,
+            drain_grace: scenario.limits.drain_grace.0,
+            ask_within: scenario.limits.ask_within.0,
+            overload_factor: scenario.limits.overload_factor,
+            tip_after: scenario.limits.tip_after.0,
+            slack,
+            answer_slack,
+        }
+    }
+}
+
+struct Sent {
+    runner: u32,
+    at: Micros,
+    back: Option<Back>,
+    withdrawn: bool,
+}
+
+impl Sent {
+    fn out(&self) -> bool {
+        self.back.is_none() && !self.withdrawn
+    }
+
+    fn never_ran(&self) -> bool {
+        self.back == Some(Back::NeverRan)
+    }
+}
+
+struct Case {
+    operation: usize,
+    expires_at: Micros,
+    answered: Option<(Micros, Final)>,
+    /// Nothing is owed: the client has left, or the dispatcher was killed.
+    excused: bool,
+    sent: Vec<Sent>,
+    ran: u32,
+    work: f64,
+    history: Vec<String>,
+}
+
+#[derive(Default)]
+struct Cold {
+    spent: VecDeque<(Micros, f64, bool)>,
+    broken: bool,
+}
+
+/// Violations kept in full; beyond these they are only counted.
+const KEPT: usize = 20;
+/// How long an answered invocation is kept, for what may still come after its answer.
+const KEPT_FOR: Micros = 30_000_000;
+/// How much a cold budget may be overdrawn by chance: a job's length is not known when it is sent.
+const BY_CHANCE: f64 = 1.15;
+
+pub struct Judge {
+    terms: Terms,
+    cases: HashMap<Inv, Case>,
+    /// In the order in which they were taken, to be let go of.
+    order: VecDeque<(Micros, Inv)>,
+    /// What each dispatcher has been told of each runner: since when it is not wanted, or none.
+    told: HashMap<(u32, u32), (Option<Micros>, bool)>,
+    listed: BTreeMap<u32, (Micros, bool, Option<Micros>)>,
+    cold: BTreeMap<u32, Cold>,
+    pub verdict: Verdict,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    pub taken: u64,
+    pub succeeded: u64,
+    pub throttled: u64,
+    pub errored: u64,
+    /// Owed by a dispatcher when it was killed.
+    pub lost_by_kill: u64,
+    pub forwards: u64,
+    pub violations: BTreeMap<Rule, u64>,
+    pub kept: Vec<Violation>,
+    /// What the lab itself got wrong; a run with any of these says nothing.
+    pub own_faults: Vec<String>,
+}
+
+impl Verdict {
+    pub fn clean(&self) -> bool {
+        self.violations.is_empty()
+    }
+}
+
+impl Judge {
+    pub fn new(terms: Terms) -> Judge {
+        Judge {
+            terms,
+            cases: HashMap::new(),
+            order: VecDeque::new(),
+            told: HashMap::new(),
+            listed: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            verdict: Verdict::default(),
+        }
+    }
+
+    fn violate(&mut self, at: Micros, rule: Rule, inv: Inv, what: String) {
+        *self.verdict.violations.entry(rule).or_default() += 1;
+        if self.verdict.kept.len() < KEPT {
+            let history = self.cases.get(&inv).map(|case| case.history.clone()).unwrap_or_default();
+            self.verdict.kept.push(Violation { rule, at, inv, what, history });
+        }
+    }
+
+    fn own_fault(&mut self, at: Micros, what: String) {
+        if self.verdict.own_faults.len() < KEPT {
+            self.verdict.own_faults.push(format!("{at}: {what}"));
+        }
+    }
+
+    /// Takes in one thing seen, in the order of time.
+    pub fn see(&mut self, at: Micros, seen: Seen) {
+        let inv = match &seen {
+            Seen::Taken { inv, .. }
+            | Seen::Answered { inv, .. }
+            | Seen::Forged { inv }
+            | Seen::Left { inv }
+            | Seen::Lost { inv }
+            | Seen::Forwarded { inv, .. }
+            | Seen::Ended { inv, .. }
+            | Seen::Withdrawn { inv, .. }
+            | Seen::Ran { inv, .. } => Some(*inv),
+            _ => None,
+        };
+        if let Some(case) = inv.and_then(|inv| self.cases.get_mut(&inv)) {
+            case.history.push(format!("{at} {seen:?}"));
+        }
+        match seen {
+            Seen::Taken { inv, dispatcher, operation, expires_at } => {
+                let line = format!("{at} taken by d{dispatcher}, operation {operation}, until {expires_at}");
+                self.take(at, inv, operation, expires_at, line);
+            }
+            Seen::Answered { inv, how } => self.answered(at, inv, how),
+            Seen::Forged { inv } => {
+                self.violate(at, Rule::OneAnswer, inv, "succeeded with what no runner made for it".into());
+            }
+            Seen::Left { inv } => {
+                if let Some(case) = self.cases.get_mut(&inv) {
+                    case.excused = true;
+                }
+            }
+            Seen::Lost { inv } => {
+                if let Some(case) = self.cases.get_mut(&inv).filter(|case| case.answered.is_none()) {
+                    self.verdict.lost_by_kill += u64::from(!case.excused);
+                    case.excused = true;
+                }
+            }
+            Seen::Forwarded { inv, dispatcher, runner, work, cold } => {
+                self.forwarded(at, inv, (dispatcher, runner), work, cold);
+            }
+            Seen::Ended { inv, runner, how } => self.came_back(at, inv, runner, Some(how)),
+            Seen::Withdrawn { inv, runner } => self.came_back(at, inv, runner, None),
+            Seen::Ran { inv, runner } => self.ran(at, inv, runner),
+            Seen::Listed { runner, wanted, launched } => {
+                self.listed.insert(runner, (at, wanted, launched));
+                if wanted && launched.is_some() {
+                    self.cold.insert(runner, Cold::default());
+                }
+            }
+            Seen::Told { dispatcher, runner, wanted } => {
+                let told = self.told.entry((dispatcher, runner)).or_insert((None, true));
+                // Told once more of the same does not lengthen the grace.
+                let since = if wanted { None } else { Some(told.0.unwrap_or(at)) };
+                *told = (since, wanted);
+            }
+            Seen::Began { dispatcher } => self.told.retain(|(d, _), _| *d != dispatcher),
+        }
+    }
+
+    /// How much work an invocation is, from whoever brought it.
+    pub fn note_work(&mut self, inv: Inv, work: f64) {
+        if let Some(case) = self.cases.get_mut(&inv) {
+            case.work = work;
+        }
+    }
+
+    pub fn work(&self, inv: Inv) -> f64 {
+        self.cases.get(&inv).map_or(0.0, |case| case.work)
+    }
+
+    pub fn operation(&self, inv: Inv) -> Option<usize> {
+        self.cases.get(&inv).map(|case| case.operation)
+    }
+
+    fn take(&mut self, at: Micros, inv: Inv, operation: usize, expires_at: Micros, line: String) {
+        self.verdict.taken += 1;
+        let case = Case {
+            operation,
+            expires_at,
+            answered: None,
+            excused: false,
+            sent: Vec::new(),
+            ran: 0,
+            work: 0.0,
+            history: vec![line],
+        };
+        if self.cases.insert(inv, case).is_some() {
+            self.own_fault(at, format!("invocation {inv:x} was taken twice"));
+        }
+        self.order.push_back((at, inv));
+        while let Some((taken, oldest)) = self.order.front().copied()
+            && taken < at - KEPT_FOR
+            && self.cases.get(&oldest).is_none_or(|case| case.expires_at < at - KEPT_FOR)
+        {
+            self.order.pop_front();
+            self.close(at, oldest);
+        }
+    }
+
+    /// Lets go of an invocation, and looks whether it was answered at all.
+    fn close(&mut self, at: Micros, inv: Inv) {
+        let Some(case) = self.cases.get(&inv) else { return };
+        if case.answered.is_none() && !case.excused {
+            self.violate(at, Rule::OneAnswer, inv, "never answered".into());
+        }
+        self.cases.remove(&inv);
+    }
+
+    fn answered(&mut self, at: Micros, inv: Inv, how: Final) {
+        let slack = self.terms.answer_slack;
+        let Some(case) = self.cases.get_mut(&inv) else {
+            return self.own_fault(at, format!("an answer to {inv:x}, which nobody took"));
+        };
+        let (before, late) = (case.answered, at > case.expires_at + slack);
+        let op = &self.terms.operations[case.operation];
+        let repeatable = match op.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated => op.group == Group::All,
+            Effect::NonIdempotent => false,
+        };
+        let harmless = repeatable || case.sent.iter().all(Sent::never_ran);
+        case.answered = Some((at, how));
+        let excused = case.excused;
+        match how {
+            Final::Succeeded => self.verdict.succeeded += 1,
+            Final::Throttled => self.verdict.throttled += 1,
+            Final::Errored => self.verdict.errored += 1,
+        }
+        if let Some((first, _)) = before {
+            self.violate(at, Rule::OneAnswer, inv, format!("answered twice, first at {first}"));
+        }
+        if late && !excused {
+            self.violate(at, Rule::OneAnswer, inv, "answered after the client timeout".into());
+        }
+        if how == Final::Throttled && !harmless {
+            self.violate(at, Rule::NoEffectTwice, inv, "throttled, though it may have run".into());
+        }
+    }
+
+    fn forwarded(
+        &mut self,
+        at: Micros,
+        inv: Inv,
+        (dispatcher, runner): (u32, u32),
+        work: f64,
+        cold: Option<f64>,
+    ) {
+        self.verdict.forwards += 1;
+        let slack = self.terms.slack;
+        let Some(case) = self.cases.get_mut(&inv) else {
+            return self.own_fault(at, format!("a forward of {inv:x}, which nobody took"));
+        };
+        let mut wrong: Vec<(Rule, String)> = Vec::new();
+        if let Some((answered, _)) = case.answered.filter(|(answered, _)| at > answered + slack) {
+            wrong.push((Rule::OneAnswer, format!("forwarded after its answer at {answered}")));
+        }
+        if case.sent.iter().any(Sent::out) {
+            wrong.push((Rule::NoEffectTwice, "two forwards out at once".into()));
+        }
+        let op = &self.terms.operations[case.operation];
+        let place = |runner: u32| self.terms.places.get(runner as usize).copied().unwrap_or((usize::MAX, -1));
+        let first = case.sent.iter().find(|sent| !sent.never_ran());
+        match (op.effect, first) {
+            (_, None) | (Effect::Idempotent, _) => {}
+            (Effect::NonIdempotent, Some(first)) => {
+                let what = format!("forwarded again, though it may have run at r{}", first.runner);
+                wrong.push((Rule::NoEffectTwice, what));
+            }
+            (Effect::Deduplicated, Some(first)) => {
+                let (there, here) = (place(first.runner), place(runner));
+                let inside = match op.group {
+                    Group::All => true,
+                    Group::Zone => there.0 == here.0,
+                    Group::Cell => there.1 == here.1,
+                };
+                if !inside {
+                    let what = format!("forwarded again outside the group of r{}", first.runner);
+                    wrong.push((Rule::NoEffectTwice, what));
+                }
+                if at > first.at + op.memory_span.0 + slack {
+                    let what = format!("forwarded again, {} us after the first", at - first.at);
+                    wrong.push((Rule::NoEffectTwice, what));
+                }
+            }
+        }
+        case.sent.push(Sent { runner, at, back: None, withdrawn: false });
+
+        // Told, or treated as told: a change counts for everybody after a while.
+        let told = self.told.get(&(dispatcher, runner)).copied();
+        let listed = self.listed.get(&runner).copied();
+        let treated = listed.filter(|(_, wanted, _)| !wanted).map(|(at, ..)| at + self.terms.ask_within);
+        let since = [told.and_then(|(since, _)| since), treated].into_iter().flatten().min();
+        let knows = since.filter(|since| at > since + self.terms.drain_grace + slack);
+        if let Some(since) = knows {
+            let what = format!("forwarded to r{runner} {} us after it was told to leave it", at - since);
+            wrong.push((Rule::NothingToDraining, what));
+        }
+        if let Some(capacity) = cold {
+            let told_of_start = told.is_some_and(|(_, wanted)| wanted);
+            let cold = self.cold.entry(runner).or_default();
+            let span = self.terms.tip_after;
+            while cold.spent.front().is_some_and(|(sent, ..)| *sent <= at - span) {
+                cold.spent.pop_front();
+            }
+            cold.spent.push_back((at, work, told_of_start));
+            let all: f64 = cold.spent.iter().map(|(_, work, _)| work).sum();
+            let knowing: f64 = cold.spent.iter().filter(|(.., told)| *told).map(|(_, work, _)| work).sum();
+            let budget = self.terms.overload_factor * capacity * span as f64 * BY_CHANCE;
+            if all > budget && knowing * 3.0 >= all * 2.0 && cold.spent.len() > 3 && !cold.broken {
+                cold.broken = true;
+                let what = format!("r{runner} was sent {all:.0} us of work in a span worth {budget:.0}");
+                wrong.push((Rule::ColdBudget, what));
+            }
+        }
+        for (rule, what) in wrong {
+            self.violate(at, rule, inv, what);
+        }
+    }
+
+    fn came_back(&mut self, at: Micros, inv: Inv, runner: u32, how: Option<Back>) {
+        let Some(case) = self.cases.get_mut(&inv) else { return };
+        let Some(sent) = case.sent.iter_mut().rev().find(|sent| sent.runner == runner) else {
+            return self.own_fault(at, format!("an ending of {inv:x} at r{runner}, which was never sent it"));
+        };
+        match how {
+            None => sent.withdrawn = true,
+            Some(_) if sent.back.is_none() => sent.back = how,
+            Some(_) => {}
+        }
+    }
+
+    fn ran(&mut self, at: Micros, inv: Inv, runner: u32) {
+        let Some(case) = self.cases.get_mut(&inv) else { return };
+        case.ran += 1;
+        if case.ran > 1 && self.terms.operations[case.operation].effect != Effect::Idempotent {
+            self.violate(at, Rule::NoEffectTwice, inv, format!("its effect came twice, now at r{runner}"));
+        }
+    }
+
+    /// The run is over: whatever is still owed now was never answered.
+    pub fn finish(&mut self, at: Micros) {
+        let mut open: Vec<Inv> = self.cases.keys().copied().collect();
+        open.sort_unstable();
+        for inv in open {
+            self.close(at, inv);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Each rule broken in the smallest way, and the same without the breach: the judge must tell them apart.
+    fn verdict(text: &str, seen: &[(Micros, Seen)]) -> Verdict {
+        let base = r#"
+            name = "t"
+            length = "10s"
+            dispatchers = 1
+            [clients]
+            load = 0.5
+            [[pool]]
+            kind = "a"
+            count = 4
+            slots = 1
+            queue = 1
+            [[operation]]
+            name = "op"
+            work = "100ms"
+            latency-objective = "1s"
+            client-timeout = "5s"
+        "#;
+        let scenario = Scenario::parse("t", &format!("{base}{text}")).unwrap();
+        let places = vec![(0, 0), (1, 1), (0, 0), (1, 1)];
+        let mut judge = Judge::new(Terms::of(&scenario, places, 0, 0));
+        judge.see(0, Seen::Taken { inv: 1, dispatcher: 0, operation: 0, expires_at: 5_000_000 });
+        for (at, seen) in seen {
+            judge.see(*at, seen.clone());
+        }
+        judge.finish(60_000_000);
+        judge.verdict
+    }
+
+    fn sent(at: Micros, runner: u32) -> (Micros, Seen) {
+        (at, Seen::Forwarded { inv: 1, dispatcher: 0, runner, work: 100_000.0, cold: None })
+    }
+
+    fn ended(at: Micros, runner: u32, how: Back) -> (Micros, Seen) {
+        (at, Seen::Ended { inv: 1, runner, how })
+    }
+
+    fn answered(at: Micros, how: Final) -> (Micros, Seen) {
+        (at, Seen::Answered { inv: 1, how })
+    }
+
+    const ZONE: &str = "effect = \"deduplicated\"\ngroup = \"zone\"\nmemory-span = \"3s\"";
+    const ONCE: &str = "effect = \"non-idempotent\"";
+
+    fn rules(verdict: &Verdict) -> Vec<Rule> {
+        verdict.violations.keys().copied().collect()
+    }
+
+    #[test]
+    fn one_answer_in_time_and_nothing_after_it() {
+        let good = [sent(10, 0), ended(20, 0, Back::Succeeded), answered(20, Final::Succeeded)];
+        assert!(verdict("", &good).clean());
+        for bad in [
+            vec![],
+            vec![answered(5_000_001, Final::Errored)],
+            vec![answered(20, Final::Errored), answered(30, Final::Errored)],
+            vec![answered(20, Final::Throttled), sent(21, 0)],
+            vec![(9, Seen::Forged { inv: 1 }), answered(20, Final::Succeeded)],
+        ] {
+            assert_eq!(rules(&verdict("", &bad)), [Rule::OneAnswer], "{bad:?}");
+        }
+        let killed = verdict("", &[sent(10, 0), (20, Seen::Lost { inv: 1 })]);
+        assert!(killed.clean() && killed.lost_by_kill == 1);
+    }
+
+    #[test]
+    fn no_effect_twice() {
+        let end = answered(900, Final::Errored);
+        let throttled = answered(900, Final::Throttled);
+        let never = [sent(10, 0), ended(20, 0, Back::NeverRan), sent(30, 1), ended(40, 1, Back::NeverRan)];
+        let perhaps = [sent(10, 0), ended(20, 0, Back::MayHaveRun)];
+        let clean = |text, seen: &[(Micros, Seen)], end: &(Micros, Seen)| {
+            verdict(text, &[seen, std::slice::from_ref(end)].concat()).clean()
+        };
+        assert!(clean(ONCE, &never, &throttled));
+        assert!(!clean(ONCE, &perhaps, &throttled));
+        assert!(clean(ONCE, &perhaps, &end));
+        assert!(!clean(ONCE, &[&perhaps[..], &[sent(30, 1)]].concat(), &end));
+        // Withdrawn is no proof that it never ran, but it is not out any more.
+        let withdrawn = [sent(10, 0), (20, Seen::Withdrawn { inv: 1, runner: 0 }), sent(30, 1)];
+        assert!(!clean(ONCE, &withdrawn, &end) && clean("", &withdrawn, &end));
+        assert!(!clean("", &[sent(10, 0), sent(30, 1)], &end), "two out at once");
+        assert!(clean(ZONE, &[&perhaps[..], &[sent(30, 2)]].concat(), &end));
+        assert!(!clean(ZONE, &[&perhaps[..], &[sent(30, 1)]].concat(), &end), "outside the zone");
+        let after = answered(4_000_000, Final::Errored);
+        assert!(!clean(ZONE, &[&perhaps[..], &[sent(3_000_011, 2)]].concat(), &after), "after the span");
+        let ran = |runner| (50, Seen::Ran { inv: 1, runner });
+        assert!(!clean(ZONE, &[ran(0), ran(1)], &end) && clean("", &[ran(0), ran(1)], &end));
+    }
+
+    #[test]
+    fn nothing_to_a_runner_past_the_grace() {
+        let told = |wanted| (100, Seen::Told { dispatcher: 0, runner: 0, wanted });
+        let end = answered(900_000, Final::Errored);
+        assert!(verdict("", &[told(false), sent(500_100, 0), end.clone()]).clean());
+        let late = verdict("", &[told(false), sent(500_101, 0), end.clone()]);
+        assert_eq!(rules(&late), [Rule::NothingToDraining]);
+        assert!(verdict("", &[told(false), told(true), sent(800_000, 0), end.clone()]).clean());
+        // Not told, but listed for longer than anyone may go without asking.
+        let listed = (-12_000_000, Seen::Listed { runner: 0, wanted: false, launched: None });
+        assert_eq!(rules(&verdict("", &[listed, sent(800_000, 0), end])), [Rule::NothingToDraining]);
+    }
+
+    #[test]
+    fn cold_runners_keep_their_budget() {
+        let began = (5, Seen::Listed { runner: 0, wanted: true, launched: Some(5) });
+        let told = (6, Seen::Told { dispatcher: 0, runner: 0, wanted: true });
+        // 3 x 0.2 x 2 s is 1.2 s of work; 1.38 s with the slack for chance.
+        let send = |nth: i64, work: f64| {
+            let (inv, at) = (1, 10 + nth);
+            (at, Seen::Forwarded { inv, dispatcher: 0, runner: 0, work, cold: Some(0.2) })
+        };
+        let back = ended(11, 0, Back::NeverRan);
+        let flood = |work: f64, told: &[(Micros, Seen)]| {
+            let mut seen = told.to_vec();
+            for nth in 0..5 {
+                seen.extend([send(nth * 2, work), (11 + nth * 2, back.1.clone())]);
+            }
+            seen.push(answered(900, Final::Throttled));
+            rules(&verdict("", &seen))
+        };
+        assert_eq!(flood(300_000.0, &[began.clone(), told.clone()]), [Rule::ColdBudget]);
+        assert_eq!(flood(270_000.0, &[began.clone(), told]), []);
+        // Who has not been told of the start is not to blame.
+        assert_eq!(flood(300_000.0, &[began]), []);
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,17 @@
+//! topazsail's lab: one world under two clocks, and a judge apart from both.
+//!
+//! `scenario` says what is played; `world`, `runner` and `load` are the deployment, with no I/O; `judge` and
+//! `tally` say what came of it. `virtual_clock` plays it with the module in process, `sockets` with the real
+//! program on loopback. `experiment` and `report` are for people.
+
+pub mod experiment;
+pub mod judge;
+pub mod load;
+pub mod policy;
+pub mod report;
+pub mod runner;
+pub mod scenario;
+pub mod sockets;
+pub mod tally;
+pub mod virtual_clock;
+pub mod world;
--- /dev/null
+++ b/lab/src/load.rs
@@ -0,0 +1,179 @@
+//! Clients: when each brings what, and whether it comes back.
+//!
+//! It does no I/O. What is brought is drawn from the seed alone, before anything is answered: two policies
+//! with one seed are brought the same work at the same moments. It must never look at an answer but to say
+//! whether the client tries again.
+
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp1, LogNormal, Zipf};
+use rand_pcg::Pcg32;
+use topazsail::Micros;
+
+use crate::scenario::{Arrivals, Clients, Effect, Group, Operation, Scenario, Shape};
+
+/// One thing that a client wants, with all its tries.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub at: Micros,
+    pub operation: usize,
+    /// Work at speed 1.
+    pub work: f64,
+    pub key: Option<u32>,
+    pub zone: usize,
+}
+
+/// A generator of its own for each purpose, so that one purpose's draws never shift another's.
+pub fn chance(seed: u64, purpose: u64) -> Pcg32 {
+    let mixed = topazsail::hash(&[seed.to_le_bytes(), purpose.to_le_bytes()].concat());
+    Pcg32::seed_from_u64(mixed)
+}
+
+pub struct Bring {
+    operations: Vec<Operation>,
+    shares: Vec<f64>,
+    works: Vec<Option<LogNormal<f64>>>,
+    keys: Vec<Option<Zipf<f64>>>,
+    clients: Clients,
+    zones: usize,
+    /// Mean gap in microseconds at the highest rate.
+    gap: f64,
+    peak: f64,
+    at: f64,
+    ends: Micros,
+    chance: Pcg32,
+    /// The present stretch of bursts: until when, and whether high.
+    stretch: (f64, bool),
+}
+
+impl Bring {
+    /// `capacity` is the work that all runners do in a microsecond when warm and well.
+    pub fn new(scenario: &Scenario, capacity: f64, seed: u64) -> Bring {
+        let operations = scenario.operation.clone();
+        let total: f64 = operations.iter().map(|op| op.share).sum();
+        let mut sum = 0.0;
+        let mut shares = Vec::new();
+        let mut mean_work = 0.0;
+        for op in &operations {
+            sum += op.share / total;
+            shares.push(sum);
+            mean_work += op.share / total * op.work.0 as f64;
+        }
+        let lognormal = |op: &Operation| {
+            let mean = op.work.0 as f64;
+            (op.shape == Shape::Lognormal).then(|| LogNormal::from_mean_cv(mean, op.cv).ok()).flatten()
+        };
+        let zipf = |op: &Operation| {
+            (op.keys > 0).then(|| Zipf::new(f64::from(op.keys), scenario.clients.zipf).ok()).flatten()
+        };
+        let clients = scenario.clients.clone();
+        let peak = if clients.arrivals == Arrivals::Poisson { 1.0 } else { 1.0 + clients.swing };
+        Bring {
+            works: operations.iter().map(lognormal).collect(),
+            keys: operations.iter().map(zipf).collect(),
+            gap: mean_work / (capacity * clients.load * peak).max(1e-12),
+            peak,
+            operations,
+            shares,
+            zones: scenario.zones.names.len(),
+            clients,
+            at: 0.0,
+            ends: scenario.length.0,
+            chance: chance(seed, 1),
+            stretch: (0.0, false),
+        }
+    }
+
+    /// The rate at a moment as a share of the mean.
+    fn level(&mut self, at: f64) -> f64 {
+        let (swing, period) = (self.clients.swing, self.clients.period.0.max(1) as f64);
+        match self.clients.arrivals {
+            Arrivals::Poisson => 1.0,
+            Arrivals::Daily => 1.0 + swing * (std::f64::consts::TAU * at / period).sin(),
+            Arrivals::Bursts => {
+                while at >= self.stretch.0 {
+                    let draw: f64 = Exp1.sample(&mut self.chance);
+                    self.stretch = (self.stretch.0 + draw * period / 2.0, !self.stretch.1);
+                }
+                if self.stretch.1 { 1.0 + swing } else { 1.0 - swing }
+            }
+        }
+    }
+}
+
+impl Iterator for Bring {
+    type Item = Ask;
+
+    fn next(&mut self) -> Option<Ask> {
+        loop {
+            let draw: f64 = Exp1.sample(&mut self.chance);
+            self.at += draw * self.gap;
+            if self.at >= self.ends as f64 {
+                return None;
+            }
+            // Thinning: arrivals at the highest rate, each kept by the share that the moment has of it.
+            let level = self.level(self.at) / self.peak;
+            if self.chance.random::<f64>() < level {
+                break;
+            }
+        }
+        let drawn: f64 = self.chance.random();
+        let operation = self.shares.iter().position(|sum| drawn < *sum).unwrap_or(self.shares.len() - 1);
+        let op = &self.operations[operation];
+        let mean = op.work.0 as f64;
+        let work = match (op.shape, &self.works[operation]) {
+            (Shape::Lognormal, Some(drawn)) => drawn.sample(&mut self.chance),
+            (Shape::Exponential, _) => {
+                let draw: f64 = Exp1.sample(&mut self.chance);
+                draw * mean
+            }
+            _ => mean,
+        };
+        let key = self.keys[operation].as_ref().map(|zipf| zipf.sample(&mut self.chance) as u32);
+        let zone = self.chance.random_range(0..self.zones);
+        Some(Ask { at: self.at as Micros, operation, work: work.max(1.0), key, zone })
+    }
+}
+
+/// What a client sees of one try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    Succeeded,
+    Throttled(Option<Micros>),
+    Errored,
+    /// No dispatcher took it.
+    Untaken,
+    /// It was taken, and then its connection ended or nothing came in time.
+    Nothing,
+}
+
+/// Whether and when a client tries again: its own draws, so that one policy's answers shift no one else's.
+pub fn returns(
+    scenario: &Scenario,
+    seed: u64,
+    ask: (u64, &Ask),
+    tries: u32,
+    seen: Seen,
+    now: Micros,
+) -> Option<Micros> {
+    let (number, ask) = ask;
+    let (clients, op) = (&scenario.clients, &scenario.operation[ask.operation]);
+    let inside = op.effect == Effect::Deduplicated
+        && op.group == Group::All
+        && now < ask.at + op.memory_span.0.saturating_sub(100_000);
+    let harmless = match seen {
+        Seen::Succeeded => false,
+        Seen::Throttled(_) | Seen::Untaken => true,
+        Seen::Errored | Seen::Nothing => op.effect == Effect::Idempotent || inside,
+    };
+    if !harmless || tries > clients.retries {
+        return None;
+    }
+    let mut chance = chance(seed, (number << 8) | 0x80 | u64::from(tries));
+    let wait = (clients.retry_wait.0 << (tries - 1).min(10)) as f64 * chance.random_range(0.5..1.5);
+    let wait = match seen {
+        Seen::Throttled(Some(advice)) if chance.random::<f64>() < clients.honour => advice as f64,
+        _ => wait,
+    };
+    let at = now + wait as Micros;
+    (at + 1_000 < ask.at + op.client_timeout.0).then_some(at)
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,230 @@
+//! The command line of the lab.
+//!
+//! It owns sub-commands and exit codes: 0 fine, 1 bad input or no run, 2 a rule was broken, 3 void. It must
+//! never leave a process behind or swallow a fault.
+
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+use topazsail_lab::experiment::{self, Who};
+use topazsail_lab::policy::Policy;
+use topazsail_lab::report;
+use topazsail_lab::scenario::Scenario;
+use topazsail_lab::sockets::own_program;
+use topazsail_lab::tally::Outcome;
+
+/// Plays scenarios against topazsail and judges what comes of them.
+#[derive(Parser)]
+#[command(name = "topazsail-lab", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum ClockName {
+    /// The module in process; seconds for a million invocations.
+    Virtual,
+    /// The real program on loopback, in real time.
+    Sockets,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play one scenario once.
+    Run {
+        scenario: PathBuf,
+        #[arg(long, value_enum, default_value = "virtual")]
+        clock: ClockName,
+        /// Instead of the scenario's own.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// The dispatcher on sockets; the one beside this program if not named.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Who decides in virtual time.
+        #[arg(long, default_value = "topazsail")]
+        policy: String,
+        /// Write the result here.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Write a page with plots into this folder.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Play a scenario for each value of one field.
+    Sweep {
+        scenario: PathBuf,
+        /// PATH=A,B,C, such as clients.load=0.5,0.7,0.9 or fault.0.size=2,4.
+        #[arg(long)]
+        vary: String,
+        /// Seeds for each value.
+        #[arg(long, default_value_t = 3)]
+        seeds: u32,
+        /// A policy in virtual time, or a program's path (with a '/') on sockets.
+        #[arg(long, default_value = "topazsail")]
+        who: String,
+        #[arg(long)]
+        json: Option<PathBuf>,
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Play a scenario with two programs or policies on the same seeds.
+    Compare {
+        scenario: PathBuf,
+        /// A policy in virtual time, or a program's path (with a '/') on sockets.
+        #[arg(long)]
+        against: String,
+        #[arg(long, default_value = "topazsail")]
+        who: String,
+        #[arg(long, default_value_t = 10)]
+        pairs: u32,
+        #[arg(long)]
+        json: Option<PathBuf>,
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Read scenarios and say what they hold, or which field of which line is at fault.
+    Check { scenarios: Vec<PathBuf> },
+    /// Make pages of results that were written before.
+    Report {
+        results: Vec<PathBuf>,
+        #[arg(long, default_value = "lab-report")]
+        out: PathBuf,
+    },
+}
+
+/// Shown on a terminal only.
+fn bar(what: &str) -> ProgressBar {
+    let bar = ProgressBar::new(1000);
+    if let Ok(style) = ProgressStyle::with_template("{msg} [{bar:40}] {percent}%") {
+        bar.set_style(style.progress_chars("=> "));
+    }
+    bar.set_message(what.to_owned());
+    if !std::io::stderr().is_terminal() {
+        bar.set_draw_target(indicatif::ProgressDrawTarget::hidden());
+    }
+    bar
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Result<String, String> {
+    serde_json::to_string_pretty(value).map(|text| text + "\n").map_err(|error| error.to_string())
+}
+
+fn write(path: Option<&Path>, text: impl FnOnce() -> Result<String, String>) -> Result<(), String> {
+    path.map_or(Ok(()), |path| report::write(path, &text()?))
+}
+
+fn page(
+    folder: Option<&Path>,
+    name: &str,
+    html: impl FnOnce() -> Result<String, String>,
+) -> Result<(), String> {
+    let Some(folder) = folder else { return Ok(()) };
+    println!("{}", report::write_page(folder, name, &html()?)?.display());
+    Ok(())
+}
+
+fn code<'a>(outcomes: impl Iterator<Item = &'a Outcome> + Clone) -> ExitCode {
+    let void = outcomes.clone().any(|outcome| !outcome.void.is_empty());
+    let broken = outcomes.into_iter().any(|outcome| !outcome.broken.is_empty());
+    ExitCode::from(if broken {
+        2
+    } else if void {
+        3
+    } else {
+        0
+    })
+}
+
+fn run(line: Line) -> Result<ExitCode, String> {
+    match line.command {
+        Command::Run { scenario, clock, seed, program, policy, json: to, report: folder } => {
+            let scenario = Scenario::load(&scenario)?;
+            let who = match clock {
+                ClockName::Virtual => Who::Policy(policy.parse::<Policy>()?),
+                ClockName::Sockets => Who::Program(program.unwrap_or_else(own_program)),
+            };
+            let bar = bar(&scenario.name);
+            let played = who.play(&scenario, seed.unwrap_or(scenario.seed), &|share| {
+                bar.set_position((share * 1000.0) as u64);
+            });
+            bar.finish_and_clear();
+            let outcome = played?;
+            print!("{}", report::run_text(&outcome));
+            write(to.as_deref(), || json(&outcome))?;
+            page(folder.as_deref(), &outcome.scenario, || report::run_page(&outcome))?;
+            Ok(code(std::iter::once(&outcome)))
+        }
+        Command::Sweep { scenario, vary, seeds, who, json: to, report: folder } => {
+            let (field, values) = vary.split_once('=').ok_or("--vary wants PATH=A,B,C")?;
+            let values: Vec<String> = values.split(',').map(str::to_owned).collect();
+            let steps = experiment::vary(&scenario, field, &values)?;
+            let bar = bar(field);
+            let progress = |share: f64| bar.set_position((share * 1000.0) as u64);
+            let steps = experiment::sweep(steps, &Who::parse(&who)?, seeds.max(1), &progress);
+            bar.finish_and_clear();
+            let steps = steps?;
+            print!("{}", report::sweep_text(field, &steps));
+            write(to.as_deref(), || json(&steps))?;
+            page(folder.as_deref(), &format!("sweep {field}"), || report::sweep_page(field, &steps))?;
+            Ok(code(steps.iter().flat_map(|step| &step.outcomes)))
+        }
+        Command::Compare { scenario, against, who, pairs, json: to, report: folder } => {
+            let scenario = Scenario::load(&scenario)?;
+            let bar = bar(&scenario.name);
+            let progress = |share: f64| bar.set_position((share * 1000.0) as u64);
+            let (ours, other) = (Who::parse(&who)?, Who::parse(&against)?);
+            let found = experiment::compare(&scenario, &ours, &other, pairs.max(2), &progress);
+            bar.finish_and_clear();
+            let found = found?;
+            print!("{}", report::comparison_text(&found));
+            write(to.as_deref(), || json(&found))?;
+            page(folder.as_deref(), &format!("compare {}", found.scenario), || {
+                report::comparison_page(&found)
+            })?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Check { scenarios } => {
+            if scenarios.is_empty() {
+                return Err("check wants at least one scenario".to_owned());
+            }
+            for path in scenarios {
+                let scenario = Scenario::load(&path)?;
+                println!(
+                    "{}: {} for {}, {} dispatchers, {} runners, {} faults",
+                    path.display(),
+                    scenario.name,
+                    serde_json::to_value(scenario.length).unwrap_or_default().as_str().unwrap_or_default(),
+                    scenario.dispatchers,
+                    scenario.runners(),
+                    scenario.fault.len()
+                );
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Report { results, out } => {
+            for path in results {
+                let fault = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+                let text = std::fs::read_to_string(&path).map_err(|error| fault(&error))?;
+                let outcome: Outcome = serde_json::from_str(&text).map_err(|error| fault(&error))?;
+                let name = format!("{} {} {}", outcome.scenario, outcome.clock, outcome.seed);
+                page(Some(&out), &name, || report::run_page(&outcome))?;
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Line::parse()) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("topazsail-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/policy.rs
@@ -0,0 +1,216 @@
+//! Who decides, in virtual time: the module of decisions itself, or a baseline to measure it against.
+//!
+//! Baselines take the same events and return the same actions. They keep the rules on repeats, and nothing
+//! else: that is what they are for. Those with true state see what no real dispatcher can.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use topazsail::{
+    Action, Brain, Effect, Ending, Event, Group, Id, Listing, Micros, Readiness, StandingOrders,
+};
+
+use crate::load::chance;
+use crate::runner::Runner;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The module that topazsail serves with.
+    Topazsail,
+    Random,
+    RoundRobin,
+    /// The least of so many draws by the latest load report that this dispatcher has had.
+    LeastReported(usize),
+    /// The least of so many draws by true counts.
+    LeastTrue(usize),
+    /// The least of all runners by true counts.
+    LeastOfAll,
+}
+
+pub const POLICIES: &str =
+    "topazsail, random, round-robin, least-of-D, true-of-D (D from 1 to 9), least-of-all";
+
+impl FromStr for Policy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Policy, String> {
+        let draws = |rest: &str| match rest.parse() {
+            Ok(draws @ 1..=9) => Ok(draws),
+            _ => Err(format!("unknown policy '{text}': known are {POLICIES}")),
+        };
+        match text {
+            "topazsail" => Ok(Policy::Topazsail),
+            "random" => Ok(Policy::Random),
+            "round-robin" => Ok(Policy::RoundRobin),
+            "least-of-all" => Ok(Policy::LeastOfAll),
+            _ => match (text.strip_prefix("least-of-"), text.strip_prefix("true-of-")) {
+                (Some(rest), _) => draws(rest).map(Policy::LeastReported),
+                (_, Some(rest)) => draws(rest).map(Policy::LeastTrue),
+                _ => Err(format!("unknown policy '{text}': known are {POLICIES}")),
+            },
+        }
+    }
+}
+
+pub trait Decide {
+    /// As [`Brain::decide`]; `truth` is for those baselines that are told it.
+    fn decide(&mut self, now: Micros, happened: Event, truth: &[Runner]) -> Vec<Action>;
+}
+
+impl Decide for Brain {
+    fn decide(&mut self, now: Micros, happened: Event, _: &[Runner]) -> Vec<Action> {
+        Brain::decide(self, now, vec![happened])
+    }
+}
+
+pub fn decider(policy: Policy, orders: StandingOrders, seed: u64) -> Box<dyn Decide> {
+    match policy {
+        Policy::Topazsail => Box::new(Brain::new(orders, seed)),
+        _ => Box::new(Baseline {
+            policy,
+            orders,
+            chance: chance(seed, 4),
+            listed: Vec::new(),
+            reported: HashMap::new(),
+            turn: 0,
+            invs: HashMap::new(),
+            subscribed: false,
+        }),
+    }
+}
+
+struct Held {
+    operation: usize,
+    forwards: u32,
+    may_have_run: bool,
+}
+
+struct Baseline {
+    policy: Policy,
+    orders: StandingOrders,
+    chance: Pcg32,
+    listed: Vec<(u32, Id)>,
+    reported: HashMap<u32, f64>,
+    turn: usize,
+    invs: HashMap<Id, Held>,
+    subscribed: bool,
+}
+
+/// A runner's number, as it stands in its id.
+pub fn number(id: &str) -> u32 {
+    id[1..].parse().unwrap_or(u32::MAX)
+}
+
+impl Baseline {
+    fn choose(&mut self, truth: &[Runner]) -> Option<Id> {
+        if self.listed.is_empty() {
+            return None;
+        }
+        let all = self.listed.len();
+        let count =
+            |(r, _): &(u32, Id)| truth[*r as usize].jobs() as f64 / f64::from(truth[*r as usize].slots);
+        let nth = match self.policy {
+            Policy::Topazsail | Policy::Random => self.chance.random_range(0..all),
+            Policy::RoundRobin => {
+                self.turn += 1;
+                self.turn % all
+            }
+            Policy::LeastOfAll => {
+                // Ties by chance, or the first of the list would have them all.
+                let first = self.chance.random_range(0..all);
+                let order = (0..all).map(|step| (first + step) % all);
+                order.min_by(|a, b| count(&self.listed[*a]).total_cmp(&count(&self.listed[*b])))?
+            }
+            Policy::LeastReported(draws) => {
+                let drawn: Vec<usize> = (0..draws).map(|_| self.chance.random_range(0..all)).collect();
+                let told = |nth: &usize| self.reported.get(&self.listed[*nth].0).copied().unwrap_or(0.0);
+                drawn.into_iter().min_by(|a, b| told(a).total_cmp(&told(b)))?
+            }
+            Policy::LeastTrue(draws) => {
+                let drawn: Vec<usize> = (0..draws).map(|_| self.chance.random_range(0..all)).collect();
+                drawn
+                    .into_iter()
+                    .min_by(|a, b| count(&self.listed[*a]).total_cmp(&count(&self.listed[*b])))?
+            }
+        };
+        Some(self.listed[nth].1.clone())
+    }
+
+    fn forward(&mut self, inv: Id, truth: &[Runner]) -> Vec<Action> {
+        let tgt = self.choose(truth);
+        let Some(held) = self.invs.get_mut(&inv) else { return Vec::new() };
+        match tgt {
+            Some(tgt) if held.forwards < self.orders.most_forwards => {
+                held.forwards += 1;
+                vec![Action::Forward { inv, tgt }]
+            }
+            _ => self.give_up(inv),
+        }
+    }
+
+    fn give_up(&mut self, inv: Id) -> Vec<Action> {
+        let Some(held) = self.invs.remove(&inv) else { return Vec::new() };
+        let effect = self.orders.operations[held.operation].effect;
+        let harmless = matches!(effect, Effect::Idempotent | Effect::Deduplicated(Group::All));
+        match harmless || !held.may_have_run {
+            true => vec![Action::Throttle { inv, come_back: self.orders.come_back_max.map(|most| most / 4) }],
+            false => vec![Action::Error { inv }],
+        }
+    }
+}
+
+impl Decide for Baseline {
+    fn decide(&mut self, _: Micros, happened: Event, truth: &[Runner]) -> Vec<Action> {
+        match happened {
+            Event::Arrival(arrival) => {
+                let held = Held { operation: arrival.operation, forwards: 0, may_have_run: false };
+                self.invs.insert(arrival.inv.clone(), held);
+                self.forward(arrival.inv, truth)
+            }
+            Event::Outcome(outcome) => {
+                if let Some(in_flight) = outcome.report.get(2) {
+                    self.reported.insert(number(&outcome.tgt), *in_flight);
+                }
+                if outcome.finished {
+                    self.invs.remove(&outcome.inv);
+                    return Vec::new();
+                }
+                let never = matches!(outcome.ending, Ending::Overloaded | Ending::Unreachable | Ending::Void);
+                let Some(held) = self.invs.get_mut(&outcome.inv) else { return Vec::new() };
+                held.may_have_run |= !never;
+                let effect = self.orders.operations[held.operation].effect;
+                // Groups and spans are left alone: what may have run goes again only where any runner will do.
+                let again = !held.may_have_run || effect == Effect::Idempotent;
+                if again && outcome.ending != Ending::TimedOut {
+                    self.forward(outcome.inv, truth)
+                } else {
+                    self.give_up(outcome.inv)
+                }
+            }
+            Event::Gone { inv } => {
+                self.invs.remove(&inv);
+                Vec::new()
+            }
+            Event::Roster(roster) => {
+                let whole = roster.listing == Listing::All || roster.listing == Listing::Remembered;
+                if whole {
+                    self.listed.clear();
+                }
+                for entry in roster.entries {
+                    let r = number(&entry.tgt);
+                    if !whole {
+                        self.listed.retain(|(known, _)| *known != r);
+                    }
+                    if entry.readiness == Readiness::On {
+                        self.listed.push((r, entry.tgt));
+                    }
+                }
+                let ask = !std::mem::replace(&mut self.subscribed, roster.listing != Listing::Refused);
+                if ask { vec![Action::Follow] } else { Vec::new() }
+            }
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,370 @@
+//! Reports for people: one page of HTML with its plots inside, and a few lines for a terminal.
+//!
+//! It owns how figures look. It must never compute one that the JSON does not hold, and escapes all text.
+
+use std::fs;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+
+use plotters::prelude::*;
+
+use crate::experiment::{Comparison, Step};
+use crate::tally::{Band, Outcome};
+
+const SIZE: (u32, u32) = (920, 260);
+const PALETTE: [RGBColor; 6] = [
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+    RGBColor(44, 160, 44),
+    RGBColor(148, 103, 189),
+    RGBColor(255, 127, 14),
+    RGBColor(90, 90, 90),
+];
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+/// A line of a plot: its name and points.
+type Line = (String, Vec<(f64, f64)>);
+
+/// A plot as SVG text; faults are bands behind the lines.
+fn plot(title: &str, unit: &str, x: Range<f64>, lines: &[Line], bands: &[Band]) -> Result<String, String> {
+    let most = lines.iter().flat_map(|(_, points)| points).map(|(_, y)| *y).fold(0.0, f64::max);
+    let top = if most > 0.0 { most * 1.08 } else { 1.0 };
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let fault = |error: &dyn std::fmt::Display| format!("plot {title}: {error}");
+        area.fill(&WHITE).map_err(|error| fault(&error))?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(x.clone(), 0.0..top)
+            .map_err(|error| fault(&error))?;
+        chart.configure_mesh().light_line_style(WHITE).y_desc(unit).draw().map_err(|error| fault(&error))?;
+        let shade = RGBColor(240, 170, 60).mix(0.18);
+        let boxes = bands.iter().map(|band| {
+            Rectangle::new([(band.from, 0.0), (band.to.max(band.from + 0.05), top)], shade.filled())
+        });
+        chart.draw_series(boxes).map_err(|error| fault(&error))?;
+        for (nth, (name, points)) in lines.iter().enumerate() {
+            let colour = PALETTE[nth % PALETTE.len()];
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))
+                .map_err(|error| fault(&error))?
+                .label(name.clone())
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        if lines.len() > 1 {
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK.mix(0.3))
+                .draw()
+                .map_err(|error| fault(&error))?;
+        }
+        area.present().map_err(|error| fault(&error))?;
+    }
+    Ok(svg)
+}
+
+fn bars(title: &str, unit: &str, values: &[(String, f64)]) -> Result<String, String> {
+    let top = values.iter().map(|(_, value)| *value).fold(0.0, f64::max).max(1e-9) * 1.08;
+    let all = values.len() as f64;
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let fault = |error: &dyn std::fmt::Display| format!("plot {title}: {error}");
+        area.fill(&WHITE).map_err(|error| fault(&error))?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..all, 0.0..top)
+            .map_err(|error| fault(&error))?;
+        let name = |x: &f64| values.get(*x as usize).map_or(String::new(), |(name, _)| name.clone());
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .light_line_style(WHITE)
+            .x_labels(values.len().min(24))
+            .x_label_formatter(&name)
+            .y_desc(unit)
+            .draw()
+            .map_err(|error| fault(&error))?;
+        let boxes = values.iter().enumerate().map(|(nth, (_, value))| {
+            let x = nth as f64;
+            Rectangle::new([(x + 0.1, 0.0), (x + 0.9, *value)], PALETTE[0].mix(0.7).filled())
+        });
+        chart.draw_series(boxes).map_err(|error| fault(&error))?;
+        area.present().map_err(|error| fault(&error))?;
+    }
+    Ok(svg)
+}
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;max-width:980px;margin:2em auto;padding:0 1em;\
+color:#222}table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .7em;border-bottom:1px solid #ddd;\
+text-align:right}td:first-child,th:first-child{text-align:left}.bad{color:#b00020;font-weight:600}\
+pre{background:#f6f6f6;padding:.8em;overflow-x:auto;font-size:12px}svg{max-width:100%;height:auto}";
+
+fn page(title: &str, body: &str) -> String {
+    let title = escaped(title);
+    format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\
+         <style>{STYLE}</style></head><body><h1>{title}</h1>{body}</body></html>\n"
+    )
+}
+
+fn table(heads: &[&str], rows: &[Vec<String>]) -> String {
+    let cells = |tag: &str, cells: &mut dyn Iterator<Item = String>| -> String {
+        cells.map(|cell| format!("<{tag}>{cell}</{tag}>")).collect()
+    };
+    let head = cells("th", &mut heads.iter().map(|head| escaped(head)));
+    let rows: String = rows
+        .iter()
+        .map(|row| format!("<tr>{}</tr>", cells("td", &mut row.iter().map(|cell| escaped(cell)))))
+        .collect();
+    format!("<table><tr>{head}</tr>{rows}</table>")
+}
+
+/// The page of one run.
+pub fn run_page(outcome: &Outcome) -> Result<String, String> {
+    let mut body = format!(
+        "<p>{} clock, {}, seed {}, {} s. Runners, clients and links are simulated.</p>",
+        escaped(&outcome.clock),
+        escaped(&outcome.program),
+        outcome.seed,
+        outcome.seconds
+    );
+    for line in &outcome.void {
+        body += &format!("<p class=\"bad\">Void: {}</p>", escaped(line));
+    }
+    for (rule, count) in &outcome.broken {
+        body += &format!("<p class=\"bad\">Broken: {} ({count} times)</p>", escaped(rule));
+    }
+    let mut rows = vec![];
+    let all = ("all", outcome.goodput, &outcome.counts, &outcome.latency);
+    let operations =
+        outcome.operations.iter().map(|op| (op.name.as_str(), op.goodput, &op.counts, &op.latency));
+    for (name, goodput, counts, latency) in std::iter::once(all).chain(operations) {
+        rows.push(vec![
+            name.to_owned(),
+            format!("{goodput:.4}"),
+            counts.asked.to_string(),
+            counts.in_time.to_string(),
+            counts.late.to_string(),
+            counts.throttled.to_string(),
+            counts.errored.to_string(),
+            counts.nothing.to_string(),
+            format!("{:.1}", latency.p50),
+            format!("{:.1}", latency.p99),
+            format!("{:.1}", latency.p999),
+        ]);
+    }
+    let heads = [
+        "",
+        "goodput",
+        "asked",
+        "in time",
+        "late",
+        "throttled",
+        "errored",
+        "nothing",
+        "p50",
+        "p99",
+        "p99.9 ms",
+    ];
+    body += &table(&heads, &rows);
+    let x = 0.0..outcome.seconds;
+    let over = |name: &str, figure: fn(&crate::tally::Window) -> f64| -> Line {
+        (name.to_owned(), outcome.windows.iter().map(|window| (window.at + 0.5, figure(window))).collect())
+    };
+    let bands = &outcome.faults;
+    body += &plot("Goodput", "share", x.clone(), &[over("goodput", |w| w.goodput)], bands)?;
+    let latency = [over("p50", |w| w.p50), over("p99", |w| w.p99)];
+    body += &plot("Latency from when due", "ms", x.clone(), &latency, bands)?;
+    let ends = [
+        over("asked", |w| w.counts.asked as f64),
+        over("in time", |w| w.counts.in_time as f64),
+        over("throttled", |w| w.counts.throttled as f64),
+        over("errored", |w| w.counts.errored as f64),
+    ];
+    body += &plot("Invocations by the second they were due", "a second", x, &ends, bands)?;
+    let used: Vec<(String, f64)> =
+        outcome.runners.iter().take(200).map(|runner| (runner.name.clone(), runner.used)).collect();
+    body += &bars("Load by runner", "share of capacity", &used)?;
+    let faults: Vec<Vec<String>> = bands
+        .iter()
+        .map(|band| vec![band.what.clone(), format!("{:.1}", band.from), format!("{:.1}", band.to)])
+        .collect();
+    if !faults.is_empty() {
+        body += &table(&["fault", "from s", "to s"], &faults);
+    }
+    for violation in outcome.verdict["kept"].as_array().into_iter().flatten().take(5) {
+        let history = violation["history"].as_array().into_iter().flatten().filter_map(|line| line.as_str());
+        let lines: Vec<&str> = history.collect();
+        body += &format!(
+            "<h3 class=\"bad\">{}: {}</h3><pre>{}</pre>",
+            escaped(violation["rule"].as_str().unwrap_or_default()),
+            escaped(violation["what"].as_str().unwrap_or_default()),
+            escaped(&lines.join("\n"))
+        );
+    }
+    Ok(page(&outcome.scenario, &body))
+}
+
+/// The page of a comparison.
+pub fn comparison_page(found: &Comparison) -> Result<String, String> {
+    let rows: Vec<Vec<String>> = found
+        .pairs
+        .iter()
+        .map(|pair| {
+            vec![
+                pair.seed.to_string(),
+                format!("{:.4}", pair.goodput.0),
+                format!("{:.4}", pair.goodput.1),
+                format!("{:.1}", pair.p99.0),
+                format!("{:.1}", pair.p99.1),
+                format!("{} / {}", pair.broken.0, pair.broken.1),
+            ]
+        })
+        .collect();
+    let body = format!("<pre>{}</pre>", escaped(&comparison_text(found)))
+        + &table(&["seed", "goodput, ours", "other", "p99 ms, ours", "other", "rules broken"], &rows);
+    Ok(page(&format!("{}: {} against {}", found.scenario, found.ours, found.against), &body))
+}
+
+pub fn comparison_text(found: &Comparison) -> String {
+    let mut text = format!(
+        "{}: {} against {}, {} pairs, {} void\n",
+        found.scenario,
+        found.ours,
+        found.against,
+        found.pairs.len(),
+        found.void
+    );
+    for (name, difference) in [("goodput", found.goodput), ("p99 ms", found.p99)] {
+        text += &match difference {
+            Some(d) => format!(
+                "  {name}: {:+.4} ± {:.4} (95%){}\n",
+                d.mean,
+                d.half_width,
+                if d.shows() { "" } else { ", within noise" }
+            ),
+            None => format!("  {name}: too few pairs\n"),
+        };
+    }
+    text
+}
+
+/// The page of a sweep.
+pub fn sweep_page(field: &str, steps: &[Step]) -> Result<String, String> {
+    let name = steps.first().and_then(|step| step.outcomes.first()).map(|o| o.scenario.clone());
+    let place = |nth: usize| nth as f64;
+    let line = |name: &str, figure: &dyn Fn(&Outcome) -> f64| -> Line {
+        (
+            name.to_owned(),
+            steps.iter().enumerate().map(|(nth, step)| (place(nth), step.mean(figure))).collect(),
+        )
+    };
+    let x = 0.0..(steps.len().saturating_sub(1)).max(1) as f64;
+    let mut body = format!("<pre>{}</pre>", escaped(&sweep_text(field, steps)));
+    body += &plot("Goodput", "share", x.clone(), &[line("goodput", &|o| o.goodput)], &[])?;
+    let latency = [line("p50", &|o| o.latency.p50), line("p99", &|o| o.latency.p99)];
+    body += &plot("Latency", "ms", x, &latency, &[])?;
+    Ok(page(&format!("{}: {field}", name.unwrap_or_default()), &body))
+}
+
+pub fn sweep_text(field: &str, steps: &[Step]) -> String {
+    let mut text = format!("{field:>16}  goodput    p50 ms    p99 ms  throttled  broken  void\n");
+    for step in steps {
+        let broken: u64 = step.outcomes.iter().flat_map(|o| o.broken.values()).sum();
+        let void = step.outcomes.iter().filter(|o| !o.void.is_empty()).count();
+        text += &format!(
+            "{:>16}   {:.4} {:>9.1} {:>9.1} {:>10.1} {broken:>7} {void:>5}\n",
+            step.value,
+            step.mean(|o| o.goodput),
+            step.mean(|o| o.latency.p50),
+            step.mean(|o| o.latency.p99),
+            step.mean(|o| o.counts.throttled as f64),
+        );
+    }
+    text
+}
+
+/// A few lines on one run.
+pub fn run_text(outcome: &Outcome) -> String {
+    let counts = &outcome.counts;
+    let mut text = format!(
+        "{} ({} clock, {}, seed {}): goodput {:.4}\n  asked {} in time {} late {} throttled {} errored {} nothing {}\n\
+         \x20 latency ms: p50 {:.1} p90 {:.1} p99 {:.1} p99.9 {:.1}\n  forwards {} of {} tries, {} across zones, \
+         {} turned away, {} probes, {} new connections\n",
+        outcome.scenario,
+        outcome.clock,
+        outcome.program,
+        outcome.seed,
+        outcome.goodput,
+        counts.asked,
+        counts.in_time,
+        counts.late,
+        counts.throttled,
+        counts.errored,
+        counts.nothing,
+        outcome.latency.p50,
+        outcome.latency.p90,
+        outcome.latency.p99,
+        outcome.latency.p999,
+        outcome.traffic.forwards,
+        outcome.traffic.tries,
+        outcome.traffic.crossings,
+        outcome.traffic.turned_away,
+        outcome.traffic.probes,
+        outcome.traffic.connections,
+    );
+    for process in &outcome.processes {
+        let share = process.cpu_ms * 1000.0 * outcome.processes.len() as f64 / counts.asked.max(1) as f64;
+        text += &format!(
+            "  {}: {:.0} ms of CPU (about {share:.0} us an invocation), {} MB at most, {} starts\n",
+            process.name, process.cpu_ms, process.peak_mb, process.starts
+        );
+    }
+    outcome.notes.iter().for_each(|line| text += &format!("  note: {line}\n"));
+    if outcome.broken.is_empty() {
+        text += "  no rule broken\n";
+    }
+    for (rule, count) in &outcome.broken {
+        text += &format!("  BROKEN: {rule}, {count} times\n");
+    }
+    for violation in outcome.verdict["kept"].as_array().into_iter().flatten().take(3) {
+        text += &format!("  {} {}\n", violation["rule"], violation["what"]);
+        for line in violation["history"].as_array().into_iter().flatten() {
+            text += &format!("    {}\n", line.as_str().unwrap_or_default());
+        }
+    }
+    outcome.void.iter().for_each(|line| text += &format!("  VOID: {line}\n"));
+    text
+}
+
+/// Writes a file whole or not at all.
+pub fn write(path: &Path, text: &str) -> Result<(), String> {
+    let fault = |error: std::io::Error| format!("{}: {error}", path.display());
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let mut file = tempfile::NamedTempFile::new_in(folder).map_err(fault)?;
+    std::io::Write::write_all(&mut file, text.as_bytes()).map_err(fault)?;
+    file.as_file().sync_all().map_err(fault)?;
+    file.persist(path).map_err(|error| fault(error.error))?;
+    Ok(())
+}
+
+/// Writes a page into a folder that is made if it is not there; where it is.
+pub fn write_page(folder: &Path, name: &str, html: &str) -> Result<PathBuf, String> {
+    fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
+    let path = folder.join(format!("{name}.html"));
+    write(&path, html)?;
+    Ok(path)
+}
--- /dev/null
+++ b/lab/src/runner.rs
@@ -0,0 +1,421 @@
+//! One runner as it truly is: slots, a queue in order, speed, warm-up, and what ails it.
+//!
+//! It does no I/O, reads no clock and draws no chance but from the generator that it was made with; both
+//! clocks drive it. It must never know who dispatches to it or by which policy.
+//!
+//! All jobs in a runner go at one rate, so that one "service clock" tells when each ends: a job ends when that
+//! clock has come further by the job's work. A change of rate moves the clock's speed, and no entry.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{Rng, RngExt};
+use rand_pcg::Pcg32;
+use topazsail::Micros;
+
+use crate::scenario::{Limits, Pool};
+
+/// A forward's job: the id of its invocation, as one runner has one forward of an invocation at a time.
+pub type Job = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    Started,
+    /// Share done.
+    Progress(f64),
+    Done,
+    Failed,
+    /// Handed back unstarted.
+    Returned,
+}
+
+/// What a runner says at once to a forward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    Yes,
+    Full,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    Up,
+    /// The process is gone: connections are refused.
+    Down,
+    /// The machine is gone or cut off: nothing comes back.
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub free: u32,
+    pub waiting: u32,
+    pub in_flight: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    began: Micros,
+    work: f64,
+}
+
+/// What strikes only some operations, or all where `operation` is none.
+#[derive(Clone, Copy, Debug)]
+pub struct Ail {
+    pub operation: Option<usize>,
+    pub size: f64,
+}
+
+impl Ail {
+    fn strikes(&self, operation: usize) -> bool {
+        self.operation.is_none_or(|only| only == operation)
+    }
+}
+
+/// A warm-up is played in so many equal steps of capacity.
+const WARM_STEPS: i64 = 24;
+
+pub struct Runner {
+    pub zone: usize,
+    pub cell: i64,
+    pub kind: usize,
+    pub slots: u32,
+    places: u32,
+    pub speed: f64,
+    handshake: Micros,
+    pub connections_most: u32,
+    pub connections: u32,
+    cold_from: f64,
+    warm_within: Micros,
+    pub life: Life,
+    /// The process stands still: nothing is read, nothing goes on.
+    pub frozen: bool,
+    pub draining: bool,
+    /// When it last started, if not before the run.
+    pub launched: Option<Micros>,
+    pub slow: Option<Ail>,
+    pub errors: Option<Ail>,
+    pub loses: Option<Ail>,
+    progress: Micros,
+    /// How far the service clock has come, in work of one slot at speed 1, and when that was.
+    service: f64,
+    at: Micros,
+    /// Keyed by the service clock's end of each job: order of bits is order of value, as none is negative.
+    running: BTreeMap<(u64, Job), Running>,
+    ends: BTreeMap<Job, u64>,
+    waiting: VecDeque<(Job, usize, f64)>,
+    notes: BTreeMap<(Micros, Job), ()>,
+    chance: Pcg32,
+    report_delay: Micros,
+    past: VecDeque<(Micros, Load)>,
+    /// Work done, for the report of a run.
+    pub worked: f64,
+}
+
+impl Runner {
+    pub fn new(pool: &Pool, kind: usize, place: (usize, i64), limits: &Limits, chance: Pcg32) -> Runner {
+        Runner {
+            zone: place.0,
+            cell: place.1,
+            kind,
+            slots: pool.slots,
+            places: pool.queue,
+            speed: pool.speed,
+            handshake: pool.handshake.0,
+            connections_most: pool.connections,
+            connections: 0,
+            cold_from: limits.cold_from,
+            warm_within: limits.warm_within.0,
+            life: Life::Up,
+            frozen: false,
+            draining: false,
+            launched: None,
+            slow: None,
+            errors: None,
+            loses: None,
+            progress: 0,
+            service: 0.0,
+            at: 0,
+            running: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            notes: BTreeMap::new(),
+            chance,
+            report_delay: 0,
+            past: VecDeque::new(),
+            worked: 0.0,
+        }
+    }
+
+    /// Notes of progress at this gap; none for 0.
+    pub fn tells_progress(&mut self, gap: Micros) {
+        self.progress = gap;
+    }
+
+    pub fn reports_late(&mut self, now: Micros, delay: Micros) {
+        self.report_delay = delay;
+        self.past.clear();
+        self.remember(now);
+    }
+
+    /// The share of its full capacity that it has.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let Some(launched) = self.launched else { return 1.0 };
+        let age = (now - launched).max(0);
+        if age >= self.warm_within {
+            return 1.0;
+        }
+        // In steps, each at its beginning: never warmer than an even rise would be.
+        let step = (age * WARM_STEPS / self.warm_within.max(1)) as f64 / WARM_STEPS as f64;
+        self.cold_from + (1.0 - self.cold_from) * step
+    }
+
+    /// Work that it can do in a microsecond, on all slots together.
+    pub fn capacity(&self, now: Micros) -> f64 {
+        f64::from(self.slots) * self.speed * self.warmth(now)
+    }
+
+    fn rate(&self, now: Micros) -> f64 {
+        let slow = self.slow.filter(|ail| ail.operation.is_none()).map_or(1.0, |ail| ail.size);
+        if self.frozen || self.life != Life::Up { 0.0 } else { self.speed * self.warmth(now) / slow }
+    }
+
+    fn next_step(&self) -> Option<Micros> {
+        let launched = self.launched?;
+        if self.at >= launched + self.warm_within {
+            return None;
+        }
+        let step = (self.at - launched).max(0) * WARM_STEPS / self.warm_within.max(1) + 1;
+        // Rounded up: at the moment that is returned the step has surely come.
+        Some(launched + (step * self.warm_within + WARM_STEPS - 1) / WARM_STEPS)
+    }
+
+    /// Brings the service clock up to `now`; the rate is constant in between, as each change calls this first.
+    fn advance(&mut self, now: Micros) {
+        while let Some(step) = self.next_step().filter(|step| *step < now) {
+            self.run_until(step);
+        }
+        self.run_until(now);
+    }
+
+    fn run_until(&mut self, now: Micros) {
+        let done = self.rate(self.at) * (now - self.at).max(0) as f64;
+        self.service += done;
+        self.worked += done * self.running.len() as f64;
+        self.at = self.at.max(now);
+    }
+
+    /// When it has something to say or do next.
+    pub fn due(&self) -> Option<Micros> {
+        if self.frozen || self.life != Life::Up {
+            return None;
+        }
+        let first = self.running.keys().next().map(|(end, _)| f64::from_bits(*end));
+        let end = first.map(|end| {
+            let rate = self.rate(self.at).max(1e-9);
+            self.at + (((end - self.service) / rate).ceil() as Micros).max(0)
+        });
+        let note = self.notes.keys().next().map(|(at, _)| (*at).max(self.at));
+        let step = self.next_step().filter(|_| !self.running.is_empty());
+        [end, note, step].into_iter().flatten().min()
+    }
+
+    /// Ends, starts and notes up to `now`.
+    pub fn wake(&mut self, now: Micros, news: &mut Vec<(Job, News)>) {
+        self.advance(now);
+        if self.frozen || self.life != Life::Up {
+            return;
+        }
+        let mut ended = false;
+        while let Some((&(end, job), _)) = self.running.first_key_value() {
+            // Less than a thousandth of a microsecond of work is rounding.
+            if f64::from_bits(end) > self.service + 1e-3 {
+                break;
+            }
+            self.running.pop_first();
+            self.ends.remove(&job);
+            ended = true;
+            news.push((job, News::Done));
+        }
+        if ended {
+            self.fill(now, news);
+        }
+        while let Some((&(at, job), ())) = self.notes.first_key_value()
+            && at <= now
+        {
+            self.notes.pop_first();
+            let Some(end) = self.ends.get(&job) else { continue };
+            if let Some(running) = self.running.get(&(*end, job)) {
+                let left = (f64::from_bits(*end) - self.service).max(0.0);
+                news.push((job, News::Progress((1.0 - left / running.work.max(1.0)).clamp(0.0, 1.0))));
+                self.notes.insert((now + self.progress, job), ());
+            }
+        }
+        self.remember(now);
+    }
+
+    /// Starts what waits while slots are free.
+    fn fill(&mut self, now: Micros, news: &mut Vec<(Job, News)>) {
+        while self.running.len() < self.slots as usize {
+            let Some((job, _, work)) = self.waiting.pop_front() else { break };
+            let end = (self.service + work).to_bits();
+            self.running.insert((end, job), Running { began: now, work });
+            self.ends.insert(job, end);
+            if self.progress > 0 {
+                self.notes.insert((now + self.progress, job), ());
+            }
+            news.push((job, News::Started));
+        }
+    }
+
+    /// A forward's last byte has come. What it starts at once is in `news`.
+    pub fn offer(
+        &mut self,
+        now: Micros,
+        job: Job,
+        operation: usize,
+        work: f64,
+        news: &mut Vec<(Job, News)>,
+    ) -> Taken {
+        self.advance(now);
+        if self.draining {
+            return Taken::Full;
+        }
+        if self.holds(job) {
+            return Taken::Failed;
+        }
+        if let Some(ail) = self.errors.filter(|ail| ail.strikes(operation))
+            && self.chance.random_bool(ail.size)
+        {
+            return Taken::Failed;
+        }
+        if let Some(ail) = self.loses.filter(|ail| ail.strikes(operation))
+            && self.chance.random_bool(ail.size)
+        {
+            return Taken::Yes;
+        }
+        if self.running.len() >= self.slots as usize && self.waiting.len() >= self.places as usize {
+            return Taken::Full;
+        }
+        let only = self.slow.filter(|ail| ail.operation == Some(operation)).map_or(1.0, |ail| ail.size);
+        self.waiting.push_back((job, operation, work.max(1.0) * only));
+        self.fill(now, news);
+        self.remember(now);
+        Taken::Yes
+    }
+
+    pub fn holds(&self, job: Job) -> bool {
+        self.ends.contains_key(&job) || self.waiting.iter().any(|(waits, ..)| *waits == job)
+    }
+
+    /// Gives a job up, wherever it is. Whether it was known.
+    pub fn cancel(&mut self, now: Micros, job: Job, news: &mut Vec<(Job, News)>) -> bool {
+        self.advance(now);
+        let before = self.waiting.len();
+        self.waiting.retain(|(waits, ..)| *waits != job);
+        let known = match self.ends.remove(&job) {
+            Some(end) => self.running.remove(&(end, job)).is_some(),
+            None => self.waiting.len() < before,
+        };
+        self.fill(now, news);
+        self.remember(now);
+        known
+    }
+
+    /// A new connection: what it costs is taken from whatever runs. False where it holds all it can.
+    pub fn connect(&mut self, now: Micros) -> bool {
+        if self.connections >= self.connections_most {
+            return false;
+        }
+        self.connections += 1;
+        self.advance(now);
+        if !self.running.is_empty() {
+            self.service = (self.service - self.handshake as f64 / f64::from(self.slots)).max(0.0);
+        }
+        true
+    }
+
+    /// How long the first request on a new connection takes more.
+    pub fn handshake(&self) -> Micros {
+        self.handshake
+    }
+
+    /// Any change of what ails it goes through here, so that time before it counts at the old rate.
+    pub fn change(&mut self, now: Micros, change: impl FnOnce(&mut Runner)) {
+        self.advance(now);
+        change(self);
+        self.remember(now);
+    }
+
+    /// Drains: what has not started is handed back, nothing new is taken.
+    pub fn drain(&mut self, now: Micros, news: &mut Vec<(Job, News)>) {
+        self.advance(now);
+        self.draining = true;
+        news.extend(self.waiting.drain(..).map(|(job, ..)| (job, News::Returned)));
+        self.remember(now);
+    }
+
+    /// The process ends; the jobs that it held are gone.
+    pub fn stop(&mut self, now: Micros, life: Life) -> Vec<Job> {
+        self.advance(now);
+        self.life = life;
+        let mut jobs: Vec<Job> = self.ends.keys().copied().collect();
+        jobs.extend(self.waiting.iter().map(|(job, ..)| *job));
+        jobs.sort_unstable();
+        self.running.clear();
+        self.ends.clear();
+        self.waiting.clear();
+        self.notes.clear();
+        self.connections = 0;
+        jobs
+    }
+
+    /// A new process, cold.
+    pub fn start(&mut self, now: Micros) {
+        self.advance(now);
+        self.life = Life::Up;
+        (self.frozen, self.draining) = (false, false);
+        self.launched = Some(now);
+        self.remember(now);
+    }
+
+    pub fn load(&self) -> Load {
+        let (running, waiting) = (self.running.len() as u32, self.waiting.len() as u32);
+        Load { free: self.slots.saturating_sub(running), waiting, in_flight: running + waiting }
+    }
+
+    /// How long the job that has run longest has been at it.
+    pub fn oldest(&self, now: Micros) -> Micros {
+        self.running.values().map(|running| now - running.began).max().unwrap_or(0)
+    }
+
+    /// Waiting and running.
+    pub fn jobs(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    fn remember(&mut self, now: Micros) {
+        if self.report_delay == 0 {
+            return;
+        }
+        let load = self.load();
+        self.past.push_back((now, load));
+        while self.past.len() > 1 && self.past[1].0 <= now - self.report_delay {
+            self.past.pop_front();
+        }
+    }
+
+    /// The load report that it hands out.
+    pub fn report(&self, now: Micros) -> Load {
+        let told = self.past.iter().rev().find(|(at, _)| *at <= now - self.report_delay);
+        if self.report_delay == 0 {
+            self.load()
+        } else {
+            told.or(self.past.front()).map_or(self.load(), |t| t.1)
+        }
+    }
+
+    /// A number from this runner's own generator, for whoever plays it.
+    pub fn draw(&mut self) -> u32 {
+        self.chance.next_u32()
+    }
+}
--- /dev/null
+++ b/lab/src/scenario.rs
@@ -0,0 +1,615 @@
+//! Scenarios: what a run plays, read from TOML.
+//!
+//! It owns the form of that file and every bound on its values. It must never guess: a field that is unknown,
+//! missing or out of range is a fault that names file, line and field, and a span without a unit is refused.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use serde::de::{self, Deserializer, Visitor};
+use serde::{Deserialize, Serialize, Serializer};
+use topazsail::Micros;
+
+/// A span of time, written with its unit (`250ms`, `2s`); whole microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Micros);
+
+/// About a day: no run and nothing in one takes longer.
+const SPAN_MOST: Micros = 86_400_000_000;
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let span = std::time::Duration::from_micros(self.0.max(0) as u64);
+        to.collect_str(&humantime::format_duration(span))
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Span, D::Error> {
+        struct Spans;
+        impl Visitor<'_> for Spans {
+            type Value = Span;
+
+            fn expecting(&self, to: &mut fmt::Formatter) -> fmt::Result {
+                to.write_str("a span with its unit, such as \"250ms\" or \"2s\"")
+            }
+
+            fn visit_str<E: de::Error>(self, text: &str) -> Result<Span, E> {
+                let span = humantime::parse_duration(text)
+                    .map_err(|error| E::custom(format!("bad span '{text}': {error}")))?;
+                match Micros::try_from(span.as_micros()) {
+                    Ok(span) if span <= SPAN_MOST => Ok(Span(span)),
+                    _ => Err(E::custom(format!("the span '{text}' is longer than a day"))),
+                }
+            }
+        }
+        from.deserialize_str(Spans)
+    }
+}
+
+/// A number within bounds; the fault names both.
+fn bounded<'de, D: Deserializer<'de>>(from: D, least: f64, most: f64) -> Result<f64, D::Error> {
+    let value = f64::deserialize(from)?;
+    if value >= least && value <= most {
+        Ok(value)
+    } else {
+        Err(de::Error::custom(format!("{value} is not within {least} to {most}")))
+    }
+}
+
+fn share<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    bounded(from, 0.0, 1.0)
+}
+
+fn factor<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    bounded(from, 1e-3, 1e6)
+}
+
+fn amount<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    bounded(from, 0.0, 1e6)
+}
+
+fn count<'de, D: Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
+    let value = u32::deserialize(from)?;
+    if (1..=100_000).contains(&value) {
+        Ok(value)
+    } else {
+        Err(de::Error::custom(format!("{value} is not within 1 to 100000")))
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Scenario {
+    pub name: String,
+    #[serde(default)]
+    pub about: String,
+    /// How long clients bring new work; a run goes on until all is answered.
+    pub length: Span,
+    #[serde(default = "one")]
+    pub seed: u64,
+    #[serde(deserialize_with = "count")]
+    pub dispatchers: u32,
+    #[serde(default)]
+    pub zones: Zones,
+    /// Kinds of runners.
+    pub pool: Vec<Pool>,
+    pub operation: Vec<Operation>,
+    pub clients: Clients,
+    #[serde(default)]
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub reports: Reports,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// Places and the links between them.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Zones {
+    pub names: Vec<String>,
+    /// One way within a zone, between two, and between clients and their dispatchers.
+    pub within: Span,
+    pub between: Span,
+    pub client: Span,
+    /// By how much a delay may lie above its figure, as a share of it.
+    #[serde(deserialize_with = "share")]
+    pub jitter: f64,
+}
+
+impl Default for Zones {
+    fn default() -> Zones {
+        let (within, between, client) = (Span(200), Span(6_000), Span(500));
+        Zones { names: vec!["east".into(), "west".into()], within, between, client, jitter: 0.2 }
+    }
+}
+
+/// Runners of one machine type, dealt over the zones in turn.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Pool {
+    pub kind: String,
+    #[serde(deserialize_with = "count")]
+    pub count: u32,
+    #[serde(deserialize_with = "count")]
+    pub slots: u32,
+    /// Waiting places; what comes beyond them is turned away unseen.
+    pub queue: u32,
+    #[serde(default = "Pool::speed", deserialize_with = "factor")]
+    pub speed: f64,
+    /// How far speeds of single runners lie apart, as a coefficient of variation.
+    #[serde(default, deserialize_with = "share")]
+    pub speed_spread: f64,
+    /// What a new connection costs the runner, as work on one slot, and the first request on it, in time.
+    #[serde(default)]
+    pub handshake: Span,
+    /// Connections that it accepts.
+    #[serde(default = "Pool::connections", deserialize_with = "count")]
+    pub connections: u32,
+}
+
+impl Pool {
+    fn speed() -> f64 {
+        1.0
+    }
+
+    fn connections() -> u32 {
+        400
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    #[default]
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+/// Which runners recognise a deduplicated invocation's repeats.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Shape {
+    Fixed,
+    #[default]
+    Exponential,
+    /// With `cv`.
+    Lognormal,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Operation {
+    pub name: String,
+    /// Its share of all invocations, against the other operations'.
+    #[serde(default = "Pool::speed", deserialize_with = "factor")]
+    pub share: f64,
+    /// Mean work: the time it takes on one slot of a warm runner of speed 1.
+    pub work: Span,
+    #[serde(default)]
+    pub shape: Shape,
+    #[serde(default = "Pool::speed", deserialize_with = "factor")]
+    pub cv: f64,
+    #[serde(default)]
+    pub effect: Effect,
+    #[serde(default)]
+    pub group: Group,
+    #[serde(default)]
+    pub memory_span: Span,
+    pub latency_objective: Span,
+    pub client_timeout: Span,
+    #[serde(default = "Pool::speed", deserialize_with = "factor")]
+    pub billed_value: f64,
+    /// What an answer after the objective is still worth, as a share.
+    #[serde(default, deserialize_with = "share")]
+    pub late_share: f64,
+    /// Distinct keys, drawn by Zipf; 0 for none.
+    #[serde(default)]
+    pub keys: u32,
+    /// The kind of machine that runs it, where only one does.
+    #[serde(default)]
+    pub kind: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arrivals {
+    /// At an even mean rate.
+    #[default]
+    Poisson,
+    /// Half of the time at `1 + swing`, half at `1 - swing` of the mean, in stretches of about `period`.
+    Bursts,
+    /// A sine of `period` and `swing`: a day, shortened.
+    Daily,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Clients {
+    /// Work brought, as a share of what all runners can do when warm and well.
+    #[serde(deserialize_with = "factor")]
+    pub load: f64,
+    #[serde(default)]
+    pub arrivals: Arrivals,
+    #[serde(default, deserialize_with = "share")]
+    pub swing: f64,
+    #[serde(default = "Clients::period")]
+    pub period: Span,
+    #[serde(default = "Pool::speed", deserialize_with = "factor")]
+    pub zipf: f64,
+    /// Tries after the first, where trying again is harmless.
+    #[serde(default)]
+    pub retries: u32,
+    #[serde(default = "Clients::wait")]
+    pub retry_wait: Span,
+    /// Share of clients that come back when they were told to.
+    #[serde(default, deserialize_with = "share")]
+    pub honour: f64,
+    /// How long the front goes on sending to a dispatcher that has died.
+    #[serde(default = "Clients::notice")]
+    pub front_notice: Span,
+}
+
+impl Clients {
+    fn period() -> Span {
+        Span(10_000_000)
+    }
+
+    fn wait() -> Span {
+        Span(100_000)
+    }
+
+    fn notice() -> Span {
+        Span(2_000_000)
+    }
+}
+
+/// The list of runners and how late it comes.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Discovery {
+    /// From a change until it is written to those who watch; a process that dies, and one that falls silent.
+    pub notice: Span,
+    pub silent_notice: Span,
+    /// What one call costs the service, which works through calls in turn, and how long one may wait.
+    pub call: Span,
+    pub call_most: Span,
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery {
+            notice: Span(1_000_000),
+            silent_notice: Span(6_000_000),
+            call: Span(1_000),
+            call_most: Span(3_000_000),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Reports {
+    /// How old a load report is when it is read.
+    pub delay: Span,
+    /// Runners tell of starts, and of progress at this gap (0 s: neither).
+    pub progress: Span,
+}
+
+impl Default for Reports {
+    fn default() -> Reports {
+        Reports { delay: Span(0), progress: Span(1_000_000) }
+    }
+}
+
+/// What the installation allows, and the figures behind the four rules.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Limits {
+    #[serde(deserialize_with = "count")]
+    pub most_forwards: u32,
+    pub cancel: bool,
+    pub probes: bool,
+    pub come_back_most: Span,
+    pub dial_timeout: Span,
+    pub probe_timeout: Span,
+    pub drain_grace: Span,
+    pub ask_within: Span,
+    #[serde(deserialize_with = "share")]
+    pub cold_from: f64,
+    pub warm_within: Span,
+    #[serde(deserialize_with = "factor")]
+    pub overload_factor: f64,
+    pub tip_after: Span,
+    /// Whether a crossing of zones, or a connection, is priced.
+    pub crossing_priced: bool,
+    pub connection_priced: bool,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            most_forwards: 3,
+            cancel: true,
+            probes: true,
+            come_back_most: Span(2_000_000),
+            dial_timeout: Span(250_000),
+            probe_timeout: Span(250_000),
+            drain_grace: Span(500_000),
+            ask_within: Span(10_000_000),
+            cold_from: 0.2,
+            warm_within: Span(12_000_000),
+            overload_factor: 3.0,
+            tip_after: Span(2_000_000),
+            crossing_priced: true,
+            connection_priced: true,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The process dies and is back, cold, after `lasts`.
+    Crash,
+    /// Takes work and says nothing for `lasts`.
+    Hang,
+    /// Stands still for `size` milliseconds, again and again, about once a second.
+    Pauses,
+    /// Slower by the factor `size`.
+    Slow,
+    /// A share `size` of what it is sent fails at once.
+    FastErrors,
+    /// A share `size` of what it is sent is taken and never ends.
+    Loses,
+    /// Load reports are older by `size` milliseconds, everywhere.
+    LateReports,
+    /// The links between `zone` and the others carry nothing until `lasts` is over.
+    ZoneCut,
+    /// All runners in `zone` fall silent at once and are back, cold, after `lasts`.
+    ZoneLoss,
+    /// Calls and watches at discovery fail for `lasts`.
+    DiscoveryDown,
+    /// Every runner of the part drains and comes back as a new process, a few at a time, over `lasts`.
+    Deploy,
+    /// Dispatchers are ended with SIGTERM, and with SIGKILL, one after the other over `lasts`.
+    RollTerm,
+    RollKill,
+    /// Every dispatcher is told to read its configuration again.
+    Reload,
+    /// Clients that send what is no request, `size` of them a second.
+    BadClients,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Fault {
+    pub kind: Kind,
+    pub at: Span,
+    #[serde(default)]
+    pub lasts: Span,
+    /// The share of runners that it strikes.
+    #[serde(default = "Fault::part", deserialize_with = "share")]
+    pub part: f64,
+    #[serde(default, deserialize_with = "amount")]
+    pub size: f64,
+    /// Only this operation, where the kind strikes operations.
+    #[serde(default)]
+    pub operation: Option<String>,
+    #[serde(default)]
+    pub zone: Option<String>,
+}
+
+impl Fault {
+    fn part() -> f64 {
+        0.2
+    }
+}
+
+/// Which line of `text` the byte `at` stands on, from 1.
+fn line_of(text: &str, at: usize) -> usize {
+    1 + text.bytes().take(at).filter(|byte| *byte == b'\n').count()
+}
+
+/// The line of the `nth` table `[[name]]`: where a fault is found that concerns a whole table.
+fn table_line(text: &str, name: &str, nth: usize) -> usize {
+    let head = format!("[[{name}]]");
+    let lines = text.lines().enumerate().filter(|(_, line)| line.trim() == head);
+    lines.map(|(at, _)| at + 1).nth(nth).unwrap_or(1)
+}
+
+impl Scenario {
+    /// Reads and checks a file; a fault is one line: `FILE:LINE: what and which field`.
+    pub fn load(path: &Path) -> Result<Scenario, String> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
+        Scenario::parse(&name, &text)
+    }
+
+    pub fn parse(name: &str, text: &str) -> Result<Scenario, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|error| {
+            let line = line_of(text, error.span().map_or(0, |span| span.start));
+            let said = error.message().lines().next().unwrap_or("not a scenario").to_owned();
+            // The field is named too where the message alone does not.
+            let field = text.lines().nth(line - 1).and_then(|line| line.split_once('='));
+            let field = field.map(|(field, _)| field.trim()).filter(|field| !said.contains(field));
+            format!("{name}:{line}: {}{said}", field.map_or(String::new(), |field| format!("{field}: ")))
+        })?;
+        scenario.check().map_err(|(table, nth, fault)| {
+            let line = if table.is_empty() { 1 } else { table_line(text, table, nth) };
+            format!("{name}:{line}: {fault}")
+        })?;
+        Ok(scenario)
+    }
+
+    /// What no single field shows.
+    fn check(&self) -> Result<(), (&'static str, usize, String)> {
+        let whole = |fault: &str| Err(("", 0, fault.to_owned()));
+        if self.length.0 < 1_000_000 {
+            return whole("length is under 1s");
+        }
+        if self.zones.names.is_empty() || self.zones.names.len() > 64 {
+            return whole("zones.names must name 1 to 64 zones");
+        }
+        if self.pool.is_empty() || self.operation.is_empty() {
+            return whole("at least one [[pool]] and one [[operation]] are needed");
+        }
+        let runners: u64 = self.pool.iter().map(|pool| u64::from(pool.count)).sum();
+        if runners > 100_000 {
+            return whole("pools hold more than 100000 runners");
+        }
+        for (nth, op) in self.operation.iter().enumerate() {
+            let wrong = |fault: String| Err(("operation", nth, format!("operation {}: {fault}", op.name)));
+            if op.name.is_empty() || !op.name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') {
+                return wrong("name must hold letters, digits and '-'".to_owned());
+            }
+            if op.work.0 < 1 || op.latency_objective.0 < 1 {
+                return wrong("work and latency-objective must be above 0s".to_owned());
+            }
+            if op.client_timeout < op.latency_objective {
+                return wrong("client-timeout lies under latency-objective".to_owned());
+            }
+            if op.effect == Effect::Deduplicated && op.memory_span.0 < 1 {
+                return wrong("deduplicated without memory-span".to_owned());
+            }
+            if let Some(kind) = op.kind.as_ref().filter(|kind| !self.pool.iter().any(|p| p.kind == **kind)) {
+                return wrong(format!("no pool has the kind '{kind}'"));
+            }
+        }
+        for (nth, fault) in self.fault.iter().enumerate() {
+            let wrong = |text: String| Err(("fault", nth, format!("fault {:?}: {text}", fault.kind)));
+            if let Some(zone) = fault.zone.as_ref().filter(|zone| !self.zones.names.contains(zone)) {
+                return wrong(format!("there is no zone '{zone}'"));
+            }
+            if matches!(fault.kind, Kind::ZoneCut | Kind::ZoneLoss) && fault.zone.is_none() {
+                return wrong("zone is missing".to_owned());
+            }
+            if let Some(name) = fault.operation.as_ref()
+                && !self.operation.iter().any(|op| op.name == *name)
+            {
+                return wrong(format!("there is no operation '{name}'"));
+            }
+            let lasting = !matches!(fault.kind, Kind::Reload);
+            if lasting && fault.lasts.0 < 1 {
+                return wrong("lasts is missing".to_owned());
+            }
+            let sized = matches!(
+                fault.kind,
+                Kind::Pauses
+                    | Kind::Slow
+                    | Kind::FastErrors
+                    | Kind::Loses
+                    | Kind::LateReports
+                    | Kind::BadClients
+            );
+            if sized && fault.size <= 0.0 {
+                return wrong("size is missing".to_owned());
+            }
+            if matches!(fault.kind, Kind::FastErrors | Kind::Loses) && fault.size > 1.0 {
+                return wrong("size is a share, 1 at most".to_owned());
+            }
+            if fault.at.0 > self.length.0 {
+                return wrong("at lies after the end".to_owned());
+            }
+        }
+        Ok(())
+    }
+
+    /// Runners in all pools.
+    pub fn runners(&self) -> usize {
+        self.pool.iter().map(|pool| pool.count as usize).sum()
+    }
+
+    /// The file that a dispatcher of this scenario is started with: the platform's form, in both clocks.
+    /// Addresses are those of the stand-ins; in virtual time they are never used.
+    pub fn configuration(&self, told: &Told) -> String {
+        let us = |span: Span| span.0;
+        let operations: Vec<_> = self
+            .operation
+            .iter()
+            .map(|op| {
+                let effect = match op.effect {
+                    Effect::Idempotent => "idempotent",
+                    Effect::Deduplicated => "deduplicated",
+                    Effect::NonIdempotent => "at_most_once",
+                };
+                let group = match op.group {
+                    Group::All => "all",
+                    Group::Zone => "zone",
+                    Group::Cell => "cell",
+                };
+                serde_json::json!({
+                    "name": op.name, "effect": effect, "group": group, "memorySpan": us(op.memory_span),
+                    "latencyObjective": us(op.latency_objective), "clientTimeout": us(op.client_timeout),
+                    "billedValue": op.billed_value, "lateBilledValue": op.late_share, "stream": false,
+                })
+            })
+            .collect();
+        let kinds: Vec<&str> = self.pool.iter().map(|pool| pool.kind.as_str()).collect();
+        let kind = |op: &Operation| {
+            let nth = op.kind.as_ref().and_then(|kind| kinds.iter().position(|known| known == kind));
+            nth.map_or(-1, |nth| nth as i64)
+        };
+        let limits = &self.limits;
+        let priced = |priced: bool| if priced { 0.05 } else { 0.0 };
+        let settings = serde_json::json!({
+            "balancers": self.dispatchers, "selfIndex": told.number, "myZone": told.zone,
+            "registryMode": "subscribe", "kinds": kinds, "localities": self.zones.names,
+            "operations": operations, "weights": "off", "tick": 5000,
+            "familyInfo": {
+                "classKind": self.operation.iter().map(kind).collect::<Vec<_>>(),
+                "progress": us(self.reports.progress), "reportX0": "free slots", "tellsStart": false,
+            },
+            "report": {"fields": ["x0", "backlog", "outstanding"], "how": "inline"},
+            "limits": {
+                "cancel": limits.cancel, "probes": limits.probes, "mostForwards": limits.most_forwards,
+                "dialTimeout": us(limits.dial_timeout), "idleClose": 60_000_000, "openCap": 20_000,
+                "retryAfter": limits.come_back_most.0 > 0, "maxRetryAfter": us(limits.come_back_most),
+            },
+            "invariants": {
+                "askWithin": us(limits.ask_within), "coldFrom": limits.cold_from,
+                "warmWithin": us(limits.warm_within), "overloadFactor": limits.overload_factor,
+                "tipAfter": us(limits.tip_after), "drainGrace": us(limits.drain_grace),
+            },
+            "prices": {
+                "crossZone": priced(limits.crossing_priced), "handshake": priced(limits.connection_priced),
+                "connection": priced(limits.connection_priced),
+            },
+        });
+        let whole = serde_json::json!({
+            "name": format!("d{}", told.number), "listen": told.listen, "discovery": told.discovery,
+            "seed": format!("{:x}", told.seed), "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": told.known, "settings": settings,
+        });
+        whole.to_string()
+    }
+}
+
+/// What differs from one dispatcher's configuration to the next.
+pub struct Told {
+    pub number: u32,
+    pub zone: String,
+    pub seed: u64,
+    pub listen: String,
+    pub discovery: String,
+    /// The list as this dispatcher last had it, in discovery's form.
+    pub known: serde_json::Value,
+}
--- /dev/null
+++ b/lab/src/tally.rs
@@ -0,0 +1,291 @@
+//! What a run came to: counts, billed value in time, latencies from when work was due, load by runner.
+//!
+//! It owns the figures and their form as JSON. It does no I/O; a run with the same seed in virtual time gives
+//! the same bytes, so it must never hold anything that depends on the wall clock there.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use topazsail::Micros;
+
+use crate::load::Ask;
+use crate::scenario::Scenario;
+
+/// How an ask ended for its client, over all its tries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Succeeded,
+    Throttled,
+    Errored,
+    /// No answer at all.
+    Nothing,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Counts {
+    pub asked: u64,
+    pub in_time: u64,
+    pub late: u64,
+    pub throttled: u64,
+    pub errored: u64,
+    pub nothing: u64,
+}
+
+impl Counts {
+    fn note(&mut self, end: End, in_time: bool) {
+        self.asked += 1;
+        match end {
+            End::Succeeded if in_time => self.in_time += 1,
+            End::Succeeded => self.late += 1,
+            End::Throttled => self.throttled += 1,
+            End::Errored => self.errored += 1,
+            End::Nothing => self.nothing += 1,
+        }
+    }
+}
+
+/// Milliseconds from when the work was due to the last byte of its success.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Latency {
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub p999: f64,
+    pub mean: f64,
+}
+
+impl Latency {
+    fn of(histogram: &Histogram<u64>) -> Latency {
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 100.0;
+        let mean = histogram.mean().round() / 100.0;
+        Latency { p50: at(0.5), p90: at(0.9), p99: at(0.99), p999: at(0.999), mean }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OfOperation {
+    pub name: String,
+    pub counts: Counts,
+    pub goodput: f64,
+    pub latency: Latency,
+}
+
+/// One stretch of a run, by when the work was due.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Window {
+    /// Seconds from the start.
+    pub at: f64,
+    pub counts: Counts,
+    pub goodput: f64,
+    pub p50: f64,
+    pub p99: f64,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct OfRunner {
+    pub name: String,
+    pub zone: String,
+    pub kind: String,
+    pub forwards: u64,
+    /// Work done over what it could have done, warm and well, in the length of the run.
+    pub used: f64,
+}
+
+/// A fault as it was played, for the report's bands.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Band {
+    pub what: String,
+    pub from: f64,
+    pub to: f64,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Traffic {
+    pub tries: u64,
+    pub forwards: u64,
+    pub crossings: u64,
+    pub probes: u64,
+    pub cancels: u64,
+    pub connections: u64,
+    pub turned_away: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Outcome {
+    pub scenario: String,
+    pub clock: String,
+    pub program: String,
+    pub seed: u64,
+    pub seconds: f64,
+    /// Billed value answered in time (in part where late) over the value asked for. Simulated runners.
+    pub goodput: f64,
+    pub counts: Counts,
+    pub latency: Latency,
+    pub operations: Vec<OfOperation>,
+    pub traffic: Traffic,
+    pub windows: Vec<Window>,
+    pub runners: Vec<OfRunner>,
+    pub faults: Vec<Band>,
+    pub verdict: serde_json::Value,
+    /// Rules broken, by name: empty where all were kept.
+    pub broken: BTreeMap<String, u64>,
+    /// Why the run says nothing, where it does not: the lab itself was late, or lost count.
+    pub void: Vec<String>,
+    /// Only on sockets: CPU microseconds for an invocation, peak memory in MB, by dispatcher.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub processes: Vec<Process>,
+    #[serde(default)]
+    pub notes: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Process {
+    pub name: String,
+    pub cpu_ms: f64,
+    pub peak_mb: f64,
+    pub starts: u32,
+}
+
+const WINDOW: Micros = 1_000_000;
+
+struct Stretch {
+    counts: Counts,
+    asked: f64,
+    got: f64,
+    latency: Histogram<u64>,
+}
+
+pub struct Tally {
+    operations: Vec<(Counts, f64, f64, Histogram<u64>)>,
+    all: Histogram<u64>,
+    stretches: Vec<Stretch>,
+    objectives: Vec<(Micros, Micros, f64, f64)>,
+    pub traffic: Traffic,
+    pub forwards: Vec<u64>,
+}
+
+/// Three digits up to an hour, in units of a hundredth of a millisecond.
+fn histogram() -> Histogram<u64> {
+    let mut histogram = Histogram::new(3).expect("three digits are allowed");
+    histogram.auto(true);
+    histogram
+}
+
+impl Tally {
+    pub fn new(scenario: &Scenario) -> Tally {
+        let ops = &scenario.operation;
+        let stretches = (scenario.length.0 + WINDOW - 1) / WINDOW;
+        let stretch = || Stretch { counts: Counts::default(), asked: 0.0, got: 0.0, latency: histogram() };
+        Tally {
+            operations: ops.iter().map(|_| (Counts::default(), 0.0, 0.0, histogram())).collect(),
+            all: histogram(),
+            stretches: (0..stretches).map(|_| stretch()).collect(),
+            objectives: ops
+                .iter()
+                .map(|op| (op.latency_objective.0, op.client_timeout.0, op.billed_value, op.late_share))
+                .collect(),
+            traffic: Traffic::default(),
+            forwards: vec![0; scenario.runners()],
+        }
+    }
+
+    /// An ask has ended, so long after it was due.
+    pub fn end(&mut self, ask: &Ask, end: End, after: Micros) {
+        let (objective, timeout, value, late) = self.objectives[ask.operation];
+        let in_time = after <= objective;
+        let got = match end {
+            End::Succeeded if in_time => value,
+            End::Succeeded if after <= timeout => value * late,
+            _ => 0.0,
+        };
+        let hundredths = (after.max(0) / 10) as u64;
+        let of = &mut self.operations[ask.operation];
+        of.0.note(end, in_time);
+        of.1 += value;
+        of.2 += got;
+        if end == End::Succeeded {
+            let _ = of.3.record(hundredths);
+            let _ = self.all.record(hundredths);
+        }
+        let nth = ((ask.at / WINDOW) as usize).min(self.stretches.len() - 1);
+        let stretch = &mut self.stretches[nth];
+        stretch.counts.note(end, in_time);
+        stretch.asked += value;
+        stretch.got += got;
+        if end == End::Succeeded {
+            let _ = stretch.latency.record(hundredths);
+        }
+    }
+
+    pub fn outcome(self, scenario: &Scenario, about: About) -> Outcome {
+        let ratio = |got: f64, asked: f64| if asked > 0.0 { round(got / asked) } else { 1.0 };
+        let (mut counts, mut asked, mut got) = (Counts::default(), 0.0, 0.0);
+        let mut operations = Vec::new();
+        for ((of, value, had, histogram), op) in self.operations.iter().zip(&scenario.operation) {
+            counts.asked += of.asked;
+            counts.in_time += of.in_time;
+            counts.late += of.late;
+            counts.throttled += of.throttled;
+            counts.errored += of.errored;
+            counts.nothing += of.nothing;
+            asked += value;
+            got += had;
+            operations.push(OfOperation {
+                name: op.name.clone(),
+                counts: of.clone(),
+                goodput: ratio(*had, *value),
+                latency: Latency::of(histogram),
+            });
+        }
+        let window = |(nth, stretch): (usize, Stretch)| {
+            let latency = Latency::of(&stretch.latency);
+            Window {
+                at: (nth as Micros * WINDOW) as f64 / 1e6,
+                goodput: ratio(stretch.got, stretch.asked),
+                counts: stretch.counts,
+                p50: latency.p50,
+                p99: latency.p99,
+            }
+        };
+        let verdict = &about.verdict;
+        Outcome {
+            scenario: scenario.name.clone(),
+            clock: about.clock,
+            program: about.program,
+            seed: about.seed,
+            seconds: scenario.length.0 as f64 / 1e6,
+            goodput: ratio(got, asked),
+            counts,
+            latency: Latency::of(&self.all),
+            operations,
+            traffic: self.traffic,
+            windows: self.stretches.into_iter().enumerate().map(window).collect(),
+            runners: about.runners,
+            faults: about.faults,
+            broken: verdict.violations.iter().map(|(rule, count)| (rule.to_string(), *count)).collect(),
+            verdict: serde_json::to_value(verdict).unwrap_or_default(),
+            void: about.void.into_iter().chain(verdict.own_faults.clone()).collect(),
+            processes: about.processes,
+            notes: about.notes,
+        }
+    }
+}
+
+/// What a clock tells of its run besides the tally.
+pub struct About {
+    pub clock: String,
+    pub program: String,
+    pub seed: u64,
+    pub runners: Vec<OfRunner>,
+    pub faults: Vec<Band>,
+    pub verdict: crate::judge::Verdict,
+    pub void: Vec<String>,
+    pub processes: Vec<Process>,
+    pub notes: Vec<String>,
+}
+
+/// To a ten-thousandth.
+pub fn round(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
--- /dev/null
+++ b/lab/src/virtual_clock.rs
@@ -0,0 +1,1113 @@
+//! The world in virtual time: the module of decisions in process, and everything round it as events on a heap.
+//!
+//! It owns the clock, the links' messages, and the part that the desk has on sockets: numbers of forwards, what
+//! is out, what is owed. It must never decide what a dispatcher does, never iterate in hash order where that
+//! could show, and never look at the wall clock: the same scenario and seed give the same bytes.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use rustc_hash::FxHashMap;
+use topazsail::{
+    Action, Arrival, Ending, Event, Id, Listing, Micros, Outcome as Ended, Readiness, Roster, RosterEntry,
+    StandingOrders,
+};
+
+use crate::judge::{Back, Final, Judge, Seen, Terms};
+use crate::load::{self, Ask, Bring, chance, returns};
+use crate::policy::{Decide, Policy, decider, number};
+use crate::runner::{Life, Load, News, Taken};
+use crate::scenario::{Scenario, Told};
+use crate::tally::{About, End, OfRunner, Outcome, Tally, round};
+use crate::world::{Change, State, World};
+
+/// An answer on its way when the client's time ends is as good as none; as the dispatcher on sockets has it.
+const WAY_BACK: Micros = 20_000;
+/// The machine's agent tells of a process that died after so long.
+const AGENT: Micros = 100_000;
+/// How far dispatchers lie apart in hearing of a change.
+const HEARS_WITHIN: Micros = 100_000;
+/// New connections go on coming for so long after SIGTERM.
+const TERM_NOTICED: Micros = 300_000;
+/// Bits of an invocation's number that count its client's tries.
+const TRY_BITS: u32 = 4;
+
+/// One life of one dispatcher; what is meant for an earlier one is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Life0 {
+    d: u32,
+    epoch: u32,
+}
+
+#[derive(Clone, Debug)]
+enum Ev {
+    /// The next arrival that the clients bring.
+    Bring,
+    /// An invocation has reached its dispatcher.
+    Reach(u64, u32),
+    /// A try's end has reached its client.
+    Back(u64, load::Seen),
+    Retry(u64),
+    GiveUp(u64),
+    /// A dispatcher's due time for an invocation.
+    Overdue(Life0, u64),
+    Dialled(Life0, u64, u32, u32),
+    /// A forward's last byte has reached its runner.
+    Submit(Life0, u64, u32, u32),
+    /// The connection of a forward is free again.
+    Free(Life0, u32),
+    Heard(Life0, u64, u32, Ending, Option<Load>),
+    Progress(Life0, u64, u32),
+    Cancel(Life0, u64, u32, u32),
+    Probe(Life0, u32, u64),
+    Probed(Life0, u32, u64, Option<Load>),
+    RunnerDue(u32, u32),
+    Tick(Life0),
+    Change(usize),
+    Listed(u32, State),
+    Tell(Life0, u32, State),
+    Call(Life0),
+    TellAll(Life0),
+    Refused(Life0),
+    /// The front's view of a dispatcher's life.
+    Front(Life0, bool),
+    Sample,
+}
+
+struct At(Micros, u64, Ev);
+
+impl PartialEq for At {
+    fn eq(&self, other: &At) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for At {}
+impl PartialOrd for At {
+    fn partial_cmp(&self, other: &At) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for At {
+    fn cmp(&self, other: &At) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+struct Sent {
+    runner: u32,
+    at: Micros,
+    out: bool,
+}
+
+struct Open {
+    id: Id,
+    answered: bool,
+    sent: Vec<Sent>,
+}
+
+struct Dispatcher {
+    decide: Box<dyn Decide>,
+    alive: bool,
+    epoch: u32,
+    starts: u64,
+    zone: usize,
+    invs: FxHashMap<u64, Open>,
+    /// Idle connections, and all, by runner.
+    conns: FxHashMap<u32, (u32, u32)>,
+    probes: FxHashMap<u32, u64>,
+    subscribed: bool,
+}
+
+struct Asked {
+    ask: Ask,
+    tries: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Samples how many runners hold how many jobs, at this gap, after the first fifth of the run.
+    pub sample: Micros,
+}
+
+/// How often a runner was seen with at least so many jobs, as a share, from 0.
+pub type Tails = Vec<f64>;
+
+pub struct Run {
+    pub outcome: Outcome,
+    pub tails: Tails,
+    /// Calls of the decision module.
+    pub decisions: u64,
+}
+
+struct Clock<'a> {
+    scenario: &'a Scenario,
+    seed: u64,
+    policy: Policy,
+    now: Micros,
+    heap: BinaryHeap<Reverse<At>>,
+    serial: u64,
+    world: World,
+    dispatchers: Vec<Dispatcher>,
+    orders: Vec<StandingOrders>,
+    /// Which dispatchers the front sends to.
+    front: Vec<bool>,
+    ids: Vec<Id>,
+    asks: BTreeMap<u64, Asked>,
+    brought: u64,
+    bring: Bring,
+    next: Option<Ask>,
+    /// Who waits for a job's end: its dispatcher's life, and the forward's number.
+    owners: FxHashMap<(u32, u64), (Life0, u32)>,
+    inbox: Vec<Vec<Ev>>,
+    due: Vec<(Option<Micros>, u32)>,
+    /// What waits for a cut link, with the zones at both ends.
+    held: Vec<(usize, usize, Ev)>,
+    states: Vec<State>,
+    busy_until: Micros,
+    network: Pcg32,
+    clients: Pcg32,
+    judge: Judge,
+    tally: Tally,
+    /// Deduplicated work by its mark and group: when its effect first came.
+    marks: FxHashMap<(u64, i64), Micros>,
+    told: Vec<(u64, News)>,
+    sampled: (u64, Vec<u64>),
+    options: Options,
+    decisions: u64,
+}
+
+/// Plays a scenario with a policy from the first arrival to the last answer.
+pub fn play(scenario: &Scenario, policy: Policy, seed: u64, options: Options) -> Result<Run, String> {
+    let mut clock = Clock::new(scenario, policy, seed, options)?;
+    clock.run();
+    Ok(clock.finish())
+}
+
+impl<'a> Clock<'a> {
+    fn new(scenario: &'a Scenario, policy: Policy, seed: u64, options: Options) -> Result<Clock<'a>, String> {
+        let world = World::new(scenario, seed);
+        let zones = &scenario.zones.names;
+        let mut orders = Vec::new();
+        // The settings go the way that they go on sockets, so that both clocks tell the same.
+        for number in 0..scenario.dispatchers {
+            let told = Told {
+                number,
+                zone: zones[number as usize % zones.len()].clone(),
+                seed,
+                listen: "127.0.0.1:1".to_owned(),
+                discovery: "127.0.0.1:1".to_owned(),
+                known: serde_json::Value::Null,
+            };
+            let decoded = topazsail_node::config::decode(&scenario.configuration(&told))?;
+            orders.push(decoded.decoded.standing);
+        }
+        let runners = world.runners.len();
+        let places = world.places();
+        let bring = Bring::new(scenario, world.capacity(), seed);
+        Ok(Clock {
+            scenario,
+            seed,
+            policy,
+            now: 0,
+            heap: BinaryHeap::new(),
+            serial: 0,
+            dispatchers: Vec::new(),
+            front: vec![true; scenario.dispatchers as usize],
+            ids: (0..runners).map(|r| Id::from(format!("r{r}"))).collect(),
+            asks: BTreeMap::new(),
+            brought: 0,
+            bring,
+            next: None,
+            owners: FxHashMap::default(),
+            inbox: (0..runners).map(|_| Vec::new()).collect(),
+            due: vec![(None, 0); runners],
+            held: Vec::new(),
+            states: vec![State::Up; runners],
+            busy_until: 0,
+            network: chance(seed, 5),
+            clients: chance(seed, 6),
+            judge: Judge::new(Terms::of(scenario, places, 0, 0)),
+            tally: Tally::new(scenario),
+            marks: FxHashMap::default(),
+            told: Vec::new(),
+            sampled: (0, Vec::new()),
+            options,
+            decisions: 0,
+            orders,
+            world,
+        })
+    }
+
+    fn push(&mut self, at: Micros, ev: Ev) {
+        self.serial += 1;
+        self.heap.push(Reverse(At(at, self.serial, ev)));
+    }
+
+    /// A message between two places: after the link's delay, or once a cut link is up again.
+    fn send(&mut self, from: usize, to: usize, ev: Ev) {
+        if self.world.linked(from, to) {
+            let delay = self.delay(from, to);
+            self.push(self.now + delay, ev);
+        } else {
+            self.held.push((from, to, ev));
+        }
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> Micros {
+        World::delay(self.scenario, from, to, self.network.random())
+    }
+
+    fn client_delay(&mut self) -> Micros {
+        let zones = &self.scenario.zones;
+        (zones.client.0 as f64 * (1.0 + zones.jitter * self.clients.random::<f64>())) as Micros
+    }
+
+    fn run(&mut self) {
+        for d in 0..self.scenario.dispatchers {
+            self.begin(d);
+        }
+        for at in 0..self.world.schedule.len() {
+            self.push(self.world.schedule[at].0, Ev::Change(at));
+        }
+        if self.options.sample > 0 {
+            self.push(self.scenario.length.0 / 5, Ev::Sample);
+        }
+        self.next = self.bring.next();
+        if let Some(ask) = &self.next {
+            self.push(ask.at, Ev::Bring);
+        }
+        let longest = self.scenario.operation.iter().map(|op| op.client_timeout.0).max().unwrap_or(0);
+        let end = self.scenario.length.0 + longest + 5_000_000;
+        while let Some(Reverse(At(at, _, ev))) = self.heap.pop() {
+            if at > end || self.next.is_none() && self.asks.is_empty() && at > self.scenario.length.0 {
+                break;
+            }
+            self.now = at;
+            self.step(ev);
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Bring => self.bring(),
+            Ev::Reach(inv, d) => self.reach(inv, d),
+            Ev::Back(inv, seen) => self.back(inv, seen),
+            Ev::Retry(ask) => self.try_it(ask),
+            Ev::GiveUp(ask) => self.end(ask, End::Nothing),
+            Ev::Overdue(life, inv) => self.overdue(life, inv),
+            Ev::Dialled(life, inv, number, r) => self.dialled(life, inv, number, r),
+            Ev::Submit(..) | Ev::Cancel(..) | Ev::Probe(..) => self.at_runner(ev),
+            Ev::Free(life, r) => {
+                if let Some(dispatcher) = self.living(life)
+                    && let Some((idle, _)) = dispatcher.conns.get_mut(&r)
+                {
+                    *idle += 1;
+                }
+            }
+            Ev::Heard(life, inv, number, ending, load) => self.heard(life, inv, number, ending, load),
+            Ev::Progress(life, inv, number) => {
+                let open = self.living(life).and_then(|dispatcher| dispatcher.invs.get(&inv));
+                if let Some(open) = open.filter(|open| open.sent[number as usize].out) {
+                    let inv = open.id.clone();
+                    self.tell(life.d, Event::Progress { inv, forward: number });
+                }
+            }
+            Ev::Probed(life, r, nth, load) => {
+                let Some(dispatcher) = self.living(life) else { return };
+                if dispatcher.probes.get(&r) != Some(&nth) {
+                    return;
+                }
+                dispatcher.probes.remove(&r);
+                let (tgt, alive) = (self.ids[r as usize].clone(), load.is_some());
+                self.tell(life.d, Event::Probed { tgt, alive, report: report(load) });
+            }
+            Ev::RunnerDue(r, nth) => {
+                if self.due[r as usize].1 == nth {
+                    self.due[r as usize].0 = None;
+                    self.wake(r);
+                }
+            }
+            Ev::Tick(life) => {
+                if self.living(life).is_some() {
+                    self.tell(life.d, Event::Tick);
+                }
+            }
+            Ev::Change(nth) => self.change(nth),
+            Ev::Listed(r, state) => self.list(r, state),
+            Ev::Tell(life, r, state) => {
+                if self.living(life).is_some_and(|dispatcher| dispatcher.subscribed) {
+                    let wanted = state == State::Up;
+                    self.judge.see(self.now, Seen::Told { dispatcher: life.d, runner: r, wanted });
+                    let entries = vec![self.entry(r, state)];
+                    self.tell(life.d, Event::Roster(Roster { listing: Listing::Changes, entries }));
+                }
+            }
+            Ev::Call(life) => self.call(life),
+            Ev::TellAll(life) => self.tell_all(life),
+            Ev::Refused(life) => {
+                if let Some(dispatcher) = self.living(life) {
+                    dispatcher.subscribed = false;
+                    let roster = Roster { listing: Listing::Refused, entries: Vec::new() };
+                    self.tell(life.d, Event::Roster(roster));
+                }
+            }
+            Ev::Front(life, up) => {
+                if self.dispatchers[life.d as usize].epoch == life.epoch {
+                    self.front[life.d as usize] = up;
+                }
+            }
+            Ev::Sample => self.sample(),
+        }
+    }
+
+    fn living(&mut self, life: Life0) -> Option<&mut Dispatcher> {
+        self.dispatchers.get_mut(life.d as usize).filter(|d| d.alive && d.epoch == life.epoch)
+    }
+
+    fn life(&self, d: u32) -> Life0 {
+        Life0 { d, epoch: self.dispatchers[d as usize].epoch }
+    }
+
+    // Clients.
+
+    fn bring(&mut self) {
+        let Some(ask) = self.next.take() else { return };
+        let number = self.brought;
+        self.brought += 1;
+        self.push(ask.at + self.scenario.operation[ask.operation].client_timeout.0, Ev::GiveUp(number));
+        self.asks.insert(number, Asked { ask, tries: 0 });
+        self.try_it(number);
+        self.next = self.bring.next();
+        if let Some(ask) = &self.next {
+            self.push(ask.at, Ev::Bring);
+        }
+    }
+
+    fn try_it(&mut self, number: u64) {
+        let Some(asked) = self.asks.get_mut(&number) else { return };
+        asked.tries += 1;
+        let inv = number << TRY_BITS | u64::from(asked.tries);
+        let zone = asked.ask.zone;
+        self.tally.traffic.tries += 1;
+        let all = self.dispatchers.len();
+        // Drawn from this try alone: one policy's answers are not to shift where others' clients go.
+        let start = chance(self.seed ^ 0x5eed, inv).random_range(0..all);
+        let order = || (0..all).map(|step| (start + step) % all).filter(|d| self.front[*d]);
+        let near = order().find(|d| self.dispatchers[*d].zone == zone);
+        let chosen = near.or_else(|| order().next());
+        let delay = self.client_delay();
+        match chosen {
+            Some(d) => self.push(self.now + delay, Ev::Reach(inv, d as u32)),
+            None => self.push(self.now + delay, Ev::Back(inv, load::Seen::Untaken)),
+        }
+    }
+
+    fn back(&mut self, inv: u64, seen: load::Seen) {
+        let number = inv >> TRY_BITS;
+        let Some(asked) = self.asks.get(&number) else { return };
+        if u64::from(asked.tries) != inv & ((1 << TRY_BITS) - 1) {
+            return;
+        }
+        if seen == load::Seen::Succeeded {
+            return self.end(number, End::Succeeded);
+        }
+        match returns(self.scenario, self.seed, (number, &asked.ask), asked.tries, seen, self.now) {
+            Some(at) => self.push(at, Ev::Retry(number)),
+            None => self.end(
+                number,
+                match seen {
+                    load::Seen::Throttled(_) => End::Throttled,
+                    load::Seen::Errored => End::Errored,
+                    _ => End::Nothing,
+                },
+            ),
+        }
+    }
+
+    fn end(&mut self, number: u64, end: End) {
+        if let Some(asked) = self.asks.remove(&number) {
+            self.tally.end(&asked.ask, end, self.now - asked.ask.at);
+        }
+    }
+
+    // What the desk does on sockets.
+
+    fn reach(&mut self, inv: u64, d: u32) {
+        let Some(asked) = self.asks.get(&(inv >> TRY_BITS)) else { return };
+        if !self.dispatchers[d as usize].alive {
+            let delay = self.client_delay();
+            return self.push(self.now + delay, Ev::Back(inv, load::Seen::Untaken));
+        }
+        let operation = asked.ask.operation;
+        let gives_up = asked.ask.at + self.scenario.operation[operation].client_timeout.0;
+        let key = asked.ask.key.map(|key| Id::from(format!("k{key}")));
+        let id = Id::from(format!("{inv:x}"));
+        let expires_in = gives_up - WAY_BACK - self.now;
+        self.judge.see(self.now, Seen::Taken { inv, dispatcher: d, operation, expires_at: gives_up });
+        let open = Open { id: id.clone(), answered: false, sent: Vec::new() };
+        self.dispatchers[d as usize].invs.insert(inv, open);
+        if expires_in <= 0 {
+            return self.answer(d, inv, Final::Throttled, None);
+        }
+        let life = self.life(d);
+        self.push(self.now + expires_in, Ev::Overdue(life, inv));
+        self.tell(d, Event::Arrival(Arrival { inv: id, operation, expires_in, slots: 1.0, key }));
+    }
+
+    fn overdue(&mut self, life: Life0, inv: u64) {
+        let now = self.now;
+        let Some(dispatcher) = self.living(life) else { return };
+        let Some(open) = dispatcher.invs.get_mut(&inv).filter(|open| !open.answered) else { return };
+        if let Some(number) = open.sent.iter().position(|sent| sent.out) {
+            open.sent[number].out = false;
+            let (r, elapsed) = (open.sent[number].runner, now - open.sent[number].at);
+            let id = open.id.clone();
+            let zone = dispatcher.zone;
+            self.send(zone, self.world.runners[r as usize].zone, Ev::Cancel(life, inv, number as u32, r));
+            self.outcome(life.d, (inv, id), (number as u32, r), Ending::TimedOut, elapsed, None);
+        }
+        // What the module has not ended by now gets its error all the same.
+        if let Some(open) = self.dispatchers[life.d as usize].invs.get(&inv).filter(|open| !open.answered) {
+            let id = open.id.clone();
+            self.answer(life.d, inv, Final::Errored, None);
+            self.tell(life.d, Event::Gone { inv: id });
+        }
+    }
+
+    fn outcome(
+        &mut self,
+        d: u32,
+        (inv, id): (u64, Id),
+        (forward, r): (u32, u32),
+        ending: Ending,
+        elapsed: Micros,
+        load: Option<Load>,
+    ) {
+        let mut finished = self.dispatchers[d as usize].invs.get(&inv).is_none_or(|open| open.answered);
+        if ending == Ending::Succeeded && !finished {
+            finished = true;
+            self.answer(d, inv, Final::Succeeded, None);
+        }
+        let tgt = self.ids[r as usize].clone();
+        let ended = Ended { inv: id, forward, tgt, ending, finished, elapsed, report: report(load) };
+        self.tidy(d, inv);
+        self.tell(d, Event::Outcome(ended));
+    }
+
+    /// Lets go of an invocation with nothing owed and nothing out.
+    fn tidy(&mut self, d: u32, inv: u64) {
+        let invs = &mut self.dispatchers[d as usize].invs;
+        if invs.get(&inv).is_some_and(|open| open.answered && !open.sent.iter().any(|sent| sent.out)) {
+            invs.remove(&inv);
+        }
+    }
+
+    fn answer(&mut self, d: u32, inv: u64, how: Final, come_back: Option<Micros>) {
+        let dispatcher = &mut self.dispatchers[d as usize];
+        let Some(open) = dispatcher.invs.get_mut(&inv).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        self.judge.see(self.now, Seen::Answered { inv, how });
+        let seen = match how {
+            Final::Succeeded => load::Seen::Succeeded,
+            Final::Throttled => load::Seen::Throttled(come_back),
+            Final::Errored => load::Seen::Errored,
+        };
+        let delay = self.client_delay();
+        self.push(self.now + delay, Ev::Back(inv, seen));
+        self.tidy(d, inv);
+    }
+
+    /// Tells the module one thing and does what it decides.
+    fn tell(&mut self, d: u32, event: Event) {
+        self.decisions += 1;
+        let dispatcher = &mut self.dispatchers[d as usize];
+        let actions = dispatcher.decide.decide(self.now, event, &self.world.runners);
+        let life = self.life(d);
+        for action in actions {
+            match action {
+                Action::Forward { inv, tgt } => self.forward(life, &inv, &tgt),
+                Action::Cancel { inv, forward } => {
+                    let inv = key(&inv);
+                    let sent = self.dispatchers[d as usize].invs.get(&inv);
+                    let sent = sent.and_then(|open| open.sent.get(forward as usize)).filter(|sent| sent.out);
+                    if let Some(r) = sent.map(|sent| sent.runner) {
+                        self.tally.traffic.cancels += 1;
+                        let (from, to) = self.ends(d, r);
+                        self.send(from, to, Ev::Cancel(life, inv, forward, r));
+                    }
+                }
+                Action::Throttle { inv, come_back } => self.answer(d, key(&inv), Final::Throttled, come_back),
+                Action::Error { inv } => self.answer(d, key(&inv), Final::Errored, None),
+                Action::Probe { tgt } => self.probe(life, number(&tgt)),
+                Action::Disconnect { tgt } => {
+                    let r = number(&tgt);
+                    if let Some((idle, all)) = self.dispatchers[d as usize].conns.get_mut(&r) {
+                        let runner = &mut self.world.runners[r as usize];
+                        runner.connections = runner.connections.saturating_sub(*idle);
+                        *all -= *idle;
+                        *idle = 0;
+                    }
+                }
+                Action::Follow => {
+                    let zone = self.dispatchers[d as usize].zone;
+                    self.send(zone, 0, Ev::Call(life));
+                }
+                Action::Tick { after } => self.push(self.now + after.max(1), Ev::Tick(life)),
+                Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn ends(&self, d: u32, r: u32) -> (usize, usize) {
+        (self.dispatchers[d as usize].zone, self.world.runners[r as usize].zone)
+    }
+
+    fn forward(&mut self, life: Life0, id: &Id, tgt: &Id) {
+        let (inv, r, now) = (key(id), number(tgt), self.now);
+        let dispatcher = &mut self.dispatchers[life.d as usize];
+        let Some(open) = dispatcher.invs.get_mut(&inv) else { return };
+        let number = open.sent.len() as u32;
+        let sendable = !open.answered && !open.sent.iter().any(|sent| sent.out);
+        open.sent.push(Sent { runner: r, at: now, out: sendable });
+        if !sendable {
+            return self.push(now, Ev::Heard(life, inv, number, Ending::Void, None));
+        }
+        if let Some((idle, _)) = dispatcher.conns.get_mut(&r).filter(|(idle, _)| *idle > 0) {
+            *idle -= 1;
+            return self.leave(life, inv, number, r);
+        }
+        self.dial(
+            life,
+            r,
+            Ev::Dialled(life, inv, number, r),
+            Ev::Heard(life, inv, number, Ending::Unreachable, None),
+        );
+    }
+
+    /// Opens a connection: `up` once it is there, `never` where it never comes up.
+    fn dial(&mut self, life: Life0, r: u32, up: Ev, never: Ev) {
+        let (from, to) = self.ends(life.d, r);
+        let there_and_back = self.delay(from, to) + self.delay(to, from);
+        let runner = &self.world.runners[r as usize];
+        if runner.life == Life::Silent || !self.world.linked(from, to) {
+            self.push(self.now + self.scenario.limits.dial_timeout.0, never);
+        } else if runner.life == Life::Down || runner.connections >= runner.connections_most {
+            self.push(self.now + there_and_back, never);
+        } else {
+            self.push(self.now + there_and_back + runner.handshake(), up);
+        }
+    }
+
+    fn connected(&mut self, life: Life0, r: u32) -> bool {
+        let now = self.now;
+        let runner = &mut self.world.runners[r as usize];
+        let up = runner.life == Life::Up && runner.connect(now);
+        if up {
+            self.tally.traffic.connections += 1;
+            self.reschedule(r);
+            if let Some(dispatcher) = self.living(life) {
+                dispatcher.conns.entry(r).or_default().1 += 1;
+            }
+        }
+        up
+    }
+
+    fn dialled(&mut self, life: Life0, inv: u64, number: u32, r: u32) {
+        let Some(dispatcher) = self.living(life) else { return };
+        let out = dispatcher.invs.get(&inv).is_some_and(|open| open.sent[number as usize].out);
+        if !self.connected(life, r) {
+            return self.push(self.now, Ev::Heard(life, inv, number, Ending::Unreachable, None));
+        }
+        if out {
+            self.leave(life, inv, number, r);
+        } else if let Some((idle, _)) = self.living(life).and_then(|dispatcher| dispatcher.conns.get_mut(&r))
+        {
+            *idle += 1;
+        }
+    }
+
+    /// A forward's bytes leave.
+    fn leave(&mut self, life: Life0, inv: u64, number: u32, r: u32) {
+        let (from, to) = self.ends(life.d, r);
+        let runner = &self.world.runners[r as usize];
+        let cold = (runner.warmth(self.now) < 1.0).then(|| runner.capacity(self.now));
+        let work = self.asks.get(&(inv >> TRY_BITS)).map_or(0.0, |asked| asked.ask.work);
+        self.judge.see(self.now, Seen::Forwarded { inv, dispatcher: life.d, runner: r, work, cold });
+        self.tally.traffic.forwards += 1;
+        self.tally.traffic.crossings += u64::from(from != to);
+        self.tally.forwards[r as usize] += 1;
+        self.send(from, to, Ev::Submit(life, inv, number, r));
+    }
+
+    fn probe(&mut self, life: Life0, r: u32) {
+        self.tally.traffic.probes += 1;
+        self.serial += 1;
+        let nth = self.serial;
+        let (from, to) = self.ends(life.d, r);
+        let dispatcher = &mut self.dispatchers[life.d as usize];
+        dispatcher.probes.insert(r, nth);
+        let kept = dispatcher.conns.get(&r).is_some_and(|(idle, _)| *idle > 0);
+        let late = self.now + self.scenario.limits.probe_timeout.0;
+        self.push(late, Ev::Probed(life, r, nth, None));
+        if kept {
+            self.send(from, to, Ev::Probe(life, r, nth));
+        } else if self.world.runners[r as usize].life == Life::Up && self.connected(life, r) {
+            let delay = 2 * self.delay(from, to) + self.world.runners[r as usize].handshake();
+            if let Some((idle, _)) = self.dispatchers[life.d as usize].conns.get_mut(&r) {
+                *idle += 1;
+            }
+            if self.world.linked(from, to) {
+                self.push(self.now + delay, Ev::Probe(life, r, nth));
+            }
+        } else if self.world.runners[r as usize].life != Life::Silent {
+            let delay = 2 * self.delay(from, to);
+            self.push(self.now + delay, Ev::Probed(life, r, nth, None));
+        }
+    }
+
+    fn heard(&mut self, life: Life0, inv: u64, number: u32, ending: Ending, load: Option<Load>) {
+        let now = self.now;
+        let Some(dispatcher) = self.living(life) else { return };
+        let Some(open) = dispatcher.invs.get_mut(&inv) else { return };
+        let id = open.id.clone();
+        let sent = &mut open.sent[number as usize];
+        let (r, elapsed, was_out) = (sent.runner, now - sent.at, sent.out);
+        sent.out = false;
+        let how = match ending {
+            Ending::Succeeded => Some(Back::Succeeded),
+            Ending::Overloaded => Some(Back::NeverRan),
+            // No byte left: the judge never saw a forward.
+            Ending::Unreachable | Ending::Void => None,
+            Ending::Withdrawn => None,
+            _ => Some(Back::MayHaveRun),
+        };
+        if let Some(how) = how {
+            self.judge.see(now, Seen::Ended { inv, runner: r, how });
+        }
+        if was_out || ending == Ending::Void {
+            self.outcome(life.d, (inv, id), (number, r), ending, elapsed, load);
+        } else if ending == Ending::Succeeded {
+            // Given up, but it came to its end all the same: this is the result that is owed.
+            self.answer(life.d, inv, Final::Succeeded, None);
+            self.tell(life.d, Event::Gone { inv: id });
+        }
+    }
+
+    // Runners.
+
+    /// What has reached a runner: it waits where the process stands still.
+    fn at_runner(&mut self, ev: Ev) {
+        let r = match ev {
+            Ev::Submit(_, _, _, r) | Ev::Cancel(_, _, _, r) | Ev::Probe(_, r, _) => r,
+            _ => return,
+        };
+        let runner = &self.world.runners[r as usize];
+        match runner.life {
+            Life::Silent => return,
+            Life::Down => return self.at_nobody(ev),
+            Life::Up if runner.frozen => return self.inbox[r as usize].push(ev),
+            Life::Up => {}
+        }
+        match ev {
+            Ev::Submit(life, inv, number, r) => self.submit(life, inv, number, r),
+            Ev::Cancel(life, inv, number, r) => {
+                self.judge.see(self.now, Seen::Withdrawn { inv, runner: r });
+                // A later forward of the same invocation to the same runner is not this one.
+                if self.owners.get(&(r, inv)).is_some_and(|(_, sent)| *sent == number) {
+                    self.owners.remove(&(r, inv));
+                    let mut news = std::mem::take(&mut self.told);
+                    self.world.runners[r as usize].cancel(self.now, inv, &mut news);
+                    self.news(r, &mut news);
+                    self.told = news;
+                    self.reschedule(r);
+                }
+                let (to, from) = self.ends(life.d, r);
+                self.send(from, to, Ev::Heard(life, inv, number, Ending::Withdrawn, None));
+            }
+            Ev::Probe(life, r, nth) => {
+                let load = self.world.runners[r as usize].report(self.now);
+                let (to, from) = self.ends(life.d, r);
+                self.send(from, to, Ev::Probed(life, r, nth, Some(load)));
+            }
+            _ => {}
+        }
+    }
+
+    /// The process is gone: the connection is reset.
+    fn at_nobody(&mut self, ev: Ev) {
+        match ev {
+            Ev::Submit(life, inv, number, r) => {
+                let (to, from) = self.ends(life.d, r);
+                self.send(from, to, Ev::Heard(life, inv, number, Ending::Broken, None));
+            }
+            Ev::Cancel(life, inv, number, r) => {
+                self.judge.see(self.now, Seen::Withdrawn { inv, runner: r });
+                let (to, from) = self.ends(life.d, r);
+                self.send(from, to, Ev::Heard(life, inv, number, Ending::Withdrawn, None));
+            }
+            Ev::Probe(life, r, nth) => {
+                let (to, from) = self.ends(life.d, r);
+                self.send(from, to, Ev::Probed(life, r, nth, None));
+            }
+            _ => {}
+        }
+    }
+
+    fn submit(&mut self, life: Life0, inv: u64, number: u32, r: u32) {
+        let (to, from) = self.ends(life.d, r);
+        let Some(asked) = self.asks.get(&(inv >> TRY_BITS)) else {
+            // The client has its answer or has left; the work is as long as any.
+            return self.send(from, to, Ev::Heard(life, inv, number, Ending::Errored, None));
+        };
+        let (operation, work) = (asked.ask.operation, asked.ask.work);
+        let mut news = std::mem::take(&mut self.told);
+        let runner = &mut self.world.runners[r as usize];
+        let taken = runner.offer(self.now, inv, operation, work, &mut news);
+        let load = runner.report(self.now);
+        self.send(from, to, Ev::Free(life, r));
+        match taken {
+            Taken::Yes => {
+                self.owners.insert((r, inv), (life, number));
+            }
+            Taken::Full => {
+                self.tally.traffic.turned_away += 1;
+                self.send(from, to, Ev::Heard(life, inv, number, Ending::Overloaded, Some(load)));
+            }
+            Taken::Failed => {
+                self.send(from, to, Ev::Heard(life, inv, number, Ending::Errored, Some(load)));
+            }
+        }
+        self.news(r, &mut news);
+        self.told = news;
+        self.reschedule(r);
+    }
+
+    fn wake(&mut self, r: u32) {
+        let mut news = std::mem::take(&mut self.told);
+        self.world.runners[r as usize].wake(self.now, &mut news);
+        self.news(r, &mut news);
+        self.told = news;
+        self.reschedule(r);
+    }
+
+    fn reschedule(&mut self, r: u32) {
+        let due = self.world.runners[r as usize].due();
+        let (at, nth) = self.due[r as usize];
+        if due != at {
+            self.due[r as usize] = (due, nth + 1);
+            if let Some(due) = due {
+                self.push(due.max(self.now), Ev::RunnerDue(r, nth + 1));
+            }
+        }
+    }
+
+    fn news(&mut self, r: u32, told: &mut Vec<(u64, News)>) {
+        for (inv, news) in told.drain(..) {
+            if news == News::Started {
+                self.ran(r, inv);
+                continue;
+            }
+            let Some((life, number)) = self.owners.get(&(r, inv)).copied() else { continue };
+            let (to, from) = self.ends(life.d, r);
+            let load = Some(self.world.runners[r as usize].report(self.now));
+            let ending = match news {
+                News::Progress(_) => {
+                    self.send(from, to, Ev::Progress(life, inv, number));
+                    continue;
+                }
+                News::Done => Ending::Succeeded,
+                News::Returned => Ending::Overloaded,
+                News::Started | News::Failed => Ending::Errored,
+            };
+            self.owners.remove(&(r, inv));
+            self.send(from, to, Ev::Heard(life, inv, number, ending, load));
+        }
+    }
+
+    /// A job begins; whether its effect is new in its group is for the judge to hear.
+    fn ran(&mut self, r: u32, inv: u64) {
+        use crate::scenario::{Effect, Group};
+        let ask = inv >> TRY_BITS;
+        let Some(asked) = self.asks.get(&ask) else { return };
+        let op = &self.scenario.operation[asked.ask.operation];
+        let runner = &self.world.runners[r as usize];
+        let new = match op.effect {
+            Effect::Idempotent | Effect::NonIdempotent => true,
+            Effect::Deduplicated => {
+                let group = match op.group {
+                    Group::All => -1,
+                    Group::Zone => runner.zone as i64,
+                    Group::Cell => runner.cell,
+                };
+                let now = self.now;
+                let known = self.marks.get(&(ask, group)).copied();
+                // Remembered from when it was first sent; begun somewhat later, so that this errs to its side.
+                let new = known.is_none_or(|at| now > at + op.memory_span.0);
+                if new {
+                    self.marks.insert((ask, group), now);
+                }
+                new
+            }
+        };
+        if new {
+            self.judge.see(self.now, Seen::Ran { inv, runner: r });
+        }
+    }
+
+    // What goes wrong.
+
+    fn change(&mut self, nth: usize) {
+        let change = self.world.schedule[nth].1.clone();
+        match change {
+            Change::Kill(d) => self.kill(d),
+            Change::Begin(d) => {
+                self.begin(d);
+                let life = self.life(d);
+                self.push(self.now + HEARS_WITHIN, Ev::Front(life, true));
+            }
+            Change::Term(d) => self.push(self.now + TERM_NOTICED, Ev::Front(self.life(d), false)),
+            _ => {}
+        }
+        let follows = self.world.apply(self.now, &change);
+        for (r, inv) in &follows.lost {
+            let Some((life, number)) = self.owners.remove(&(*r as u32, *inv)) else { continue };
+            // Where the machine itself is gone, nobody is left to tell.
+            if self.world.runners[*r].life == Life::Down {
+                self.push(self.now + AGENT, Ev::Heard(life, *inv, number, Ending::Broken, None));
+            }
+        }
+        for r in &follows.reset {
+            for dispatcher in &mut self.dispatchers {
+                dispatcher.conns.remove(&(*r as u32));
+            }
+            for ev in std::mem::take(&mut self.inbox[*r]) {
+                self.at_nobody(ev);
+            }
+        }
+        for r in &follows.thawed {
+            for ev in std::mem::take(&mut self.inbox[*r]) {
+                self.at_runner(ev);
+            }
+        }
+        for (r, inv, news) in follows.news {
+            self.news(r as u32, &mut vec![(inv, news)]);
+        }
+        for (r, state, after) in follows.listed {
+            self.push(self.now + after, Ev::Listed(r as u32, state));
+        }
+        if follows.healed {
+            for (from, to, ev) in std::mem::take(&mut self.held) {
+                self.send(from, to, ev);
+            }
+        }
+        match change {
+            Change::Discovery(false) => {
+                for d in 0..self.dispatchers.len() as u32 {
+                    let life = self.life(d);
+                    self.push(self.now, Ev::Refused(life));
+                }
+            }
+            Change::Stop(r, _) | Change::Start(r) | Change::Freeze(r, _) | Change::Slow(r, _) => {
+                self.reschedule(r as u32);
+            }
+            Change::Drain(r) | Change::Retire(r) => self.reschedule(r as u32),
+            _ => {}
+        }
+    }
+
+    fn kill(&mut self, d: u32) {
+        let dispatcher = &mut self.dispatchers[d as usize];
+        dispatcher.alive = false;
+        dispatcher.epoch += 1;
+        dispatcher.subscribed = false;
+        let mut owed: Vec<u64> =
+            dispatcher.invs.drain().filter(|(_, open)| !open.answered).map(|(inv, _)| inv).collect();
+        owed.sort_unstable();
+        for (r, (_, all)) in std::mem::take(&mut dispatcher.conns) {
+            let runner = &mut self.world.runners[r as usize];
+            runner.connections = runner.connections.saturating_sub(all);
+        }
+        dispatcher.probes.clear();
+        for inv in owed {
+            self.judge.see(self.now, Seen::Lost { inv });
+            let delay = self.client_delay();
+            self.push(self.now + delay, Ev::Back(inv, load::Seen::Nothing));
+        }
+        let notice = self.scenario.clients.front_notice.0;
+        let life = self.life(d);
+        self.push(self.now + notice, Ev::Front(life, false));
+    }
+
+    fn begin(&mut self, d: u32) {
+        let nth = d as usize;
+        let zone = nth % self.world.zones;
+        let (epoch, starts) = self.dispatchers.get(nth).map_or((0, 0), |old| (old.epoch + 1, old.starts + 1));
+        let seed = chance(self.seed, 1 << 41 | u64::from(d) << 8 | starts).random();
+        let dispatcher = Dispatcher {
+            decide: decider(self.policy, self.orders[nth].clone(), seed),
+            alive: true,
+            epoch,
+            starts,
+            zone,
+            invs: FxHashMap::default(),
+            conns: FxHashMap::default(),
+            probes: FxHashMap::default(),
+            subscribed: false,
+        };
+        if nth < self.dispatchers.len() {
+            self.dispatchers[nth] = dispatcher;
+        } else {
+            self.dispatchers.push(dispatcher);
+        }
+        self.judge.see(self.now, Seen::Began { dispatcher: d });
+        let listed = (0..self.states.len()).filter(|r| self.states[*r] == State::Up);
+        let entries = listed.map(|r| self.entry(r as u32, State::Up)).collect();
+        self.tell(d, Event::Roster(Roster { listing: Listing::Remembered, entries }));
+    }
+
+    // Discovery.
+
+    fn entry(&self, r: u32, state: State) -> RosterEntry {
+        let runner = &self.world.runners[r as usize];
+        RosterEntry {
+            tgt: self.ids[r as usize].clone(),
+            cell: runner.cell,
+            size: 1.0,
+            kind: Id::from(self.scenario.pool[runner.kind].kind.as_str()),
+            zone: Id::from(self.scenario.zones.names[runner.zone].as_str()),
+            readiness: match state {
+                State::Up => Readiness::On,
+                State::Draining => Readiness::Fading,
+                State::Gone => Readiness::Off,
+            },
+            launched: runner.launched.filter(|_| state == State::Up),
+        }
+    }
+
+    fn list(&mut self, r: u32, state: State) {
+        let runner = &self.world.runners[r as usize];
+        // What has been overtaken by a new start is passed over.
+        if state != State::Up && runner.life == Life::Up && !runner.draining {
+            return;
+        }
+        self.states[r as usize] = state;
+        let (wanted, launched) = (state == State::Up, runner.launched);
+        self.judge.see(self.now, Seen::Listed { runner: r, wanted, launched });
+        if !self.world.discovery_up {
+            return;
+        }
+        for d in 0..self.dispatchers.len() as u32 {
+            if self.dispatchers[d as usize].subscribed {
+                let life = self.life(d);
+                let zone = self.dispatchers[d as usize].zone;
+                let after = self.network.random_range(0..HEARS_WITHIN);
+                if self.world.linked(0, zone) {
+                    self.push(self.now + after, Ev::Tell(life, r, state));
+                } else {
+                    self.held.push((0, zone, Ev::Tell(life, r, state)));
+                }
+            }
+        }
+    }
+
+    /// A call has reached discovery, which works through calls in turn.
+    fn call(&mut self, life: Life0) {
+        let discovery = &self.scenario.discovery;
+        let begins = self.busy_until.max(self.now);
+        let zone = self.dispatchers[life.d as usize].zone;
+        if !self.world.discovery_up || begins - self.now > discovery.call_most.0 {
+            return self.send(0, zone, Ev::Refused(life));
+        }
+        self.busy_until = begins + discovery.call.0;
+        if self.world.linked(0, zone) {
+            let delay = self.delay(0, zone);
+            self.push(self.busy_until + delay, Ev::TellAll(life));
+        } else {
+            self.held.push((0, zone, Ev::TellAll(life)));
+        }
+    }
+
+    fn tell_all(&mut self, life: Life0) {
+        let Some(dispatcher) = self.living(life) else { return };
+        dispatcher.subscribed = true;
+        let mut entries = Vec::with_capacity(self.states.len());
+        for r in 0..self.states.len() as u32 {
+            let state = self.states[r as usize];
+            let wanted = state == State::Up;
+            if !wanted || self.world.runners[r as usize].launched.is_some() {
+                self.judge.see(self.now, Seen::Told { dispatcher: life.d, runner: r, wanted });
+            }
+            if state != State::Gone {
+                entries.push(self.entry(r, state));
+            }
+        }
+        self.tell(life.d, Event::Roster(Roster { listing: Listing::All, entries }));
+    }
+
+    fn sample(&mut self) {
+        self.sampled.0 += 1;
+        for runner in &self.world.runners {
+            let jobs = runner.jobs();
+            if self.sampled.1.len() <= jobs {
+                self.sampled.1.resize(jobs + 1, 0);
+            }
+            self.sampled.1[jobs] += 1;
+        }
+        if self.now < self.scenario.length.0 {
+            self.push(self.now + self.options.sample, Ev::Sample);
+        }
+    }
+
+    fn finish(mut self) -> Run {
+        self.judge.finish(self.now);
+        let seen = (self.sampled.0 * self.world.runners.len() as u64).max(1) as f64;
+        let mut tails: Tails = Vec::new();
+        let mut above = 0;
+        for count in self.sampled.1.iter().rev() {
+            above += count;
+            tails.push(above as f64 / seen);
+        }
+        tails.reverse();
+        let runners = runners(self.scenario, &self.world, &self.tally.forwards);
+        let program = match self.policy {
+            Policy::Topazsail => "topazsail (module, in process)".to_owned(),
+            other => format!("baseline {other:?}"),
+        };
+        let about = About {
+            clock: "virtual".to_owned(),
+            program,
+            seed: self.seed,
+            runners,
+            faults: std::mem::take(&mut self.world.bands),
+            verdict: self.judge.verdict,
+            void: Vec::new(),
+            processes: Vec::new(),
+            notes: Vec::new(),
+        };
+        Run { outcome: self.tally.outcome(self.scenario, about), tails, decisions: self.decisions }
+    }
+}
+
+/// What each runner did, for the report.
+pub fn runners(scenario: &Scenario, world: &World, forwards: &[u64]) -> Vec<OfRunner> {
+    let of = |(r, runner): (usize, &crate::runner::Runner)| OfRunner {
+        name: format!("r{r}"),
+        zone: scenario.zones.names[runner.zone].clone(),
+        kind: scenario.pool[runner.kind].kind.clone(),
+        forwards: forwards[r],
+        used: round(runner.worked / (scenario.length.0 as f64 * f64::from(runner.slots) * runner.speed)),
+    };
+    world.runners.iter().enumerate().map(of).collect()
+}
+
+fn key(inv: &Id) -> u64 {
+    u64::from_str_radix(inv, 16).unwrap_or(u64::MAX)
+}
+
+fn report(load: Option<Load>) -> Vec<f64> {
+    load.map_or(Vec::new(), |load| {
+        vec![f64::from(load.free), f64::from(load.waiting), f64::from(load.in_flight)]
+    })
+}
--- /dev/null
+++ b/lab/src/world.rs
@@ -0,0 +1,343 @@
+//! The deployment that a scenario describes: its runners, its links, what discovery lists, and the schedule of
+//! what goes wrong.
+//!
+//! It does no I/O and reads no clock; both clocks build one from scenario and seed, and apply the same changes
+//! at the same moments. It must never hold anything of dispatchers: they are what is being tried.
+
+use rand::seq::SliceRandom;
+use rand_distr::{Distribution, LogNormal};
+use rand_pcg::Pcg32;
+use topazsail::Micros;
+
+use crate::load::chance;
+use crate::runner::{Ail, Job, Life, News, Runner};
+use crate::scenario::{Fault, Kind, Scenario};
+use crate::tally::Band;
+
+/// Runners of a zone that share what they remember.
+const CELL: usize = 4;
+/// From the order to drain until the process ends, and from there until the new one is up.
+const DRAIN: Micros = 2_000_000;
+const DOWN: Micros = 1_000_000;
+/// A dispatcher that is rolled is away for so long.
+const ROLLED: Micros = 1_000_000;
+/// After SIGTERM comes SIGKILL, at the earliest that the platform allows.
+pub const TERM_TO_KILL: Micros = 3_700_000;
+const PAUSES_APART: Micros = 1_000_000;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Stop(usize, Life),
+    Start(usize),
+    Freeze(usize, bool),
+    Slow(usize, Option<Strike>),
+    Errors(usize, Option<Strike>),
+    Loses(usize, Option<Strike>),
+    Drain(usize),
+    /// The process has ended after a drain, as was planned.
+    Retire(usize),
+    ReportDelay(Micros),
+    /// Links between a zone and the others.
+    Cut(usize, bool),
+    Discovery(bool),
+    Term(u32),
+    Kill(u32),
+    Begin(u32),
+    Reload,
+    BadClients(f64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Strike {
+    pub operation: Option<usize>,
+    pub size: f64,
+}
+
+impl Strike {
+    fn ail(self) -> Ail {
+        Ail { operation: self.operation, size: self.size }
+    }
+}
+
+/// What discovery lists of a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Up,
+    Draining,
+    Gone,
+}
+
+/// What follows from a change, for the clock to carry out.
+#[derive(Debug, Default)]
+pub struct Follows {
+    /// News of jobs at a runner.
+    pub news: Vec<(usize, Job, News)>,
+    /// Jobs that a process took with it.
+    pub lost: Vec<(usize, Job)>,
+    /// Runners whose connections are reset.
+    pub reset: Vec<usize>,
+    /// Runners that read again what came while they stood still.
+    pub thawed: Vec<usize>,
+    /// Discovery learns of a state after so long.
+    pub listed: Vec<(usize, State, Micros)>,
+    /// Links that are up again.
+    pub healed: bool,
+}
+
+pub struct World {
+    pub runners: Vec<Runner>,
+    pub zones: usize,
+    cut: Vec<bool>,
+    pub discovery_up: bool,
+    pub schedule: Vec<(Micros, Change)>,
+    pub bands: Vec<Band>,
+    notice: Micros,
+    silent_notice: Micros,
+}
+
+impl World {
+    pub fn new(scenario: &Scenario, seed: u64) -> World {
+        let zones = scenario.zones.names.len();
+        let mut drawn = chance(seed, 2);
+        let mut runners = Vec::new();
+        for (kind, pool) in scenario.pool.iter().enumerate() {
+            let spread = LogNormal::from_mean_cv(1.0, pool.speed_spread.max(1e-9)).ok();
+            for _ in 0..pool.count {
+                let nth = runners.len();
+                let (zone, within) = (nth % zones, nth / zones);
+                let cell = (zone * 100_000 + within / CELL) as i64;
+                let mut runner = Runner::new(
+                    pool,
+                    kind,
+                    (zone, cell),
+                    &scenario.limits,
+                    chance(seed, 1 << 40 | nth as u64),
+                );
+                runner.speed *= spread.map_or(1.0, |spread| spread.sample(&mut drawn));
+                runner.tells_progress(scenario.reports.progress.0);
+                runners.push(runner);
+            }
+        }
+        let delay = scenario.reports.delay.0;
+        if delay > 0 {
+            runners.iter_mut().for_each(|runner| runner.reports_late(0, delay));
+        }
+        let mut world = World {
+            zones,
+            cut: vec![false; zones],
+            discovery_up: true,
+            schedule: Vec::new(),
+            bands: Vec::new(),
+            runners,
+            notice: scenario.discovery.notice.0,
+            silent_notice: scenario.discovery.silent_notice.0,
+        };
+        let mut struck = chance(seed, 3);
+        for fault in &scenario.fault {
+            world.plan(scenario, fault, &mut struck);
+        }
+        world.schedule.sort_by_key(|(at, _)| *at);
+        world
+    }
+
+    /// Work that all runners do in a microsecond when warm and well.
+    pub fn capacity(&self) -> f64 {
+        self.runners.iter().map(|runner| f64::from(runner.slots) * runner.speed).sum()
+    }
+
+    pub fn places(&self) -> Vec<(usize, i64)> {
+        self.runners.iter().map(|runner| (runner.zone, runner.cell)).collect()
+    }
+
+    /// Whether a link carries anything.
+    pub fn linked(&self, from: usize, to: usize) -> bool {
+        from == to || !(self.cut[from] || self.cut[to])
+    }
+
+    /// A link's delay, one way, with `drawn` from 0 to 1 for jitter.
+    pub fn delay(scenario: &Scenario, from: usize, to: usize, drawn: f64) -> Micros {
+        let zones = &scenario.zones;
+        let base = if from == to { zones.within.0 } else { zones.between.0 } as f64;
+        (base * (1.0 + zones.jitter * drawn)) as Micros
+    }
+
+    fn plan(&mut self, scenario: &Scenario, fault: &Fault, struck: &mut Pcg32) {
+        let (at, until) = (fault.at.0, fault.at.0 + fault.lasts.0);
+        let zone = fault.zone.as_ref().and_then(|zone| scenario.zones.names.iter().position(|z| z == zone));
+        let operation = fault
+            .operation
+            .as_ref()
+            .and_then(|name| scenario.operation.iter().position(|op| op.name == *name));
+        let mut all: Vec<usize> = (0..self.runners.len()).collect();
+        all.retain(|r| zone.is_none_or(|zone| self.runners[*r].zone == zone));
+        all.shuffle(struck);
+        let most = ((all.len() as f64 * fault.part).round() as usize).clamp(1, all.len().max(1));
+        let part = &all[..most.min(all.len())];
+        let strike = Strike { operation, size: fault.size };
+        let mut to = until;
+        let plan = &mut self.schedule;
+        let mut both = |r: usize, change: fn(usize, Option<Strike>) -> Change| {
+            plan.push((at, change(r, Some(strike))));
+            plan.push((until, change(r, None)));
+        };
+        match fault.kind {
+            Kind::Slow => part.iter().for_each(|r| both(*r, Change::Slow)),
+            Kind::FastErrors => part.iter().for_each(|r| both(*r, Change::Errors)),
+            Kind::Loses => part.iter().for_each(|r| both(*r, Change::Loses)),
+            Kind::Crash => {
+                for &r in part {
+                    plan.extend([(at, Change::Stop(r, Life::Down)), (until, Change::Start(r))]);
+                }
+            }
+            Kind::Hang => {
+                for &r in part {
+                    plan.extend([(at, Change::Freeze(r, true)), (until, Change::Freeze(r, false))]);
+                }
+            }
+            Kind::Pauses => {
+                use rand::RngExt;
+                for &r in part {
+                    let mut next = at + struck.random_range(0..PAUSES_APART);
+                    let pause = (fault.size * 1000.0) as Micros;
+                    while next < until {
+                        plan.extend([
+                            (next, Change::Freeze(r, true)),
+                            (next + pause, Change::Freeze(r, false)),
+                        ]);
+                        next += pause + struck.random_range(PAUSES_APART / 2..PAUSES_APART * 3 / 2);
+                    }
+                }
+            }
+            Kind::LateReports => {
+                let usual = scenario.reports.delay.0;
+                let late = usual + (fault.size * 1000.0) as Micros;
+                plan.extend([(at, Change::ReportDelay(late)), (until, Change::ReportDelay(usual))]);
+            }
+            Kind::ZoneCut => {
+                let zone = zone.unwrap_or(0);
+                plan.extend([(at, Change::Cut(zone, true)), (until, Change::Cut(zone, false))]);
+            }
+            Kind::ZoneLoss => {
+                for &r in &all {
+                    plan.extend([(at, Change::Stop(r, Life::Silent)), (until, Change::Start(r))]);
+                }
+            }
+            Kind::DiscoveryDown => {
+                plan.extend([(at, Change::Discovery(false)), (until, Change::Discovery(true))]);
+            }
+            Kind::Deploy => {
+                let gap = fault.lasts.0 / part.len().max(1) as Micros;
+                for (nth, &r) in part.iter().enumerate() {
+                    let at = at + gap * nth as Micros;
+                    plan.push((at, Change::Drain(r)));
+                    plan.push((at + DRAIN, Change::Retire(r)));
+                    plan.push((at + DRAIN + DOWN, Change::Start(r)));
+                }
+                to = until + DRAIN + DOWN;
+            }
+            Kind::RollTerm | Kind::RollKill => {
+                let gap = fault.lasts.0 / Micros::from(scenario.dispatchers);
+                for d in 0..scenario.dispatchers {
+                    let at = at + gap * Micros::from(d);
+                    if fault.kind == Kind::RollKill {
+                        plan.extend([(at, Change::Kill(d)), (at + ROLLED, Change::Begin(d))]);
+                    } else {
+                        plan.push((at, Change::Term(d)));
+                        plan.push((at + TERM_TO_KILL, Change::Kill(d)));
+                        plan.push((at + TERM_TO_KILL + ROLLED, Change::Begin(d)));
+                    }
+                }
+                to = until + ROLLED;
+            }
+            Kind::Reload => plan.push((at, Change::Reload)),
+            Kind::BadClients => {
+                plan.extend([(at, Change::BadClients(fault.size)), (until, Change::BadClients(0.0))]);
+            }
+        }
+        let what = serde_json::to_value(fault.kind).ok().and_then(|kind| kind.as_str().map(str::to_owned));
+        let what = [what, fault.operation.clone(), fault.zone.clone()].into_iter().flatten();
+        self.bands.push(Band {
+            what: what.collect::<Vec<_>>().join(" "),
+            from: at as f64 / 1e6,
+            to: to.max(at) as f64 / 1e6,
+        });
+    }
+
+    /// Carries out what concerns runners, links and discovery; the rest is the clock's.
+    pub fn apply(&mut self, now: Micros, change: &Change) -> Follows {
+        let mut follows = Follows::default();
+        let mut news = Vec::new();
+        let mut of = None;
+        match *change {
+            Change::Stop(r, life) => {
+                let lost = self.runners[r].stop(now, life);
+                follows.lost.extend(lost.into_iter().map(|job| (r, job)));
+                if life == Life::Down {
+                    follows.reset.push(r);
+                }
+                let notice = if life == Life::Down { self.notice } else { self.silent_notice };
+                follows.listed.push((r, State::Gone, notice));
+            }
+            Change::Start(r) => {
+                // A machine that was silent is back: what was open to it ends now.
+                follows.reset.push(r);
+                self.runners[r].start(now);
+                follows.listed.push((r, State::Up, self.notice));
+            }
+            Change::Freeze(r, frozen) => {
+                self.runners[r].change(now, |runner| runner.frozen = frozen);
+                if !frozen {
+                    follows.thawed.push(r);
+                }
+            }
+            Change::Slow(r, strike) => {
+                self.runners[r].change(now, |runner| runner.slow = strike.map(Strike::ail));
+            }
+            Change::Errors(r, strike) => self.runners[r].errors = strike.map(Strike::ail),
+            Change::Loses(r, strike) => self.runners[r].loses = strike.map(Strike::ail),
+            Change::Drain(r) => {
+                self.runners[r].drain(now, &mut news);
+                of = Some(r);
+                follows.listed.push((r, State::Draining, self.notice / 10));
+            }
+            Change::Retire(r) => {
+                let lost = self.runners[r].stop(now, Life::Down);
+                follows.lost.extend(lost.into_iter().map(|job| (r, job)));
+                follows.reset.push(r);
+                follows.listed.push((r, State::Gone, self.notice / 10));
+            }
+            Change::ReportDelay(delay) => {
+                self.runners.iter_mut().for_each(|runner| runner.reports_late(now, delay));
+            }
+            Change::Cut(zone, cut) => {
+                self.cut[zone] = cut;
+                follows.healed = !cut;
+            }
+            Change::Discovery(up) => self.discovery_up = up,
+            Change::Term(_) | Change::Kill(_) | Change::Begin(_) | Change::Reload | Change::BadClients(_) => {
+            }
+        }
+        if let Some(r) = of {
+            follows.news.extend(news.into_iter().map(|(job, news)| (r, job, news)));
+        }
+        follows
+    }
+
+    /// One line of discovery's list, in the platform's form.
+    pub fn entry(
+        &self,
+        scenario: &Scenario,
+        r: usize,
+        state: State,
+        unix: Micros,
+        address: &str,
+    ) -> serde_json::Value {
+        let runner = &self.runners[r];
+        serde_json::json!({
+            "instanceId": format!("r{r}"), "hostPort": address, "zone": scenario.zones.names[runner.zone],
+            "machineType": scenario.pool[runner.kind].kind, "cell": runner.cell, "weight": 1.0,
+            "lifecycle": match state { State::Up => "up", State::Draining => "draining", State::Gone => "removed" },
+            "startedAtMs": runner.launched.map_or(0, |at| (unix + at) / 1000),
+        })
+    }
+}
