--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -155,9 +155,10 @@
 /// The scenario with one field set to another value, for each value.
 pub fn vary(path: &Path, field: &str, values: &[String]) -> Result<Vec<(String, Scenario)>, String> {
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
-    Scenario::parse(&name, &text)?;
-    let table: toml::Table = toml::from_str(&text).map_err(|error| format!("{name}: {}", error.message()))?;
+    // As it stands over its base, so that a field of either can be varied.
+    let whole = toml::to_string(&Scenario::load(path)?).map_err(|error| format!("{name}: {error}"))?;
+    let table: toml::Table =
+        toml::from_str(&whole).map_err(|error| format!("{name}: {}", error.message()))?;
     let one = |value: &String| {
         let mut table = table.clone();
         set(&mut table, field, value).map_err(|fault| format!("{name}: {fault}"))?;
--- a/lab/src/sockets/http.rs
+++ b/lab/src/sockets/http.rs
@@ -36,8 +36,19 @@
 }
 
 pub struct Wire {
-    pub stream: TcpStream,
+    stream: TcpStream,
     read: Vec<u8>,
+    /// The invocation that was answered here last.
+    pub last: Option<u64>,
+}
+
+/// How a connection stands between two messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    Quiet,
+    Ended,
+    /// Bytes have come that nobody asked for.
+    Speaks,
 }
 
 fn bad(what: &str) -> io::Error {
@@ -47,7 +58,7 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Wire {
         let _ = stream.set_nodelay(true);
-        Wire { stream, read: Vec::new() }
+        Wire { stream, read: Vec::new(), last: None }
     }
 
     pub async fn say(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -59,6 +70,17 @@
         let _ = self.stream.read_buf(&mut self.read).await;
     }
 
+    pub fn rest(&mut self) -> Rest {
+        let mut byte = [0];
+        match self.stream.try_read(&mut byte) {
+            _ if !self.read.is_empty() => Rest::Speaks,
+            Ok(0) => Rest::Ended,
+            Ok(_) => Rest::Speaks,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Rest::Quiet,
+            Err(_) => Rest::Ended,
+        }
+    }
+
     /// The next whole message; none where the connection ends between two.
     pub async fn hear(&mut self) -> io::Result<Option<Message>> {
         loop {
--- /dev/null
+++ b/lab/tests/input.rs
@@ -0,0 +1,138 @@
+//! Bad input: one clear line, a non-zero exit, nothing left behind.
+
+use std::process::Command;
+
+use expect_test::{Expect, expect};
+use topazsail_lab::scenario::Scenario;
+
+const GOOD: &str = r#"name = "t"
+length = "5s"
+dispatchers = 1
+[clients]
+load = 0.5
+[[pool]]
+kind = "a"
+count = 2
+slots = 1
+queue = 1
+[[operation]]
+name = "plan"
+work = "100ms"
+latency-objective = "1s"
+client-timeout = "2s"
+"#;
+
+fn refused(from: &str, to: &str, said: Expect) {
+    assert!(GOOD.contains(from));
+    let fault = Scenario::parse("t.toml", &GOOD.replacen(from, to, 1)).unwrap_err();
+    assert!(!fault.contains('\n'), "{fault}");
+    said.assert_eq(&fault);
+}
+
+#[test]
+fn a_fault_names_file_line_and_field() {
+    assert!(Scenario::parse("t.toml", GOOD).is_ok());
+    refused(
+        "length = \"5s\"",
+        "length = 5",
+        expect![[
+            r#"t.toml:2: length: invalid type: integer `5`, expected a span with its unit, such as "250ms" or "2s""#
+        ]],
+    );
+    refused(
+        "length = \"5s\"",
+        "length = \"5 parsecs\"",
+        expect![[
+            r#"t.toml:2: length: bad span '5 parsecs': unknown time unit "parsecs", supported units: ns, us/µs, ms, sec, min, hours, days, weeks, months, years (and few variations)"#
+        ]],
+    );
+    refused(
+        "length = \"5s\"",
+        "length = \"99999h\"",
+        expect!["t.toml:2: length: the span '99999h' is longer than a day"],
+    );
+    refused("load = 0.5", "load = -1.0", expect!["t.toml:5: load: -1 is not within 0.001 to 1000000"]);
+    refused(
+        "load = 0.5",
+        "load = 0.5\nlaod = 1",
+        expect![
+            "t.toml:6: unknown field `laod`, expected one of `load`, `arrivals`, `swing`, `period`, `zipf`, `retries`, `retry-wait`, `honour`, `front-notice`"
+        ],
+    );
+    refused("count = 2", "count = 0", expect!["t.toml:8: count: 0 is not within 1 to 100000"]);
+    refused("count = 2\n", "", expect!["t.toml:6: missing field `count`"]);
+    refused(
+        "\"plan\"",
+        "\"a plan\"",
+        expect!["t.toml:11: operation a plan: name must hold letters, digits and '-'"],
+    );
+    refused(
+        "client-timeout = \"2s\"",
+        "client-timeout = \"20ms\"",
+        expect!["t.toml:11: operation plan: client-timeout lies under latency-objective"],
+    );
+    refused(
+        "work = \"100ms\"",
+        "work = \"100ms\"\nkind = \"b\"",
+        expect!["t.toml:11: operation plan: no pool has the kind 'b'"],
+    );
+    refused(
+        "[clients]",
+        "[[fault]]\nkind = \"zone-cut\"\nat = \"1s\"\nlasts = \"1s\"\n[clients]",
+        expect!["t.toml:4: fault ZoneCut: zone is missing"],
+    );
+    refused(
+        "[clients]",
+        "[[fault]]\nkind = \"slow\"\nat = \"1s\"\nlasts = \"1s\"\n[clients]",
+        expect!["t.toml:4: fault Slow: size is missing"],
+    );
+    refused(
+        "[clients]",
+        "[[fault]]\nkind = \"melts\"\nat = \"1s\"\n[clients]",
+        expect![
+            "t.toml:5: kind: unknown variant `melts`, expected one of `crash`, `hang`, `pauses`, `slow`, `fast-errors`, `loses`, `late-reports`, `zone-cut`, `zone-loss`, `discovery-down`, `deploy`, `roll-term`, `roll-kill`, `reload`, `bad-clients`"
+        ],
+    );
+    refused("[clients]", "[clients", expect!["t.toml:4: unclosed table, expected `]`"]);
+}
+
+/// Exit code and what was said on standard error.
+fn lab(words: &str) -> (Option<i32>, String) {
+    let program = env!("CARGO_BIN_EXE_topazsail-lab");
+    let done = Command::new("sh").arg("-c").arg(words.replace("LAB", program)).output().unwrap();
+    (done.status.code(), String::from_utf8(done.stderr).unwrap())
+}
+
+#[test]
+fn a_run_that_cannot_be_says_why_in_one_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = |name: &str| folder.path().join(name).display().to_string();
+    let scenario = path("t.toml");
+    std::fs::write(&scenario, GOOD).unwrap();
+    std::fs::write(path("file"), "").unwrap();
+    std::fs::write(path("over.toml"), "base = \"gone.toml\"\nname = \"o\"\n").unwrap();
+    let ends = path("ends");
+    std::fs::write(&ends, "#!/bin/sh\nexit 3\n").unwrap();
+    std::fs::set_permissions(&ends, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+    let (gone, file, over) = (path("gone"), path("file"), path("over.toml"));
+    // No file may grow: what a full disk does to a write.
+    let full = "trap '' XFSZ; ulimit -f 0; exec LAB run";
+    for (words, says) in [
+        (format!("LAB run {gone}"), "No such file"),
+        (format!("LAB run {over}"), "gone.toml"),
+        (format!("LAB run {scenario} --policy best"), "unknown policy 'best'"),
+        (format!("LAB run {scenario} --clock sockets --program {gone}"), "no such program"),
+        (format!("LAB run {scenario} --clock sockets --program {file}"), "ermission denied"),
+        (format!("LAB run {scenario} --clock sockets --program {ends}"), "ended at once with Some(3)"),
+        (format!("LAB run {scenario} --report {file}/x"), "ot a directory"),
+        (format!("{full} {scenario} --json {gone}"), "too large"),
+        (format!("LAB sweep {scenario} --vary clients.laod=1"), "laod"),
+        (format!("LAB sweep {scenario} --vary clients.load"), "PATH=A,B,C"),
+        (format!("LAB report {file}"), "EOF"),
+    ] {
+        let (code, said) = lab(&words);
+        assert_eq!(code, Some(1), "{words}: {said}");
+        assert!(said.lines().count() == 1 && said.contains(says), "{words}: {said}");
+    }
+    assert!(!std::path::Path::new(&gone).exists(), "a file was left half written");
+}
--- /dev/null
+++ b/lab/tests/theory.rs
@@ -0,0 +1,229 @@
+//! The model where theory knows the answer, and the same bytes from the same seed.
+
+use rand_distr::{Distribution, Exp};
+use topazsail_lab::load::chance;
+use topazsail_lab::policy::Policy;
+use topazsail_lab::runner::{News, Runner};
+use topazsail_lab::scenario::Scenario;
+use topazsail_lab::virtual_clock::{Options, play};
+
+/// Mean wait in a queue of Poisson arrivals before `k` servers, in service times (Erlang's second formula; for
+/// example L. Kleinrock, Queueing Systems, volume 1, 1975, section 3.5).
+fn erlang_c_wait(k: u32, load: f64) -> f64 {
+    let a = f64::from(k) * load;
+    let mut term = 1.0;
+    let mut sum = 1.0;
+    for n in 1..k {
+        term *= a / f64::from(n);
+        sum += term;
+    }
+    let last = term * a / f64::from(k) / (1.0 - load);
+    last / (sum + last) / (f64::from(k) * (1.0 - load))
+}
+
+#[test]
+fn one_runner_waits_as_erlang_says() {
+    let text = |slots: u32| {
+        format!(
+            "name = \"t\"\nlength = \"1s\"\ndispatchers = 1\n[clients]\nload = 0.5\n[[pool]]\nkind = \"a\"\ncount = 1\n\
+             slots = {slots}\nqueue = 1000000\n[[operation]]\nname = \"o\"\nwork = \"10ms\"\n\
+             latency-objective = \"1s\"\nclient-timeout = \"1s\"\n"
+        )
+    };
+    let service = 10_000.0;
+    for (slots, load) in [(1, 0.7), (3, 0.5), (3, 0.7), (3, 0.9), (8, 0.85)] {
+        let scenario = Scenario::parse("t", &text(slots)).unwrap();
+        let mut runner = Runner::new(&scenario.pool[0], 0, (0, 0), &scenario.limits, chance(1, 1));
+        let mut drawn = chance(u64::from(slots), 9);
+        let (gap, work) =
+            (Exp::new(load * f64::from(slots) / service).unwrap(), Exp::new(1.0 / service).unwrap());
+        let (mut at, mut news, mut offered) = (0.0, Vec::new(), std::collections::VecDeque::new());
+        let (mut waited, mut started) = (0.0, 0u64);
+        for job in 0..3_000_000u64 {
+            at += gap.sample(&mut drawn);
+            let now = at as i64;
+            let mut hear =
+                |now: i64, news: &mut Vec<(u64, News)>, offered: &mut std::collections::VecDeque<f64>| {
+                    for (_, said) in news.drain(..) {
+                        if said == News::Started {
+                            // In order: the queue is first come, first served.
+                            waited += now as f64 - offered.pop_front().unwrap();
+                            started += 1;
+                        }
+                    }
+                };
+            while let Some(due) = runner.due().filter(|due| *due <= now) {
+                runner.wake(due, &mut news);
+                hear(due, &mut news, &mut offered);
+            }
+            offered.push_back(now as f64);
+            runner.offer(now, job, 0, work.sample(&mut drawn), &mut news);
+            hear(now, &mut news, &mut offered);
+        }
+        let (found, known) = (waited / started as f64 / service, erlang_c_wait(slots, load));
+        println!("{slots} slots at {load}: waits {found:.4}, known {known:.4}");
+        assert!((found / known - 1.0).abs() < 0.03, "{slots} slots at {load}: {found:.4} against {known:.4}");
+    }
+}
+
+/// With exact counts and many runners of one slot, the share that holds at least i jobs tends to
+/// load^((d^i - 1) / (d - 1)) (N. D. Vvedenskaya, R. L. Dobrushin, F. I. Karpelevich, 1996; M. Mitzenmacher, The
+/// power of two choices in randomized load balancing, 2001).
+#[test]
+fn power_of_d_choices_has_the_known_tail() {
+    let load: f64 = 0.8;
+    let text = format!(
+        "name = \"t\"\nlength = \"90s\"\ndispatchers = 1\n[clients]\nload = {load}\n\
+         [zones]\nnames = [\"a\"]\nwithin = \"0s\"\nclient = \"0s\"\njitter = 0.0\n\
+         [reports]\nprogress = \"0s\"\n[[pool]]\nkind = \"a\"\ncount = 1000\nslots = 1\nqueue = 100000\n\
+         [[operation]]\nname = \"o\"\nwork = \"100ms\"\nlatency-objective = \"60s\"\nclient-timeout = \"600s\"\n"
+    );
+    let scenario = Scenario::parse("t", &text).unwrap();
+    for d in 1..=3 {
+        let run = play(&scenario, Policy::LeastTrue(d), 2, Options { sample: 100_000 }).unwrap();
+        // By chance the work of a run lies a little beside the load asked for, and a tail like load^40 takes
+        // that many times as much of it: theory is asked about the load that there was.
+        let there_was = run.tails[1];
+        assert!((there_was / load - 1.0).abs() < 0.01, "d {d}: load {there_was}");
+        for i in 2..=4u32 {
+            let power =
+                if d == 1 { f64::from(i) } else { ((d as f64).powi(i as i32) - 1.0) / (d as f64 - 1.0) };
+            let known = there_was.powf(power);
+            let found = run.tails.get(i as usize).copied().unwrap_or(0.0);
+            println!("d {d}, at least {i} jobs: {found:.5}, known {known:.5}");
+            let near = (found - known).abs() < 0.002 || (found / known - 1.0).abs() < 0.03;
+            assert!(near, "d {d}, at least {i} jobs: {found:.5} against {known:.5}");
+        }
+    }
+}
+
+/// Everything that can go wrong, in one run.
+const ROUGH: &str = r#"
+name = "rough"
+length = "12s"
+dispatchers = 3
+[zones]
+names = ["east", "west", "north"]
+[[pool]]
+kind = "box"
+count = 9
+slots = 3
+queue = 2
+speed-spread = 0.2
+handshake = "2ms"
+[[operation]]
+name = "plan"
+work = "120ms"
+latency-objective = "600ms"
+client-timeout = "4s"
+keys = 50
+[[operation]]
+name = "lodge"
+work = "60ms"
+effect = "deduplicated"
+group = "zone"
+memory-span = "3s"
+latency-objective = "400ms"
+client-timeout = "4s"
+billed-value = 8.0
+[[operation]]
+name = "book"
+share = 0.3
+work = "200ms"
+shape = "lognormal"
+cv = 0.8
+effect = "non-idempotent"
+latency-objective = "900ms"
+client-timeout = "4s"
+[clients]
+load = 0.8
+arrivals = "bursts"
+swing = 0.3
+period = "2s"
+retries = 2
+honour = 0.7
+[[fault]]
+kind = "crash"
+at = "1s"
+lasts = "2s"
+[[fault]]
+kind = "hang"
+at = "2s"
+lasts = "3s"
+[[fault]]
+kind = "pauses"
+at = "2s"
+lasts = "8s"
+size = 340.0
+[[fault]]
+kind = "slow"
+at = "4s"
+lasts = "4s"
+size = 6.0
+operation = "plan"
+[[fault]]
+kind = "fast-errors"
+at = "5s"
+lasts = "3s"
+size = 0.6
+[[fault]]
+kind = "loses"
+at = "3s"
+lasts = "6s"
+size = 0.3
+[[fault]]
+kind = "late-reports"
+at = "6s"
+lasts = "3s"
+size = 800.0
+[[fault]]
+kind = "zone-cut"
+at = "6s"
+lasts = "2s"
+zone = "west"
+[[fault]]
+kind = "zone-loss"
+at = "9s"
+lasts = "1s"
+zone = "north"
+[[fault]]
+kind = "deploy"
+at = "1s"
+lasts = "9s"
+part = 0.6
+[[fault]]
+kind = "discovery-down"
+at = "4s"
+lasts = "2s"
+[[fault]]
+kind = "roll-kill"
+at = "3s"
+lasts = "6s"
+"#;
+
+#[test]
+fn the_same_seed_gives_the_same_bytes_and_no_rule_is_broken() {
+    let scenario = Scenario::parse("rough", ROUGH).unwrap();
+    let bytes = |seed| {
+        let run = play(&scenario, Policy::Topazsail, seed, Options::default()).unwrap();
+        assert!(run.outcome.broken.is_empty() && run.outcome.void.is_empty(), "{:?}", run.outcome.verdict);
+        serde_json::to_string(&run.outcome).unwrap()
+    };
+    assert_eq!(bytes(1), bytes(1));
+    assert_ne!(bytes(1), bytes(2));
+    (3..12).for_each(|seed| drop(bytes(seed)));
+}
+
+/// What is brought does not hang on who decides: else pairs would be no pairs.
+#[test]
+fn every_policy_is_brought_the_same() {
+    let scenario = Scenario::parse("rough", ROUGH).unwrap();
+    let asked = |policy: &str| {
+        let run = play(&scenario, policy.parse().unwrap(), 5, Options::default()).unwrap();
+        run.outcome.windows.iter().map(|window| window.counts.asked).collect::<Vec<_>>()
+    };
+    let ours = asked("topazsail");
+    for other in ["random", "round-robin", "least-of-2", "true-of-2", "least-of-all"] {
+        assert_eq!(asked(other), ours, "{other}");
+    }
+}
