Lab: links that are mute one way; a lab that is killed leaves no dispatcher behind

Need: half-open links were missing among the faults, and that no process is left behind was only said.

Change: zone-mute holds what leaves a zone and lets in what is sent to it, in both clocks; a test kills the lab outright and looks for its dispatchers, and fails when they are not bound to the lab's life.

--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -431,6 +431,8 @@
     LateReports,
     /// The links between `zone` and the others carry nothing until `lasts` is over.
     ZoneCut,
+    /// Nothing that leaves `zone` arrives elsewhere until `lasts` is over; what is sent to it does.
+    ZoneMute,
     /// All runners in `zone` fall silent at once and are back, cold, after `lasts`.
     ZoneLoss,
     /// Calls and watches at discovery fail for `lasts`.
@@ -569,7 +571,7 @@
             if let Some(zone) = fault.zone.as_ref().filter(|zone| !self.zones.names.contains(zone)) {
                 return wrong(format!("there is no zone '{zone}'"));
             }
-            if matches!(fault.kind, Kind::ZoneCut | Kind::ZoneLoss) && fault.zone.is_none() {
+            if matches!(fault.kind, Kind::ZoneCut | Kind::ZoneMute | Kind::ZoneLoss) && fault.zone.is_none() {
                 return wrong("zone is missing".to_owned());
             }
             if let Some(name) = fault.operation.as_ref()
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -622,7 +622,9 @@
         let (from, to) = self.ends(life.d, r);
         let there_and_back = self.delay(from, to) + self.delay(to, from);
         let runner = &self.world.runners[r as usize];
-        if runner.life == Life::Silent || !self.world.linked(from, to) {
+        // One way alone brings no connection up.
+        let linked = self.world.linked(from, to) && self.world.linked(to, from);
+        if runner.life == Life::Silent || !linked {
             self.push(self.now + self.scenario.limits.dial_timeout.0, never);
         } else if runner.life == Life::Down || runner.connections >= runner.connections_most {
             self.push(self.now + there_and_back, never);
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -37,8 +37,12 @@
     /// The process has ended after a drain, as was planned.
     Retire(usize),
     ReportDelay(Micros),
-    /// Links between a zone and the others.
-    Cut(usize, bool),
+    /// Links from a zone to the others, and those to it where both ways are meant.
+    Cut {
+        zone: usize,
+        both: bool,
+        cut: bool,
+    },
     Discovery(bool),
     Term(u32),
     Kill(u32),
@@ -87,7 +91,8 @@
 pub struct World {
     pub runners: Vec<Runner>,
     pub zones: usize,
-    cut: Vec<bool>,
+    /// By zone: whether what leaves it, and what is sent to it, is held.
+    cut: Vec<(bool, bool)>,
     pub discovery_up: bool,
     pub schedule: Vec<(Micros, Change)>,
     pub bands: Vec<Band>,
@@ -124,7 +129,7 @@
         }
         let mut world = World {
             zones,
-            cut: vec![false; zones],
+            cut: vec![(false, false); zones],
             discovery_up: true,
             schedule: Vec::new(),
             bands: Vec::new(),
@@ -151,7 +156,7 @@
 
     /// Whether a link carries anything.
     pub fn linked(&self, from: usize, to: usize) -> bool {
-        from == to || !(self.cut[from] || self.cut[to])
+        from == to || !(self.cut[from].0 || self.cut[to].1)
     }
 
     /// A link's delay, one way, with `drawn` from 0 to 1 for jitter.
@@ -213,9 +218,10 @@
                 let late = usual + (fault.size * 1000.0) as Micros;
                 plan.extend([(at, Change::ReportDelay(late)), (until, Change::ReportDelay(usual))]);
             }
-            Kind::ZoneCut => {
-                let zone = zone.unwrap_or(0);
-                plan.extend([(at, Change::Cut(zone, true)), (until, Change::Cut(zone, false))]);
+            Kind::ZoneCut | Kind::ZoneMute => {
+                let (zone, both) = (zone.unwrap_or(0), fault.kind == Kind::ZoneCut);
+                let change = |cut| Change::Cut { zone, both, cut };
+                plan.extend([(at, change(true)), (until, change(false))]);
             }
             Kind::ZoneLoss => {
                 for &r in &all {
@@ -309,8 +315,8 @@
             Change::ReportDelay(delay) => {
                 self.runners.iter_mut().for_each(|runner| runner.reports_late(now, delay));
             }
-            Change::Cut(zone, cut) => {
-                self.cut[zone] = cut;
+            Change::Cut { zone, both, cut } => {
+                self.cut[zone] = (cut, cut && both);
                 follows.healed = !cut;
             }
             Change::Discovery(up) => self.discovery_up = up,
--- a/lab/tests/input.rs
+++ b/lab/tests/input.rs
@@ -90,7 +90,7 @@
         "[clients]",
         "[[fault]]\nkind = \"melts\"\nat = \"1s\"\n[clients]",
         expect![
-            "t.toml:5: kind: unknown variant `melts`, expected one of `crash`, `hang`, `pauses`, `slow`, `fast-errors`, `loses`, `late-reports`, `zone-cut`, `zone-loss`, `discovery-down`, `deploy`, `roll-term`, `roll-kill`, `reload`, `bad-clients`"
+            "t.toml:5: kind: unknown variant `melts`, expected one of `crash`, `hang`, `pauses`, `slow`, `fast-errors`, `loses`, `late-reports`, `zone-cut`, `zone-mute`, `zone-loss`, `discovery-down`, `deploy`, `roll-term`, `roll-kill`, `reload`, `bad-clients`"
         ],
     );
     refused("[clients]", "[clients", expect!["t.toml:4: unclosed table, expected `]`"]);
@@ -136,3 +136,38 @@
     }
     assert!(!std::path::Path::new(&gone).exists(), "a file was left half written");
 }
+
+/// Processes whose command line names `path`.
+fn with(path: &str) -> usize {
+    let folders = std::fs::read_dir("/proc").unwrap().flatten();
+    let line = |folder: std::fs::DirEntry| std::fs::read(folder.path().join("cmdline")).unwrap_or_default();
+    folders.map(line).filter(|line| String::from_utf8_lossy(line).contains(path)).count()
+}
+
+#[test]
+fn a_lab_that_is_killed_leaves_no_dispatcher_behind() {
+    let folder = tempfile::tempdir().unwrap();
+    let scenario = folder.path().join("t.toml");
+    std::fs::write(&scenario, GOOD.replace("5s", "60s")).unwrap();
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_topazsail-lab"))
+        .args(["run", "--clock", "sockets", "--program", env!("CARGO_BIN_EXE_lab-faulty")])
+        .arg(&scenario)
+        .env("TMPDIR", folder.path())
+        .spawn()
+        .unwrap();
+    // Its dispatchers' configurations lie below the folder.
+    let below = folder.path().join("topazsail-lab-").display().to_string();
+    let wait_for = |wanted: bool| {
+        for _ in 0..1000 {
+            if (with(&below) > 0) == wanted {
+                return;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(10));
+        }
+        panic!("processes: {}", with(&below));
+    };
+    wait_for(true);
+    lab.kill().unwrap();
+    lab.wait().unwrap();
+    wait_for(false);
+}
--- a/lab/tests/theory.rs
+++ b/lab/tests/theory.rs
@@ -182,6 +182,11 @@
 lasts = "2s"
 zone = "west"
 [[fault]]
+kind = "zone-mute"
+at = "8s"
+lasts = "1500ms"
+zone = "east"
+[[fault]]
 kind = "zone-loss"
 at = "9s"
 lasts = "1s"
