--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -6,6 +6,7 @@
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
 
 use crate::experiment::{Comparison, Step};
@@ -28,82 +29,83 @@
 /// A line of a plot: its name and points.
 type Line = (String, Vec<(f64, f64)>);
 
-/// A plot as SVG text; faults are bands behind the lines.
-fn plot(title: &str, unit: &str, x: Range<f64>, lines: &[Line], bands: &[Band]) -> Result<String, String> {
-    let most = lines.iter().flat_map(|(_, points)| points).map(|(_, y)| *y).fold(0.0, f64::max);
-    let top = if most > 0.0 { most * 1.08 } else { 1.0 };
+type Chart<'a> = ChartContext<'a, SVGBackend<'a>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// One plot as SVG text: axes from 0 to `top`, names under the axis where it has some, and what `draw` adds.
+fn canvas(
+    title: &str,
+    unit: &str,
+    x: Range<f64>,
+    top: f64,
+    names: Option<&[(String, f64)]>,
+    draw: impl FnOnce(&mut Chart) -> Result<(), String>,
+) -> Result<String, String> {
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        let fault = |error: &dyn std::fmt::Display| format!("plot {title}: {error}");
-        area.fill(&WHITE).map_err(|error| fault(&error))?;
+        area.fill(&WHITE).map_err(fault)?;
         let mut chart = ChartBuilder::on(&area)
             .caption(title, ("sans-serif", 16))
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(56)
-            .build_cartesian_2d(x.clone(), 0.0..top)
-            .map_err(|error| fault(&error))?;
-        chart.configure_mesh().light_line_style(WHITE).y_desc(unit).draw().map_err(|error| fault(&error))?;
+            .build_cartesian_2d(x, 0.0..top)
+            .map_err(fault)?;
+        let name = |x: &f64| match names {
+            Some(names) => names.get(*x as usize).map_or(String::new(), |(name, _)| name.clone()),
+            None => format!("{x}"),
+        };
+        let mut mesh = chart.configure_mesh();
+        mesh.light_line_style(WHITE).y_desc(unit).x_label_formatter(&name);
+        if let Some(names) = names {
+            mesh.disable_x_mesh().x_labels(names.len().min(24));
+        }
+        mesh.draw().map_err(fault)?;
+        draw(&mut chart)?;
+        area.present().map_err(fault)?;
+    }
+    Ok(svg)
+}
+
+fn fault(error: impl std::fmt::Display) -> String {
+    format!("plot: {error}")
+}
+
+/// Lines, with faults as bands behind them.
+fn plot(title: &str, unit: &str, x: Range<f64>, lines: &[Line], bands: &[Band]) -> Result<String, String> {
+    let most = lines.iter().flat_map(|(_, points)| points).map(|(_, y)| *y).fold(0.0, f64::max);
+    let top = if most > 0.0 { most * 1.08 } else { 1.0 };
+    canvas(title, unit, x, top, None, |chart| {
         let shade = RGBColor(240, 170, 60).mix(0.18);
-        let boxes = bands.iter().map(|band| {
+        let band = |band: &Band| {
             Rectangle::new([(band.from, 0.0), (band.to.max(band.from + 0.05), top)], shade.filled())
-        });
-        chart.draw_series(boxes).map_err(|error| fault(&error))?;
+        };
+        chart.draw_series(bands.iter().map(band)).map_err(fault)?;
         for (nth, (name, points)) in lines.iter().enumerate() {
             let colour = PALETTE[nth % PALETTE.len()];
             chart
                 .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))
-                .map_err(|error| fault(&error))?
+                .map_err(fault)?
                 .label(name.clone())
                 .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
         }
         if lines.len() > 1 {
-            chart
-                .configure_series_labels()
-                .background_style(WHITE.mix(0.8))
-                .border_style(BLACK.mix(0.3))
-                .draw()
-                .map_err(|error| fault(&error))?;
+            let mut labels = chart.configure_series_labels();
+            labels.background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw().map_err(fault)?;
         }
-        area.present().map_err(|error| fault(&error))?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 fn bars(title: &str, unit: &str, values: &[(String, f64)]) -> Result<String, String> {
     let top = values.iter().map(|(_, value)| *value).fold(0.0, f64::max).max(1e-9) * 1.08;
-    let all = values.len() as f64;
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        let fault = |error: &dyn std::fmt::Display| format!("plot {title}: {error}");
-        area.fill(&WHITE).map_err(|error| fault(&error))?;
-        let mut chart = ChartBuilder::on(&area)
-            .caption(title, ("sans-serif", 16))
-            .margin(8)
-            .x_label_area_size(28)
-            .y_label_area_size(56)
-            .build_cartesian_2d(0.0..all, 0.0..top)
-            .map_err(|error| fault(&error))?;
-        let name = |x: &f64| values.get(*x as usize).map_or(String::new(), |(name, _)| name.clone());
-        chart
-            .configure_mesh()
-            .disable_x_mesh()
-            .light_line_style(WHITE)
-            .x_labels(values.len().min(24))
-            .x_label_formatter(&name)
-            .y_desc(unit)
-            .draw()
-            .map_err(|error| fault(&error))?;
+    canvas(title, unit, 0.0..values.len() as f64, top, Some(values), |chart| {
         let boxes = values.iter().enumerate().map(|(nth, (_, value))| {
             let x = nth as f64;
             Rectangle::new([(x + 0.1, 0.0), (x + 0.9, *value)], PALETTE[0].mix(0.7).filled())
         });
-        chart.draw_series(boxes).map_err(|error| fault(&error))?;
-        area.present().map_err(|error| fault(&error))?;
-    }
-    Ok(svg)
+        chart.draw_series(boxes).map_err(fault).map(|_| ())
+    })
 }
 
 const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;max-width:980px;margin:2em auto;padding:0 1em;\
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -39,7 +39,7 @@
 
 /// One life of one dispatcher; what is meant for an earlier one is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Life0 {
+struct Incarnation {
     d: u32,
     epoch: u32,
 }
@@ -55,27 +55,27 @@
     Retry(u64),
     GiveUp(u64),
     /// A dispatcher's due time for an invocation.
-    Overdue(Life0, u64),
-    Dialled(Life0, u64, u32, u32),
+    Overdue(Incarnation, u64),
+    Dialled(Incarnation, u64, u32, u32),
     /// A forward's last byte has reached its runner.
-    Submit(Life0, u64, u32, u32),
+    Submit(Incarnation, u64, u32, u32),
     /// The connection of a forward is free again.
-    Free(Life0, u32),
-    Heard(Life0, u64, u32, Ending, Option<Load>),
-    Progress(Life0, u64, u32),
-    Cancel(Life0, u64, u32, u32),
-    Probe(Life0, u32, u64),
-    Probed(Life0, u32, u64, Option<Load>),
+    Free(Incarnation, u32),
+    Heard(Incarnation, u64, u32, Ending, Option<Load>),
+    Progress(Incarnation, u64, u32),
+    Cancel(Incarnation, u64, u32, u32),
+    Probe(Incarnation, u32, u64),
+    Probed(Incarnation, u32, u64, Option<Load>),
     RunnerDue(u32, u32),
-    Tick(Life0),
+    Tick(Incarnation),
     Change(usize),
     Listed(u32, State),
-    Tell(Life0, u32, State),
-    Call(Life0),
-    TellAll(Life0),
-    Refused(Life0),
+    Tell(Incarnation, u32, State),
+    Call(Incarnation),
+    TellAll(Incarnation),
+    Refused(Incarnation),
     /// The front's view of a dispatcher's life.
-    Front(Life0, bool),
+    Front(Incarnation, bool),
     Sample,
 }
 
@@ -169,7 +169,7 @@
     bring: Bring,
     next: Option<Ask>,
     /// Who waits for a job's end: its dispatcher's life, and the forward's number.
-    owners: FxHashMap<(u32, u64), (Life0, u32)>,
+    owners: FxHashMap<(u32, u64), (Incarnation, u32)>,
     inbox: Vec<Vec<Ev>>,
     due: Vec<(Option<Micros>, u32)>,
     /// What waits for a cut link, with the zones at both ends.
@@ -390,12 +390,12 @@
         }
     }
 
-    fn living(&mut self, life: Life0) -> Option<&mut Dispatcher> {
+    fn living(&mut self, life: Incarnation) -> Option<&mut Dispatcher> {
         self.dispatchers.get_mut(life.d as usize).filter(|d| d.alive && d.epoch == life.epoch)
     }
 
-    fn life(&self, d: u32) -> Life0 {
-        Life0 { d, epoch: self.dispatchers[d as usize].epoch }
+    fn life(&self, d: u32) -> Incarnation {
+        Incarnation { d, epoch: self.dispatchers[d as usize].epoch }
     }
 
     // Clients.
@@ -484,7 +484,7 @@
         self.tell(d, Event::Arrival(Arrival { inv: id, operation, expires_in, slots: 1.0, key }));
     }
 
-    fn overdue(&mut self, life: Life0, inv: u64) {
+    fn overdue(&mut self, life: Incarnation, inv: u64) {
         let now = self.now;
         let Some(dispatcher) = self.living(life) else { return };
         let Some(open) = dispatcher.invs.get_mut(&inv).filter(|open| !open.answered) else { return };
@@ -595,7 +595,7 @@
         (self.dispatchers[d as usize].zone, self.world.runners[r as usize].zone)
     }
 
-    fn forward(&mut self, life: Life0, id: &Id, tgt: &Id) {
+    fn forward(&mut self, life: Incarnation, id: &Id, tgt: &Id) {
         let (inv, r, now) = (key(id), number(tgt), self.now);
         let dispatcher = &mut self.dispatchers[life.d as usize];
         let Some(open) = dispatcher.invs.get_mut(&inv) else { return };
@@ -618,7 +618,7 @@
     }
 
     /// Opens a connection: `up` once it is there, `never` where it never comes up.
-    fn dial(&mut self, life: Life0, r: u32, up: Ev, never: Ev) {
+    fn dial(&mut self, life: Incarnation, r: u32, up: Ev, never: Ev) {
         let (from, to) = self.ends(life.d, r);
         let there_and_back = self.delay(from, to) + self.delay(to, from);
         let runner = &self.world.runners[r as usize];
@@ -633,7 +633,7 @@
         }
     }
 
-    fn connected(&mut self, life: Life0, r: u32) -> bool {
+    fn connected(&mut self, life: Incarnation, r: u32) -> bool {
         let now = self.now;
         let runner = &mut self.world.runners[r as usize];
         let up = runner.life == Life::Up && runner.connect(now);
@@ -647,7 +647,7 @@
         up
     }
 
-    fn dialled(&mut self, life: Life0, inv: u64, number: u32, r: u32) {
+    fn dialled(&mut self, life: Incarnation, inv: u64, number: u32, r: u32) {
         let Some(dispatcher) = self.living(life) else { return };
         let out = dispatcher.invs.get(&inv).is_some_and(|open| open.sent[number as usize].out);
         if !self.connected(life, r) {
@@ -662,7 +662,7 @@
     }
 
     /// A forward's bytes leave.
-    fn leave(&mut self, life: Life0, inv: u64, number: u32, r: u32) {
+    fn leave(&mut self, life: Incarnation, inv: u64, number: u32, r: u32) {
         let (from, to) = self.ends(life.d, r);
         let runner = &self.world.runners[r as usize];
         let cold = (runner.warmth(self.now) < 1.0).then(|| runner.capacity(self.now));
@@ -674,7 +674,7 @@
         self.send(from, to, Ev::Submit(life, inv, number, r));
     }
 
-    fn probe(&mut self, life: Life0, r: u32) {
+    fn probe(&mut self, life: Incarnation, r: u32) {
         self.tally.traffic.probes += 1;
         self.serial += 1;
         let nth = self.serial;
@@ -700,7 +700,7 @@
         }
     }
 
-    fn heard(&mut self, life: Life0, inv: u64, number: u32, ending: Ending, load: Option<Load>) {
+    fn heard(&mut self, life: Incarnation, inv: u64, number: u32, ending: Ending, load: Option<Load>) {
         let now = self.now;
         let Some(dispatcher) = self.living(life) else { return };
         let Some(open) = dispatcher.invs.get_mut(&inv) else { return };
@@ -788,10 +788,10 @@
         }
     }
 
-    fn submit(&mut self, life: Life0, inv: u64, number: u32, r: u32) {
+    fn submit(&mut self, life: Incarnation, inv: u64, number: u32, r: u32) {
         let (to, from) = self.ends(life.d, r);
         let Some(asked) = self.asks.get(&(inv >> TRY_BITS)) else {
-            // The client has its answer or has left; the work is as long as any.
+            // The client has its answer or has left, and how much work it was is not kept: it fails at once.
             return self.send(from, to, Ev::Heard(life, inv, number, Ending::Errored, None));
         };
         let (operation, work) = (asked.ask.operation, asked.ask.work);
@@ -1046,7 +1046,7 @@
     }
 
     /// A call has reached discovery, which works through calls in turn.
-    fn call(&mut self, life: Life0) {
+    fn call(&mut self, life: Incarnation) {
         let discovery = &self.scenario.discovery;
         let begins = self.busy_until.max(self.now);
         let zone = self.dispatchers[life.d as usize].zone;
@@ -1062,7 +1062,7 @@
         }
     }
 
-    fn tell_all(&mut self, life: Life0) {
+    fn tell_all(&mut self, life: Incarnation) {
         let Some(dispatcher) = self.living(life) else { return };
         dispatcher.subscribed = true;
         let mut entries = Vec::with_capacity(self.states.len());
