The move: the list's sizes are the load, unstarted work moves, connections are kept

Change: sizes that move with load give the size at rest (the most listed for a kind) and a slow average of what is held; choices are made within the doubt of that average; draws go by size at rest; no probes but one for a runner's slots; a runner is not passed over for listed load; near draws alone never settle; low work is let in by the share of forwards that runners take; a forward that has not begun moves after a third of its objective, and is given up at once when it must be late; billed value decides who is high before objectives do; the objective grows by the stretch; connections are no longer closed after each forward.

--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -481,7 +481,7 @@
         }
         let life = self.life(d);
         self.push(self.now + expires_in, Ev::Overdue(life, inv));
-        self.tell(d, Event::Arrival(Arrival { inv: id, operation, expires_in, slots: 1.0, key }));
+        self.tell(d, Event::Arrival(Arrival { inv: id, operation, expires_in, slots: 1.0, hint: None, key }));
     }
 
     fn overdue(&mut self, life: Incarnation, inv: u64) {
--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -33,6 +33,8 @@
     /// When the client gives up, less the way back.
     pub expires_at: Micros,
     pub slots: f64,
+    /// Its work on a standard core, where the client tells.
+    pub hint: Option<Micros>,
     pub key: Option<Id>,
     /// Request line and headers as they go to runners, but for the time left and the length.
     pub head: Vec<u8>,
@@ -267,6 +269,7 @@
     }
     let extras = request.only("x-extras")?.unwrap_or_default();
     let slots = named(extras, ',', &["slots", "width"]).find_map(|value| value.parse::<f64>().ok());
+    let hint = request.only("x-cost-hint")?.and_then(|hint| hint.trim().parse::<f64>().ok());
     let cookies = request.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("cookie"));
     let mut cookies = cookies.filter_map(|(_, value)| std::str::from_utf8(value).ok());
     let key = cookies.find_map(|value| named(value, ';', &["sid"]).next());
@@ -276,6 +279,7 @@
         operation,
         expires_at: began + timeout - WAY_BACK,
         slots: slots.filter(|slots| slots.is_finite() && *slots > 0.0).unwrap_or(1.0),
+        hint: hint.map(|ms| (ms * 1000.0) as Micros).filter(|hint| (1..=TIMEOUT_MOST).contains(hint)),
         key: key.map(Into::into),
         head: forwarded_head(&request),
         body: request.body,
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -398,8 +398,8 @@
         self.held += size;
         wires.wake(Due::Inv(told.id.clone()), told.expires_at);
         let (inv, operation, slots, key) = (told.id.clone(), told.operation, told.slots, told.key);
-        let expires_in = told.expires_at - now;
-        self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, key }));
+        let (expires_in, hint) = (told.expires_at - now, told.hint);
+        self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, hint, key }));
         let (link, expires_at, head, body) = (told.link, told.expires_at, told.head, told.body);
         let open = Open { link, expires_at, head, body, answered: false, forwards: Vec::new() };
         self.invs.insert(told.id, open);
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use topazsail::{Effect, Group, Micros, Operation, ReportField, StandingOrders};
+use topazsail::{Effect, Group, Micros, Operation, ReportField, Sizes, StandingOrders};
 
 struct Info<'a>(BTreeMap<&'a str, &'a str>);
 
@@ -69,6 +69,14 @@
             memory_span,
             billed_value: self.within(&path("billedValue"), 0.0, f64::MAX)?,
             late_share: self.value_or(&path("lateBilledValue"), 0.0)?,
+            stretch: match self.list("familyInfo.classStretch").nth(index) {
+                None | Some("-") => 0.0,
+                Some(text) => text
+                    .parse()
+                    .ok()
+                    .filter(|stretch| (0.0..=1e6).contains(stretch))
+                    .ok_or_else(|| format!("familyInfo.classStretch has the bad value '{text}'"))?,
+            },
             kind: kind.map(Into::into),
         })
     }
@@ -139,7 +147,12 @@
             false => None,
         },
         report_fields: info.list("report.fields").map(|name| info.report_field(name)).collect(),
-        sizes_registered: matches!(info.0.get("weights"), Some(&"nominal" | &"rough")),
+        sizes: match info.0.get("weights").copied() {
+            None | Some("" | "-" | "off") => Sizes::Untold,
+            Some("nominal" | "rough") => Sizes::Registered,
+            Some("live") => Sizes::Live,
+            Some(other) => return Err(format!("weights has the bad value '{other}'")),
+        },
         tells_start: flag("familyInfo.tellsStart")?,
         progress: info.value_or("familyInfo.progress", 0)?,
     };
--- a/src/books.rs
+++ b/src/books.rs
@@ -37,7 +37,9 @@
     pub zone: Id,
     pub near: bool,
     pub cell: i64,
+    /// Its size against others', at rest where the roster's sizes move with load; as last listed.
     pub size: f64,
+    pub size_listed: f64,
     pub launched: Option<Micros>,
     pub out: u32,
     pub out_high: u32,
@@ -81,6 +83,7 @@
     pub number: u32,
     pub cancelled: bool,
     pub flowing: bool,
+    pub started: bool,
     pub sent: Micros,
     pub sign: Micros,
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,7 +15,7 @@
 use crate::chance::{Chance, even, hash};
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
-    ReportField, Roster, RosterEntry, StandingOrders,
+    ReportField, Roster, RosterEntry, Sizes, StandingOrders,
 };
 
 /// Draws for a low and for a high invocation.
@@ -34,10 +34,14 @@
 const RESTS: [f64; 3] = [0.06, 0.12, 1.0];
 /// Queue order of work whose objective has passed.
 const LATE: u8 = 2;
+/// Jobs that a runner is thought to hold a core at most, whatever its size in the list says.
+const HELD_MOST: f64 = 50.0;
 /// Waiting places that a runner is thought to have for each slot.
 const PLACES: f64 = 0.5;
 /// Shares of draws with a slot free at which no low work, and at which all, is let in.
 const SPARE: (f64, f64) = (0.03, 0.2);
+/// The same by shares of forwards that runners take, where these tell instead of draws.
+const TAKEN: (f64, f64) = (0.2, 0.7);
 /// Some low work is always let in: without it nothing would tell that slots are free again.
 const ADMITTED_LEAST: f64 = 0.05;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
@@ -144,8 +148,11 @@
         let objectives = differs(&|a, b| a.latency_objective == b.latency_objective);
         let most = ops.iter().map(|o| o.billed_value).fold(0.0, f64::max);
         let tightest = ops.iter().map(|o| o.latency_objective).min().unwrap_or(0);
-        let high =
-            |o: &Operation| values && o.billed_value == most || objectives && o.latency_objective == tightest;
+        // Value decides before objectives: where each alone made a job high, at two operations all were.
+        let high = |o: &Operation| match values {
+            true => o.billed_value == most,
+            false => objectives && o.latency_objective == tightest,
+        };
         // House rule of the operators: further forwards go by billed value.
         let further = f64::from(orders.most_forwards - 1);
         let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
@@ -284,6 +291,9 @@
         }
         let before = std::mem::take(&mut self.listed);
         self.listed = (0..self.runners.len()).filter(|r| self.runners[*r].listed).collect();
+        if self.lists_load() {
+            self.read_loads();
+        }
         self.cold = self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect();
         self.weight_all = self.listed.iter().map(|r| self.weight(*r)).sum();
         // Homes that are gone are passed over; ranks change only where there is somebody new to rank.
@@ -305,7 +315,10 @@
         runner.listed = entry.readiness == Readiness::On;
         runner.near = entry.zone == self.orders.my_zone;
         (runner.kind, runner.zone, runner.cell) = (entry.kind, entry.zone, entry.cell);
-        runner.size = entry.size;
+        runner.size_listed = entry.size;
+        if self.orders.sizes != Sizes::Live {
+            runner.size = entry.size;
+        }
         if runner.launched != entry.launched {
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
@@ -316,6 +329,26 @@
         }
     }
 
+    fn lists_load(&self) -> bool {
+        self.orders.sizes == Sizes::Live
+    }
+
+    /// Sizes that move with load are the reports: what a runner holds a core is told by how far its size has
+    /// sunk below that at rest, the greatest ever listed for its kind. What is not named has not changed.
+    fn read_loads(&mut self) {
+        let mut at_rest: BTreeMap<Id, f64> = BTreeMap::new();
+        for runner in &self.runners {
+            let most = at_rest.entry(runner.kind.clone()).or_default();
+            *most = most.max(runner.size).max(runner.size_listed);
+        }
+        for r in self.listed.clone() {
+            let runner = &mut self.runners[r];
+            runner.size = at_rest[&runner.kind];
+            let held = (runner.size / runner.size_listed.max(f64::MIN_POSITIVE) - 1.0).min(HELD_MOST);
+            self.note_load(r, held * self.slots(r));
+        }
+    }
+
     // Invocations.
 
     fn arrive(&mut self, arrival: Arrival) {
@@ -324,7 +357,10 @@
         // A client's repeat comes with less time left than a first try; its objective runs from the first.
         let fullest = &mut self.fullest[arrival.operation];
         *fullest = arrival.expires_in.max(*fullest);
-        let in_time = self.now + op.latency_objective - (*fullest - arrival.expires_in);
+        let service = arrival.hint.map_or(self.pace[arrival.operation].value, |hint| hint as f64);
+        // The objective grows by the stretch; the job's own running takes its part of that.
+        let slack = ((op.stretch - 1.5).max(0.0) * service) as Micros;
+        let in_time = self.now + op.latency_objective + slack - (*fullest - arrival.expires_in);
         // Who waits longer than this keeps slots from work that could still be in time.
         let patience = in_time.max(self.now) + (op.late_share * op.latency_objective as f64) as Micros;
         let inv = Inv {
@@ -351,7 +387,7 @@
         if self.free_share.noted_at.is_none() || self.high[inv.operation] && !late {
             return true;
         }
-        let (none, all) = SPARE;
+        let (none, all) = if self.lists_load() { TAKEN } else { SPARE };
         let share = ((self.free_share.value - none) / (all - none)).clamp(ADMITTED_LEAST, 1.0);
         if late { share >= 1.0 } else { self.chance.happens(share) }
     }
@@ -430,7 +466,7 @@
 
     fn forward(&mut self, id: &Id, tgt: usize) {
         let work = self.work(&self.invs[id]);
-        let stall = self.silence_allowed();
+        let (stall, asks) = (self.silence_allowed(), self.lists_load() && self.orders.may_probe);
         let Some(inv) = self.invs.get_mut(id) else { return };
         if let Some(place) = inv.place.take() {
             self.queue.remove(&place);
@@ -438,7 +474,8 @@
         let (number, sent) = (inv.forwards, self.now);
         inv.forwards += 1;
         (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
-        inv.out = Some(Forward { tgt, number, cancelled: false, flowing: false, sent, sign: sent });
+        inv.out =
+            Some(Forward { tgt, number, cancelled: false, flowing: false, started: false, sent, sign: sent });
         let runner = &mut self.runners[tgt];
         if runner.out == 0 {
             runner.silent_since = self.now;
@@ -452,7 +489,29 @@
         }
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
+        if asks && runner.slots.is_none() && !runner.probing {
+            // The list tells of load in shares of slots, but not how many these are.
+            runner.probing = true;
+            self.todo.push(Action::Probe { tgt: runner.id.clone() });
+        }
         self.watch(id, Some(self.now + stall));
+        self.watch_start(id);
+    }
+
+    /// Where runners tell of starts, a forward that has not begun is looked at when it may move, and when it
+    /// can no more be in time.
+    fn watch_start(&mut self, id: &Id) {
+        let Some(inv) = self.invs.get(id).filter(|_| self.orders.tells_start) else { return };
+        let Some(out) = inv.out.as_ref().filter(|out| !out.started) else { return };
+        let moves = out.sent + self.patience_to_start(inv);
+        let at = if moves > self.now { moves.min(inv.in_time) } else { inv.in_time };
+        if at > self.now {
+            self.watch(id, Some(at));
+        }
+    }
+
+    fn patience_to_start(&self, inv: &Inv) -> Micros {
+        self.orders.operations[inv.operation].latency_objective / 3
     }
 
     fn sign(&mut self, id: &Id, forward: u32, flowing: bool) {
@@ -466,10 +525,20 @@
 
     fn started(&mut self, id: &Id, forward: u32) {
         self.sign(id, forward, false);
-        let Some(out) = self.invs.get(id).and_then(|inv| inv.out.as_ref()) else { return };
+        let stall = self.silence_allowed();
+        let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) else { return };
+        if out.number != forward || out.started {
+            return;
+        }
+        out.started = true;
+        let (sent, tgt) = (out.sent, out.tgt);
+        if self.lists_load() {
+            self.free_share.note(1.0, 0.05, self.now);
+        }
+        self.watch(id, Some(self.now + stall));
         // One slowed runner's waits are to say nothing of the others'.
-        let wait = (self.now - out.sent).min(self.tightest * 3 / 2) as f64;
-        let (tgt, excess) = (out.tgt, wait - self.mean_wait());
+        let wait = (self.now - sent).min(self.tightest * 3 / 2) as f64;
+        let excess = wait - self.mean_wait();
         if self.warmth(tgt) >= 1.0 {
             self.runners[tgt].excess_wait.note(excess, 0.5, self.now);
         }
@@ -486,13 +555,9 @@
         runner.out_high -= u32::from(self.high[operation]);
         self.out_all -= 1;
         let lost = matches!(outcome.ending, Ending::Unreachable | Ending::Broken);
-        if lost || runner.out == 0 && !self.orders.connecting_costs {
-            // Open connections take a part of a runner's capacity: none is kept idle where none is priced.
+        if lost {
             runner.linked = false;
             self.linked.retain(|r| *r != out.tgt);
-            if !lost {
-                self.todo.push(Action::Disconnect { tgt: runner.id.clone() });
-            }
         }
         let never_ran = matches!(outcome.ending, Ending::Overloaded | Ending::Unreachable | Ending::Void);
         if !never_ran && inv.bond.is_none() {
@@ -500,6 +565,9 @@
             inv.bond = Some(Bond { zone, cell, since: out.sent });
         }
         self.report(out.tgt, &outcome.report);
+        if self.lists_load() && outcome.ending == Ending::Overloaded {
+            self.free_share.note(0.0, 0.05, self.now);
+        }
         if outcome.ending == Ending::Overloaded
             && let Some(free) = self.free_slots(&outcome.report)
         {
@@ -576,13 +644,15 @@
             Pool::Turns | Pool::Homes => true,
             Pool::LinkedNear => enough && free,
             Pool::Linked => enough && will_do,
-            Pool::Near | Pool::All => free,
+            // Late averages do not tell when a zone of its own runs short.
+            Pool::Near => free && !self.lists_load(),
+            Pool::All => free,
             Pool::Cold => will_do,
         }
     }
 
     fn probes_tell(&self) -> bool {
-        self.orders.may_probe && self.doubt <= 0.0
+        self.orders.may_probe && !self.lists_load() && self.doubt <= 0.0
     }
 
     fn wanted(&self, inv: &Inv) -> usize {
@@ -611,7 +681,7 @@
         }
         let mut wanted = if pool == Pool::Turns { 1 } else { self.wanted(inv) };
         while wanted > 0 && !from.is_empty() {
-            let r = from.swap_remove(self.chance.below(from.len() as u64) as usize);
+            let r = from.swap_remove(self.pick(&from));
             let fits = match pool {
                 Pool::LinkedNear | Pool::Near => self.runners[r].near,
                 Pool::Turns => self.cold_share(r) < self.mean_pace,
@@ -630,6 +700,22 @@
         }
     }
 
+    /// Where sizes move with load, draws go by them: all hear the same late list, and who drew evenly and then
+    /// took the least would meet all others there.
+    fn pick(&mut self, from: &[usize]) -> usize {
+        if !self.lists_load() {
+            return self.chance.below(from.len() as u64) as usize;
+        }
+        let point = self.chance.below(1 << 31) as f64 / (1u64 << 31) as f64;
+        let weight = |r: &usize| self.capacity(*r).max(1e-6);
+        let mut left = point * from.iter().map(weight).sum::<f64>();
+        let fits = |r: &usize| {
+            left -= weight(r);
+            left < 0.0
+        };
+        from.iter().position(fits).unwrap_or(from.len() - 1)
+    }
+
     /// Where probes are allowed, draws with old reports are probed first: among many dispatchers own sends
     /// say next to nothing of a runner's load. True while answers may still come.
     fn sound(&mut self, inv: &mut Inv) -> bool {
@@ -654,16 +740,16 @@
     }
 
     /// Pod-SSP among the draws, which stand in the order of chance.
-    fn least(&self, inv: &Inv) -> Option<usize> {
+    fn least(&mut self, inv: &Inv) -> Option<usize> {
         let mut best: Option<(f64, f64, usize)> = None;
         for &r in &inv.drawn {
-            if self.runners[r].probing || !self.open(r, inv) || !self.has_room(r, inv) {
+            if self.probes_tell() && self.runners[r].probing || !self.open(r, inv) || !self.has_room(r, inv) {
                 continue;
             }
             let high = self.high[inv.operation];
             let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
             let fetch = if inv.spare == Some(r) { FETCH } else { 0.0 };
-            let load = (self.count(r) + 1.0 + fetch) / self.capacity(r);
+            let load = (self.guess(r) + 1.0 + fetch) / self.capacity(r);
             if best.is_none_or(|best| (first, load) < (best.0, best.1)) {
                 best = Some((first, load, r));
             }
@@ -755,6 +841,9 @@
     /// Where probes keep counts fresh, waiting is done here rather than in a runner's few waiting places.
     /// Where they are not allowed and runners tell of starts, waits say more than counts that are old.
     fn has_room(&self, r: usize, inv: &Inv) -> bool {
+        if self.lists_load() {
+            return true;
+        }
         let slots = self.slots(r);
         let count = self.count(r);
         let room = if self.orders.may_probe {
@@ -786,12 +875,25 @@
         let others = match runner.reported_at {
             None => mean,
             // While reports are late, one runner's say little; the fleet's mean still holds.
-            Some(_) if self.doubt > 0.0 => (usual + mean) / 2.0,
+            Some(_) if self.doubt > 0.0 || self.lists_load() => (usual + mean) / 2.0,
             Some(_) => usual + (-age).exp() * (runner.others - usual),
         };
         f64::from(runner.out) + others.max(0.0)
     }
 
+    /// A count that may be true. An average is off by about its root at any time, and where all hear the same
+    /// late list, who went by its figures as they stand would meet all others.
+    fn guess(&mut self, r: usize) -> f64 {
+        let count = self.count(r);
+        if !self.lists_load() {
+            return count;
+        }
+        // Three even numbers make about a normal one.
+        let even = |_| self.chance.below(1 << 31) as f64 / (1u64 << 30) as f64 - 1.0;
+        let normal: f64 = (0..3).map(even).sum();
+        (count + count.max(1.0).sqrt() * normal).max(f64::from(self.runners[r].out))
+    }
+
     fn age(&self, r: usize) -> f64 {
         self.runners[r].reported_at.map_or(f64::MAX, |at| (self.now - at) as f64)
     }
@@ -828,7 +930,7 @@
 
     fn weight(&self, r: usize) -> f64 {
         let size = self.runners[r].size;
-        if self.orders.sizes_registered && size > 0.0 { size } else { self.slots(r) }
+        if self.orders.sizes != Sizes::Untold && size > 0.0 { size } else { self.slots(r) }
     }
 
     // Cold runners.
@@ -880,24 +982,34 @@
             runner.spent.pop_front();
         }
         let Some(inflight) = inflight else { return };
-        let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
-        let settled = (f64::from(runner.out) - just_sent as f64).max(0.0);
-        runner.others = inflight - settled;
-        let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
-        runner.others_usual += weight * (runner.others - runner.others_usual);
-        runner.reported_at = Some(self.now);
         if let Some(free) = free.filter(|free| *free > 0.5 || waiting.is_some()) {
             let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
             let slots = runner.slots.map_or(seen, |slots| slots + 0.2 * (seen - slots));
             runner.slots = Some(slots);
             self.least_slots = if self.least_slots > 0.0 { self.least_slots.min(slots) } else { slots };
         }
+        if self.lists_load() {
+            return;
+        }
+        let settled = self.note_load(r, inflight);
         if settled > 0.0 {
             // A fresh report counts at least what has long been there; one that does not is late.
             self.weigh(if inflight + 0.5 < settled { 2.3 } else { -0.1 });
         }
+    }
+
+    /// What a runner is said to hold. Gives the own forwards that this must count.
+    fn note_load(&mut self, r: usize, held: f64) -> f64 {
+        let runner = &mut self.runners[r];
+        let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
+        let settled = (f64::from(runner.out) - just_sent as f64).max(0.0);
+        runner.others = held - settled;
+        let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
+        runner.others_usual += weight * (runner.others - runner.others_usual);
+        runner.reported_at = Some(self.now);
         let level = self.runners[r].others.max(0.0) / self.weight(r);
         self.others_mean.note(level, 0.05, self.now);
+        settled
     }
 
     /// Evidence on whether reports come late, in log-odds; neither belief grows too firm to turn.
@@ -994,6 +1106,10 @@
     fn stalled(&mut self, id: &Id) {
         let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
         let Some(out) = inv.out.as_ref().filter(|out| !out.flowing && !out.cancelled) else { return };
+        if self.orders.tells_start && !out.started && self.now >= inv.in_time && self.orders.may_cancel {
+            // Not begun, and late whatever comes: to go on would take a slot from what can still be in time.
+            return self.give_up(id);
+        }
         let op = &self.orders.operations[inv.operation];
         let since = inv.bond.as_ref().map_or(out.sent, |bond| bond.since);
         let may_go = match op.effect {
@@ -1002,9 +1118,13 @@
             Effect::NonIdempotent => false,
         };
         if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[inv.operation]) {
-            return;
+            return self.watch_start(id);
         }
         let (tgt, allowed) = (out.tgt, self.silence_allowed());
+        if self.orders.tells_start && !out.started {
+            self.cancel(id);
+            return;
+        }
         if self.silent(tgt) && self.now - out.sign >= allowed {
             self.cancel(id);
             self.bench(tgt, "silent");
--- a/src/events.rs
+++ b/src/events.rs
@@ -41,6 +41,8 @@
     pub operation: usize,
     pub expires_in: Micros,
     pub slots: f64,
+    /// Its work as time on a standard core, where the client can tell.
+    pub hint: Option<Micros>,
     pub key: Option<Id>,
 }
 
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -24,8 +24,7 @@
     /// The longest come-back advice that a client follows; `None` where advice is not handed on.
     pub come_back_max: Option<Micros>,
     pub report_fields: Vec<ReportField>,
-    /// Whether the roster's sizes are the registered ones.
-    pub sizes_registered: bool,
+    pub sizes: Sizes,
     /// Whether runners tell when a job starts.
     pub tells_start: bool,
     /// The gap between progress notes; 0 where there are none.
@@ -39,6 +38,8 @@
     pub memory_span: Micros,
     pub billed_value: f64,
     pub late_share: f64,
+    /// The objective grows by this many times the job's own work.
+    pub stretch: f64,
     /// The one kind of machine that runs it, where only one does.
     pub kind: Option<Id>,
 }
@@ -57,6 +58,16 @@
     Cell,
 }
 
+/// What the roster's sizes are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sizes {
+    #[default]
+    Untold,
+    Registered,
+    /// The registered size over 1 + jobs held a core, from a while back.
+    Live,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportField {
     InFlight,
