--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -124,6 +124,7 @@
         "subscribe" => true,
         other => return Err(format!("registryMode has the bad value '{other}'")),
     };
+    let idle_close = info.value_or("limits.idleClose", 60_000_000)?.clamp(1, SPAN);
     let flag = |path: &str| info.value_or(path, false);
     let standing = StandingOrders {
         operations,
@@ -133,6 +134,7 @@
         crossing_costs: info.value_or("prices.crossZone", 0.0)? > 0.0,
         connecting_costs: info.value_or("prices.handshake", 0.0)? > 0.0
             || info.value_or("prices.connection", 0.0)? > 0.0,
+        idle_close,
         must_subscribe,
         ask_within: if must_subscribe { info.within("invariants.askWithin", 1, SPAN)? } else { SPAN },
         cold_from: info.within("invariants.coldFrom", 0.0, 1.0)?,
@@ -161,7 +163,7 @@
         operations: names,
         report_fields: info.list("report.fields").map(str::to_owned).collect(),
         dial_timeout: info.value_or("limits.dialTimeout", 250_000)?.clamp(1, SPAN),
-        idle_close: info.value_or("limits.idleClose", 60_000_000)?.clamp(1, SPAN),
+        idle_close,
         open_cap: info.value_or("limits.openCap", usize::MAX)?,
     })
 }
--- a/src/books.rs
+++ b/src/books.rs
@@ -43,8 +43,9 @@
     pub launched: Option<Micros>,
     pub out: u32,
     pub out_high: u32,
-    /// A connection is up, as far as is known here.
-    pub linked: bool,
+    /// Connections that are up, as far as is known here, and when one was last used.
+    pub links: u32,
+    pub used_at: Micros,
     pub probing: bool,
     /// Others' jobs by the latest report: what it says less own forwards out at that time.
     pub others: f64,
@@ -82,6 +83,8 @@
     pub tgt: usize,
     pub number: u32,
     pub cancelled: bool,
+    /// It had to wait for a new connection.
+    pub dialled: bool,
     pub flowing: bool,
     pub started: bool,
     pub sent: Micros,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -474,19 +474,26 @@
         let (number, sent) = (inv.forwards, self.now);
         inv.forwards += 1;
         (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
-        inv.out =
-            Some(Forward { tgt, number, cancelled: false, flowing: false, started: false, sent, sign: sent });
         let runner = &mut self.runners[tgt];
+        if self.now - runner.used_at >= self.orders.idle_close {
+            runner.links = runner.out;
+        }
+        let dialled = runner.links <= runner.out;
+        let (cancelled, flowing, started) = (false, false, false);
+        inv.out = Some(Forward { tgt, number, cancelled, dialled, flowing, started, sent, sign: sent });
         if runner.out == 0 {
             runner.silent_since = self.now;
         }
         runner.out += 1;
         runner.out_high += u32::from(self.high[inv.operation]);
         self.out_all += 1;
-        if !runner.linked {
-            runner.linked = true;
-            self.linked.push(tgt);
+        if dialled {
+            runner.links = runner.out;
+            if !self.linked.contains(&tgt) {
+                self.linked.push(tgt);
+            }
         }
+        runner.used_at = self.now;
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
         if asks && runner.slots.is_none() && !runner.probing {
@@ -503,15 +510,16 @@
     fn watch_start(&mut self, id: &Id) {
         let Some(inv) = self.invs.get(id).filter(|_| self.orders.tells_start) else { return };
         let Some(out) = inv.out.as_ref().filter(|out| !out.started) else { return };
-        let moves = out.sent + self.patience_to_start(inv);
+        let moves = out.sent + self.patience_to_start(inv, out);
         let at = if moves > self.now { moves.min(inv.in_time) } else { inv.in_time };
         if at > self.now {
             self.watch(id, Some(at));
         }
     }
 
-    fn patience_to_start(&self, inv: &Inv) -> Micros {
-        self.orders.operations[inv.operation].latency_objective / 3
+    /// A forward that has to wait for a new connection is given longer: moves would dial again and again.
+    fn patience_to_start(&self, inv: &Inv, out: &Forward) -> Micros {
+        self.orders.operations[inv.operation].latency_objective / if out.dialled { 1 } else { 3 }
     }
 
     fn sign(&mut self, id: &Id, forward: u32, flowing: bool) {
@@ -553,10 +561,11 @@
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
         runner.out_high -= u32::from(self.high[operation]);
+        runner.used_at = self.now;
         self.out_all -= 1;
         let lost = matches!(outcome.ending, Ending::Unreachable | Ending::Broken);
         if lost {
-            runner.linked = false;
+            runner.links = 0;
             self.linked.retain(|r| *r != out.tgt);
         }
         let never_ran = matches!(outcome.ending, Ending::Overloaded | Ending::Unreachable | Ending::Void);
@@ -668,7 +677,11 @@
         inv.heard_by = 0;
         let mut from = match (pool, inv.key) {
             (Pool::Homes, Some(key)) => self.homes(key, inv),
-            (Pool::LinkedNear | Pool::Linked, _) => self.linked.clone(),
+            (Pool::LinkedNear | Pool::Linked, _) => {
+                let used = self.now - self.orders.idle_close;
+                self.linked.retain(|r| self.runners[*r].out > 0 || self.runners[*r].used_at > used);
+                self.linked.clone()
+            }
             (Pool::Turns | Pool::Cold, _) => {
                 let cold = std::mem::take(&mut self.cold);
                 self.cold = cold.into_iter().filter(|r| self.warmth(*r) < 1.0).collect();
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -12,6 +12,8 @@
     pub crossing_costs: bool,
     /// Whether a new connection costs something, or one that is kept.
     pub connecting_costs: bool,
+    /// Runners close a connection that has been idle for this long.
+    pub idle_close: Micros,
     pub must_subscribe: bool,
     pub ask_within: Micros,
     pub cold_from: f64,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -33,6 +33,7 @@
         my_zone: "east".into(),
         crossing_costs: false,
         connecting_costs: false,
+        idle_close: 60_000_000,
         must_subscribe: true,
         ask_within: 10_000_000,
         cold_from: 0.1,
