--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,6 +46,8 @@
 const ADMITTED_LEAST: f64 = 0.05;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
 const FADES: f64 = 60.0;
+/// In tightest objectives: from how much longer a wait for those that dial connections are worth keeping to.
+const DIAL_SLOW: f64 = 0.25;
 /// The firmest belief, in log-odds, that reports come late or that they do not.
 const FIRMEST: f64 = 2.5;
 /// How many homes a key has for each runner that its share of the work would fill.
@@ -129,6 +131,8 @@
     /// Others' jobs for each unit of weight, and waits for a start, over all runners.
     others_mean: Recent,
     wait_mean: Recent,
+    /// By how much longer forwards that dialled waited.
+    dial_excess: Recent,
     /// The share of probes that found a slot free.
     free_share: Recent,
     /// Log-odds that reports come late.
@@ -156,7 +160,11 @@
         // House rule of the operators: further forwards go by billed value.
         let further = f64::from(orders.most_forwards - 1);
         let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
-        let linked: &[Pool] = if orders.connecting_costs { &[Pool::LinkedNear, Pool::Linked] } else { &[] };
+        let linked: &[Pool] = match (orders.connecting_costs, orders.sizes) {
+            (true, _) => &[Pool::LinkedNear, Pool::Linked],
+            (false, Sizes::Live) => &[Pool::Linked],
+            _ => &[],
+        };
         let mut unkeyed = [linked, &[Pool::Near, Pool::All, Pool::Cold]].concat();
         if !orders.crossing_costs {
             unkeyed.retain(|pool| !matches!(pool, Pool::LinkedNear | Pool::Near));
@@ -539,7 +547,7 @@
             return;
         }
         out.started = true;
-        let (sent, tgt) = (out.sent, out.tgt);
+        let (sent, tgt, dialled) = (out.sent, out.tgt, out.dialled);
         if self.lists_load() {
             self.free_share.note(1.0, 0.05, self.now);
         }
@@ -551,6 +559,9 @@
             self.runners[tgt].excess_wait.note(excess, 0.5, self.now);
         }
         self.wait_mean.note(wait, 0.05, self.now);
+        if dialled {
+            self.dial_excess.note(excess, 0.1, self.now);
+        }
     }
 
     fn outcome(&mut self, outcome: Outcome) {
@@ -664,6 +675,12 @@
         self.orders.may_probe && !self.lists_load() && self.doubt <= 0.0
     }
 
+    /// Whether a new connection is priced, or has been seen to take a good part of an objective.
+    fn dialling_costs(&self) -> bool {
+        let excess = self.dial_excess.at(self.now, FADES * self.mean_pace);
+        self.orders.connecting_costs || excess > self.tightest as f64 * DIAL_SLOW
+    }
+
     fn wanted(&self, inv: &Inv) -> usize {
         if self.high[inv.operation] { D2 } else { D1 }
     }
@@ -677,6 +694,7 @@
         inv.heard_by = 0;
         let mut from = match (pool, inv.key) {
             (Pool::Homes, Some(key)) => self.homes(key, inv),
+            (Pool::LinkedNear | Pool::Linked, _) if !self.dialling_costs() => Vec::new(),
             (Pool::LinkedNear | Pool::Linked, _) => {
                 let used = self.now - self.orders.idle_close;
                 self.linked.retain(|r| self.runners[*r].out > 0 || self.runners[*r].used_at > used);
