--- a/src/brain.rs
+++ b/src/brain.rs
@@ -525,9 +525,12 @@
         }
     }
 
-    /// A forward that has to wait for a new connection is given longer: moves would dial again and again.
+    /// A forward that has to wait for a new connection is given longer: moves would dial again and again. So is
+    /// one where many are turned away: a place in a queue is then worth keeping.
     fn patience_to_start(&self, inv: &Inv, out: &Forward) -> Micros {
-        self.orders.operations[inv.operation].latency_objective / if out.dialled { 1 } else { 3 }
+        let objective = self.orders.operations[inv.operation].latency_objective;
+        let taken = if self.free_share.noted_at.is_some() { self.free_share.value } else { 1.0 };
+        if out.dialled { objective } else { (objective as f64 * (1.0 - taken * 2.0 / 3.0)) as Micros }
     }
 
     fn sign(&mut self, id: &Id, forward: u32, flowing: bool) {
@@ -1099,7 +1102,16 @@
                     self.bench(r, "errors");
                 }
             }
-            Ending::Unreachable => self.bench(r, "no connection"),
+            Ending::Unreachable => {
+                // Where all dials are slow, one that took too long says nothing against its runner.
+                let slow = outcome.elapsed as f64 > self.tightest as f64 * DIAL_SLOW;
+                if slow && !self.orders.connecting_costs {
+                    self.dial_excess.note(outcome.elapsed as f64, 0.1, now);
+                }
+                if !(slow && self.dialling_costs() && self.runners[r].silent_since > now - outcome.elapsed) {
+                    self.bench(r, "no connection");
+                }
+            }
             Ending::Overloaded => {
                 runner.silent_since = now;
                 runner.full_until = now + (mean_pace / slots) as Micros;
