--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 /// Shares of draws with a slot free at which no low work, and at which all, is let in.
 const SPARE: (f64, f64) = (0.03, 0.2);
 /// The same by shares of forwards that runners take, where these tell instead of draws.
-const TAKEN: (f64, f64) = (0.2, 0.7);
+const TAKEN: (f64, f64) = (0.1, 0.6);
 /// Some low work is always let in: without it nothing would tell that slots are free again.
 const ADMITTED_LEAST: f64 = 0.05;
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
@@ -552,7 +552,7 @@
         out.started = true;
         let (sent, tgt, dialled) = (out.sent, out.tgt, out.dialled);
         if self.lists_load() {
-            self.free_share.note(1.0, 0.05, self.now);
+            self.free_share.note(1.0, 0.2, self.now);
         }
         self.watch(id, Some(self.now + stall));
         // One slowed runner's waits are to say nothing of the others'.
@@ -589,7 +589,7 @@
         }
         self.report(out.tgt, &outcome.report);
         if self.lists_load() && outcome.ending == Ending::Overloaded {
-            self.free_share.note(0.0, 0.05, self.now);
+            self.free_share.note(0.0, 0.2, self.now);
         }
         if outcome.ending == Ending::Overloaded
             && let Some(free) = self.free_slots(&outcome.report)
