--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -345,7 +345,6 @@
         Action::Throttle { inv, come_back: None } => writeln!(out, "DENY {inst} {inv} -"),
         Action::Error { inv } => writeln!(out, "DROP_REQUEST {inst} {inv}"),
         Action::Probe { tgt } => writeln!(out, "SAMPLE {inst} {tgt}"),
-        Action::Disconnect { tgt } => writeln!(out, "DISCONNECT {inst} {tgt}"),
         Action::Follow => writeln!(out, "OBSERVE {inst} 1"),
         Action::Tick { after } => writeln!(out, "ARM {inst} {after} {TICK}"),
         Action::Log(text) => writeln!(out, "TRACE {inst} {}", one_line(text)),
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -572,15 +572,6 @@
                 Action::Throttle { inv, come_back } => self.answer(d, key(&inv), Final::Throttled, come_back),
                 Action::Error { inv } => self.answer(d, key(&inv), Final::Errored, None),
                 Action::Probe { tgt } => self.probe(life, number(&tgt)),
-                Action::Disconnect { tgt } => {
-                    let r = number(&tgt);
-                    if let Some((idle, all)) = self.dispatchers[d as usize].conns.get_mut(&r) {
-                        let runner = &mut self.world.runners[r as usize];
-                        runner.connections = runner.connections.saturating_sub(*idle);
-                        *all -= *idle;
-                        *idle = 0;
-                    }
-                }
                 Action::Follow => {
                     let zone = self.dispatchers[d as usize].zone;
                     self.send(zone, 0, Ev::Call(life));
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use crate::log::log;
+use crate::migrate::{self, Place};
 use crate::{config, reactor};
 
 const HELP: &str = "\
@@ -12,6 +13,10 @@
 
     topazsail serve [--config FILE]   serve until SIGTERM; SIGHUP reads the configuration again
     topazsail check [--config FILE]   read the configuration and say what it holds
+    topazsail migrate [--config FILE] --to FILE [--dry-run] [--dispatchers N] [--number N]
+                      [--zones A,B] [--my-zone A]
+                                      write the configuration's counterpart for the new shape of deployment and
+                                      list what could not be carried over; --dry-run only shows both
     topazsail version
 
 Without --config the file is the one that RELAY_CONFIG names.
@@ -25,6 +30,9 @@
     }
     let command = words.subcommand().map_err(|error| error.to_string())?;
     let path = words.opt_value_from_str("--config").map_err(|error| error.to_string())?;
+    if command.as_deref() == Some("migrate") {
+        return run_migrate(words, path);
+    }
     if let Some(more) = words.finish().first() {
         return Err(format!("unexpected {more:?}; see --help"));
     }
@@ -46,6 +54,35 @@
     }
 }
 
+fn run_migrate(mut words: pico_args::Arguments, path: Option<String>) -> Result<(), String> {
+    let dry = words.contains("--dry-run");
+    let mut option =
+        |name: &'static str| words.opt_value_from_str::<_, String>(name).map_err(|error| error.to_string());
+    let (to, zones, my_zone) = (option("--to")?, option("--zones")?, option("--my-zone")?);
+    let mut number = |name: &'static str| {
+        words.opt_value_from_str::<_, u32>(name).map_err(|error| format!("{name}: {error}"))
+    };
+    let (dispatchers, number) = (number("--dispatchers")?, number("--number")?);
+    if let Some(more) = words.finish().first() {
+        return Err(format!("unexpected {more:?}; see --help"));
+    }
+    let to = to.ok_or("--to is missing; see --help")?;
+    let zones = zones.iter().flat_map(|zones| zones.split(',')).map(str::to_owned).collect();
+    let from = config::path(path)?;
+    let text = std::fs::read_to_string(&from).map_err(|error| format!("configuration {from}: {error}"))?;
+    let moved = migrate::moved(&text, &Place { zones, my_zone, dispatchers, number })
+        .map_err(|fault| format!("configuration {from}: {fault}"))?;
+    if dry {
+        print!("{}", moved.text);
+    } else {
+        migrate::write(&moved.text, &to)?;
+    }
+    moved.changed.iter().for_each(|line| eprintln!("changed: {line}"));
+    moved.left.iter().for_each(|line| eprintln!("not carried over: {line}"));
+    eprintln!("{}", if dry { "nothing was written".to_owned() } else { format!("written: {to}") });
+    Ok(())
+}
+
 /// Runs the command that the process was started with; its exit code.
 pub fn main() -> ExitCode {
     // A fault of our own is seen at once: where and why, and then the process ends with a code of its own.
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -57,7 +57,6 @@
     Stale,
     /// The runner is gone or has another address.
     Unlisted,
-    Disconnected,
     WatchSilent,
     WatchReplaced,
     Terminated,
@@ -82,7 +81,6 @@
             End::BadAnswer => "bad_answer",
             End::Stale => "stale",
             End::Unlisted => "unlisted",
-            End::Disconnected => "disconnected",
             End::WatchSilent => "watch_silent",
             End::WatchReplaced => "watch_replaced",
             End::Terminated => "terminated",
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -14,7 +14,7 @@
 
 use crate::clients::{self, CallBack, Clients, Invocation, State};
 use crate::config::Dispatcher;
-use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::conn::{Callbacks, Due, Link, Side, Wires};
 use crate::http::Fault;
 use crate::log::log;
 use crate::roster::{self, Roster};
@@ -98,7 +98,11 @@
 
 impl Desk {
     pub fn new(told: Dispatcher, wires: &mut dyn Wires) -> Desk {
-        let decoded = told.decoded;
+        let mut decoded = told.decoded;
+        // On sockets the list comes only on a watch, and a watch has to be opened whatever the settings say;
+        // connections end by our own time, which is shorter than the runners'.
+        decoded.standing.must_subscribe = true;
+        decoded.standing.idle_close = decoded.idle_close / 2;
         let come_back = decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN));
         let mut desk = Desk {
             clients: Clients::new(decoded.operations.clone()),
@@ -218,7 +222,6 @@
             Action::Throttle { inv, come_back } => self.answer(&inv, THROTTLED, come_back, b"", wires),
             Action::Error { inv } => self.answer(&inv, ERRORED, None, b"", wires),
             Action::Probe { tgt } => self.runners.probe(&tgt, wires),
-            Action::Disconnect { tgt } => self.runners.cut_idle(&tgt, End::Disconnected, wires),
             Action::Follow => self.roster.follow(wires),
             Action::Tick { after } => wires.wake(Due::Tick, wires.now() + after),
             Action::Log(text) => log!("brain", "{}", text.escape_debug()),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod desk;
 mod http;
 mod log;
+mod migrate;
 mod reactor;
 mod roster;
 mod runners;
--- a/src/books.rs
+++ b/src/books.rs
@@ -53,8 +53,6 @@
     pub others_usual: f64,
     pub reported_at: Option<Micros>,
     pub slots: Option<f64>,
-    /// By how much longer than elsewhere forwards to it waited for their start.
-    pub excess_wait: Recent,
     /// It has turned work away as full, and no slot can have come free since.
     pub full_until: Micros,
     pub good: f64,
@@ -109,6 +107,8 @@
     pub in_time: Micros,
     pub patience: Micros,
     pub slots: f64,
+    /// Its work as the client tells it; 0 where it does not.
+    pub hint: f64,
     pub key: Option<u64>,
     pub forwards: u32,
     pub out: Option<Forward>,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,8 +71,6 @@
 /// Where draws are made, the cheapest first; the next is drawn from only where the draws so far have no room.
 #[derive(Clone, Copy, PartialEq)]
 enum Pool {
-    /// Cold runners at which this dispatcher has a turn.
-    Turns,
     /// The homes of the invocation's key.
     Homes,
     /// Runners with a connection, in this zone and in all: a new connection may cost more than a wait.
@@ -173,7 +171,7 @@
             high: ops.iter().map(high).collect(),
             allowance: ops.iter().map(|o| 1 + (further * share(o).sqrt()).ceil() as u32).collect(),
             tightest,
-            pools: [unkeyed, vec![Pool::Turns, Pool::Homes, Pool::Cold]],
+            pools: [unkeyed, vec![Pool::Homes, Pool::Cold]],
             // Until an operation has been seen to succeed, its objective is the best guess of its time.
             pace: ops.iter().map(|o| Recent { value: o.latency_objective as f64, noted_at: None }).collect(),
             fullest: vec![0; ops.len()],
@@ -331,7 +329,6 @@
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
             runner.reported_at = None;
-            runner.excess_wait = Recent::default();
             (runner.good, runner.bad) = (0.0, 0.0);
             runner.bench_until = runner.bench_until.min(self.now);
         }
@@ -377,6 +374,7 @@
             in_time,
             patience: patience.min(deadline - MARGIN),
             slots: arrival.slots,
+            hint: arrival.hint.unwrap_or_default() as f64,
             key: arrival.key.as_deref().map(|key| hash(key.as_bytes())),
             ..Inv::default()
         };
@@ -550,20 +548,17 @@
             return;
         }
         out.started = true;
-        let (sent, tgt, dialled) = (out.sent, out.tgt, out.dialled);
+        let (sent, dialled) = (out.sent, out.dialled);
         if self.lists_load() {
             self.free_share.note(1.0, 0.2, self.now);
         }
         self.watch(id, Some(self.now + stall));
         // One slowed runner's waits are to say nothing of the others'.
         let wait = (self.now - sent).min(self.tightest * 3 / 2) as f64;
-        let excess = wait - self.mean_wait();
-        if self.warmth(tgt) >= 1.0 {
-            self.runners[tgt].excess_wait.note(excess, 0.5, self.now);
-        }
-        self.wait_mean.note(wait, 0.05, self.now);
         if dialled {
-            self.dial_excess.note(excess, 0.1, self.now);
+            self.dial_excess.note(wait - self.wait_mean.value, 0.1, self.now);
+        } else {
+            self.wait_mean.note(wait, 0.05, self.now);
         }
     }
 
@@ -664,7 +659,7 @@
         let will_do = free || !self.probes_tell() || inv.place.is_some_and(|place| place.0 == 0);
         let enough = inv.drawn.len() >= self.wanted(inv);
         match pool {
-            Pool::Turns | Pool::Homes => true,
+            Pool::Homes => true,
             Pool::LinkedNear => enough && free,
             Pool::Linked => enough && will_do,
             // Late averages do not tell when a zone of its own runs short.
@@ -703,7 +698,7 @@
                 self.linked.retain(|r| self.runners[*r].out > 0 || self.runners[*r].used_at > used);
                 self.linked.clone()
             }
-            (Pool::Turns | Pool::Cold, _) => {
+            (Pool::Cold, _) => {
                 let cold = std::mem::take(&mut self.cold);
                 self.cold = cold.into_iter().filter(|r| self.warmth(*r) < 1.0).collect();
                 self.cold.clone()
@@ -713,12 +708,11 @@
         if pool == Pool::Homes && from.len() > 1 {
             inv.spare = from.pop();
         }
-        let mut wanted = if pool == Pool::Turns { 1 } else { self.wanted(inv) };
+        let mut wanted = self.wanted(inv);
         while wanted > 0 && !from.is_empty() {
             let r = from.swap_remove(self.pick(&from));
             let fits = match pool {
                 Pool::LinkedNear | Pool::Near => self.runners[r].near,
-                Pool::Turns => self.cold_share(r) < self.mean_pace,
                 Pool::Homes | Pool::Linked | Pool::All | Pool::Cold => true,
             };
             // Only fresh word tells against a draw: a runner rejected on old word would not be heard again.
@@ -889,9 +883,6 @@
             let own = 1.0 / f64::from(self.orders.dispatchers.max(1));
             let guess = if self.probes_tell() { 0.0 } else { 0.5 + 0.5 * own.powi(4) };
             (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess
-        } else if self.orders.tells_start {
-            let objective = self.orders.operations[inv.operation].latency_objective as f64;
-            return self.expected_wait(r) < objective * if self.high[inv.operation] { 1.0 } else { 0.6 };
         } else {
             slots * self.warmth(r) + self.capacity(r) * self.tightest as f64 / self.mean_pace
         };
@@ -936,18 +927,6 @@
         self.age(r) > STALE * self.mean_pace
     }
 
-    fn mean_wait(&self) -> f64 {
-        self.wait_mean.at(self.now, 8.0 * self.tightest as f64)
-    }
-
-    /// How long a forward sent now may wait for its start in this runner. What makes a runner worse than
-    /// others is believed for as long as it takes all dispatchers to come by: if each of hundreds soon tried
-    /// a swamped runner again, the trials alone would keep it swamped.
-    fn expected_wait(&self, r: usize) -> f64 {
-        let fades = self.tightest as f64 * f64::from(self.orders.dispatchers);
-        self.mean_wait() + self.runners[r].excess_wait.at(self.now, fades)
-    }
-
     fn set_mean_pace(&mut self) {
         let sum: f64 = self.pace.iter().map(|pace| pace.value).sum();
         self.mean_pace = (sum / (self.pace.len() as f64).max(1.0)).max(1.0);
@@ -976,8 +955,9 @@
         (self.orders.cold_from + (1.0 - self.orders.cold_from) * age).min(1.0)
     }
 
+    /// While heavy work fails the pace is that of light work, so what the client tells counts where it is more.
     fn work(&self, inv: &Inv) -> f64 {
-        self.pace[inv.operation].value * inv.slots
+        self.pace[inv.operation].value.max(inv.hint) * inv.slots
     }
 
     /// An even share of what all dispatchers may send a cold runner in the span that the rule looks at.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -89,7 +89,6 @@
                     }
                     line
                 }
-                Action::Disconnect { tgt } => format!("disconnect {tgt}"),
                 Action::Follow => "follow".to_owned(),
             };
             self.trace += &format!("{} {line}\n", self.now / 1000);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -394,41 +394,6 @@
     "#]]);
 }
 
-#[test]
-fn where_probes_are_not_allowed_work_goes_by_waits_for_a_start() {
-    let mut orders = orders(vec![operation(Effect::Idempotent)]);
-    (orders.may_probe, orders.tells_start) = (false, true);
-    let mut desk = Desk::new(orders, "ab");
-    let invs = ["1", "2", "3", "4", "5", "6"];
-    invs.iter().for_each(|inv| _ = desk.arrives(inv, 0));
-    desk.after(600);
-    invs.iter().for_each(|inv| _ = desk.starts(inv, 0));
-    desk.arrives("7", 0).passes(300);
-    invs.iter().for_each(|inv| _ = desk.ends(inv, 0, Ending::Succeeded, &IDLE));
-    desk.passes(3_000).arrives("8", 0);
-    desk.shows(expect![[r#"
-        1000 follow
-        1000 1 -> b
-        1000 2 -> a
-        1000 3 -> a
-        1000 4 -> b
-        1000 5 -> b
-        1000 6 -> a
-        1600 throttle 2, back in Some(500000)
-        1600 cancel 2 #0
-        1600 throttle 3, back in Some(500000)
-        1600 cancel 3 #0
-        1600 throttle 4, back in Some(500000)
-        1600 cancel 4 #0
-        1600 throttle 5, back in Some(500000)
-        1600 cancel 5 #0
-        1600 throttle 6, back in Some(500000)
-        1600 cancel 6 #0
-        2100 throttle 7, back in Some(500000)
-        4900 8 -> a
-    "#]]);
-}
-
 #[test]
 fn a_draw_that_does_not_answer_its_probe_is_passed_over() {
     let mut desk = Desk::new(orders(vec![operation(Effect::Idempotent)]), "ab");
