--- a/node/src/migrate.rs
+++ b/node/src/migrate.rs
@@ -96,7 +96,7 @@
     if at("invariants.askWithin").is_some() {
         leave("settings.invariants.askWithin is kept and no longer read: the list is sent unasked".into());
     }
-    let known = told.known.entries().len();
+    let known = json.pointer("/known/instances").and_then(Value::as_array).map_or(0, Vec::len);
     if known > 0 {
         // A size of the old shape would be taken for the greatest of its kind at rest, for good.
         json["known"] = json!({"generation": 0, "reset": true, "instances": []});
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -143,3 +143,85 @@
     assert_eq!(program.0.wait().unwrap().code(), Some(0));
     fs::remove_file(path).unwrap();
 }
+
+/// The command's exit code, what it wrote to standard output and to standard error.
+fn migrates(words: &[&str]) -> (Option<i32>, String, String) {
+    let done = Command::new(env!("CARGO_BIN_EXE_topazsail")).arg("migrate").args(words).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (done.status.code(), text(done.stdout), text(done.stderr))
+}
+
+#[test]
+fn a_configuration_is_moved_to_the_new_shape_and_served() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let [_, .., high, low] = std::process::id().to_be_bytes();
+    let listen = TcpListener::bind((Ipv4Addr::new(127, 78, high, low | 1), 0)).unwrap().local_addr().unwrap();
+    let folder = env::temp_dir().join(format!("topazsail-migrate-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let path = |name: &str| folder.join(name).to_str().unwrap().to_owned();
+    let (old, new) = (path("old.json"), path("new.json"));
+    let text = configuration(listen, discovery.local_addr().unwrap())
+        .replace(r#""balancers":1"#, r#""balancers":3,"localities":["a","b","c"],"myZone":"a","weights":"off""#)
+        .replace(r#""instances":[]"#, r#""instances":[{"instanceId":"s-old","lifecycle":"up","weight":9}]"#)
+        .replace(r#""operations""#, r#""report":{"fields":["x0","outstanding"]},"operations""#)
+        .replace(r#""cancel":true"#, r#""cancel":true,"probes":true"#);
+    fs::write(&old, &text).unwrap();
+
+    // A look that changes nothing, a zone that is none, and then the move; never over a file that is there.
+    let common = ["--config", &old, "--to", &new, "--dispatchers", "4", "--zones", "a,b"];
+    let (code, shown, said) = migrates(&[&common[..], &["--dry-run"]].concat());
+    assert_eq!((code, fs::exists(&new).unwrap()), (Some(0), false), "{said}");
+    let (code, _, said) = migrates(&[&common[..], &["--my-zone", "z"]].concat());
+    assert_eq!((code, fs::exists(&new).unwrap()), (Some(1), false));
+    assert!(said.contains("settings.myZone 'z' is not in settings.localities"), "{said}");
+    let (code, _, said) = migrates(&common);
+    assert_eq!((code, fs::read_to_string(&new).unwrap()), (Some(0), shown));
+    expect_test::expect![[r#"
+        changed: settings.registryMode: "subscribe" -> "automatic"
+        changed: settings.weights: "off" -> "live"
+        changed: settings.report.how: null -> "on_probe"
+        changed: settings.limits.secondCopies: null -> true
+        changed: settings.balancers: 3 -> 4
+        changed: settings.localities: ["a","b","c"] -> ["a","b"]
+        changed: known: 1 runners -> none
+        not carried over: settings.familyInfo.tellsStart is not true: without it no work moves before it starts
+        not carried over: settings.familyInfo.classStretch is missing: objectives do not grow with the work
+        not carried over: settings.invariants.askWithin is kept and no longer read: the list is sent unasked
+        not carried over: known: 1 runners were of the old shape; the list is sent at the start
+        written: NEW
+    "#]].assert_eq(&said.replace(&new, "NEW"));
+    let before = fs::read_to_string(&new).unwrap();
+    let (code, _, said) = migrates(&common);
+    assert_eq!((code, fs::read_to_string(&new).unwrap()), (Some(1), before));
+    assert!(said.contains("nothing was written"), "{said}");
+    assert_eq!(fs::read_to_string(&old).unwrap(), text);
+    assert_eq!(fs::read_dir(&folder).unwrap().count(), 2);
+
+    // The list is watched though settings say that it comes unasked; its sizes move with load.
+    let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+    let mut program = Program(command.args(["serve", "--config", &new]).stderr(Stdio::null()).spawn().unwrap());
+    let mut watch = Peer::from(&discovery);
+    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=0 HTTP/1.1 ");
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for weight in ["3", "0.5"] {
+        let line = format!(
+            "{{\"generation\":1,\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\"lifecycle\":\"up\",\
+             \"weight\":{weight},\"hostPort\":\"{}\"}}]}}\n",
+            runner.local_addr().unwrap()
+        );
+        watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+    let mut client = Peer::new(TcpStream::connect(listen).unwrap());
+    client.say("POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 25000\r\nX-Cost-Hint: 120.5\r\n");
+    client.say("Content-Length: 2\r\n\r\nhi");
+    // The forward, and one probe that asks how many slots there are.
+    let mut both = [Peer::from(&runner), Peer::from(&runner)];
+    let mut heard = both.each_mut().map(Peer::hear);
+    heard.sort();
+    assert_eq!(heard, ["GET /load HTTP/1.1 ", "POST /plan HTTP/1.1 i1 hi"]);
+    drop(both);
+    assert_eq!(client.hear(), "HTTP/1.1 502 Bad Gateway ");
+    program.0.kill().unwrap();
+    fs::remove_dir_all(folder).unwrap();
+}
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1077,6 +1077,8 @@
         ("\"memory_mb\":192", "\"memory_mb\":\"x\""),
         ("\"deduplicated\"", "\"sometimes\""),
         ("\"instances\"", "\"others\""),
+        ("\"off\"", "\"heavy\""),
+        ("\"classKind\"", "\"classStretch\":[2.5,-1],\"classKind\""),
         ("}}", "}"),
     ];
     let faults = bad.iter().map(|(was, is)| config::decode(&good.replacen(was, is, 1)).unwrap_err());
@@ -1087,6 +1089,8 @@
         limits.memory_mb has the bad value "x"
         settings: operations.1.effect has the bad value 'sometimes'
         known: missing field `instances`
+        settings: weights has the bad value 'heavy'
+        settings: familyInfo.classStretch has the bad value '-1'
         no JSON: EOF while parsing an object at line 15 column 106"#]]
     .assert_eq(&faults.collect::<Vec<_>>().join("\n"));
     let decoded = config::decode(&good).unwrap().decoded;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1163,7 +1163,7 @@
             return self.bench(r, "no answer to a probe");
         }
         self.report(r, report);
-        if let Some(free) = self.free_slots(report) {
+        if let Some(free) = self.free_slots(report).filter(|_| !self.lists_load()) {
             self.free_share.note(f64::from(u8::from(free > 0.5)), 0.05, self.now);
         }
     }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -105,6 +105,21 @@
         Some(vec![(free - own).max(0.0), waiting + (own - free).max(0.0), inflight + own])
     }
 
+    /// A renewed list in which these runners have this size.
+    pub fn sizes(&mut self, runners: &str, size: f64) -> &mut Desk {
+        let entry = |name: u8| RosterEntry {
+            tgt: (name as char).to_string().into(),
+            cell: 0,
+            size,
+            kind: "box".into(),
+            zone: if name % 2 == 1 { "east" } else { "west" }.into(),
+            readiness: Readiness::On,
+            launched: None,
+        };
+        let entries = runners.bytes().map(entry).collect();
+        self.tell(Event::Roster(Roster { listing: Listing::Changes, entries }))
+    }
+
     pub fn roster(
         &mut self,
         listing: Listing,
@@ -130,17 +145,29 @@
     }
 
     pub fn arrives_with(&mut self, inv: &str, operation: usize, key: Option<&str>) -> &mut Desk {
-        self.comes(inv, operation, 5_000_000, key)
+        self.comes(inv, operation, 5_000_000, key, None)
     }
 
     /// A client's repeat, whose first try came one and a half seconds before.
     pub fn repeats(&mut self, inv: &str, operation: usize) -> &mut Desk {
-        self.comes(inv, operation, 3_500_000, None)
+        self.comes(inv, operation, 3_500_000, None, None)
     }
 
-    fn comes(&mut self, inv: &str, operation: usize, expires_in: Micros, key: Option<&str>) -> &mut Desk {
+    /// An invocation whose client tells its work.
+    pub fn hinted(&mut self, inv: &str, operation: usize, hint: Micros) -> &mut Desk {
+        self.comes(inv, operation, 5_000_000, None, Some(hint))
+    }
+
+    fn comes(
+        &mut self,
+        inv: &str,
+        operation: usize,
+        expires_in: Micros,
+        key: Option<&str>,
+        hint: Option<Micros>,
+    ) -> &mut Desk {
         let (inv, key) = (inv.into(), key.map(Id::from));
-        self.tell(Event::Arrival(Arrival { inv, operation, expires_in, slots: 1.0, hint: None, key }))
+        self.tell(Event::Arrival(Arrival { inv, operation, expires_in, slots: 1.0, hint, key }))
     }
 
     pub fn ends(&mut self, inv: &str, forward: u32, ending: Ending, report: &[f64]) -> &mut Desk {
@@ -191,6 +218,13 @@
         counts.iter().map(|(tgt, count)| format!("{tgt}{count} ")).collect()
     }
 
+    /// Forwards by runner and the number of probes, where the order of chance says nothing.
+    pub fn shows_counts(&mut self, expected: expect_test::Expect) {
+        let probes = self.trace.lines().filter(|line| line.contains(" probe ")).count();
+        let counts = self.counts();
+        expected.assert_eq(&format!("{counts}probes {probes}"));
+    }
+
     pub fn shows(&mut self, expected: expect_test::Expect) {
         expected.assert_eq(&std::mem::take(&mut self.trace));
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -4,7 +4,7 @@
 
 use expect_test::expect;
 use helper::{Desk, operation, orders};
-use topazsail::{Effect, Ending, Group, Listing, Readiness, StandingOrders};
+use topazsail::{Effect, Ending, Group, Listing, Readiness, Sizes, StandingOrders};
 
 const IDLE: [f64; 3] = [2.0, 0.0, 0.0];
 const BUSY: [f64; 3] = [1.0, 0.0, 1.0];
@@ -443,3 +443,117 @@
         1015 2 -> a
     "#]]);
 }
+
+/// Four runners of one kind whose listed sizes move with load, at rest first; `d` is listed as full.
+fn live(mut orders: StandingOrders) -> Desk {
+    (orders.sizes, orders.tells_start) = (Sizes::Live, true);
+    let mut desk = idle(orders, "abcd");
+    desk.sizes("abc", 2.0);
+    desk.sizes("d", 0.2);
+    desk
+}
+
+#[test]
+fn sizes_that_move_with_load_are_the_reports_and_nobody_is_probed_for_load() {
+    let mut desk = live(orders(vec![operation(Effect::Idempotent)]));
+    for _ in 0..30 {
+        desk.sizes("abc", 1.9);
+        desk.sizes("d", 0.2);
+    }
+    (0..200).for_each(|nth| {
+        let inv = nth.to_string();
+        desk.arrives(&inv, 0).starts(&inv, 0).ends(&inv, 0, Ending::Succeeded, &[]);
+    });
+    // Seldom, but not never: what is listed is old.
+    desk.shows_counts(expect!["a63 b64 c73 probes 0"]);
+}
+
+#[test]
+fn what_has_not_begun_moves_unless_it_may_have_to_run_once() {
+    let mut desk = live(orders(vec![operation(Effect::Idempotent), operation(Effect::NonIdempotent)]));
+    desk.arrives("free", 0).arrives("once", 1).arrives("begun", 0).starts("begun", 0);
+    // Longer for the first forwards, which open connections; by then both have been on their way in time.
+    desk.passes(450).ends("free", 0, Ending::Withdrawn, &[]).passes(200);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 free -> a
+        1000 once -> c
+        1000 begun -> c
+        1450 free -> b
+        1500 error once
+        1500 cancel once #0
+        1500 throttle free, back in Some(500000)
+        1500 cancel free #1
+    "#]]);
+}
+
+#[test]
+fn a_forward_on_a_kept_connection_moves_after_a_third_of_its_objective() {
+    let mut desk = live(orders(vec![operation(Effect::Idempotent)]));
+    let invs = ["1", "2", "3", "4", "5", "6", "7", "8"];
+    invs.iter().for_each(|inv| _ = desk.arrives(inv, 0).starts(inv, 0));
+    invs.iter().for_each(|inv| _ = desk.ends(inv, 0, Ending::Succeeded, &[]));
+    desk.after(10);
+    desk.shows_counts(expect!["a3 b2 c2 d1 probes 0"]);
+    desk.arrives("moves", 0).passes(200).ends("moves", 0, Ending::Withdrawn, &[]);
+    desk.shows(expect![[r#"
+        1010 moves -> c
+        1176 cancel moves #0
+        1210 moves -> b
+    "#]]);
+}
+
+#[test]
+fn billed_value_says_who_is_high_before_objectives_do() {
+    let (mut dear, mut tight) = (operation(Effect::Idempotent), operation(Effect::Idempotent));
+    (dear.billed_value, tight.latency_objective) = (12.0, 250_000);
+    let mut desk = live(orders(vec![dear, tight]));
+    // A forward is turned away, so low work is let in by a small chance only: the dear one is high.
+    desk.arrives("full", 0).ends("full", 0, Ending::Overloaded, &[]).gone("full");
+    for nth in 0..5 {
+        desk.arrives(&format!("dear{nth}"), 0).arrives(&format!("tight{nth}"), 1);
+    }
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 full -> b
+        1000 full -> c
+        1000 cancel full #1
+        1000 dear0 -> a
+        1000 throttle tight0, back in Some(250000)
+        1000 dear1 -> d
+        1000 tight1 -> a
+        1000 dear2 -> c
+        1000 throttle tight2, back in Some(250000)
+        1000 dear3 -> a
+        1000 throttle tight3, back in Some(250000)
+        1000 dear4 -> d
+        1000 throttle tight4, back in Some(250000)
+    "#]]);
+}
+
+#[test]
+fn a_heavy_job_counts_by_its_hint_at_a_cold_runner() {
+    let mut desk = idle(orders(vec![operation(Effect::Idempotent)]), "a");
+    desk.after(1).roster(Listing::Changes, "a", Readiness::On, Some(0));
+    desk.hinted("light", 0, 100_000).hinted("heavy", 0, 20_000_000);
+    desk.passes(100);
+    desk.shows(expect![[r#"
+        1000 follow
+        1001 probe a
+        1001 light -> a
+    "#]]);
+}
+
+#[test]
+fn an_objective_grows_by_what_the_stretch_leaves_beyond_the_work() {
+    let mut op = operation(Effect::NonIdempotent);
+    op.stretch = 2.5;
+    let mut desk = Desk::new(orders(vec![op]), "");
+    desk.hinted("light", 0, 1_000).hinted("heavy", 0, 1_000_000);
+    desk.passes(2_000);
+    desk.shows(expect![[r#"
+        1000 follow
+        1501 throttle light, back in Some(500000)
+        2500 throttle heavy, back in Some(500000)
+    "#]]);
+}
