--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -162,7 +162,10 @@
     let path = |name: &str| folder.join(name).to_str().unwrap().to_owned();
     let (old, new) = (path("old.json"), path("new.json"));
     let text = configuration(listen, discovery.local_addr().unwrap())
-        .replace(r#""balancers":1"#, r#""balancers":3,"localities":["a","b","c"],"myZone":"a","weights":"off""#)
+        .replace(
+            r#""balancers":1"#,
+            r#""balancers":3,"localities":["a","b","c"],"myZone":"a","weights":"off""#,
+        )
         .replace(r#""instances":[]"#, r#""instances":[{"instanceId":"s-old","lifecycle":"up","weight":9}]"#)
         .replace(r#""operations""#, r#""report":{"fields":["x0","outstanding"]},"operations""#)
         .replace(r#""cancel":true"#, r#""cancel":true,"probes":true"#);
@@ -200,7 +203,8 @@
 
     // The list is watched though settings say that it comes unasked; its sizes move with load.
     let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
-    let mut program = Program(command.args(["serve", "--config", &new]).stderr(Stdio::null()).spawn().unwrap());
+    let mut program =
+        Program(command.args(["serve", "--config", &new]).stderr(Stdio::null()).spawn().unwrap());
     let mut watch = Peer::from(&discovery);
     assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=0 HTTP/1.1 ");
     watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -557,3 +557,38 @@
         2500 throttle heavy, back in Some(500000)
     "#]]);
 }
+
+#[test]
+fn slow_dials_bring_connections_first() {
+    let mut orders = orders(vec![operation(Effect::Idempotent)]);
+    (orders.sizes, orders.tells_start) = (Sizes::Live, true);
+    let mut desk = idle(orders, "abcdefghijkl");
+    desk.sizes("abcdefghijkl", 2.0);
+    // All of these open connections, and take long to.
+    let invs = ["1", "2", "3", "4", "5", "6"];
+    invs.iter().for_each(|inv| _ = desk.arrives(inv, 0));
+    desk.after(300);
+    invs.iter().for_each(|inv| _ = desk.starts(inv, 0).ends(inv, 0, Ending::Succeeded, &[]));
+    desk.shows_counts(expect!["d1 f1 g1 i1 j1 l1 probes 0"]);
+    for nth in 0..20 {
+        let inv = format!("kept{nth}");
+        desk.arrives(&inv, 0).starts(&inv, 0).ends(&inv, 0, Ending::Succeeded, &[]);
+    }
+    desk.shows_counts(expect!["d3 f4 g3 i8 j2 probes 0"]);
+}
+
+#[test]
+fn a_slow_dial_sets_no_runner_aside_that_has_shown_life_since() {
+    let mut orders = orders(vec![operation(Effect::Idempotent)]);
+    (orders.sizes, orders.tells_start) = (Sizes::Live, true);
+    let mut desk = idle(orders, "a");
+    desk.sizes("a", 2.0);
+    desk.arrives("first", 0).after(300).starts("first", 0).ends("first", 0, Ending::Succeeded, &[]);
+    desk.after(100).arrives("slow", 0).ends("slow", 0, Ending::Unreachable, &[]);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 first -> a
+        1400 slow -> a
+        1400 slow -> a
+    "#]]);
+}
