--- a/src/books.rs
+++ b/src/books.rs
@@ -113,6 +113,8 @@
     pub forwards: u32,
     pub out: Option<Forward>,
     pub bond: Option<Bond>,
+    /// The runner that it was last taken from, as it had not begun there.
+    pub left: Option<usize>,
     pub answered: bool,
     pub place: Option<Place>,
     pub due: Option<(Micros, u64)>,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -364,7 +364,7 @@
         *fullest = arrival.expires_in.max(*fullest);
         let service = arrival.hint.map_or(self.pace[arrival.operation].value, |hint| hint as f64);
         // The objective grows by the stretch; the job's own running takes its part of that.
-        let slack = ((op.stretch - 1.5).max(0.0) * service) as Micros;
+        let slack = ((op.stretch - 1.25).max(0.0) * service) as Micros;
         let in_time = self.now + op.latency_objective + slack - (*fullest - arrival.expires_in);
         // Who waits longer than this keeps slots from work that could still be in time.
         let patience = in_time.max(self.now) + (op.late_share * op.latency_objective as f64) as Micros;
@@ -713,11 +713,14 @@
             let r = from.swap_remove(self.pick(&from));
             let fits = match pool {
                 Pool::LinkedNear | Pool::Near => self.runners[r].near,
-                Pool::Homes | Pool::Linked | Pool::All | Pool::Cold => true,
+                // Unpriced, a connection is worth keeping to only if it is free: else it would have to be dialled.
+                Pool::Linked => self.orders.connecting_costs || self.runners[r].links > self.runners[r].out,
+                Pool::Homes | Pool::All | Pool::Cold => true,
             };
             // Only fresh word tells against a draw: a runner rejected on old word would not be heard again.
             let known = !self.probes_tell() || !self.stale(r);
-            let drawn = inv.drawn.contains(&r);
+            // Whoever has just been left for not starting is no better now.
+            let drawn = inv.drawn.contains(&r) || inv.left == Some(r) && self.listed.len() > 1;
             if fits && !drawn && self.open(r, inv) && (!known || self.has_room(r, inv)) {
                 inv.drawn.push(r);
                 wanted -= 1;
@@ -1146,6 +1149,7 @@
         let (tgt, allowed) = (out.tgt, self.silence_allowed());
         if self.orders.tells_start && !out.started {
             self.cancel(id);
+            self.invs.get_mut(id).into_iter().for_each(|inv| inv.left = Some(tgt));
             return;
         }
         if self.silent(tgt) && self.now - out.sign >= allowed {
@@ -1159,7 +1163,7 @@
     fn probed(&mut self, id: &Id, alive: bool, report: &[f64]) {
         let Some(&r) = self.by_id.get(id) else { return };
         self.runners[r].probing = false;
-        if !alive {
+        if !alive && !self.lists_load() {
             return self.bench(r, "no answer to a probe");
         }
         self.report(r, report);
