--- a/src/brain.rs
+++ b/src/brain.rs
@@ -381,16 +381,16 @@
         if let Some(key) = inv.key {
             self.note_key(key);
         }
-        let admitted = self.admits(&inv);
+        let admitted = self.admits(inv.operation, inv.in_time);
         self.invs.insert(arrival.inv.clone(), inv);
         if admitted { self.enqueue(&arrival.inv) } else { self.give_up(&arrival.inv) }
     }
 
     /// Low work is let in by the share of draws that have a slot free. Without this, hundreds of dispatchers'
     /// low invocations ask so often that high ones seldom find the slot that has come free.
-    fn admits(&mut self, inv: &Inv) -> bool {
-        let late = inv.in_time <= self.now;
-        if self.free_share.noted_at.is_none() || self.high[inv.operation] && !late {
+    fn admits(&mut self, operation: usize, in_time: Micros) -> bool {
+        let late = in_time <= self.now;
+        if self.free_share.noted_at.is_none() || self.high[operation] && !late {
             return true;
         }
         let (none, all) = if self.lists_load() { TAKEN } else { SPARE };
@@ -614,7 +614,10 @@
             return self.give_up(id);
         }
         inv.patience = until;
-        self.enqueue(id);
+        let (operation, in_time) = (inv.operation, inv.in_time);
+        // Turned away, low work would else ask on at the cost of high work.
+        let admitted = !self.lists_load() || self.admits(operation, in_time);
+        if admitted { self.enqueue(id) } else { self.give_up(id) }
     }
 
     // The design.
