--- a/src/brain.rs
+++ b/src/brain.rs
@@ -131,7 +131,7 @@
     wait_mean: Recent,
     /// By how much longer forwards that dialled waited.
     dial_excess: Recent,
-    /// The share of probes that found a slot free.
+    /// The share of probes that found a slot free, or of forwards that were taken.
     free_share: Recent,
     /// Log-odds that reports come late.
     doubt: f64,
@@ -292,9 +292,7 @@
             self.following = true;
             self.refusals = 0;
         }
-        for entry in roster.entries {
-            self.enter(entry);
-        }
+        roster.entries.into_iter().for_each(|entry| self.enter(entry));
         let before = std::mem::take(&mut self.listed);
         self.listed = (0..self.runners.len()).filter(|r| self.runners[*r].listed).collect();
         if self.lists_load() {
@@ -366,6 +364,7 @@
         // The objective grows by the stretch; the job's own running takes its part of that.
         let slack = ((op.stretch - 1.25).max(0.0) * service) as Micros;
         let in_time = self.now + op.latency_objective + slack - (*fullest - arrival.expires_in);
+        let in_time = in_time.min(deadline - MARGIN);
         // Who waits longer than this keeps slots from work that could still be in time.
         let patience = in_time.max(self.now) + (op.late_share * op.latency_objective as f64) as Micros;
         let inv = Inv {
@@ -566,14 +565,14 @@
         let Some(inv) = self.invs.get_mut(&outcome.inv) else { return };
         let Some(out) = inv.out.take_if(|out| out.number == outcome.forward) else { return };
         let operation = inv.operation;
+        inv.left = Some(out.tgt).filter(|_| outcome.ending == Ending::Withdrawn);
         let answered = inv.answered || outcome.finished;
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
         runner.out_high -= u32::from(self.high[operation]);
         runner.used_at = self.now;
         self.out_all -= 1;
-        let lost = matches!(outcome.ending, Ending::Unreachable | Ending::Broken);
-        if lost {
+        if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
             runner.links = 0;
             self.linked.retain(|r| *r != out.tgt);
         }
@@ -878,8 +877,7 @@
         if self.lists_load() {
             return true;
         }
-        let slots = self.slots(r);
-        let count = self.count(r);
+        let (slots, count) = (self.slots(r), self.count(r));
         let room = if self.orders.may_probe {
             // Own forwards tell here when they end, so a job may as well wait here for their slots; where
             // others hold the slots, none would tell, and it waits in the runner.
@@ -1151,9 +1149,7 @@
         }
         let (tgt, allowed) = (out.tgt, self.silence_allowed());
         if self.orders.tells_start && !out.started {
-            self.cancel(id);
-            self.invs.get_mut(id).into_iter().for_each(|inv| inv.left = Some(tgt));
-            return;
+            return self.cancel(id);
         }
         if self.silent(tgt) && self.now - out.sign >= allowed {
             self.cancel(id);
