--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -68,10 +68,8 @@
     }
     let to = to.ok_or("--to is missing; see --help")?;
     let zones = zones.iter().flat_map(|zones| zones.split(',')).map(str::to_owned).collect();
-    let from = config::path(path)?;
-    let text = std::fs::read_to_string(&from).map_err(|error| format!("configuration {from}: {error}"))?;
-    let moved = migrate::moved(&text, &Place { zones, my_zone, dispatchers, number })
-        .map_err(|fault| format!("configuration {from}: {fault}"))?;
+    let place = Place { zones, my_zone, dispatchers, number };
+    let moved = config::read(&config::path(path)?, |text| migrate::moved(text, &place))?;
     if dry {
         print!("{}", moved.text);
     } else {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -35,8 +35,13 @@
 }
 
 pub fn load(path: &str) -> Result<Dispatcher, String> {
-    let text = fs::read_to_string(path).map_err(|error| format!("configuration {path}: {error}"))?;
-    decode(&text).map_err(|fault| format!("configuration {path}: {fault}"))
+    read(path, decode)
+}
+
+/// What is made of a file's text; a fault names the file.
+pub fn read<T>(path: &str, make: impl FnOnce(&str) -> Result<T, String>) -> Result<T, String> {
+    let text = fs::read_to_string(path).map_err(|error| error.to_string());
+    text.and_then(|text| make(&text)).map_err(|fault| format!("configuration {path}: {fault}"))
 }
 
 pub fn decode(text: &str) -> Result<Dispatcher, String> {
--- a/node/src/migrate.rs
+++ b/node/src/migrate.rs
@@ -13,7 +13,6 @@
 use crate::config;
 
 /// What the operator says of the new deployment.
-#[derive(Default)]
 pub struct Place {
     pub zones: Vec<String>,
     pub my_zone: Option<String>,
@@ -112,11 +111,11 @@
 fn put(settings: &mut Value, path: &str, value: Value, changed: &mut Vec<String>) -> Result<(), String> {
     let mut place = settings;
     for name in path.split('.') {
-        let fields = place.as_object_mut().ok_or_else(|| format!("settings.{path}: not an object"))?;
-        place = fields.entry(name).or_insert(Value::Null);
-        if place.is_null() && !path.ends_with(name) {
+        if place.is_null() {
             *place = json!({});
         }
+        let fields = place.as_object_mut().ok_or_else(|| format!("settings.{path}: not an object"))?;
+        place = fields.entry(name).or_insert(Value::Null);
     }
     if *place != value {
         changed.push(format!("settings.{path}: {place} -> {value}"));
--- a/src/books.rs
+++ b/src/books.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher keeps on runners, invocations and keys. Plain entries: the brain decides.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use crate::{Id, Micros};
 
@@ -24,7 +24,7 @@
 }
 
 /// What remains of a sum that counts half after each half-life.
-pub fn remains(age: Micros, half_life: f64) -> f64 {
+fn remains(age: Micros, half_life: f64) -> f64 {
     0.5f64.powf(age as f64 / half_life)
 }
 
@@ -68,6 +68,71 @@
     pub spent: VecDeque<(Micros, f64)>,
 }
 
+impl Runner {
+    /// Whether a forward sent now has to wait for a new connection, which it then has. What has been idle for
+    /// too long has been closed.
+    pub fn dials(&mut self, now: Micros, idle_close: Micros) -> bool {
+        if now - self.used_at >= idle_close {
+            self.links = self.out;
+        }
+        self.used_at = now;
+        let dials = self.links <= self.out;
+        self.links = self.links.max(self.out + 1);
+        dials
+    }
+
+    /// Takes what it is said to hold, by word that need not count forwards younger than so much. Gives the own
+    /// forwards that this must count.
+    pub fn holds(&mut self, held: f64, now: Micros, unseen: Micros) -> f64 {
+        let just_sent = self.spent.iter().filter(|(at, _)| *at > now - unseen).count();
+        let settled = (f64::from(self.out) - just_sent as f64).max(0.0);
+        self.others = held - settled;
+        let weight = if self.reported_at.is_some() { 0.2 } else { 1.0 };
+        self.others_usual += weight * (self.others - self.others_usual);
+        self.reported_at = Some(now);
+        settled
+    }
+
+    /// Work sent from then on.
+    pub fn spent_since(&self, from: Micros) -> f64 {
+        self.spent.iter().filter(|(at, _)| *at >= from).map(|(_, work)| work).sum()
+    }
+
+    /// Its failures and successes count half after each half-life.
+    pub fn fade(&mut self, now: Micros, half_life: f64) {
+        let faded = remains(now - self.judged_at, half_life);
+        self.judged_at = now;
+        self.good *= faded;
+        self.bad *= faded;
+    }
+}
+
+/// A key's uses count half after this.
+const USES_MEMORY: f64 = 3e7;
+const KEYS_KEPT: usize = 10_000;
+
+#[derive(Default)]
+pub struct Keys {
+    pub by_hash: HashMap<u64, Key>,
+    /// Uses of all keys, as they count now.
+    pub uses: f64,
+    used_at: Micros,
+}
+
+impl Keys {
+    pub fn note(&mut self, key: u64, now: Micros) {
+        let fades = |since: Micros| remains(now - since, USES_MEMORY);
+        let known = self.by_hash.entry(key).or_default();
+        known.count = known.count * fades(known.at) + 1.0;
+        known.at = now;
+        self.uses = self.uses * fades(self.used_at) + 1.0;
+        self.used_at = now;
+        if self.by_hash.len() > KEYS_KEPT {
+            self.by_hash.retain(|_, key| ((now - key.at) as f64) < USES_MEMORY);
+        }
+    }
+}
+
 /// How often a key has been asked for, when last, and its first homes as of some roster with newcomers.
 #[derive(Default)]
 pub struct Key {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,8 +11,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::books::{Bond, Forward, Inv, Key, Place, Recent, Runner, remains};
-use crate::chance::{Chance, even, hash};
+use crate::books::{Bond, Forward, Inv, Keys, Place, Recent, Runner};
+use crate::chance::{Chance, first, hash};
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
     ReportField, Roster, RosterEntry, Sizes, StandingOrders,
@@ -56,9 +56,6 @@
 const FETCH: f64 = 5.0;
 /// How many times its share of own forwards out a home with a slot free may hold.
 const HOME_BOUND: f64 = 1.25;
-/// A key's uses count half after this.
-const USES_MEMORY: f64 = 3e7;
-const KEYS_KEPT: usize = 10_000;
 /// The share of the cold budget that is used: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
 /// How far above the fleet's median share of failures a runner may lie.
@@ -123,9 +120,7 @@
     serial: u64,
     /// A slot has come free since the queue was last gone through.
     freed: bool,
-    keys: HashMap<u64, Key>,
-    uses: f64,
-    used_at: Micros,
+    keys: Keys,
     /// Others' jobs for each unit of weight, and waits for a start, over all runners.
     others_mean: Recent,
     wait_mean: Recent,
@@ -191,9 +186,9 @@
         for event in happened {
             match event {
                 Event::Arrival(arrival) => self.arrive(arrival),
-                Event::Flowing { inv, forward } => self.sign(&inv, forward, true),
+                Event::Flowing { inv, forward } => _ = self.sign(&inv, forward).map(|out| out.flowing = true),
                 Event::Started { inv, forward } => self.started(&inv, forward),
-                Event::Progress { inv, forward } => self.sign(&inv, forward, false),
+                Event::Progress { inv, forward } => _ = self.sign(&inv, forward),
                 Event::Outcome(outcome) => self.outcome(outcome),
                 Event::Gone { inv } => self.close(&inv),
                 Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
@@ -295,7 +290,7 @@
         roster.entries.into_iter().for_each(|entry| self.enter(entry));
         let before = std::mem::take(&mut self.listed);
         self.listed = (0..self.runners.len()).filter(|r| self.runners[*r].listed).collect();
-        if self.lists_load() {
+        if self.orders.lists_load() {
             self.read_loads();
         }
         self.cold = self.listed.iter().copied().filter(|r| self.warmth(*r) < 1.0).collect();
@@ -320,9 +315,8 @@
         runner.near = entry.zone == self.orders.my_zone;
         (runner.kind, runner.zone, runner.cell) = (entry.kind, entry.zone, entry.cell);
         runner.size_listed = entry.size;
-        if self.orders.sizes != Sizes::Live {
-            runner.size = entry.size;
-        }
+        // Where it moves with load, the greatest seen is the nearest to that at rest.
+        runner.size = if self.orders.lists_load() { runner.size.max(entry.size) } else { entry.size };
         if runner.launched != entry.launched {
             // Restarted under its own id: what it did before says nothing of it now.
             runner.launched = entry.launched;
@@ -332,17 +326,13 @@
         }
     }
 
-    fn lists_load(&self) -> bool {
-        self.orders.sizes == Sizes::Live
-    }
-
     /// Sizes that move with load are the reports: what a runner holds a core is told by how far its size has
     /// sunk below that at rest, the greatest ever listed for its kind. What is not named has not changed.
     fn read_loads(&mut self) {
         let mut at_rest: BTreeMap<Id, f64> = BTreeMap::new();
         for runner in &self.runners {
             let most = at_rest.entry(runner.kind.clone()).or_default();
-            *most = most.max(runner.size).max(runner.size_listed);
+            *most = most.max(runner.size);
         }
         for r in self.listed.clone() {
             let runner = &mut self.runners[r];
@@ -380,7 +370,7 @@
             ..Inv::default()
         };
         if let Some(key) = inv.key {
-            self.note_key(key);
+            self.keys.note(key, self.now);
         }
         let admitted = self.admits(inv.operation, inv.in_time);
         self.invs.insert(arrival.inv.clone(), inv);
@@ -394,7 +384,7 @@
         if self.free_share.noted_at.is_none() || self.high[operation] && !late {
             return true;
         }
-        let (none, all) = if self.lists_load() { TAKEN } else { SPARE };
+        let (none, all) = if self.orders.lists_load() { TAKEN } else { SPARE };
         let share = ((self.free_share.value - none) / (all - none)).clamp(ADMITTED_LEAST, 1.0);
         if late { share >= 1.0 } else { self.chance.happens(share) }
     }
@@ -473,7 +463,7 @@
 
     fn forward(&mut self, id: &Id, tgt: usize) {
         let work = self.work(&self.invs[id]);
-        let (stall, asks) = (self.silence_allowed(), self.lists_load() && self.orders.may_probe);
+        let stall = self.silence_allowed();
         let Some(inv) = self.invs.get_mut(id) else { return };
         if let Some(place) = inv.place.take() {
             self.queue.remove(&place);
@@ -482,10 +472,7 @@
         inv.forwards += 1;
         (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
         let runner = &mut self.runners[tgt];
-        if self.now - runner.used_at >= self.orders.idle_close {
-            runner.links = runner.out;
-        }
-        let dialled = runner.links <= runner.out;
+        let dialled = runner.dials(self.now, self.orders.idle_close);
         inv.out = Some(Forward { tgt, number, dialled, sent, sign: sent, ..Forward::default() });
         if runner.out == 0 {
             runner.silent_since = self.now;
@@ -493,19 +480,14 @@
         runner.out += 1;
         runner.out_high += u32::from(self.high[inv.operation]);
         self.out_all += 1;
-        if dialled {
-            runner.links = runner.out;
-            if !self.linked.contains(&tgt) {
-                self.linked.push(tgt);
-            }
+        if dialled && !self.linked.contains(&tgt) {
+            self.linked.push(tgt);
         }
-        runner.used_at = self.now;
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
-        if asks && runner.slots.is_none() && !runner.probing {
+        if self.orders.lists_load() && self.orders.may_probe && runner.slots.is_none() {
             // The list tells of load in shares of slots, but not how many these are.
-            runner.probing = true;
-            self.todo.push(Action::Probe { tgt: runner.id.clone() });
+            self.probe(tgt);
         }
         self.watch(id, Some(self.now + stall));
         self.watch_start(id);
@@ -531,25 +513,20 @@
         if out.dialled { objective } else { (objective as f64 * (1.0 - taken * 2.0 / 3.0)) as Micros }
     }
 
-    fn sign(&mut self, id: &Id, forward: u32, flowing: bool) {
-        let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) else { return };
-        if out.number == forward {
-            out.flowing |= flowing;
-            out.sign = self.now;
-            self.runners[out.tgt].silent_since = self.now;
-        }
+    /// The forward that has shown life, if it is the one that is out.
+    fn sign(&mut self, id: &Id, forward: u32) -> Option<&mut Forward> {
+        let out = self.invs.get_mut(id)?.out.as_mut().filter(|out| out.number == forward)?;
+        out.sign = self.now;
+        self.runners[out.tgt].silent_since = self.now;
+        Some(out)
     }
 
     fn started(&mut self, id: &Id, forward: u32) {
-        self.sign(id, forward, false);
         let stall = self.silence_allowed();
-        let Some(out) = self.invs.get_mut(id).and_then(|inv| inv.out.as_mut()) else { return };
-        if out.number != forward || out.started {
-            return;
-        }
+        let Some(out) = self.sign(id, forward).filter(|out| !out.started) else { return };
         out.started = true;
         let (sent, dialled) = (out.sent, out.dialled);
-        if self.lists_load() {
+        if self.orders.lists_load() {
             self.free_share.note(1.0, 0.2, self.now);
         }
         self.watch(id, Some(self.now + stall));
@@ -583,21 +560,17 @@
             inv.bond = Some(Bond { zone, cell, since: out.sent });
         }
         self.report(out.tgt, &outcome.report);
-        if self.lists_load() && outcome.ending == Ending::Overloaded {
+        if self.orders.lists_load() && outcome.ending == Ending::Overloaded {
             self.free_share.note(0.0, 0.2, self.now);
         }
         if outcome.ending == Ending::Overloaded
-            && let Some(free) = self.free_slots(&outcome.report)
+            && let Some(free) = self.orders.free_slots(&outcome.report)
         {
             // Turned away as full with a report that shows a free slot: the report is late.
             self.weigh(if free > 0.5 { 2.1 } else { -0.14 });
         }
         self.judge(out.tgt, operation, &outcome);
-        if answered {
-            self.close(&outcome.inv);
-        } else {
-            self.again(&outcome.inv);
-        }
+        if answered { self.close(&outcome.inv) } else { self.again(&outcome.inv) }
     }
 
     /// Whether the forward that has ended is to be followed by another one.
@@ -616,7 +589,7 @@
         inv.patience = until;
         let (operation, in_time, moved) = (inv.operation, inv.in_time, inv.left.is_some());
         // Turned away, low work would else ask on at the cost of high work.
-        let admitted = !self.lists_load() || moved || self.admits(operation, in_time);
+        let admitted = !self.orders.lists_load() || moved || self.admits(operation, in_time);
         if admitted { self.enqueue(id) } else { self.give_up(id) }
     }
 
@@ -666,14 +639,14 @@
             Pool::LinkedNear => enough && free,
             Pool::Linked => enough && will_do,
             // Late averages do not tell when a zone of its own runs short.
-            Pool::Near => free && !self.lists_load(),
+            Pool::Near => free && !self.orders.lists_load(),
             Pool::All => free,
             Pool::Cold => will_do,
         }
     }
 
     fn probes_tell(&self) -> bool {
-        self.orders.may_probe && !self.lists_load() && self.doubt <= 0.0
+        self.orders.may_probe && !self.orders.lists_load() && self.doubt <= 0.0
     }
 
     /// Whether a new connection is priced, or has been seen to take a good part of an objective.
@@ -737,17 +710,11 @@
     /// Where sizes move with load, draws go by them: all hear the same late list, and who drew evenly and then
     /// took the least would meet all others there.
     fn pick(&mut self, from: &[usize]) -> usize {
-        if !self.lists_load() {
+        if !self.orders.lists_load() {
             return self.chance.below(from.len() as u64) as usize;
         }
-        let point = self.chance.below(1 << 31) as f64 / (1u64 << 31) as f64;
-        let weight = |r: &usize| self.capacity(*r).max(1e-6);
-        let mut left = point * from.iter().map(weight).sum::<f64>();
-        let fits = |r: &usize| {
-            left -= weight(r);
-            left < 0.0
-        };
-        from.iter().position(fits).unwrap_or(from.len() - 1)
+        let weights: Vec<f64> = from.iter().map(|r| self.capacity(*r).max(1e-6)).collect();
+        self.chance.weighted(&weights)
     }
 
     /// Where probes are allowed, draws with old reports are probed first: among many dispatchers own sends
@@ -762,17 +729,21 @@
         }
         let mut out = false;
         for &r in &inv.drawn {
-            let old = self.stale(r);
-            let runner = &mut self.runners[r];
-            if first && old && !runner.probing {
-                runner.probing = true;
-                self.todo.push(Action::Probe { tgt: runner.id.clone() });
+            if first && self.stale(r) {
+                self.probe(r);
             }
-            out |= runner.probing;
+            out |= self.runners[r].probing;
         }
         out && self.now < inv.heard_by
     }
 
+    fn probe(&mut self, r: usize) {
+        let runner = &mut self.runners[r];
+        if !std::mem::replace(&mut runner.probing, true) {
+            self.todo.push(Action::Probe { tgt: runner.id.clone() });
+        }
+    }
+
     /// Pod-SSP among the draws, which stand in the order of chance.
     fn least(&mut self, inv: &Inv) -> Option<usize> {
         let mut best: Option<(f64, f64, usize)> = None;
@@ -799,9 +770,9 @@
         let mut length = 8;
         loop {
             self.rank_homes(key, length);
-            let Some(known) = self.keys.get(&key) else { return Vec::new() };
+            let Some(known) = self.keys.by_hash.get(&key) else { return Vec::new() };
             // Less the use that made it known: one use seen among few is no popularity.
-            let share = (known.count - 1.0).max(0.0) / self.uses;
+            let share = (known.count - 1.0).max(0.0) / self.keys.uses;
             let mut missing = HOMES * share * self.weight_all;
             // Own forwards out bound a home before any report could, more strictly where work would wait.
             let fair = |r: &&usize| {
@@ -824,37 +795,17 @@
         }
     }
 
-    /// Weighted rendezvous hashing: the first so many runners for a key, the same at every dispatcher.
+    /// Sees that so many homes of a key are known.
     fn rank_homes(&mut self, key: u64, length: usize) {
         let length = length.min(self.bearings.len());
-        let Some(known) = self.keys.get_mut(&key) else { return };
+        let Some(known) = self.keys.by_hash.get_mut(&key) else { return };
         if known.newcomers == self.newcomers && known.homes.len() >= length {
             return;
         }
-        let rank = |(hash, share, r): &(u64, f64, usize)| (-even(key ^ hash).ln() * share, *r);
-        let mut ranks: Vec<(f64, usize)> = self.bearings.iter().map(rank).collect();
-        if length < ranks.len() {
-            ranks.select_nth_unstable_by(length, |a, b| a.0.total_cmp(&b.0));
-            ranks.truncate(length);
-        }
-        ranks.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        known.homes = ranks.into_iter().map(|(_, r)| r).collect();
+        known.homes = first(key, &self.bearings, length);
         known.newcomers = self.newcomers;
     }
 
-    fn note_key(&mut self, key: u64) {
-        let now = self.now;
-        let fades = |since: Micros| remains(now - since, USES_MEMORY);
-        let known = self.keys.entry(key).or_default();
-        known.count = known.count * fades(known.at) + 1.0;
-        known.at = now;
-        self.uses = self.uses * fades(self.used_at) + 1.0;
-        self.used_at = now;
-        if self.keys.len() > KEYS_KEPT {
-            self.keys.retain(|_, key| ((now - key.at) as f64) < USES_MEMORY);
-        }
-    }
-
     /// Whether a runner may be drawn for this invocation.
     fn open(&self, r: usize, inv: &Inv) -> bool {
         let runner = &self.runners[r];
@@ -873,9 +824,9 @@
     }
 
     /// Where probes keep counts fresh, waiting is done here rather than in a runner's few waiting places.
-    /// Where they are not allowed and runners tell of starts, waits say more than counts that are old.
+    /// Where the list tells loads, what it says is too old to bar anybody.
     fn has_room(&self, r: usize, inv: &Inv) -> bool {
-        if self.lists_load() {
+        if self.orders.lists_load() {
             return true;
         }
         let (slots, count) = (self.slots(r), self.count(r));
@@ -905,7 +856,7 @@
         let others = match runner.reported_at {
             None => mean,
             // While reports are late, one runner's say little; the fleet's mean still holds.
-            Some(_) if self.doubt > 0.0 || self.lists_load() => (usual + mean) / 2.0,
+            Some(_) if self.doubt > 0.0 || self.orders.lists_load() => (usual + mean) / 2.0,
             Some(_) => usual + (-age).exp() * (runner.others - usual),
         };
         f64::from(runner.out) + others.max(0.0)
@@ -915,13 +866,10 @@
     /// late list, who went by its figures as they stand would meet all others.
     fn guess(&mut self, r: usize) -> f64 {
         let count = self.count(r);
-        if !self.lists_load() {
+        if !self.orders.lists_load() {
             return count;
         }
-        // Three even numbers make about a normal one.
-        let even = |_| self.chance.below(1 << 31) as f64 / (1u64 << 30) as f64 - 1.0;
-        let normal: f64 = (0..3).map(even).sum();
-        (count + count.max(1.0).sqrt() * normal).max(f64::from(self.runners[r].out))
+        (count + count.max(1.0).sqrt() * self.chance.normal()).max(f64::from(self.runners[r].out))
     }
 
     fn age(&self, r: usize) -> f64 {
@@ -980,26 +928,22 @@
         }
         let (span, share) = (self.orders.tip_after.max(1), self.cold_share(r));
         let runner = &self.runners[r];
-        let spent = |from| runner.spent.iter().filter(|(at, _)| *at >= from).map(|(_, w)| w).sum::<f64>();
         if share >= work {
-            return spent(self.now - span) + work <= share;
+            return runner.spent_since(self.now - span) + work <= share;
         }
         let slice = self.now.div_euclid(span);
         let turns = (self.mean_pace / (share / 2.0)).ceil();
         let turn = (slice as u64).wrapping_add(runner.hash >> 32).wrapping_add(self.orders.number.into());
-        turn % (turns as u64).max(1) == 0 && spent(slice * span) + work <= turns * share / 2.0
+        turn % (turns as u64).max(1) == 0 && runner.spent_since(slice * span) + work <= turns * share / 2.0
     }
 
     // What runners show of themselves.
 
     fn report(&mut self, r: usize, values: &[f64]) {
-        let of = |field| self.field(values, field);
-        let (inflight, free, waiting) =
-            (of(ReportField::InFlight), of(ReportField::FreeSlots), of(ReportField::Waiting));
+        let of = [ReportField::InFlight, ReportField::FreeSlots, ReportField::Waiting];
+        let [inflight, free, waiting] = of.map(|field| self.orders.field(values, field));
         let runner = &mut self.runners[r];
-        while runner.spent.front().is_some_and(|(at, _)| *at < self.now - self.orders.tip_after) {
-            runner.spent.pop_front();
-        }
+        runner.spent.retain(|(at, _)| *at >= self.now - self.orders.tip_after);
         let Some(inflight) = inflight else { return };
         if let Some(free) = free.filter(|free| *free > 0.5 || waiting.is_some()) {
             let seen = (free + inflight - waiting.unwrap_or(0.0)).round().max(1.0);
@@ -1007,7 +951,7 @@
             runner.slots = Some(slots);
             self.least_slots = if self.least_slots > 0.0 { self.least_slots.min(slots) } else { slots };
         }
-        if self.lists_load() {
+        if self.orders.lists_load() {
             return;
         }
         let settled = self.note_load(r, inflight);
@@ -1019,13 +963,7 @@
 
     /// What a runner is said to hold. Gives the own forwards that this must count.
     fn note_load(&mut self, r: usize, held: f64) -> f64 {
-        let runner = &mut self.runners[r];
-        let just_sent = runner.spent.iter().filter(|(at, _)| *at > self.now - SETTLED).count();
-        let settled = (f64::from(runner.out) - just_sent as f64).max(0.0);
-        runner.others = held - settled;
-        let weight = if runner.reported_at.is_some() { 0.2 } else { 1.0 };
-        runner.others_usual += weight * (runner.others - runner.others_usual);
-        runner.reported_at = Some(self.now);
+        let settled = self.runners[r].holds(held, self.now, SETTLED);
         let level = self.runners[r].others.max(0.0) / self.weight(r);
         self.others_mean.note(level, 0.05, self.now);
         settled
@@ -1036,27 +974,11 @@
         self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
     }
 
-    /// Slots that a new job could have: none where one waits. What it lacks is then memory, or more slots
-    /// than are free, and what comes after it waits as well.
-    fn free_slots(&self, report: &[f64]) -> Option<f64> {
-        let free = self.field(report, ReportField::FreeSlots)?;
-        let blocked = self.field(report, ReportField::Waiting).is_some_and(|waiting| waiting > 0.5);
-        Some(if blocked { 0.0 } else { free })
-    }
-
-    fn field(&self, report: &[f64], field: ReportField) -> Option<f64> {
-        let nth = self.orders.report_fields.iter().position(|f| *f == field)?;
-        report.get(nth).copied()
-    }
-
     fn judge(&mut self, r: usize, operation: usize, outcome: &Outcome) {
         let now = self.now;
         let (mean_pace, slots) = (self.mean_pace, self.slots(r));
         let runner = &mut self.runners[r];
-        let faded = remains(now - runner.judged_at, HEALTH_MEMORY);
-        runner.judged_at = now;
-        runner.good *= faded;
-        runner.bad *= faded;
+        runner.fade(now, HEALTH_MEMORY);
         match outcome.ending {
             Ending::Succeeded => {
                 runner.good += 1.0;
@@ -1163,11 +1085,11 @@
     fn probed(&mut self, id: &Id, alive: bool, report: &[f64]) {
         let Some(&r) = self.by_id.get(id) else { return };
         self.runners[r].probing = false;
-        if !alive && !self.lists_load() {
+        if !alive && !self.orders.lists_load() {
             return self.bench(r, "no answer to a probe");
         }
         self.report(r, report);
-        if let Some(free) = self.free_slots(report).filter(|_| !self.lists_load()) {
+        if let Some(free) = self.orders.free_slots(report).filter(|_| !self.orders.lists_load()) {
             self.free_share.note(f64::from(u8::from(free > 0.5)), 0.05, self.now);
         }
     }
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -33,6 +33,26 @@
     pub progress: Micros,
 }
 
+impl StandingOrders {
+    /// Whether the list is where runners' load is told.
+    pub fn lists_load(&self) -> bool {
+        self.sizes == Sizes::Live
+    }
+
+    pub fn field(&self, report: &[f64], field: ReportField) -> Option<f64> {
+        let nth = self.report_fields.iter().position(|f| *f == field)?;
+        report.get(nth).copied()
+    }
+
+    /// Slots that a new job could have: none where one waits. What it lacks is then memory, or more slots
+    /// than are free, and what comes after it waits as well.
+    pub fn free_slots(&self, report: &[f64]) -> Option<f64> {
+        let free = self.field(report, ReportField::FreeSlots)?;
+        let blocked = self.field(report, ReportField::Waiting).is_some_and(|waiting| waiting > 0.5);
+        Some(if blocked { 0.0 } else { free })
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Operation {
     pub latency_objective: Micros,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -107,17 +107,7 @@
 
     /// A renewed list in which these runners have this size.
     pub fn sizes(&mut self, runners: &str, size: f64) -> &mut Desk {
-        let entry = |name: u8| RosterEntry {
-            tgt: (name as char).to_string().into(),
-            cell: 0,
-            size,
-            kind: "box".into(),
-            zone: if name % 2 == 1 { "east" } else { "west" }.into(),
-            readiness: Readiness::On,
-            launched: None,
-        };
-        let entries = runners.bytes().map(entry).collect();
-        self.tell(Event::Roster(Roster { listing: Listing::Changes, entries }))
+        self.list(Listing::Changes, runners, size, Readiness::On, None)
     }
 
     pub fn roster(
@@ -127,17 +117,28 @@
         readiness: Readiness,
         launched: Option<Micros>,
     ) {
+        self.list(listing, runners, 1.0, readiness, launched);
+    }
+
+    fn list(
+        &mut self,
+        listing: Listing,
+        runners: &str,
+        size: f64,
+        readiness: Readiness,
+        launched: Option<Micros>,
+    ) -> &mut Desk {
         let entries = runners.bytes().map(|name| RosterEntry {
             tgt: (name as char).to_string().into(),
             cell: 0,
-            size: 1.0,
+            size,
             kind: "box".into(),
             zone: if name % 2 == 1 { "east" } else { "west" }.into(),
             readiness,
             launched,
         });
         let entries = entries.collect();
-        self.tell(Event::Roster(Roster { listing, entries }));
+        self.tell(Event::Roster(Roster { listing, entries }))
     }
 
     pub fn arrives(&mut self, inv: &str, operation: usize) -> &mut Desk {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -444,10 +444,15 @@
     "#]]);
 }
 
-/// Four runners of one kind whose listed sizes move with load, at rest first; `d` is listed as full.
-fn live(mut orders: StandingOrders) -> Desk {
+/// Runners that tell of starts, in a list whose sizes move with load.
+fn listed(mut orders: StandingOrders, runners: &str) -> Desk {
     (orders.sizes, orders.tells_start) = (Sizes::Live, true);
-    let mut desk = idle(orders, "abcd");
+    idle(orders, runners)
+}
+
+/// Four runners of one kind, at rest first; `d` is listed as full.
+fn live(orders: StandingOrders) -> Desk {
+    let mut desk = listed(orders, "abcd");
     desk.sizes("abc", 2.0);
     desk.sizes("d", 0.2);
     desk
@@ -560,9 +565,7 @@
 
 #[test]
 fn slow_dials_bring_connections_first() {
-    let mut orders = orders(vec![operation(Effect::Idempotent)]);
-    (orders.sizes, orders.tells_start) = (Sizes::Live, true);
-    let mut desk = idle(orders, "abcdefghijkl");
+    let mut desk = listed(orders(vec![operation(Effect::Idempotent)]), "abcdefghijkl");
     desk.sizes("abcdefghijkl", 2.0);
     // All of these open connections, and take long to.
     let invs = ["1", "2", "3", "4", "5", "6"];
@@ -579,9 +582,7 @@
 
 #[test]
 fn a_slow_dial_sets_no_runner_aside_that_has_shown_life_since() {
-    let mut orders = orders(vec![operation(Effect::Idempotent)]);
-    (orders.sizes, orders.tells_start) = (Sizes::Live, true);
-    let mut desk = idle(orders, "a");
+    let mut desk = listed(orders(vec![operation(Effect::Idempotent)]), "a");
     desk.sizes("a", 2.0);
     desk.arrives("first", 0).after(300).starts("first", 0).ends("first", 0, Ending::Succeeded, &[]);
     desk.after(100).arrives("slow", 0).ends("slow", 0, Ending::Unreachable, &[]);
