--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -47,11 +47,35 @@
         format!("{said} {}", String::from_utf8(body).unwrap())
     }
 
+    /// A line of the watch: one runner, of this size.
+    fn lists(&mut self, runner: &TcpListener, weight: f64) {
+        let line = format!(
+            "{{\"generation\":1,\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\"lifecycle\":\"up\",\
+             \"weight\":{weight},\"hostPort\":\"{}\"}}]}}\n",
+            runner.local_addr().unwrap()
+        );
+        self.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+
     fn is_ended(&mut self) -> bool {
         self.0.read(&mut [0]).is_ok_and(|read| read == 0)
     }
 }
 
+/// The watch that a program has opened, answered.
+fn watched(discovery: &TcpListener) -> Peer {
+    let mut watch = Peer::from(discovery);
+    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=0 HTTP/1.1 ");
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    watch
+}
+
+/// An address of one test's own: nobody else is given the port that was free a moment ago.
+fn free_address(own: u8) -> SocketAddr {
+    let [_, .., high, low] = std::process::id().to_be_bytes();
+    TcpListener::bind((Ipv4Addr::new(127, own, high, low | 1), 0)).unwrap().local_addr().unwrap()
+}
+
 /// Ended with the test, whatever becomes of it.
 struct Program(Child);
 
@@ -78,24 +102,15 @@
 fn from_start_to_a_clean_exit() {
     let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
     let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    // An address of this test's own: nobody else is given the port that was free a moment ago.
-    let [_, .., high, low] = std::process::id().to_be_bytes();
-    let listen = TcpListener::bind((Ipv4Addr::new(127, 77, high, low | 1), 0)).unwrap().local_addr().unwrap();
+    let listen = free_address(77);
     let path = env::temp_dir().join(format!("topazsail-loopback-{}.json", std::process::id()));
     fs::write(&path, configuration(listen, discovery.local_addr().unwrap())).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
     command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
     let mut program = Program(command.spawn().unwrap());
 
-    let mut watch = Peer::from(&discovery);
-    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=0 HTTP/1.1 ");
-    let line = format!(
-        "{{\"generation\":1,\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\"lifecycle\":\"up\",\
-         \"hostPort\":\"{}\"}}]}}\n",
-        runner.local_addr().unwrap()
-    );
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    let mut watch = watched(&discovery);
+    watch.lists(&runner, 1.0);
 
     let mut client = Peer::new(TcpStream::connect(listen).unwrap());
     client.say("GET /healthz HTTP/1.1\r\n\r\n");
@@ -155,8 +170,7 @@
 fn a_configuration_is_moved_to_the_new_shape_and_served() {
     let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
     let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let [_, .., high, low] = std::process::id().to_be_bytes();
-    let listen = TcpListener::bind((Ipv4Addr::new(127, 78, high, low | 1), 0)).unwrap().local_addr().unwrap();
+    let listen = free_address(78);
     let folder = env::temp_dir().join(format!("topazsail-migrate-{}", std::process::id()));
     fs::create_dir_all(&folder).unwrap();
     let path = |name: &str| folder.join(name).to_str().unwrap().to_owned();
@@ -205,17 +219,9 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
     let mut program =
         Program(command.args(["serve", "--config", &new]).stderr(Stdio::null()).spawn().unwrap());
-    let mut watch = Peer::from(&discovery);
-    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=0 HTTP/1.1 ");
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for weight in ["3", "0.5"] {
-        let line = format!(
-            "{{\"generation\":1,\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\"lifecycle\":\"up\",\
-             \"weight\":{weight},\"hostPort\":\"{}\"}}]}}\n",
-            runner.local_addr().unwrap()
-        );
-        watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
-    }
+    let mut watch = watched(&discovery);
+    watch.lists(&runner, 3.0);
+    watch.lists(&runner, 0.5);
     let mut client = Peer::new(TcpStream::connect(listen).unwrap());
     client.say("POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 25000\r\nX-Cost-Hint: 120.5\r\n");
     client.say("Content-Length: 2\r\n\r\nhi");
