Operators' calls status and stats, with figures counted at the final answer

Change: owner operator on the one loop, figures kept by the desk; doors in the reactor instead of one listener. Module: failing() moved to the books, set_aside() for skipped_runners. Ruled out: a YES line before the figures is not wanted.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -16,6 +16,8 @@
 pub struct Dispatcher {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub memory: usize,
@@ -34,8 +36,15 @@
         .ok_or_else(|| "no configuration: RELAY_CONFIG is not set and no file is named".to_owned())
 }
 
+/// Names where operators call, before the file does: of two processes by one file each has its own.
+const ADMIN: &str = "RELAY_ADMIN_ADDR";
+
 pub fn load(path: &str) -> Result<Dispatcher, String> {
-    read(path, decode)
+    let mut told = read(path, decode)?;
+    if let Some(text) = env::var(ADMIN).ok().filter(|text| !text.is_empty()) {
+        told.admin = Some(text.parse().map_err(|_| format!("{ADMIN} has the bad address '{text}'"))?);
+    }
+    Ok(told)
 }
 
 /// What is made of a file's text; a fault names the file.
@@ -69,6 +78,10 @@
     Ok(Dispatcher {
         name: string("name")?,
         listen: address("listen")?,
+        admin: match json.get("admin_addr") {
+            None | Some(Value::Null) => None,
+            Some(_) => Some(address("admin_addr")?),
+        },
         discovery: address("discovery")?,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
         memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -19,6 +19,8 @@
     Client,
     Runner,
     Roster,
+    /// Staff, who call where they may.
+    Operator,
 }
 
 impl Side {
@@ -27,6 +29,7 @@
             Side::Client => "client",
             Side::Runner => "runner",
             Side::Roster => "roster",
+            Side::Operator => "operator",
         }
     }
 }
@@ -101,8 +104,8 @@
     Cancel(Id, u32),
     /// The brain's one timer.
     Tick,
-    /// Accepting, after it could not go on.
-    Accept,
+    /// Accepting, after it could not go on, those who come to this side.
+    Accept(Side),
     /// A step of going down.
     Down,
 }
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -15,8 +15,10 @@
 use crate::clients::{self, CallBack, Clients, Invocation, State};
 use crate::config::Dispatcher;
 use crate::conn::{Callbacks, Due, Link, Side, Wires};
+use crate::figures::{Figures, Now, Verdict};
 use crate::http::Fault;
 use crate::log::log;
+use crate::operator::{Call, Operators};
 use crate::roster::{self, Roster};
 use crate::runners::{self, Runners};
 
@@ -57,6 +59,7 @@
 
 struct Open {
     link: Link,
+    operation: usize,
     expires_at: Micros,
     head: Vec<u8>,
     body: Vec<u8>,
@@ -80,7 +83,10 @@
     name: String,
     listen: SocketAddr,
     settings: serde_json::Value,
+    operations: Vec<String>,
     pub clients: Clients,
+    operators: Operators,
+    figures: Figures,
     runners: Runners,
     roster: Roster,
     invs: BTreeMap<Id, Open>,
@@ -106,9 +112,12 @@
         let come_back = decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN));
         let mut desk = Desk {
             clients: Clients::new(decoded.operations.clone()),
+            operators: Operators::default(),
+            figures: Figures::default(),
             runners: Runners::new(&decoded),
             roster: Roster::new(told.discovery, told.known.generation),
             brain: Brain::new(decoded.standing, told.seed),
+            operations: decoded.operations,
             name: told.name,
             listen: told.listen,
             settings: told.settings,
@@ -121,6 +130,7 @@
             come_back,
             down_since: None,
         };
+        desk.operations.iter().for_each(|operation| desk.figures.uses(operation));
         desk.limit(told.sockets, told.memory);
         desk.list(roster::Heard { listing: Listing::Remembered, entries: told.known.entries() }, wires);
         desk
@@ -128,6 +138,7 @@
 
     fn limit(&mut self, sockets: usize, memory: usize) {
         self.clients.limit(sockets);
+        self.operators.limit(sockets);
         self.held_most = memory / 6;
     }
 
@@ -141,17 +152,41 @@
         ];
         let kept: Vec<&str> = kept.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect();
         let kept = if kept.is_empty() { "none".to_owned() } else { kept.join(",") };
+        self.figures.loads += 1;
         log!("reloaded", "discovery={} changed_but_kept={kept}", told.discovery);
         self.limit(told.sockets, told.memory);
         self.roster.move_to(told.discovery, wires);
         self.collect(wires);
     }
 
+    /// A configuration that was read again is no good: nothing of it holds.
+    pub fn turn_down(&mut self, fault: &str) {
+        self.figures.load_errors += 1;
+        log!("configuration-refused", "reason={fault:?}");
+    }
+
+    /// Whether one more may come in on this side.
+    pub fn room(&mut self, side: Side, wires: &mut dyn Wires) -> bool {
+        match side {
+            Side::Operator => self.operators.make_room(wires),
+            _ => return self.clients.room(wires),
+        }
+        true
+    }
+
+    pub fn accepted(&mut self, side: Side, link: Link, wires: &mut dyn Wires) {
+        match side {
+            Side::Operator => self.operators.accepted(link, wires),
+            _ => self.clients.accepted(link, wires),
+        }
+    }
+
     pub fn callbacks(&mut self, side: Side) -> &mut dyn Callbacks {
         match side {
             Side::Client => &mut self.clients,
             Side::Runner => &mut self.runners,
             Side::Roster => &mut self.roster,
+            Side::Operator => &mut self.operators,
         }
     }
 
@@ -181,7 +216,7 @@
             Due::Inv(id) => self.overdue(&id, wires),
             Due::Cancel(id, number) => self.cancel(&id, number, wires),
             Due::Down => self.step_down(wires),
-            Due::Link(_) | Due::Finish(_) | Due::Accept => {}
+            Due::Link(_) | Due::Finish(_) | Due::Accept(_) => {}
         }
     }
 
@@ -257,7 +292,9 @@
         body: &[u8],
         wires: &mut dyn Wires,
     ) {
+        let operation = self.invs.get(inv).map_or(0, |open| open.operation);
         if let Some(link) = self.close(inv) {
+            self.figures.ended(&self.operations[operation], Verdict::of(status));
             self.clients.answer(link, status, come_back, body, wires);
         }
     }
@@ -331,6 +368,9 @@
         for heard in std::mem::take(&mut self.roster.heard) {
             self.list(heard, wires);
         }
+        for (link, call) in std::mem::take(&mut self.operators.heard) {
+            self.called(link, call, wires);
+        }
         for heard in std::mem::take(&mut self.clients.heard) {
             match heard {
                 clients::Heard::Invocation(invocation) => self.take(invocation, wires),
@@ -371,6 +411,24 @@
         }
     }
 
+    /// An operator's call.
+    fn called(&mut self, link: Link, call: Call, wires: &mut dyn Wires) {
+        let answer = match call {
+            Call::Status if self.down_since.is_some() => "NO going down\n".to_owned(),
+            Call::Status => "YES\n".to_owned(),
+            Call::Stats => {
+                let now = Now {
+                    in_progress: self.invs.values().filter(|open| !open.answered).count(),
+                    known_runners: self.runners.listed(),
+                    skipped_runners: self.brain.set_aside(wires.now()),
+                    tries: self.runners.written(),
+                };
+                format!("{}END\n", self.figures.text(&now))
+            }
+        };
+        self.operators.answer(link, &answer, wires);
+    }
+
     fn list(&mut self, heard: roster::Heard, wires: &mut dyn Wires) {
         let whole = matches!(heard.listing, Listing::All | Listing::Remembered);
         if whole {
@@ -396,6 +454,7 @@
         if full || told.expires_at <= now {
             log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
             let come_back = self.come_back.filter(|_| full);
+            self.figures.ended(&self.operations[told.operation], Verdict::of(NO_ROOM));
             return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
         }
         self.held += size;
@@ -404,7 +463,7 @@
         let (expires_in, hint) = (told.expires_at - now, told.hint);
         self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, hint, key }));
         let (link, expires_at, head, body) = (told.link, told.expires_at, told.head, told.body);
-        let open = Open { link, expires_at, head, body, answered: false, forwards: Vec::new() };
+        let open = Open { link, operation, expires_at, head, body, answered: false, forwards: Vec::new() };
         self.invs.insert(told.id, open);
     }
 
--- /dev/null
+++ b/node/src/operator.rs
@@ -0,0 +1,107 @@
+//! Operators' calls: one line to a connection, one answer, then the end.
+//!
+//! It owns who is calling and how long a call may take to come. It must never carry a call out by itself, nor
+//! keep anybody waiting for a caller that says nothing.
+
+use std::collections::BTreeSet;
+
+use topazsail::Micros;
+
+use crate::conn::{Callbacks, Due, End, Link, Wires};
+use crate::log::log;
+
+/// A call must be whole by then; some callers send half of one and stay.
+const CALL_WITHIN: Micros = 5_000_000;
+const LINE_MOST: usize = 512;
+/// Callers that there may be at least, however few descriptors there are.
+const CALLERS_LEAST: usize = 16;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Status,
+    Stats,
+}
+
+/// The call that a line makes, or why it is none.
+fn call(line: &str) -> Result<Call, &'static str> {
+    let words: Vec<&str> = line.split_ascii_whitespace().collect();
+    match words.as_slice() {
+        ["status"] => Ok(Call::Status),
+        ["stats"] => Ok(Call::Stats),
+        ["status" | "stats", ..] => Err("this call takes no more words"),
+        _ => Err("unknown call; there are: status, stats"),
+    }
+}
+
+#[derive(Default)]
+pub struct Operators {
+    /// Those who have not yet made a whole call.
+    calling: BTreeSet<Link>,
+    most: usize,
+    pub heard: Vec<(Link, Call)>,
+}
+
+impl Operators {
+    pub fn limit(&mut self, sockets: usize) {
+        self.most = (sockets / 16).max(CALLERS_LEAST);
+    }
+
+    /// Sees that one more can be let in: whoever has been here longest without a whole call goes.
+    pub fn make_room(&mut self, wires: &mut dyn Wires) {
+        while self.calling.len() >= self.most {
+            let Some(link) = self.calling.pop_first() else { return };
+            wires.cut(link, End::MadeRoom);
+        }
+    }
+
+    pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
+        self.calling.insert(link);
+        wires.wake(Due::Link(link), wires.now() + CALL_WITHIN);
+    }
+
+    pub fn answer(&mut self, link: Link, text: &str, wires: &mut dyn Wires) {
+        wires.send(link, text.as_bytes());
+        wires.finish(link, End::AnsweredLast);
+    }
+
+    fn refuse(&mut self, link: Link, why: &str, wires: &mut dyn Wires) {
+        log!("bad-call", "link={link} reason={why:?}");
+        self.answer(link, &format!("NO {why}\n"), wires);
+    }
+}
+
+impl Callbacks for Operators {
+    fn up(&mut self, _: Link, _: &mut dyn Wires) {}
+
+    fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
+        if !self.calling.contains(&link) {
+            return input.clear();
+        }
+        let end = input.iter().position(|byte| *byte == b'\n');
+        if end.is_none() && input.len() <= LINE_MOST {
+            return;
+        }
+        self.calling.remove(&link);
+        let line = end.filter(|end| *end <= LINE_MOST).map(|end| std::str::from_utf8(&input[..end]));
+        let call = match line {
+            Some(Ok(line)) => call(line),
+            Some(Err(_)) => Err("no text"),
+            None => Err("the line is too long"),
+        };
+        input.clear();
+        match call {
+            Ok(call) => self.heard.push((link, call)),
+            Err(why) => self.refuse(link, why, wires),
+        }
+    }
+
+    fn ended(&mut self, link: Link, _: End, _: bool, _: &[u8], _: &mut dyn Wires) {
+        self.calling.remove(&link);
+    }
+
+    fn due(&mut self, link: Link, wires: &mut dyn Wires) {
+        if self.calling.remove(&link) {
+            wires.cut(link, End::SlowRequest);
+        }
+    }
+}
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -18,10 +18,11 @@
 use crate::desk::Desk;
 use crate::log::log;
 
-const LISTENER: usize = 0;
-const SIGNAL: usize = 1;
-const RELOAD: usize = 2;
-const FIRST_LINK: Link = 3;
+const SIGNAL: usize = 0;
+const RELOAD: usize = 1;
+/// The keys of the doors, in their order.
+const DOORS: usize = 2;
+const FIRST_LINK: Link = 4;
 const BACKLOG: i32 = 1024;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
@@ -48,6 +49,12 @@
     }
 }
 
+/// Where connections come in, and whose they are.
+struct Door {
+    listener: TcpListener,
+    side: Side,
+}
+
 pub struct Reactor {
     poller: Poller,
     clock: Clock,
@@ -76,21 +83,31 @@
     let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
     let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
     let told = config::load(path)?;
-    let address = told.listen;
-    let listener = listen(address).map_err(|error| format!("listen {address}: {error}"))?;
+    let addresses = [(Side::Client, Some(told.listen)), (Side::Operator, told.admin)];
+    let mut doors = Vec::new();
+    for (side, address) in addresses {
+        let Some(address) = address else { continue };
+        let listener = listen(address).map_err(|error| format!("listen {address}: {error}"))?;
+        doors.push(Door { listener, side });
+    }
     let mut reactor = Reactor::new().map_err(fault("poller"))?;
-    // SAFETY: all three outlive the poller's use of them: they are dropped after the loop has ended.
+    // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
     unsafe {
-        reactor
+        let mut added = reactor
             .poller
-            .add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)
-            .and_then(|()| reactor.poller.add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot))
-            .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level))
-            .map_err(fault("poller"))?;
+            .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot)
+            .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level));
+        for (nth, door) in doors.iter().enumerate() {
+            let event = Event::readable(DOORS + nth);
+            added = added.and_then(|()| reactor.poller.add_with_mode(&door.listener, event, PollMode::Level));
+        }
+        added.map_err(fault("poller"))?;
     }
-    log!("serving", "name={} listen={address} discovery={}", told.name, told.discovery);
+    let admin = told.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
+    let (listen, discovery) = (told.listen, told.discovery);
+    log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", told.name);
     let mut desk = Desk::new(told, &mut reactor);
-    reactor.run(&mut desk, &listener, (&reload, path)).map_err(fault("poller"))?;
+    reactor.run(&mut desk, &doors, (&reload, path)).map_err(fault("poller"))?;
     log!("ended", "connections={}", reactor.conns.len());
     Ok(())
 }
@@ -124,7 +141,7 @@
     fn run(
         &mut self,
         desk: &mut Desk,
-        listener: &TcpListener,
+        doors: &[Door],
         (reload, path): (&UnixStream, &str),
     ) -> io::Result<()> {
         let mut events = Events::new();
@@ -144,16 +161,18 @@
             self.now = self.clock.now();
             for event in events.iter() {
                 match event.key {
-                    LISTENER => self.accept(desk, listener)?,
                     SIGNAL => desk.go_down(self),
                     RELOAD => self.reload(desk, reload, path),
-                    key => self.ready(key as Link, event, desk),
+                    key => match doors.get(key - DOORS) {
+                        Some(door) => self.accept(desk, door, key)?,
+                        None => self.ready(key as Link, event, desk),
+                    },
                 }
             }
             self.call_back(desk);
             while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let due = entry.remove();
-                self.fall_due(due, desk, listener)?;
+                self.fall_due(due, desk, doors)?;
             }
             desk.settle(self);
         }
@@ -165,13 +184,13 @@
         while raised.read(&mut self.scratch).is_ok_and(|read| read > 0) {}
         match config::load(path) {
             Ok(told) => desk.reload(told, self),
-            Err(fault) => log!("configuration-refused", "reason={fault:?}"),
+            Err(fault) => desk.turn_down(&fault),
         }
     }
 
-    /// Whether all answers to clients have been written.
+    /// Whether all answers to clients and operators have been written.
     fn all_told(&self) -> bool {
-        self.conns.values().all(|conn| conn.side != Side::Client || !conn.unsent())
+        self.conns.values().all(|conn| !matches!(conn.side, Side::Client | Side::Operator) || !conn.unsent())
     }
 
     /// How long the poller may wait: until the next due time, not at all where something is left to do.
@@ -183,7 +202,7 @@
         Some(Duration::from_micros((at - self.clock.now()).max(0) as u64))
     }
 
-    fn fall_due(&mut self, due: Due, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
+    fn fall_due(&mut self, due: Due, desk: &mut Desk, doors: &[Door]) -> io::Result<()> {
         match due {
             Due::Link(link) => {
                 if let Some(side) = self.conns.get(&link).map(|conn| conn.side) {
@@ -196,33 +215,35 @@
                     self.remove(link, end);
                 }
             }
-            Due::Accept => {
-                let readable = Event::readable(LISTENER);
-                self.poller.modify_with_mode(listener, readable, PollMode::Level)?;
+            Due::Accept(side) => {
+                if let Some(nth) = doors.iter().position(|door| door.side == side) {
+                    let readable = Event::readable(DOORS + nth);
+                    self.poller.modify_with_mode(&doors[nth].listener, readable, PollMode::Level)?;
+                }
             }
             due => desk.due(due, self),
         }
         Ok(())
     }
 
-    fn accept(&mut self, desk: &mut Desk, listener: &TcpListener) -> io::Result<()> {
+    fn accept(&mut self, desk: &mut Desk, door: &Door, key: usize) -> io::Result<()> {
         for _ in 0..ACCEPTS {
-            if !desk.clients.room(self) {
+            if !desk.room(door.side, self) {
                 log!("accept-paused", "connections={} reason=no_room", self.conns.len());
-                return self.pause(listener);
+                return self.pause(door, key);
             }
-            match listener.accept() {
+            match door.listener.accept() {
                 Ok((stream, peer)) => {
                     // Where this fails the stream is not usable, which reading will tell.
                     let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-                    if let Some(link) = self.add(Conn::new(stream, Side::Client, peer, false, self.now)) {
-                        desk.clients.accepted(link, self);
+                    if let Some(link) = self.add(Conn::new(stream, door.side, peer, false, self.now)) {
+                        desk.accepted(door.side, link, self);
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
-                    return self.pause(listener);
+                    return self.pause(door, key);
                 }
                 // The newcomer has left again, or was interrupted: the next one may be well.
                 Err(error) => log!("accept-failed", "reason={error}"),
@@ -231,9 +252,9 @@
         Ok(())
     }
 
-    fn pause(&mut self, listener: &TcpListener) -> io::Result<()> {
-        self.wake(Due::Accept, self.now + ACCEPT_AGAIN);
-        self.poller.modify_with_mode(listener, Event::none(LISTENER), PollMode::Level)
+    fn pause(&mut self, door: &Door, key: usize) -> io::Result<()> {
+        self.wake(Due::Accept(door.side), self.now + ACCEPT_AGAIN);
+        self.poller.modify_with_mode(&door.listener, Event::none(key), PollMode::Level)
     }
 
     fn add(&mut self, mut conn: Conn) -> Option<Link> {
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -113,6 +113,8 @@
     probe_within: Micros,
     idle_most: Micros,
     may_cancel: bool,
+    /// Forwards written whole, for the figures.
+    written: u64,
     pub heard: Vec<Heard>,
 }
 
@@ -128,6 +130,7 @@
             // Well before the runner does, or a request could cross its closing.
             idle_most: decoded.idle_close / 2,
             may_cancel: decoded.standing.may_cancel,
+            written: 0,
             heard: Vec::new(),
         }
     }
@@ -215,6 +218,7 @@
             let unsent = wires.unsent(link);
             self.end_line(link, End::GivenUp, wires);
             if unsent {
+                self.written -= 1;
                 return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
             }
         }
@@ -257,6 +261,7 @@
     fn start(&mut self, link: Link, task: Task, message: &[u8], due: Micros, wires: &mut dyn Wires) {
         let Some(line) = self.lines.get_mut(&link) else { return };
         (line.phase, line.since, line.due, line.overdue) = (Phase::Busy, wires.now(), due, false);
+        self.written += u64::from(matches!(task, Task::Forward { .. }));
         line.task = Some(task);
         wires.send(link, message);
         wires.wake(Due::Link(link), due);
@@ -348,6 +353,16 @@
         read_report(&self.report_fields, load)
     }
 
+    /// How many runners the list holds, those that drain among them.
+    pub fn listed(&self) -> usize {
+        self.by_id.values().filter(|runner| runner.gone_since.is_none()).count()
+    }
+
+    /// Forwards that were written whole since the start.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
     /// How many connections there are to runners.
     pub fn open(&self) -> usize {
         self.lines.len()
@@ -433,6 +448,9 @@
             return self.ask_anew(&line.tgt, task, message, line.due, wires);
         }
         if line.phase == Phase::Dialling || unsent {
+            // It was counted when its writing began.
+            let begun = line.phase == Phase::Busy && matches!(task, Task::Forward { .. });
+            self.written -= u64::from(begun);
             return self.unanswered(&line.tgt, task, Ending::Unreachable, end == End::Refused);
         }
         match http::answer(input, true) {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -189,6 +189,19 @@
         link
     }
 
+    fn operator(&mut self) -> Link {
+        assert!(self.desk.room(Side::Operator, &mut self.stage));
+        let link = self.stage.open(Side::Operator);
+        self.desk.accepted(Side::Operator, link, &mut self.stage);
+        link
+    }
+
+    /// An operator's call on a connection of its own.
+    fn call(&mut self, line: &str) {
+        let link = self.operator();
+        self.feed(link, &format!("{line}\n"));
+    }
+
     fn feed(&mut self, link: Link, text: &str) {
         let Some(side) = self.stage.sides.get(&link).copied() else { return };
         let mut input = self.stage.inputs.remove(&link).unwrap_or_default();
@@ -1020,6 +1033,79 @@
     "#]]);
 }
 
+#[test]
+fn operators_are_answered_whatever_else_is_open() {
+    let mut node = Node::holding("plan");
+    // Some say nothing, or half a call, and stay: they keep nobody out for long.
+    let silent: Vec<Link> = (0..16).map(|_| node.operator()).collect();
+    node.feed(silent[1], "sta");
+    node.call("status");
+    node.feed(silent[1], "t");
+    node.feed(silent[1], "us\r\n");
+    for line in ["", "status now", "stop", &"x".repeat(600), "\u{1}"] {
+        node.call(line);
+    }
+    node.pass(5000);
+    node.desk.go_down(&mut node.stage);
+    node.call("status");
+    let lines = node.stage.trace.lines().filter(|line| line.contains("YES") || line.contains("NO"));
+    expect![[r#"
+        0     #20 < YES
+        0     #5 < YES
+        0     #21 < NO unknown call; there are: status, stats
+        0     #22 < NO this call takes no more words
+        0     #23 < NO unknown call; there are: status, stats
+        0     #24 < NO the line is too long
+        0     #25 < NO unknown call; there are: status, stats
+        5000  #31 < NO going down
+    "#]]
+    .assert_eq(&lines.map(|line| format!("{line}\n")).collect::<String>());
+    assert!(node.stage.trace.contains("#4 ends: made_room"));
+    assert_eq!(node.stage.trace.matches("ends: slow_request").count(), 14);
+}
+
+#[test]
+fn figures_count_what_clients_were_answered() {
+    let mut node = Node::holding("plan");
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    // One whose forward breaks before it is written whole, and comes to nothing elsewhere.
+    node.stage.stuck.insert(3);
+    let client = node.invoke("book", "i2");
+    node.end(3, End::Reset);
+    node.stage.stuck.clear();
+    // One that is open, one of a client that leaves, one that is turned away unseen, one that is no good.
+    let left = node.invoke("lodge", "i3");
+    node.end(left, End::PeerClosed);
+    let late = node.accept();
+    node.feed(late, "POST /plan HTTP/1.1\r\nX-Request-Id: i4\r\nX-Deadline-Ms: 1\r\n\r\n");
+    node.feed(late, "POST /nothing HTTP/1.1\r\nX-Request-Id: i5\r\nX-Deadline-Ms: 1\r\n\r\n");
+    node.desk.reload(config::decode(&configuration(&RUNNERS)).unwrap(), &mut node.stage);
+    node.desk.turn_down("no JSON");
+    node.stage.trace.clear();
+    node.call("stats");
+    assert!(node.stage.sides.contains_key(&client));
+    expect![[r#"
+        0     #8 < edge_relay.passed.book=0
+        edge_relay.passed.lodge=0
+        edge_relay.passed.plan=1
+        edge_relay.dropped.book=0
+        edge_relay.dropped.lodge=0
+        edge_relay.dropped.plan=1
+        edge_relay.bad_gateway.book=0
+        edge_relay.bad_gateway.lodge=0
+        edge_relay.bad_gateway.plan=0
+        edge_relay.upstream_tries=1
+        edge_relay.in_progress=1
+        edge_relay.known_runners=1
+        edge_relay.skipped_runners=1
+        edge_relay.loads=1
+        edge_relay.load_errors=1
+        END
+        0     #8 ends: answered_last
+    "#]]
+    .assert_eq(&node.stage.trace);
+}
+
 #[test]
 fn messages_may_be_split_anywhere() {
     let request = "POST /lodge/1?q HTTP/1.1\r\nHost: o\r\nX-Request-Id: r\r\nCookie: a=b; sid=k\r\n\
--- a/src/books.rs
+++ b/src/books.rs
@@ -98,6 +98,11 @@
         self.spent.iter().filter(|(at, _)| *at >= from).map(|(_, work)| work).sum()
     }
 
+    /// The share of failures. Two successes are granted in advance: one failure alone condemns nobody.
+    pub fn failing(&self) -> f64 {
+        self.bad / (self.good + self.bad + 2.0)
+    }
+
     /// Its failures and successes count half after each half-life.
     pub fn fade(&mut self, now: Micros, half_life: f64) {
         let faded = remains(now - self.judged_at, half_life);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -999,13 +999,10 @@
                 if runner.bad <= 1.5 {
                     return;
                 }
-                // Two successes are granted in advance: one failure alone condemns nobody.
-                let share = |runner: &Runner| runner.bad / (runner.good + runner.bad + 2.0);
-                let mut shares: Vec<f64> = self.listed.iter().map(|r| share(&self.runners[*r])).collect();
+                let mut shares: Vec<f64> = self.listed.iter().map(|r| self.runners[*r].failing()).collect();
                 shares.sort_by(f64::total_cmp);
                 let median = shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
-                let runner = &self.runners[r];
-                if share(runner) > median + FAILURES_OVER_MEDIAN {
+                if self.runners[r].failing() > median + FAILURES_OVER_MEDIAN {
                     self.bench(r, "errors");
                 }
             }
@@ -1039,6 +1036,11 @@
         self.todo.push(Action::Log(format!("{} set aside for {} ms: {why}", runner.id, span / 1000)));
     }
 
+    /// Listed runners that are set aside at this time.
+    pub fn set_aside(&self, now: Micros) -> usize {
+        self.listed.iter().filter(|r| now < self.runners[**r].bench_until).count()
+    }
+
     /// How long a runner may show no sign of life. One that is not standing still tells of progress at a
     /// known gap, so its lack tells a hang sooner than any time-out could.
     fn silence_allowed(&self) -> Micros {
