Runners are taken out and back in by hand, over whatever the list says

Change: members.rs keeps the list and who is out; the module hears readiness (Listing::Own, which does not count as word from discovery: as a change of the list it would have let a lost watch rest for good). Waiting dials are taken back; whoever comes back counts as cold.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -18,6 +18,7 @@
 use crate::figures::{Figures, Now, Verdict};
 use crate::http::Fault;
 use crate::log::log;
+use crate::members::Members;
 use crate::operator::{Call, Operators};
 use crate::roster::{self, Roster};
 use crate::runners::{self, Runners};
@@ -88,6 +89,7 @@
     operators: Operators,
     figures: Figures,
     runners: Runners,
+    members: Members,
     roster: Roster,
     invs: BTreeMap<Id, Open>,
     /// The latest ids that have had their final answer, in order and by id.
@@ -115,6 +117,7 @@
             operators: Operators::default(),
             figures: Figures::default(),
             runners: Runners::new(&decoded),
+            members: Members::default(),
             roster: Roster::new(told.discovery, told.known.generation),
             brain: Brain::new(decoded.standing, told.seed),
             operations: decoded.operations,
@@ -417,18 +420,36 @@
             Call::Status if self.down_since.is_some() => "NO going down\n".to_owned(),
             Call::Status => "YES\n".to_owned(),
             Call::Stats => {
+                let (known_runners, out) = self.members.count();
                 let now = Now {
                     in_progress: self.invs.values().filter(|open| !open.answered).count(),
-                    known_runners: self.runners.listed(),
-                    skipped_runners: self.brain.set_aside(wires.now()),
+                    known_runners,
+                    skipped_runners: self.brain.set_aside(wires.now()) + out,
                     tries: self.runners.written(),
                 };
                 format!("{}END\n", self.figures.text(&now))
             }
+            Call::Maintain { id, out } => match self.maintain(&id, out, wires) {
+                Ok(()) => "YES\n".to_owned(),
+                Err(why) => format!("NO {why}\n"),
+            },
         };
         self.operators.answer(link, &answer, wires);
     }
 
+    /// From the answer on nothing new goes to a runner that is out, nor does what waits for a connection there.
+    fn maintain(&mut self, id: &str, out: bool, wires: &mut dyn Wires) -> Result<(), &'static str> {
+        let told = self.members.by_hand(id, out, wires.now());
+        let code = if out { "maint-on" } else { "maint-off" };
+        log!(code, "runner={id:?} answer={}", told.as_ref().err().unwrap_or(&"yes"));
+        let Some(entry) = told? else { return Ok(()) };
+        if out {
+            self.runners.recall(&entry.tgt, wires);
+        }
+        self.happened.push(Event::Roster(List { listing: Listing::Own, entries: vec![entry] }));
+        Ok(())
+    }
+
     fn list(&mut self, heard: roster::Heard, wires: &mut dyn Wires) {
         let whole = matches!(heard.listing, Listing::All | Listing::Remembered);
         if whole {
@@ -441,6 +462,7 @@
             entries.push(entry);
         }
         self.runners.tidy(wires);
+        let entries = self.members.listed(heard.listing, entries, wires.now());
         self.happened.push(Event::Roster(List { listing: heard.listing, entries }));
     }
 
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod figures;
 mod http;
 mod log;
+mod members;
 mod migrate;
 mod operator;
 mod reactor;
--- /dev/null
+++ b/node/src/members.rs
@@ -0,0 +1,101 @@
+//! Runners as the list has them, and what keeps listed ones out of use whatever the list says.
+//!
+//! It owns who is out by hand, and when whoever is back counts as started. It does no I/O and reads no clock;
+//! it must never choose a runner: the brain hears readiness and start, and draws as ever.
+
+use std::collections::BTreeMap;
+
+use topazsail::{Id, Listing, Micros, Readiness, RosterEntry};
+
+/// Runners that are listed no more and that are still known as having been.
+const GONE_MOST: usize = 4096;
+
+struct Member {
+    /// As last listed.
+    entry: RosterEntry,
+    /// Since when it is listed no more.
+    gone_since: Option<Micros>,
+    /// Since when it is out by hand.
+    out_since: Option<Micros>,
+    /// From when and until when it was last out by hand.
+    was_out: Option<(Micros, Micros)>,
+}
+
+impl Member {
+    /// What holds of it, the list and the hand taken together.
+    fn standing(&self) -> RosterEntry {
+        let mut entry = self.entry.clone();
+        if entry.readiness == Readiness::On && self.out_since.is_some() {
+            entry.readiness = Readiness::Fading;
+        }
+        // It was restarted while it was out, and the list may say so late: to take it for warm would be to
+        // push it over.
+        if let Some((from, until)) = self.was_out
+            && entry.launched.is_none_or(|launched| launched < from)
+        {
+            entry.launched = Some(until);
+        }
+        entry
+    }
+}
+
+#[derive(Default)]
+pub struct Members {
+    by_id: BTreeMap<Id, Member>,
+}
+
+impl Members {
+    /// What the list tells, as it holds.
+    pub fn listed(&mut self, listing: Listing, told: Vec<RosterEntry>, now: Micros) -> Vec<RosterEntry> {
+        if matches!(listing, Listing::All | Listing::Remembered) {
+            self.by_id.values_mut().for_each(|known| known.gone_since = known.gone_since.or(Some(now)));
+        }
+        let mut standing = Vec::new();
+        for entry in told {
+            let gone_since = Some(now).filter(|_| entry.readiness == Readiness::Off);
+            let known = self.by_id.entry(entry.tgt.clone()).or_insert_with(|| Member {
+                entry: entry.clone(),
+                gone_since,
+                out_since: None,
+                was_out: None,
+            });
+            (known.entry, known.gone_since) = (entry, gone_since);
+            standing.push(known.standing());
+        }
+        self.tidy();
+        standing
+    }
+
+    /// Of those that are gone only so many are remembered, the latest; whoever is out by hand stays out.
+    fn tidy(&mut self) {
+        let gone = |known: &Member| known.gone_since.filter(|_| known.out_since.is_none());
+        let mut all: Vec<Micros> = self.by_id.values().filter_map(gone).collect();
+        if all.len() > GONE_MOST {
+            all.sort_unstable();
+            let from = all[all.len() - GONE_MOST / 2];
+            self.by_id.retain(|_, known| gone(known).is_none_or(|since| since >= from));
+        }
+    }
+
+    /// Takes a runner out by hand, or back in. Gives what holds of it now, where that is any news of a
+    /// listed one.
+    pub fn by_hand(&mut self, id: &str, out: bool, now: Micros) -> Result<Option<RosterEntry>, &'static str> {
+        let known = self.by_id.get_mut(id).ok_or("this runner was never listed")?;
+        match (out, known.out_since) {
+            (true, None) => known.out_since = Some(now),
+            (false, Some(from)) => {
+                known.out_since = None;
+                known.was_out = Some((from, now));
+            }
+            _ => return Ok(None),
+        }
+        Ok(Some(known.standing()).filter(|_| known.gone_since.is_none()))
+    }
+
+    /// Listed runners, and those of them that are out by hand.
+    pub fn count(&self) -> (usize, usize) {
+        let listed = self.by_id.values().filter(|known| known.gone_since.is_none());
+        let out = listed.clone().filter(|known| known.out_since.is_some()).count();
+        (listed.count(), out)
+    }
+}
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -20,6 +20,11 @@
 pub enum Call {
     Status,
     Stats,
+    /// Take a runner out, or back in.
+    Maintain {
+        id: String,
+        out: bool,
+    },
 }
 
 /// The call that a line makes, or why it is none.
@@ -28,8 +33,11 @@
     match words.as_slice() {
         ["status"] => Ok(Call::Status),
         ["stats"] => Ok(Call::Stats),
+        ["maint-on", id] => Ok(Call::Maintain { id: id.to_string(), out: true }),
+        ["maint-off", id] => Ok(Call::Maintain { id: id.to_string(), out: false }),
         ["status" | "stats", ..] => Err("this call takes no more words"),
-        _ => Err("unknown call; there are: status, stats"),
+        ["maint-on" | "maint-off", ..] => Err("this call takes one runner's id"),
+        _ => Err("unknown call; there are: status, stats, maint-on ID, maint-off ID"),
     }
 }
 
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -172,6 +172,21 @@
         }
     }
 
+    /// A runner is to get nothing new: what waits for a connection there has not left, and connections at rest
+    /// would only break when it is restarted.
+    pub fn recall(&mut self, tgt: &Id, wires: &mut dyn Wires) {
+        self.cut_idle(tgt, End::Unlisted, wires);
+        let lines = self.by_id.get(tgt).map(|runner| runner.lines.clone()).unwrap_or_default();
+        for link in lines {
+            let waits = |line: &&mut Line| matches!(line.task, Some(Task::Forward { .. }));
+            let waiting = self.lines.get_mut(&link).filter(waits).and_then(Line::take_waiting);
+            if let Some((task, _, _)) = waiting {
+                self.end_line(link, End::Unlisted, wires);
+                self.unanswered(tgt, task, Ending::Void, false);
+            }
+        }
+    }
+
     /// `head` and `body` as they came, and when nobody waits for the outcome any more.
     pub fn forward(
         &mut self,
@@ -353,11 +368,6 @@
         read_report(&self.report_fields, load)
     }
 
-    /// How many runners the list holds, those that drain among them.
-    pub fn listed(&self) -> usize {
-        self.by_id.values().filter(|runner| runner.gone_since.is_none()).count()
-    }
-
     /// Forwards that were written whole since the start.
     pub fn written(&self) -> u64 {
         self.written
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 
 use expect_test::{Expect, expect};
-use topazsail::{Id, Micros};
+use topazsail::{Id, Listing, Micros, Readiness, RosterEntry};
 
 use crate::clients::{Clients, Heard, State};
 use crate::config;
 use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
 use crate::desk::Desk;
 use crate::http::{self, Fault};
+use crate::members::Members;
 use crate::roster::Roster;
 use crate::runners::Runners;
 
@@ -1052,11 +1053,11 @@
     expect![[r#"
         0     #20 < YES
         0     #5 < YES
-        0     #21 < NO unknown call; there are: status, stats
+        0     #21 < NO unknown call; there are: status, stats, maint-on ID, maint-off ID
         0     #22 < NO this call takes no more words
-        0     #23 < NO unknown call; there are: status, stats
+        0     #23 < NO unknown call; there are: status, stats, maint-on ID, maint-off ID
         0     #24 < NO the line is too long
-        0     #25 < NO unknown call; there are: status, stats
+        0     #25 < NO unknown call; there are: status, stats, maint-on ID, maint-off ID
         5000  #31 < NO going down
     "#]]
     .assert_eq(&lines.map(|line| format!("{line}\n")).collect::<String>());
@@ -1183,3 +1184,91 @@
     expect![[r#"["x0", "outstanding"] [FreeSlots, InFlight]"#]]
         .assert_eq(&format!("{:?} {:?}", decoded.report_fields, decoded.standing.report_fields));
 }
+
+#[test]
+fn a_runner_out_by_hand_gets_nothing_whatever_the_list_says() {
+    let mut node = Node::followed(&RUNNERS);
+    // A forward that waits for its connection has not left: it goes elsewhere.
+    node.invoke("plan", "i1");
+    let first = if node.stage.trace.contains(":3001") { "s-a" } else { "s-b" };
+    node.call(&format!("maint-on {first}"));
+    node.call(&format!("maint-on {first}"));
+    node.call("maint-on s-x");
+    node.call("maint-on");
+    node.stage.trace.push_str("listed anew\n");
+    let listed = |started: Micros| {
+        let instance = |(id, address): &(&str, &str)| {
+            format!(
+                r#"{{"instanceId":"{id}","hostPort":"{address}","lifecycle":"up","startedAtMs":{started}}}"#
+            )
+        };
+        let instances = RUNNERS.iter().map(instance).collect::<Vec<String>>().join(",");
+        chunk(&format!("{{\"generation\":43,\"reset\":true,\"instances\":[{instances}]}}\n"))
+    };
+    node.feed(1, &listed(0));
+    for id in ["i2", "i3", "i4"] {
+        node.invoke("plan", id);
+    }
+    node.call("stats");
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3002
+        0     #3 ends: unlisted
+        0     #4 < YES
+        0     #4 ends: answered_last
+        0     #5 dials 127.0.0.1:3001
+        0     #6 < YES
+        0     #6 ends: answered_last
+        0     #7 < NO this runner was never listed
+        0     #7 ends: answered_last
+        0     #8 < NO this call takes one runner's id
+        0     #8 ends: answered_last
+        listed anew
+        0     #10 dials 127.0.0.1:3001
+        0     #13 < edge_relay.passed.book=0
+        edge_relay.passed.lodge=0
+        edge_relay.passed.plan=0
+        edge_relay.dropped.book=0
+        edge_relay.dropped.lodge=0
+        edge_relay.dropped.plan=0
+        edge_relay.bad_gateway.book=0
+        edge_relay.bad_gateway.lodge=0
+        edge_relay.bad_gateway.plan=0
+        edge_relay.upstream_tries=0
+        edge_relay.in_progress=4
+        edge_relay.known_runners=2
+        edge_relay.skipped_runners=1
+        edge_relay.loads=0
+        edge_relay.load_errors=0
+        END
+        0     #13 ends: answered_last
+    "#]]);
+}
+
+/// Whoever comes back counts as just started unless the list tells of a start since: too warm could push it over.
+#[test]
+fn a_runner_that_comes_back_is_cold_though_the_list_says_so_late() {
+    let entry = |launched: Option<Micros>| RosterEntry {
+        tgt: "s-a".into(),
+        cell: 1,
+        size: 1.0,
+        kind: "m".into(),
+        zone: "z".into(),
+        readiness: Readiness::On,
+        launched,
+    };
+    let mut members = Members::default();
+    assert!(members.by_hand("s-a", true, 0).is_err());
+    members.listed(Listing::All, vec![entry(Some(5))], 10);
+    assert_eq!(members.by_hand("s-a", true, 20).unwrap().unwrap().readiness, Readiness::Fading);
+    assert!(members.by_hand("s-a", true, 25).unwrap().is_none());
+    // What discovery says in between changes nothing, not even that it is gone.
+    assert_eq!(members.listed(Listing::Changes, vec![entry(Some(5))], 30)[0].readiness, Readiness::Fading);
+    members.listed(Listing::All, vec![], 35);
+    assert_eq!(members.count(), (0, 0));
+    assert_eq!(members.listed(Listing::All, vec![entry(Some(5))], 40)[0].readiness, Readiness::Fading);
+    let back = members.by_hand("s-a", false, 50).unwrap().unwrap();
+    assert_eq!((back.readiness, back.launched), (Readiness::On, Some(50)));
+    assert!(members.by_hand("s-a", false, 55).unwrap().is_none());
+    assert_eq!(members.listed(Listing::Changes, vec![entry(Some(5))], 60)[0].launched, Some(50));
+    assert_eq!(members.listed(Listing::Changes, vec![entry(Some(33))], 70)[0].launched, Some(33));
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -280,10 +280,10 @@
                 self.due(self.now + after, Due::Ask);
                 return;
             }
-            Listing::Changes => {}
+            Listing::Changes | Listing::Own => {}
             Listing::All | Listing::Remembered => self.runners.iter_mut().for_each(|r| r.listed = false),
         }
-        if roster.listing != Listing::Remembered {
+        if matches!(roster.listing, Listing::All | Listing::Changes) {
             self.following = true;
             self.refusals = 0;
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -80,6 +80,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
     Changes,
+    /// Changes of standing that the roster did not tell.
+    Own,
     All,
     Remembered,
     Refused,
