Upgrades: the listener, the list and the rest go from process to process

Change: handover.rs (rustix for passing the descriptor); the two processes pass on call-backs, calls on runners and ids to each other; cold runners rest meanwhile; connections are socket2 sockets, so that Unix ones fit the one loop.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use topazsail::{Id, Micros, hash};
 
 use crate::conn::{Callbacks, Due, End, Link, Wires};
@@ -41,7 +41,7 @@
     pub body: Vec<u8>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     Started,
@@ -53,7 +53,7 @@
 }
 
 /// What a runner tells of a job.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct CallBack {
     pub id: String,
     pub from: String,
@@ -184,6 +184,11 @@
         self.draining = true;
     }
 
+    /// Whether each connection ends with its next answer, as another process goes on from here.
+    pub fn hand_over(&mut self, gone: bool) {
+        self.letting_go = gone;
+    }
+
     /// From now on clients' connections are not kept, and idle ones end; runners may still have something to
     /// tell on theirs.
     pub fn let_go(&mut self, wires: &mut dyn Wires) {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -25,6 +25,8 @@
     /// As they stand in the file, by which a change of them is known.
     pub settings: Value,
     pub decoded: Decoded,
+    /// The file's text.
+    pub text: String,
     /// The list of runners as this dispatcher last had it.
     pub known: Listed,
 }
@@ -39,8 +41,21 @@
 /// Names where operators call, before the file does: of two processes by one file each has its own.
 const ADMIN: &str = "RELAY_ADMIN_ADDR";
 
+/// Where clients connect, as far as that is known without the file.
+pub fn listen() -> Option<SocketAddr> {
+    env::var("RELAY_LISTEN").ok()?.parse().ok()
+}
+
 pub fn load(path: &str) -> Result<Dispatcher, String> {
-    let mut told = read(path, decode)?;
+    with_admin(read(path, decode)?)
+}
+
+/// The configuration that another process of this dispatcher goes by.
+pub fn in_force(text: &str) -> Result<Dispatcher, String> {
+    with_admin(decode(text)?)
+}
+
+fn with_admin(mut told: Dispatcher) -> Result<Dispatcher, String> {
     if let Some(text) = env::var(ADMIN).ok().filter(|text| !text.is_empty()) {
         told.admin = Some(text.parse().map_err(|_| format!("{ADMIN} has the bad address '{text}'"))?);
     }
@@ -88,6 +103,7 @@
         sockets: limit("sockets", 1024)?.max(64) as usize,
         settings: field("settings")?.clone(),
         decoded,
+        text: text.to_owned(),
         known: match json.get("known") {
             None | Some(Value::Null) => Listed::default(),
             Some(known) => Listed::from_value(known.clone()).map_err(|fault| format!("known: {fault}"))?,
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -4,8 +4,10 @@
 //! owner, who is called back through [`Callbacks`] and acts through [`Wires`].
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
 
+use socket2::Socket;
 use topazsail::{Id, Micros};
 
 use crate::http::MESSAGE_MOST;
@@ -21,6 +23,8 @@
     Roster,
     /// Staff, who call where they may.
     Operator,
+    /// The other process of an upgrade.
+    Peer,
 }
 
 impl Side {
@@ -30,6 +34,7 @@
             Side::Runner => "runner",
             Side::Roster => "roster",
             Side::Operator => "operator",
+            Side::Peer => "peer",
         }
     }
 }
@@ -108,6 +113,8 @@
     Accept(Side),
     /// A step of going down.
     Down,
+    /// Cold runners may have rested for long enough.
+    Rested,
 }
 
 /// What the owner of connections is called back for.
@@ -155,7 +162,7 @@
 }
 
 pub struct Conn {
-    pub stream: TcpStream,
+    pub stream: Socket,
     pub side: Side,
     pub peer: SocketAddr,
     pub dialling: bool,
@@ -172,7 +179,7 @@
 }
 
 impl Conn {
-    pub fn new(stream: TcpStream, side: Side, peer: SocketAddr, dialling: bool, since: Micros) -> Conn {
+    pub fn new(stream: Socket, side: Side, peer: SocketAddr, dialling: bool, since: Micros) -> Conn {
         Conn {
             stream,
             side,
@@ -244,7 +251,7 @@
 
     pub fn fresh(&self) -> bool {
         let nothing = |read: io::Result<usize>| read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-        self.input.is_empty() && nothing(self.stream.peek(&mut [0]))
+        self.input.is_empty() && nothing(self.stream.peek(&mut [MaybeUninit::uninit()]))
     }
 
     pub fn linger(&mut self) {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -16,11 +16,12 @@
 use crate::config::Dispatcher;
 use crate::conn::{Callbacks, Due, Link, Side, Wires};
 use crate::figures::{Figures, Now, Verdict};
+use crate::handover::{Peer, State as Handed, Word};
 use crate::http::Fault;
 use crate::log::log;
 use crate::members::Members;
 use crate::operator::{Call, Operators};
-use crate::roster::{self, Roster};
+use crate::roster::{self, Listed, Roster};
 use crate::runners::{self, Runners};
 
 const SUCCEEDED: u16 = 200;
@@ -78,6 +79,15 @@
     }
 }
 
+/// Two processes of this dispatcher serve at once, for the time of an upgrade.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Overlap {
+    /// The other one takes over.
+    Successor,
+    /// The other one is to end.
+    Predecessor,
+}
+
 pub struct Desk {
     brain: Brain,
     /// What only a start can change.
@@ -102,22 +112,29 @@
     /// When to come back where there is no room now, if clients are told.
     come_back: Option<Micros>,
     down_since: Option<Micros>,
+    peer: Peer,
+    overlap: Option<Overlap>,
+    /// Descriptors and memory, the other process's among them.
+    limits: (usize, usize),
+    tip_after: Micros,
+    configuration: String,
 }
 
 impl Desk {
-    pub fn new(told: Dispatcher, wires: &mut dyn Wires) -> Desk {
+    pub fn new(told: Dispatcher, handed: Option<Handed>, wires: &mut dyn Wires) -> Desk {
         let mut decoded = told.decoded;
         // On sockets the list comes only on a watch, and a watch has to be opened whatever the settings say;
         // connections end by our own time, which is shorter than the runners'.
         decoded.standing.must_subscribe = true;
         decoded.standing.idle_close = decoded.idle_close / 2;
         let come_back = decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN));
+        let (warm_within, tip_after) = (decoded.standing.warm_within, decoded.standing.tip_after);
         let mut desk = Desk {
             clients: Clients::new(decoded.operations.clone()),
             operators: Operators::default(),
             figures: Figures::default(),
             runners: Runners::new(&decoded),
-            members: Members::default(),
+            members: Members::new(warm_within),
             roster: Roster::new(told.discovery, told.known.generation),
             brain: Brain::new(decoded.standing, told.seed),
             operations: decoded.operations,
@@ -132,14 +149,107 @@
             held_most: 0,
             come_back,
             down_since: None,
+            peer: Peer::default(),
+            overlap: None,
+            limits: (told.sockets, told.memory),
+            tip_after,
+            configuration: told.text,
         };
         desk.operations.iter().for_each(|operation| desk.figures.uses(operation));
-        desk.limit(told.sockets, told.memory);
-        desk.list(roster::Heard { listing: Listing::Remembered, entries: told.known.entries() }, wires);
+        desk.limit();
+        let known = match handed {
+            Some(handed) => desk.inherit(handed, told.known, wires),
+            None => told.known,
+        };
+        desk.list(roster::Heard { listing: Listing::Remembered, entries: known.entries() }, wires);
         desk
     }
 
-    fn limit(&mut self, sockets: usize, memory: usize) {
+    /// What the process that served until now knows. Gives the list to begin with: the other's, where it comes
+    /// from the same discovery.
+    fn inherit(&mut self, handed: Handed, known: Listed, wires: &mut dyn Wires) -> Listed {
+        for (id, since) in &handed.out {
+            self.members.inherit(id, Some(*since), None);
+        }
+        for (id, from, until) in &handed.was_out {
+            self.members.inherit(id, None, Some((*from, *until)));
+        }
+        handed.ids.into_iter().for_each(|id| self.remember(id.into()));
+        // By then nothing that the other one has sent to cold runners counts any more.
+        let until = wires.now() + self.tip_after;
+        self.members.rest(until, wires.now());
+        wires.wake(Due::Rested, until);
+        let discovery = self.roster.heard_to().0;
+        let listed = (handed.discovery == discovery.to_string()).then(|| Listed::from_value(handed.list));
+        match listed {
+            Some(Ok(listed)) => {
+                self.roster = Roster::new(discovery, listed.generation);
+                listed
+            }
+            _ => known,
+        }
+    }
+
+    /// The process that served until now stays at the other end of this connection until it has ended.
+    pub fn takes_over(&mut self, link: Link) {
+        self.peer.meet(link);
+        self.overlap = Some(Overlap::Predecessor);
+        self.limit();
+    }
+
+    /// Whether a successor would be handed what this process has.
+    pub fn may_hand_over(&self) -> bool {
+        !self.peer.is_there() && self.down_since.is_none()
+    }
+
+    /// Another process takes over: newcomers are its own from now on, and it is told what it must know.
+    pub fn hand_over(&mut self, link: Link, wires: &mut dyn Wires) {
+        self.collect(wires);
+        let (discovery, generation) = self.roster.heard_to();
+        let listed = self.members.as_listed();
+        let listed = listed.filter_map(|entry| Some((entry, self.runners.address(&entry.tgt)?)));
+        let state = Handed {
+            discovery: discovery.to_string(),
+            list: generation.map(|generation| Listed::of(generation, listed)).unwrap_or_default(),
+            out: self.members.out(),
+            was_out: self.members.was_out(),
+            ids: self.closed.0.iter().chain(self.invs.keys()).map(|id| id.to_string()).collect(),
+            configuration: self.configuration.clone(),
+        };
+        log!("handing-over", "open={} out={}", self.invs.len(), state.out.len());
+        self.peer.meet(link);
+        self.peer.say(&state, wires);
+        self.overlap = Some(Overlap::Successor);
+        self.clients.hand_over(true);
+        self.limit();
+        self.rest(Micros::MAX, wires);
+    }
+
+    /// Whether newcomers are let in here.
+    pub fn accepts(&self) -> bool {
+        self.overlap != Some(Overlap::Successor)
+    }
+
+    fn rest(&mut self, until: Micros, wires: &mut dyn Wires) {
+        let entries = self.members.rest(until, wires.now());
+        self.happened.push(Event::Roster(List { listing: Listing::Own, entries }));
+    }
+
+    /// The other process has ended. Where it was to take over and nobody has told this one to end, it goes on.
+    fn alone(&mut self, wires: &mut dyn Wires) {
+        let was = self.overlap.take();
+        self.limit();
+        if was == Some(Overlap::Successor) {
+            self.clients.hand_over(self.down_since.is_some());
+            self.rest(wires.now() + self.tip_after, wires);
+            wires.wake(Due::Rested, wires.now() + self.tip_after);
+        }
+    }
+
+    /// Two processes share what one may use.
+    fn limit(&mut self) {
+        let share = if self.overlap.is_some() { 2 } else { 1 };
+        let (sockets, memory) = (self.limits.0 / share, self.limits.1 / share);
         self.clients.limit(sockets);
         self.operators.limit(sockets);
         self.held_most = memory / 6;
@@ -157,7 +267,9 @@
         let kept = if kept.is_empty() { "none".to_owned() } else { kept.join(",") };
         self.figures.loads += 1;
         log!("reloaded", "discovery={} changed_but_kept={kept}", told.discovery);
-        self.limit(told.sockets, told.memory);
+        self.limits = (told.sockets, told.memory);
+        self.limit();
+        self.configuration = told.text;
         self.roster.move_to(told.discovery, wires);
         self.collect(wires);
     }
@@ -190,6 +302,7 @@
             Side::Runner => &mut self.runners,
             Side::Roster => &mut self.roster,
             Side::Operator => &mut self.operators,
+            Side::Peer => &mut self.peer,
         }
     }
 
@@ -219,6 +332,8 @@
             Due::Inv(id) => self.overdue(&id, wires),
             Due::Cancel(id, number) => self.cancel(&id, number, wires),
             Due::Down => self.step_down(wires),
+            Due::Rested if self.overlap != Some(Overlap::Successor) => self.rest(Micros::MIN, wires),
+            Due::Rested => {}
             Due::Link(_) | Due::Finish(_) | Due::Accept(_) => {}
         }
     }
@@ -306,21 +421,26 @@
     fn close(&mut self, inv: &Id) -> Option<Link> {
         let open = self.invs.get_mut(inv).filter(|open| !open.answered)?;
         open.answered = true;
-        let (order, known) = &mut self.closed;
-        if order.len() >= CLOSED_KEPT {
-            order.pop_front().map(|oldest| known.remove(&oldest));
-        }
-        order.push_back(inv.clone());
-        known.insert(inv.clone());
         self.held -= open.size();
         (open.head, open.body) = (Vec::new(), Vec::new());
         let link = open.link;
         if open.out().is_none() {
             self.invs.remove(inv);
         }
+        self.remember(inv.clone());
         Some(link)
     }
 
+    /// An id that has had its request.
+    fn remember(&mut self, inv: Id) {
+        let (order, known) = &mut self.closed;
+        if order.len() >= CLOSED_KEPT {
+            order.pop_front().map(|oldest| known.remove(&oldest));
+        }
+        order.push_back(inv.clone());
+        known.insert(inv);
+    }
+
     fn sent(&mut self, inv: &Id, number: u32) -> Option<&mut Forward> {
         self.invs.get_mut(inv)?.forwards.get_mut(number as usize)
     }
@@ -377,10 +497,21 @@
         for heard in std::mem::take(&mut self.clients.heard) {
             match heard {
                 clients::Heard::Invocation(invocation) => self.take(invocation, wires),
-                clients::Heard::CallBack(told, hash) => self.called_back(told, hash, wires),
+                clients::Heard::CallBack(told, hash) => self.called_back(told, hash, true, wires),
                 clients::Heard::Gone(link, id) => self.gone(link, id),
             }
         }
+        for word in std::mem::take(&mut self.peer.heard) {
+            match word {
+                Word::Told(told, hash) => self.called_back(told, hash, false, wires),
+                // Where it was never listed here, the other process has said so.
+                Word::Hand { id, out } => _ = self.maintain(&id, out, wires),
+                Word::Taken(id) => self.remember(id.into()),
+            }
+        }
+        if std::mem::take(&mut self.peer.ended) {
+            self.alone(wires);
+        }
         for heard in std::mem::take(&mut self.runners.heard) {
             match heard {
                 runners::Heard::Taken { inv, number } => {
@@ -430,7 +561,10 @@
                 format!("{}END\n", self.figures.text(&now))
             }
             Call::Maintain { id, out } => match self.maintain(&id, out, wires) {
-                Ok(()) => "YES\n".to_owned(),
+                Ok(()) => {
+                    self.peer.say(&Word::Hand { id, out }, wires);
+                    "YES\n".to_owned()
+                }
                 Err(why) => format!("NO {why}\n"),
             },
         };
@@ -479,6 +613,7 @@
             self.figures.ended(&self.operations[told.operation], Verdict::of(NO_ROOM));
             return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
         }
+        self.peer.say(&Word::Taken(told.id.to_string()), wires);
         self.held += size;
         wires.wake(Due::Inv(told.id.clone()), told.expires_at);
         let (inv, operation, slots, key) = (told.id.clone(), told.operation, told.slots, told.key);
@@ -497,10 +632,17 @@
         }
     }
 
-    /// News of a job. The newest forward to its runner is meant; what has ended stays ended.
-    fn called_back(&mut self, told: CallBack, hash: u64, wires: &mut dyn Wires) {
+    /// News of a job. The newest forward to its runner is meant; what has ended stays ended. Of a job that is
+    /// not open here the other process hears, if there is one; it was told here because runners call whoever
+    /// accepts.
+    fn called_back(&mut self, told: CallBack, hash: u64, direct: bool, wires: &mut dyn Wires) {
         let report = told.load.as_ref().map(|load| self.runners.read_report(load)).unwrap_or_default();
-        let Some((inv, open)) = self.invs.get_key_value(told.id.as_str()) else { return };
+        let Some((inv, open)) = self.invs.get_key_value(told.id.as_str()) else {
+            if direct {
+                self.peer.say(&Word::Told(told, hash), wires);
+            }
+            return;
+        };
         let inv = inv.clone();
         let Some(at) = open.forwards.iter().rposition(|sent| *sent.tgt == *told.from) else {
             return log!("odd-call-back", "inv={inv} from={:?}", told.from);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod conn;
 mod desk;
 mod figures;
+mod handover;
 mod http;
 mod log;
 mod members;
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -22,8 +22,8 @@
 }
 
 impl Member {
-    /// What holds of it, the list and the hand taken together.
-    fn standing(&self) -> RosterEntry {
+    /// What holds of it, the list, the hand and the rest of cold ones taken together.
+    fn standing(&self, rest: &Rest, now: Micros) -> RosterEntry {
         let mut entry = self.entry.clone();
         if entry.readiness == Readiness::On && self.out_since.is_some() {
             entry.readiness = Readiness::Fading;
@@ -35,16 +35,77 @@
         {
             entry.launched = Some(until);
         }
+        let cold = entry.launched.is_some_and(|launched| now < launched + rest.warm_within);
+        if entry.readiness == Readiness::On && cold && now < rest.until {
+            entry.readiness = Readiness::Fading;
+        }
         entry
     }
 }
 
+/// Cold runners get nothing until then: another process of this dispatcher may have sent them their share.
 #[derive(Default)]
+struct Rest {
+    until: Micros,
+    warm_within: Micros,
+}
+
 pub struct Members {
     by_id: BTreeMap<Id, Member>,
+    rest: Rest,
 }
 
 impl Members {
+    pub fn new(warm_within: Micros) -> Members {
+        Members { by_id: BTreeMap::new(), rest: Rest { until: Micros::MIN, warm_within } }
+    }
+
+    /// Has cold runners rest until then. Gives what holds of all listed ones now.
+    pub fn rest(&mut self, until: Micros, now: Micros) -> Vec<RosterEntry> {
+        self.rest.until = until;
+        self.listed_now().map(|known| known.standing(&self.rest, now)).collect()
+    }
+
+    fn listed_now(&self) -> impl Iterator<Item = &Member> + Clone {
+        self.by_id.values().filter(|known| known.gone_since.is_none())
+    }
+
+    /// The list as last told.
+    pub fn as_listed(&self) -> impl Iterator<Item = &RosterEntry> {
+        self.listed_now().map(|known| &known.entry)
+    }
+
+    /// Who is out by hand, and since when.
+    pub fn out(&self) -> Vec<(String, Micros)> {
+        self.by_id.iter().filter_map(|(id, known)| Some((id.to_string(), known.out_since?))).collect()
+    }
+
+    /// Who was out by hand last, from when and until when.
+    pub fn was_out(&self) -> Vec<(String, Micros, Micros)> {
+        let was = |(id, known): (&Id, &Member)| known.was_out.map(|(from, to)| (id.to_string(), from, to));
+        self.by_id.iter().filter_map(was).collect()
+    }
+
+    /// What another process knew of a runner.
+    pub fn inherit(&mut self, id: &str, out_since: Option<Micros>, was_out: Option<(Micros, Micros)>) {
+        let known = self.by_id.entry(id.into()).or_insert_with(|| Member {
+            entry: RosterEntry {
+                tgt: id.into(),
+                cell: -1,
+                size: 0.0,
+                kind: "".into(),
+                zone: "".into(),
+                readiness: Readiness::Off,
+                launched: None,
+            },
+            gone_since: Some(0),
+            out_since: None,
+            was_out: None,
+        });
+        known.out_since = out_since.or(known.out_since);
+        known.was_out = was_out.or(known.was_out);
+    }
+
     /// What the list tells, as it holds.
     pub fn listed(&mut self, listing: Listing, told: Vec<RosterEntry>, now: Micros) -> Vec<RosterEntry> {
         if matches!(listing, Listing::All | Listing::Remembered) {
@@ -60,7 +121,7 @@
                 was_out: None,
             });
             (known.entry, known.gone_since) = (entry, gone_since);
-            standing.push(known.standing());
+            standing.push(known.standing(&self.rest, now));
         }
         self.tidy();
         standing
@@ -89,12 +150,12 @@
             }
             _ => return Ok(None),
         }
-        Ok(Some(known.standing()).filter(|_| known.gone_since.is_none()))
+        Ok(Some(known.standing(&self.rest, now)).filter(|_| known.gone_since.is_none()))
     }
 
     /// Listed runners, and those of them that are out by hand.
     pub fn count(&self) -> (usize, usize) {
-        let listed = self.by_id.values().filter(|known| known.gone_since.is_none());
+        let listed = self.listed_now();
         let out = listed.clone().filter(|known| known.out_since.is_some()).count();
         (listed.count(), out)
     }
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use polling::{Event, Events, PollMode, Poller};
@@ -16,13 +16,16 @@
 use crate::config;
 use crate::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::desk::Desk;
+use crate::handover;
 use crate::log::log;
 
 const SIGNAL: usize = 0;
 const RELOAD: usize = 1;
+/// A successor asks for what this process has.
+const SUCCESSOR: usize = 2;
 /// The keys of the doors, in their order.
-const DOORS: usize = 2;
-const FIRST_LINK: Link = 4;
+const DOORS: usize = 3;
+const FIRST_LINK: Link = 5;
 const BACKLOG: i32 = 1024;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
@@ -67,6 +70,8 @@
     broken: Vec<(Link, End)>,
     revisits: Vec<Link>,
     scratch: Vec<u8>,
+    /// Whether newcomers are being let in.
+    accepting: bool,
 }
 
 /// The end of a pipe that gets a byte whenever the signal is raised.
@@ -82,12 +87,14 @@
     let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
     let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
     let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
-    let told = config::load(path)?;
+    let (told, given) = begin(path)?;
     let addresses = [(Side::Client, Some(told.listen)), (Side::Operator, told.admin)];
     let mut doors = Vec::new();
     for (side, address) in addresses {
         let Some(address) = address else { continue };
-        let listener = listen(address).map_err(|error| format!("listen {address}: {error}"))?;
+        let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
+        let listener =
+            given.unwrap_or_else(|| listen(address)).map_err(|error| format!("listen {address}: {error}"))?;
         doors.push(Door { listener, side });
     }
     let mut reactor = Reactor::new().map_err(fault("poller"))?;
@@ -106,15 +113,51 @@
     let admin = told.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
     let (listen, discovery) = (told.listen, told.discovery);
     log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", told.name);
-    let mut desk = Desk::new(told, &mut reactor);
-    reactor.run(&mut desk, &doors, (&reload, path)).map_err(fault("poller"))?;
+    // Only now: whoever served until now has been asked.
+    let successor = handover::place(listen).and_then(|place| {
+        let offered = handover::offer(&place);
+        offered.inspect_err(|error| log!("handover-failed", "reason={:?}", error.to_string())).ok()
+    });
+    if let Some(successor) = &successor {
+        // SAFETY: as above.
+        unsafe {
+            let added = reactor.poller.add_with_mode(successor, Event::readable(SUCCESSOR), PollMode::Level);
+            added.map_err(fault("poller"))?;
+        }
+    }
+    let (stream, state) = given.map(|given| (given.stream, given.state)).unzip();
+    let mut desk = Desk::new(told, state, &mut reactor);
+    if let Some(link) = stream.and_then(|stream| reactor.meet(stream, listen)) {
+        desk.takes_over(link);
+    }
+    let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&reload, path));
+    run.map_err(fault("poller"))?;
     log!("ended", "connections={}", reactor.conns.len());
     Ok(())
 }
 
+/// The configuration, and what a process that serves at this address hands over. A file that is no good now
+/// does not keep a new process from going on with the one in force.
+fn begin(path: &str) -> Result<(config::Dispatcher, Option<handover::Given>), String> {
+    let told = config::load(path);
+    let listen = told.as_ref().map_or_else(|_| config::listen(), |told| Some(told.listen));
+    let given = listen.and_then(handover::place).and_then(|place| handover::ask(&place));
+    let given = given.filter(|given| given.listener.local_addr().ok() == listen);
+    let told = match (told, &given) {
+        (Err(fault), Some(given)) => {
+            log!("configuration-refused", "reason={fault:?}");
+            config::in_force(&given.state.configuration)?
+        }
+        (told, _) => told?,
+    };
+    Ok((told, given))
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    // For an upgrade in which the other process cannot hand over its own listener.
+    socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
@@ -135,6 +178,7 @@
             broken: Vec::new(),
             revisits: Vec::new(),
             scratch: vec![0; 64 << 10],
+            accepting: true,
         })
     }
 
@@ -142,6 +186,7 @@
         &mut self,
         desk: &mut Desk,
         doors: &[Door],
+        successor: Option<&UnixListener>,
         (reload, path): (&UnixStream, &str),
     ) -> io::Result<()> {
         let mut events = Events::new();
@@ -163,6 +208,7 @@
                 match event.key {
                     SIGNAL => desk.go_down(self),
                     RELOAD => self.reload(desk, reload, path),
+                    SUCCESSOR => self.hand_over(desk, successor, doors),
                     key => match doors.get(key - DOORS) {
                         Some(door) => self.accept(desk, door, key)?,
                         None => self.ready(key as Link, event, desk),
@@ -175,6 +221,10 @@
                 self.fall_due(due, desk, doors)?;
             }
             desk.settle(self);
+            if desk.accepts() != self.accepting {
+                self.accepting = desk.accepts();
+                self.open(Side::Client, self.accepting, doors)?;
+            }
         }
     }
 
@@ -215,17 +265,42 @@
                     self.remove(link, end);
                 }
             }
-            Due::Accept(side) => {
-                if let Some(nth) = doors.iter().position(|door| door.side == side) {
-                    let readable = Event::readable(DOORS + nth);
-                    self.poller.modify_with_mode(&doors[nth].listener, readable, PollMode::Level)?;
-                }
-            }
+            Due::Accept(side) => self.open(side, side != Side::Client || self.accepting, doors)?,
             due => desk.due(due, self),
         }
         Ok(())
     }
 
+    /// Lets newcomers in on a side, or leaves them waiting.
+    fn open(&mut self, side: Side, open: bool, doors: &[Door]) -> io::Result<()> {
+        let Some(nth) = doors.iter().position(|door| door.side == side) else { return Ok(()) };
+        let key = DOORS + nth;
+        let event = if open { Event::readable(key) } else { Event::none(key) };
+        self.poller.modify_with_mode(&doors[nth].listener, event, PollMode::Level)
+    }
+
+    /// A connection to another process of this dispatcher.
+    fn meet(&mut self, stream: UnixStream, listen: SocketAddr) -> Option<Link> {
+        self.add(Conn::new(stream.into(), Side::Peer, listen, false, self.now))
+    }
+
+    fn hand_over(&mut self, desk: &mut Desk, successor: Option<&UnixListener>, doors: &[Door]) {
+        let Some(Ok((stream, _))) = successor.map(UnixListener::accept) else { return };
+        let Some(door) = doors.iter().find(|door| door.side == Side::Client) else { return };
+        if !desk.may_hand_over() {
+            return log!("handover-failed", "reason=\"going down, or at it already\"");
+        }
+        let given = handover::give(&stream, &door.listener).and_then(|()| door.listener.local_addr());
+        match given {
+            Ok(listen) => {
+                if let Some(link) = self.meet(stream, listen) {
+                    desk.hand_over(link, self);
+                }
+            }
+            Err(error) => log!("handover-failed", "reason={:?}", error.to_string()),
+        }
+    }
+
     fn accept(&mut self, desk: &mut Desk, door: &Door, key: usize) -> io::Result<()> {
         for _ in 0..ACCEPTS {
             if !desk.room(door.side, self) {
@@ -236,7 +311,7 @@
                 Ok((stream, peer)) => {
                     // Where this fails the stream is not usable, which reading will tell.
                     let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-                    if let Some(link) = self.add(Conn::new(stream, door.side, peer, false, self.now)) {
+                    if let Some(link) = self.add(Conn::new(stream.into(), door.side, peer, false, self.now)) {
                         desk.accepted(door.side, link, self);
                     }
                 }
@@ -424,7 +499,7 @@
         // Whatever else this says, such as that it is under way, is told again when it has come to its end.
         let failed =
             socket.connect(&to.into()).err().filter(|error| error.raw_os_error() != Some(libc::EINPROGRESS));
-        let link = self.add(Conn::new(socket.into(), side, to, true, self.now))?;
+        let link = self.add(Conn::new(socket, side, to, true, self.now))?;
         if let Some(error) = failed {
             self.broken.push((link, never_up(&error)));
         }
--- a/node/src/roster.rs
+++ b/node/src/roster.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 use topazsail::{Listing, Micros, Readiness, RosterEntry};
 
 use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
@@ -35,6 +35,24 @@
         serde_json::from_value(value).map_err(|error| error.to_string())
     }
 
+    /// A list as discovery would tell it.
+    pub fn of<'a>(generation: u64, entries: impl Iterator<Item = (&'a RosterEntry, SocketAddr)>) -> Value {
+        let instance = |(entry, address): (&RosterEntry, SocketAddr)| {
+            json!({
+                "instanceId": &*entry.tgt,
+                "hostPort": address.to_string(),
+                "zone": &*entry.zone,
+                "machineType": &*entry.kind,
+                "cell": entry.cell,
+                "lifecycle": if entry.readiness == Readiness::On { "up" } else { "draining" },
+                "weight": entry.size,
+                "startedAtMs": entry.launched.unwrap_or(0) / 1000,
+            })
+        };
+        let instances: Vec<Value> = entries.map(instance).collect();
+        json!({ "generation": generation, "reset": true, "instances": instances })
+    }
+
     /// The entries that can be read; each of the others leaves a line in the log.
     pub fn entries(self) -> Vec<(RosterEntry, Option<SocketAddr>)> {
         let entry = |value| match serde_json::from_value::<Instance>(value) {
@@ -128,6 +146,11 @@
         Roster { discovery, generation: Some(generation), follows: false, watch: None, heard: Vec::new() }
     }
 
+    /// Where the list comes from, and how far it has been heard.
+    pub fn heard_to(&self) -> (SocketAddr, Option<u64>) {
+        (self.discovery, self.generation)
+    }
+
     /// Asks for what has changed since, and for all changes to come; a watch that is under way is kept.
     pub fn follow(&mut self, wires: &mut dyn Wires) {
         self.follows = true;
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -151,6 +151,10 @@
         }
     }
 
+    pub fn address(&self, tgt: &Id) -> Option<SocketAddr> {
+        self.by_id.get(tgt).map(|runner| runner.address)
+    }
+
     /// A whole list: whoever is not noted after this is gone.
     pub fn forget_all(&mut self, now: Micros) {
         self.by_id.values_mut().for_each(|runner| runner.gone_since = runner.gone_since.or(Some(now)));
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -86,6 +86,21 @@
     }
 }
 
+fn signal(program: &Program, name: &str) {
+    let kill = format!("kill -{name} {}", program.0.id());
+    assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
+}
+
+/// What an operator is answered.
+fn called(admin: SocketAddr, line: &str) -> String {
+    let mut caller = TcpStream::connect(admin).unwrap();
+    caller.set_read_timeout(Some(PATIENCE)).unwrap();
+    caller.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    answer
+}
+
 fn configuration(listen: SocketAddr, discovery: SocketAddr) -> String {
     format!(
         r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":256}},
@@ -124,20 +139,15 @@
     // Neither a file that is half written nor none at all changes anything; a new discovery is asked at once.
     let mut log = BufReader::new(program.0.stderr.take().unwrap()).lines();
     let mut logged = |code: &str| while !log.next().unwrap().unwrap().starts_with(code) {};
-    let pid = program.0.id();
-    let signal = |name: &str| {
-        let kill = format!("kill -{name} {pid}");
-        assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
-    };
     fs::write(&path, r#"{"name":"n0","listen":"#).unwrap();
-    signal("HUP");
+    signal(&program, "HUP");
     logged("configuration-refused");
     fs::remove_file(&path).unwrap();
-    signal("HUP");
+    signal(&program, "HUP");
     logged("configuration-refused");
     let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
     fs::write(&path, configuration(listen, elsewhere.local_addr().unwrap())).unwrap();
-    signal("HUP");
+    signal(&program, "HUP");
     logged("reloaded");
     assert!(watch.is_ended());
     let mut watch = Peer::from(&elsewhere);
@@ -147,7 +157,7 @@
     assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=5 HTTP/1.1 ");
 
     // Told to end, it answers what it has taken, and lets runners tell it what became of that.
-    signal("TERM");
+    signal(&program, "TERM");
     logged("going-down");
     let mut call = Peer::new(TcpStream::connect(listen).unwrap());
     let told = r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#;
@@ -159,6 +169,59 @@
     fs::remove_file(path).unwrap();
 }
 
+/// A second process takes the listener over: who waits at the door is served by it, what the first has taken is
+/// answered by that one, and calls on runners hold in both.
+#[test]
+fn a_second_process_takes_over_from_the_first() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (listen, admins) = (free_address(79), [free_address(80), free_address(81)]);
+    let folder = env::temp_dir().join(format!("topazsail-upgrade-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("config.json");
+    fs::write(&path, configuration(listen, discovery.local_addr().unwrap())).unwrap();
+    let start = |admin: SocketAddr| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::null());
+        command.env("TMPDIR", &folder).env("RELAY_LISTEN", listen.to_string());
+        command.env("RELAY_ADMIN_ADDR", admin.to_string());
+        Program(command.spawn().unwrap())
+    };
+    let mut first = start(admins[0]);
+    let mut watch = watched(&discovery);
+    watch.lists(&runner, 1.0);
+    let mut client = Peer::new(TcpStream::connect(listen).unwrap());
+    client.say("POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 25000\r\n\r\n");
+    let mut forward = Peer::from(&runner);
+    assert_eq!(forward.hear(), "POST /plan HTTP/1.1 i1 ");
+    assert_eq!(called(admins[0], "status"), "YES\n");
+    assert_eq!(called(admins[0], "maint-on s-a"), "YES\n");
+
+    // The file is no good any more: the configuration in force is handed over.
+    fs::write(&path, "{").unwrap();
+    let _second = start(admins[1]);
+    let mut watch = Peer::from(&discovery);
+    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=1 HTTP/1.1 ");
+    assert_eq!(called(admins[1], "status"), "YES\n");
+    assert!(called(admins[1], "stats").contains("edge_relay.skipped_runners=1\n"));
+    signal(&first, "TERM");
+    // On a new connection, which the second process has: it passes on what it is told.
+    let mut call = Peer::new(TcpStream::connect(listen).unwrap());
+    let told = r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#;
+    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
+    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+    assert_eq!(client.hear(), "HTTP/1.1 200 OK close plan");
+    assert_eq!(first.0.wait().unwrap().code(), Some(0));
+
+    let mut client = Peer::new(TcpStream::connect(listen).unwrap());
+    client.say("POST /plan HTTP/1.1\r\nX-Request-Id: i2\r\nX-Deadline-Ms: 25000\r\n\r\n");
+    assert_eq!(called(admins[1], "maint-off s-a"), "YES\n");
+    let mut forward = Peer::from(&runner);
+    assert_eq!(forward.hear(), "POST /plan HTTP/1.1 i2 ");
+    drop(watch);
+    fs::remove_dir_all(folder).unwrap();
+}
+
 /// The command's exit code, what it wrote to standard output and to standard error.
 fn migrates(words: &[&str]) -> (Option<i32>, String, String) {
     let done = Command::new(env!("CARGO_BIN_EXE_topazsail")).arg("migrate").args(words).output().unwrap();
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -32,6 +32,8 @@
     dues: BTreeMap<(Micros, u64), Due>,
     serial: u64,
     revisits: Vec<Link>,
+    /// What was sent to another process.
+    said: BTreeMap<Link, String>,
     trace: String,
 }
 
@@ -69,6 +71,9 @@
     }
 
     fn send(&mut self, link: Link, bytes: &[u8]) {
+        if self.sides.get(&link) == Some(&Side::Peer) {
+            return self.said.entry(link).or_default().push_str(&String::from_utf8_lossy(bytes));
+        }
         let text = String::from_utf8_lossy(bytes).replace("HTTP/1.1 ", "").replace(" HTTP/1.1", "");
         let text = text.trim_end().replace("\r\n\r\n", " = ").replace("\r\n", "; ");
         self.say(&format!("#{link} < {text}"));
@@ -147,11 +152,34 @@
     fn new(runners: &[(&str, &str)]) -> Node {
         let mut stage = Stage { now: START, ..Stage::default() };
         let told = config::decode(&configuration(runners)).unwrap();
-        let mut node = Node { desk: Desk::new(told, &mut stage), stage };
+        let mut node = Node { desk: Desk::new(told, None, &mut stage), stage };
+        node.settle();
+        node
+    }
+
+    /// One that takes over from another, with what that one says to it on connection `link`.
+    fn successor(of: &mut Node, link: Link) -> Node {
+        of.stage.sides.insert(link, Side::Peer);
+        of.stage.inputs.insert(link, Vec::new());
+        of.desk.hand_over(link, &mut of.stage);
+        of.settle();
+        let said = of.stage.said.remove(&link).unwrap();
+        let state = serde_json::from_str(&said).unwrap();
+        let mut stage = Stage { now: of.stage.now, next: 100, ..Stage::default() };
+        let told = config::decode(&configuration(&[])).unwrap();
+        let mut node = Node { desk: Desk::new(told, Some(state), &mut stage), stage };
+        node.stage.sides.insert(link, Side::Peer);
+        node.desk.takes_over(link);
         node.settle();
         node
     }
 
+    /// Passes on what was said to the other process since.
+    fn passes_on(&mut self, link: Link, to: &mut Node) {
+        let said = self.stage.said.remove(&link).unwrap_or_default();
+        to.feed(link, &said);
+    }
+
     /// One that has its list from the watch, told from here on.
     fn followed(runners: &[(&str, &str)]) -> Node {
         let mut node = Node::new(runners);
@@ -892,7 +920,7 @@
 fn beyond_what_it_may_hold_it_turns_away_at_once() {
     let text = configuration(&RUNNERS[..1]).replace("\"openCap\":20000", "\"openCap\":1");
     let mut stage = Stage { now: START, ..Stage::default() };
-    let desk = Desk::new(config::decode(&text).unwrap(), &mut stage);
+    let desk = Desk::new(config::decode(&text).unwrap(), None, &mut stage);
     let mut node = Node { desk, stage };
     node.invoke("plan", "i1");
     node.invoke("plan", "i2");
@@ -1256,7 +1284,7 @@
         readiness: Readiness::On,
         launched,
     };
-    let mut members = Members::default();
+    let mut members = Members::new(0);
     assert!(members.by_hand("s-a", true, 0).is_err());
     members.listed(Listing::All, vec![entry(Some(5))], 10);
     assert_eq!(members.by_hand("s-a", true, 20).unwrap().unwrap().readiness, Readiness::Fading);
@@ -1272,3 +1300,98 @@
     assert_eq!(members.listed(Listing::Changes, vec![entry(Some(5))], 60)[0].launched, Some(50));
     assert_eq!(members.listed(Listing::Changes, vec![entry(Some(33))], 70)[0].launched, Some(33));
 }
+
+const PEER: Link = 50;
+
+#[test]
+fn an_upgrade_leaves_nothing_behind() {
+    let mut old = Node::holding("plan");
+    old.call("maint-on s-a");
+    assert!(old.desk.accepts() && old.desk.may_hand_over());
+    let mut new = Node::successor(&mut old, PEER);
+    assert!(!old.desk.accepts() && !old.desk.may_hand_over() && new.desk.accepts());
+    old.stage.trace.clear();
+    // The list goes on from where the old process had it; who is out by hand stays out.
+    new.invoke("plan", "i2");
+    // An id that is open in the other process, or was taken there since, has its request.
+    new.invoke("plan", "i1");
+    let kept = old.accept();
+    old.feed(kept, "POST /plan HTTP/1.1\r\nX-Request-Id: i3\r\nX-Deadline-Ms: 900\r\n\r\n");
+    old.passes_on(PEER, &mut new);
+    new.invoke("plan", "i3");
+    // Runners call whoever accepts: the old process hears what is its own, and the other way round.
+    new.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    new.passes_on(PEER, &mut old);
+    new.call("maint-off s-a");
+    new.passes_on(PEER, &mut old);
+    // Whoever comes back counts as cold, and those rest for now.
+    new.pass(2100);
+    new.invoke("plan", "i4");
+    let dialled = new.stage.trace.lines().find_map(|line| line.split_once(" dials 127.0.0.1:3001"));
+    let dialled = dialled.unwrap().0.rsplit('#').next().unwrap().parse().unwrap();
+    new.up(dialled);
+    new.feed(dialled, TAKEN);
+    old.call_back(r#"{"id":"i4","from":"s-a","state":"done","result":"q"}"#);
+    old.passes_on(PEER, &mut new);
+    // What neither knows goes back and forth no further.
+    new.call_back(r#"{"id":"i9","from":"s-a","state":"done","result":"r"}"#);
+    new.passes_on(PEER, &mut old);
+    assert!(!old.stage.said.contains_key(&PEER));
+    old.desk.go_down(&mut old.stage);
+    old.pass(2100);
+    old.stage.say(&format!("down: {}", old.desk.is_down(old.stage.now)));
+    new.stage.trace.insert_str(0, "the new one\n");
+    old.stage.trace.push_str(&new.stage.trace);
+    old.shows(expect![[r#"
+        0     #2 < 200 OK; Connection: close; Content-Length: 1 = r
+        0     #2 ends: terminated
+        0     #6 < 200 OK; Content-Length: 0
+        250   #5 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
+        250   #5 ends: terminated
+        2100  down: true
+        the new one
+        0     #101 dials 127.0.0.1:8500
+        0     #101 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        0     #103 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
+        0     #103 ends: bad_input
+        0     #104 < 400 Bad Request; Connection: close; Content-Length: 11 = repeated_id
+        0     #104 ends: bad_input
+        0     #105 < 200 OK; Content-Length: 0
+        0     #106 < YES
+        0     #106 ends: answered_last
+        750   #102 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        1000  #101 ends: watch_silent
+        1493  #107 dials 127.0.0.1:8500
+        1493  #107 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        2100  #109 dials 127.0.0.1:3001
+        2100  #109 < POST /plan/7?x=1; Host: o; X-Request-Id: i4; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        2100  #108 < 200 OK; Content-Length: 1 = q
+        2100  #110 < 200 OK; Content-Length: 0
+    "#]]);
+}
+
+/// Both together may send a cold runner no more than one dispatcher may.
+#[test]
+fn cold_runners_rest_while_two_processes_serve() {
+    let mut old = Node::followed(&RUNNERS[..1]);
+    let started = old.stage.now / 1000 - 1000;
+    let cold = format!(
+        r#"{{"generation":43,"reset":true,"instances":[{{"instanceId":"s-a","hostPort":"127.0.0.1:3001",
+        "lifecycle":"up","startedAtMs":{started}}}]}}"#
+    );
+    old.feed(1, &chunk(&format!("{}\n", cold.replace('\n', ""))));
+    let mut new = Node::successor(&mut old, PEER);
+    new.invoke("plan", "i1");
+    new.pass(1900);
+    old.invoke("plan", "i2");
+    assert!(!new.stage.trace.contains("3001") && !old.stage.trace.contains("3001"));
+    new.pass(200);
+    new.invoke("plan", "i4");
+    assert!(new.stage.trace.contains("dials 127.0.0.1:3001"));
+    // The one that was to take over is gone: the old one goes on, with newcomers and, in time, cold runners.
+    old.end(PEER, End::Reset);
+    assert!(old.desk.accepts());
+    old.pass(2100);
+    old.invoke("plan", "i3");
+    assert!(old.stage.trace.contains("dials 127.0.0.1:3001"));
+}
