New settings hold from SIGHUP on; operations keep their numbers; bad files go whole

Change: Event::Retuned in the module (Brain::new is the first of them), operations.rs numbers definitions, config::lacks and numbers turn files down. Found on the way: a tier that changes while a forward is out would have driven its runner's count of high forwards below nothing; a test keeps it.

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -11,6 +11,7 @@
 use crate::conn::{Callbacks, Due, End, Link, Wires};
 use crate::http::{self, Fault, MESSAGE_MOST, Request, encode_answer};
 use crate::log::log;
+use crate::operations::Operations;
 
 const READY: &str = "/healthz";
 const CALL_BACKS: &str = "/v1/job-events";
@@ -91,7 +92,7 @@
 
 pub struct Clients {
     conns: BTreeMap<Link, Client>,
-    operations: Vec<String>,
+    pub operations: Operations,
     /// Nobody new is told that this dispatcher is ready, and then no connection is kept.
     draining: bool,
     letting_go: bool,
@@ -102,10 +103,10 @@
 }
 
 impl Clients {
-    pub fn new(operations: Vec<String>) -> Clients {
+    pub fn new() -> Clients {
         Clients {
             conns: BTreeMap::new(),
-            operations,
+            operations: Operations::default(),
             draining: false,
             letting_go: false,
             most: (0, 0),
@@ -242,7 +243,7 @@
             (path, method) => {
                 // One slash and the operation: a runner may read other forms otherwise than we do.
                 let name = path.strip_prefix('/').and_then(|path| path.split('/').next()).unwrap_or_default();
-                let operation = self.operations.iter().position(|known| known == name);
+                let operation = self.operations.number(name, wires.now());
                 let operation = operation.ok_or(Fault(404, "unknown_operation"))?;
                 if method != "POST" {
                     return Err(Fault(405, "wrong_method"));
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -22,11 +22,9 @@
     pub seed: u64,
     pub memory: usize,
     pub sockets: usize,
-    /// As they stand in the file, by which a change of them is known.
-    pub settings: Value,
+    /// The whole file, by which a key that is gone is known.
+    pub file: Value,
     pub decoded: Decoded,
-    /// The file's text.
-    pub text: String,
     /// The list of runners as this dispatcher last had it.
     pub known: Listed,
 }
@@ -86,6 +84,7 @@
         },
     };
     let seed = string("seed")?;
+    numbers(field("settings")?)?;
     let mut pairs = Vec::new();
     flatten("", field("settings")?, &mut pairs);
     let decoded = topazsail_orders::decode(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())))
@@ -101,16 +100,56 @@
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
         memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
         sockets: limit("sockets", 1024)?.max(64) as usize,
-        settings: field("settings")?.clone(),
         decoded,
-        text: text.to_owned(),
         known: match json.get("known") {
             None | Some(Value::Null) => Listed::default(),
             Some(known) => Listed::from_value(known.clone()).map_err(|fault| format!("known: {fault}"))?,
         },
+        file: json,
     })
 }
 
+/// Client timeouts and the number of forwards are numbers above 0 and nothing that only reads like one: what is
+/// wrong there is wrong for every invocation.
+fn numbers(settings: &Value) -> Result<(), String> {
+    let check = |path: String, value: Option<&Value>| match value {
+        Some(value) if value.as_f64().is_some_and(|number| number > 0.0) => Ok(()),
+        Some(value) => Err(format!("settings: {path} has the bad value {value}")),
+        None => Err(format!("settings: {path} is missing")),
+    };
+    check("limits.mostForwards".to_owned(), settings.pointer("/limits/mostForwards"))?;
+    let operations = settings.get("operations").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let timeouts = operations.iter().map(|operation| operation.get("clientTimeout"));
+    let path = |nth| format!("operations.{nth}.clientTimeout");
+    timeouts.enumerate().try_for_each(|(nth, value)| check(path(nth), value))
+}
+
+/// The first key that a file has and one that is to take its place lacks: half a file may still be readable, and
+/// what it does not say would silently become something else. Of a list, items must have what all had.
+pub fn lacks(before: &Value, now: &Value) -> Option<String> {
+    let within =
+        |key: &str, rest: String| if rest.is_empty() { key.to_owned() } else { format!("{key}.{rest}") };
+    match (before, now) {
+        (Value::Null, _) => None,
+        (_, Value::Null) => Some(String::new()),
+        (Value::Object(before), _) => before.iter().find_map(|(key, value)| {
+            // Who is listed differs from time to time.
+            let value = if key == "known" { &Value::Bool(true) } else { value };
+            lacks(value, now.get(key).unwrap_or(&Value::Null)).map(|rest| within(key, rest))
+        }),
+        (Value::Array(before), Value::Array(now)) => {
+            let first = before.first().and_then(Value::as_object)?;
+            let common = |key: &&String| before.iter().all(|item| item.get(key.as_str()).is_some());
+            let keys: Vec<&String> = first.keys().filter(common).collect();
+            now.iter().enumerate().find_map(|(nth, item)| {
+                let gone = keys.iter().find(|key| item.get(key.as_str()).is_none())?;
+                Some(format!("{nth}.{gone}"))
+            })
+        }
+        _ => None,
+    }
+}
+
 /// Nested JSON as the pairs that the decoder of settings takes.
 fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
     let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -11,9 +11,10 @@
 use topazsail::{
     Action, Arrival, Brain, Ending, Event, Id, Listing, Micros, Outcome, Readiness, Roster as List,
 };
+use topazsail_orders::Decoded;
 
 use crate::clients::{self, CallBack, Clients, Invocation, State};
-use crate::config::Dispatcher;
+use crate::config::{self, Dispatcher};
 use crate::conn::{Callbacks, Due, Link, Side, Wires};
 use crate::figures::{Figures, Now, Verdict};
 use crate::handover::{Peer, State as Handed, Word};
@@ -88,13 +89,30 @@
     Predecessor,
 }
 
+/// What settings mean on sockets.
+fn on_sockets(decoded: &mut Decoded, clients: &mut Clients, figures: &mut Figures, now: Micros) {
+    let standing = &mut decoded.standing;
+    // The list comes only on a watch, and a watch has to be opened whatever the settings say; connections end by
+    // our own time, which is shorter than the runners'.
+    standing.must_subscribe = true;
+    standing.idle_close = decoded.idle_close / 2;
+    decoded.operations.iter().for_each(|operation| figures.uses(operation));
+    let told = decoded.operations.drain(..).zip(std::mem::take(&mut standing.operations));
+    standing.operations = clients.operations.set(told.collect(), now);
+}
+
+/// When to come back where there is no room.
+fn come_back(decoded: &Decoded) -> Option<Micros> {
+    decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN))
+}
+
 pub struct Desk {
     brain: Brain,
     /// What only a start can change.
     name: String,
     listen: SocketAddr,
-    settings: serde_json::Value,
-    operations: Vec<String>,
+    /// The file in force.
+    file: serde_json::Value,
     pub clients: Clients,
     operators: Operators,
     figures: Figures,
@@ -117,30 +135,26 @@
     /// Descriptors and memory, the other process's among them.
     limits: (usize, usize),
     tip_after: Micros,
-    configuration: String,
 }
 
 impl Desk {
     pub fn new(told: Dispatcher, handed: Option<Handed>, wires: &mut dyn Wires) -> Desk {
         let mut decoded = told.decoded;
-        // On sockets the list comes only on a watch, and a watch has to be opened whatever the settings say;
-        // connections end by our own time, which is shorter than the runners'.
-        decoded.standing.must_subscribe = true;
-        decoded.standing.idle_close = decoded.idle_close / 2;
-        let come_back = decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN));
+        let (mut clients, mut figures) = (Clients::new(), Figures::default());
+        on_sockets(&mut decoded, &mut clients, &mut figures, wires.now());
+        let come_back = come_back(&decoded);
         let (warm_within, tip_after) = (decoded.standing.warm_within, decoded.standing.tip_after);
         let mut desk = Desk {
-            clients: Clients::new(decoded.operations.clone()),
+            clients,
             operators: Operators::default(),
-            figures: Figures::default(),
+            figures,
             runners: Runners::new(&decoded),
             members: Members::new(warm_within),
             roster: Roster::new(told.discovery, told.known.generation),
             brain: Brain::new(decoded.standing, told.seed),
-            operations: decoded.operations,
             name: told.name,
             listen: told.listen,
-            settings: told.settings,
+            file: told.file,
             invs: BTreeMap::new(),
             closed: Default::default(),
             happened: Vec::new(),
@@ -153,9 +167,7 @@
             overlap: None,
             limits: (told.sockets, told.memory),
             tip_after,
-            configuration: told.text,
         };
-        desk.operations.iter().for_each(|operation| desk.figures.uses(operation));
         desk.limit();
         let known = match handed {
             Some(handed) => desk.inherit(handed, told.known, wires),
@@ -214,7 +226,7 @@
             out: self.members.out(),
             was_out: self.members.was_out(),
             ids: self.closed.0.iter().chain(self.invs.keys()).map(|id| id.to_string()).collect(),
-            configuration: self.configuration.clone(),
+            configuration: self.file.to_string(),
         };
         log!("handing-over", "open={} out={}", self.invs.len(), state.out.len());
         self.peer.meet(link);
@@ -255,25 +267,46 @@
         self.held_most = memory / 6;
     }
 
-    /// The configuration has been read again. Limits and the address of discovery hold from now on; the list
-    /// that the file remembers says less than the watch, and a new seed is for a new start.
+    /// The configuration has been read again: all of it holds from now on but name and addresses of our own. The
+    /// list that the file remembers says less than the watch, and a new seed is for a new start. A file that has
+    /// lost a key is no good.
     pub fn reload(&mut self, told: Dispatcher, wires: &mut dyn Wires) {
+        if let Some(key) = config::lacks(&self.file, &told.file) {
+            return self.turn_down(&format!("{key} is missing"));
+        }
         let kept = [
             ("name", told.name != self.name),
             ("listen", told.listen != self.listen),
-            ("settings", told.settings != self.settings),
+            ("admin_addr", told.file.get("admin_addr") != self.file.get("admin_addr")),
         ];
         let kept: Vec<&str> = kept.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect();
         let kept = if kept.is_empty() { "none".to_owned() } else { kept.join(",") };
+        let retuned = told.file.get("settings") != self.file.get("settings");
         self.figures.loads += 1;
-        log!("reloaded", "discovery={} changed_but_kept={kept}", told.discovery);
+        log!("reloaded", "discovery={} retuned={retuned} changed_but_kept={kept}", told.discovery);
         self.limits = (told.sockets, told.memory);
         self.limit();
-        self.configuration = told.text;
+        self.file = told.file;
+        // What has been heard so far was said under the settings that held so far.
+        self.collect(wires);
+        if retuned {
+            self.retune(told.decoded, wires);
+        }
         self.roster.move_to(told.discovery, wires);
         self.collect(wires);
     }
 
+    fn retune(&mut self, mut decoded: Decoded, wires: &mut dyn Wires) {
+        on_sockets(&mut decoded, &mut self.clients, &mut self.figures, wires.now());
+        let names: Vec<&str> = self.clients.operations.names().collect();
+        log!("retuned", "operations={} forwards={}", names.join(","), decoded.standing.most_forwards);
+        self.runners.retune(&decoded);
+        self.members.warm_within(decoded.standing.warm_within);
+        self.come_back = come_back(&decoded);
+        (self.tip_after, self.open_cap) = (decoded.standing.tip_after, decoded.open_cap);
+        self.happened.push(Event::Retuned(Box::new(decoded.standing)));
+    }
+
     /// A configuration that was read again is no good: nothing of it holds.
     pub fn turn_down(&mut self, fault: &str) {
         self.figures.load_errors += 1;
@@ -412,7 +445,7 @@
     ) {
         let operation = self.invs.get(inv).map_or(0, |open| open.operation);
         if let Some(link) = self.close(inv) {
-            self.figures.ended(&self.operations[operation], Verdict::of(status));
+            self.figures.ended(self.clients.operations.name(operation), Verdict::of(status));
             self.clients.answer(link, status, come_back, body, wires);
         }
     }
@@ -610,7 +643,8 @@
         if full || told.expires_at <= now {
             log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
             let come_back = self.come_back.filter(|_| full);
-            self.figures.ended(&self.operations[told.operation], Verdict::of(NO_ROOM));
+            let operation = self.clients.operations.name(told.operation);
+            self.figures.ended(operation, Verdict::of(NO_ROOM));
             return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
         }
         self.peer.say(&Word::Taken(told.id.to_string()), wires);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod log;
 mod members;
 mod migrate;
+mod operations;
 mod operator;
 mod reactor;
 mod roster;
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -60,6 +60,11 @@
         Members { by_id: BTreeMap::new(), rest: Rest { until: Micros::MIN, warm_within } }
     }
 
+    /// How long a runner is cold, from now on.
+    pub fn warm_within(&mut self, span: Micros) {
+        self.rest.warm_within = span;
+    }
+
     /// Has cold runners rest until then. Gives what holds of all listed ones now.
     pub fn rest(&mut self, until: Micros, now: Micros) -> Vec<RosterEntry> {
         self.rest.until = until;
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -105,6 +105,7 @@
     idle: Vec<Link>,
 }
 
+#[derive(Default)]
 pub struct Runners {
     by_id: BTreeMap<Id, Runner>,
     lines: BTreeMap<Link, Line>,
@@ -120,19 +121,20 @@
 
 impl Runners {
     pub fn new(decoded: &Decoded) -> Runners {
-        Runners {
-            by_id: BTreeMap::new(),
-            lines: BTreeMap::new(),
-            report_fields: decoded.report_fields.clone(),
-            dial_timeout: decoded.dial_timeout,
-            // A probe answers beside the queue: one as slow as a dial may be tells as much as none.
-            probe_within: decoded.dial_timeout / 2,
-            // Well before the runner does, or a request could cross its closing.
-            idle_most: decoded.idle_close / 2,
-            may_cancel: decoded.standing.may_cancel,
-            written: 0,
-            heard: Vec::new(),
-        }
+        let mut runners = Runners::default();
+        runners.retune(decoded);
+        runners
+    }
+
+    /// What holds from now on.
+    pub fn retune(&mut self, decoded: &Decoded) {
+        self.report_fields = decoded.report_fields.clone();
+        self.dial_timeout = decoded.dial_timeout;
+        // A probe answers beside the queue: one as slow as a dial may be tells as much as none.
+        self.probe_within = decoded.dial_timeout / 2;
+        // Well before the runner does, or a request could cross its closing.
+        self.idle_most = decoded.idle_close / 2;
+        self.may_cancel = decoded.standing.may_cancel;
     }
 
     /// What the roster says of a runner's whereabouts.
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -13,6 +13,7 @@
 use crate::desk::Desk;
 use crate::http::{self, Fault};
 use crate::members::Members;
+use crate::operations::Operations;
 use crate::roster::Roster;
 use crate::runners::Runners;
 
@@ -1142,7 +1143,9 @@
         3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: t\r\n\r\n";
     for cut in 1..request.len() {
         let mut stage = Stage { now: START, ..Stage::default() };
-        let mut clients = Clients::new(vec!["plan".into(), "lodge".into()]);
+        let mut clients = Clients::new();
+        let told = config::decode(&configuration(&[])).unwrap().decoded;
+        clients.operations.set(told.operations.into_iter().zip(told.standing.operations).collect(), START);
         clients.accepted(7, &mut stage);
         let mut input = request.as_bytes()[..cut].to_vec();
         clients.bytes(7, &mut input, &mut stage);
@@ -1208,6 +1211,23 @@
         settings: familyInfo.classStretch has the bad value '-1'
         no JSON: EOF while parsing an object at line 15 column 106"#]]
     .assert_eq(&faults.collect::<Vec<_>>().join("\n"));
+    let numbers = [
+        ("\"clientTimeout\":8000000", "\"clientTimeout\":-5"),
+        ("\"clientTimeout\":8000000", "\"clientTimeout\":\"8000000\""),
+        ("\"clientTimeout\":8000000", "\"clientTimeout\":null"),
+        ("\"mostForwards\":3", "\"mostForwards\":\"3\""),
+        ("\"mostForwards\":3", "\"mostForwards\":0"),
+        ("\"mostForwards\":3", "\"most\":3"),
+    ];
+    let faults = numbers.iter().map(|(was, is)| config::decode(&good.replacen(was, is, 1)).unwrap_err());
+    expect![[r#"
+        settings: operations.0.clientTimeout has the bad value -5
+        settings: operations.0.clientTimeout has the bad value "8000000"
+        settings: operations.0.clientTimeout has the bad value null
+        settings: limits.mostForwards has the bad value "3"
+        settings: limits.mostForwards has the bad value 0
+        settings: limits.mostForwards is missing"#]]
+    .assert_eq(&faults.collect::<Vec<_>>().join("\n"));
     let decoded = config::decode(&good).unwrap().decoded;
     expect![[r#"["x0", "outstanding"] [FreeSlots, InFlight]"#]]
         .assert_eq(&format!("{:?} {:?}", decoded.report_fields, decoded.standing.report_fields));
@@ -1395,3 +1415,105 @@
     old.invoke("plan", "i3");
     assert!(old.stage.trace.contains("dials 127.0.0.1:3001"));
 }
+
+#[test]
+fn settings_change_under_way_and_a_file_that_has_lost_a_key_is_turned_down_whole() {
+    let mut node = Node::holding("plan");
+    let good = configuration(&RUNNERS);
+    let reload = |node: &mut Node, text: &str| {
+        match config::decode(text) {
+            Ok(told) => node.desk.reload(told, &mut node.stage),
+            Err(fault) => node.desk.turn_down(&fault),
+        }
+        node.settle();
+    };
+    let lost = [
+        ("\"cancel\":true,", ""),
+        ("\"lateBilledValue\":0.5", "\"more\":1"),
+        ("\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":64},", ""),
+        ("\"known\"", "\"unknown\""),
+        ("\"mostForwards\":3", "\"mostForwards\":-3"),
+    ];
+    lost.iter().for_each(|(was, is)| reload(&mut node, &good.replacen(was, is, 1)));
+    // A new operation, one that is stricter than it was, one that is gone, and fewer forwards.
+    let changed = good
+        .replace(
+            "\"name\":\"lodge\",\"effect\":\"deduplicated\"",
+            "\"name\":\"lodge\",\"effect\":\"at_most_once\"",
+        )
+        .replace("\"name\":\"plan\"", "\"name\":\"plan-b\"")
+        .replace("\"mostForwards\":3", "\"mostForwards\":1");
+    reload(&mut node, &changed);
+    let ask = |node: &mut Node, operation: &str, id: &str| {
+        let link = node.accept();
+        let text = format!("POST /{operation} HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 900\r\n\r\n");
+        node.feed(link, &text);
+    };
+    node.stage.trace.clear();
+    // Taken under the old settings, it is what it was; what is on its way still comes, but not for long.
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"failed"}"#);
+    ask(&mut node, "plan", "i2");
+    ask(&mut node, "plan-b", "i3");
+    node.pass(1000);
+    ask(&mut node, "plan", "i4");
+    reload(&mut node, &good);
+    ask(&mut node, "plan", "i5");
+    node.call("stats");
+    node.shows(expect![[r#"
+        0     #4 < 200 OK; Content-Length: 0
+        0     #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        0     #3 < POST /plan; X-Request-Id: i2; X-Deadline-Ms: 880; Content-Length: 0
+        0     #7 dials 127.0.0.1:3001
+        250   #7 ends: dial_timeout
+        250   #6 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        880   #3 ends: given_up
+        880   #8 dials 127.0.0.1:3001
+        880   #5 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        1000  #9 < 404 Not Found; Connection: close; Content-Length: 17 = unknown_operation
+        1000  #9 ends: bad_input
+        1000  #11 dials 127.0.0.1:3001
+        1000  #12 < edge_relay.passed.book=0
+        edge_relay.passed.lodge=0
+        edge_relay.passed.plan=0
+        edge_relay.passed.plan-b=0
+        edge_relay.dropped.book=0
+        edge_relay.dropped.lodge=0
+        edge_relay.dropped.plan=2
+        edge_relay.dropped.plan-b=1
+        edge_relay.bad_gateway.book=0
+        edge_relay.bad_gateway.lodge=0
+        edge_relay.bad_gateway.plan=0
+        edge_relay.bad_gateway.plan-b=0
+        edge_relay.upstream_tries=2
+        edge_relay.in_progress=1
+        edge_relay.known_runners=1
+        edge_relay.skipped_runners=0
+        edge_relay.loads=2
+        edge_relay.load_errors=5
+        END
+        1000  #12 ends: answered_last
+    "#]]);
+}
+
+/// A definition keeps its number for good, so that what is under way keeps its operation.
+#[test]
+fn a_changed_operation_is_another_one_and_an_old_one_can_return() {
+    let decoded = |text: &str| {
+        let told = config::decode(text).unwrap().decoded;
+        told.operations.into_iter().zip(told.standing.operations).collect::<Vec<_>>()
+    };
+    let good = configuration(&[]);
+    let (first, then) = (decoded(&good), decoded(&good.replace("8000000", "9000000").replace("0.5", "0.25")));
+    let mut operations = Operations::default();
+    let number =
+        |operations: &Operations| ["plan", "lodge", "book"].map(|name| operations.number(name, START));
+    operations.set(first.clone(), START);
+    assert_eq!(number(&operations), [Some(0), Some(1), Some(2)]);
+    let all = operations.set(then, START);
+    assert_eq!(number(&operations), [Some(3), Some(4), Some(5)]);
+    assert_eq!(all.iter().map(|o| o.in_use).collect::<Vec<_>>(), [false, false, false, true, true, true]);
+    assert_eq!(operations.set(first[..1].to_vec(), START).len(), 6);
+    assert_eq!(number(&operations), [Some(0), Some(4), Some(5)]);
+    assert_eq!(operations.number("book", START + 1_000_000), None);
+    assert_eq!(operations.name(5), "book");
+}
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -64,6 +64,7 @@
         };
         self.within::<i64>(&path("clientTimeout"), 1, SPAN)?;
         Ok(Operation {
+            in_use: true,
             latency_objective: self.within(&path("latencyObjective"), 0, SPAN)?,
             effect,
             memory_span,
--- a/src/books.rs
+++ b/src/books.rs
@@ -151,6 +151,8 @@
 pub struct Forward {
     pub tgt: usize,
     pub number: u32,
+    /// Whether its operation was high when it was sent.
+    pub high: bool,
     pub cancelled: bool,
     /// It had to wait for a new connection.
     pub dialled: bool,
@@ -167,6 +169,25 @@
     pub since: Micros,
 }
 
+/// Where draws are made, the cheapest first; the next is drawn from only where the draws so far have no room.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Pool {
+    /// The homes of the invocation's key.
+    Homes,
+    /// Runners with a connection, in this zone and in all: a new connection may cost more than a wait.
+    LinkedNear,
+    Linked,
+    Near,
+    All,
+    /// Cold runners: among many warm ones their budget would seldom be drawn.
+    Cold,
+}
+
+pub enum Due {
+    Look(Id),
+    Ask,
+}
+
 /// Order in the queue: what is at stake, then who can wait least.
 pub type Place = (u8, Micros, u64);
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::books::{Bond, Forward, Inv, Keys, Place, Recent, Runner};
+use crate::books::{Bond, Due, Forward, Inv, Keys, Place, Pool, Recent, Runner};
 use crate::chance::{Chance, first, hash};
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
@@ -65,25 +65,6 @@
 const BENCH: Micros = 400_000;
 const BENCH_MOST: Micros = 4_000_000;
 
-/// Where draws are made, the cheapest first; the next is drawn from only where the draws so far have no room.
-#[derive(Clone, Copy, PartialEq)]
-enum Pool {
-    /// The homes of the invocation's key.
-    Homes,
-    /// Runners with a connection, in this zone and in all: a new connection may cost more than a wait.
-    LinkedNear,
-    Linked,
-    Near,
-    All,
-    /// Cold runners: among many warm ones their budget would seldom be drawn.
-    Cold,
-}
-
-enum Due {
-    Look(Id),
-    Ask,
-}
-
 #[derive(Default)]
 pub struct Brain {
     orders: StandingOrders,
@@ -139,20 +120,30 @@
 
 impl Brain {
     pub fn new(orders: StandingOrders, seed: u64) -> Brain {
+        let mut brain = Brain { chance: Chance::new(seed), doubt: -FIRMEST, ..Brain::default() };
+        brain.retune(orders);
+        brain.due(Micros::MIN, Due::Ask);
+        brain
+    }
+
+    /// What holds from now on. Operations keep their numbers, those no longer in use too: what is under way keeps
+    /// its own, but has no more forwards than are allowed now.
+    fn retune(&mut self, orders: StandingOrders) {
         let ops = &orders.operations;
-        let differs = |same: &dyn Fn(&Operation, &Operation) -> bool| ops.iter().any(|o| !same(o, &ops[0]));
+        let used: Vec<&Operation> = ops.iter().filter(|o| o.in_use).collect();
+        let differs = |same: &dyn Fn(&Operation, &Operation) -> bool| used.iter().any(|o| !same(o, used[0]));
         let values = differs(&|a, b| a.billed_value == b.billed_value);
         let objectives = differs(&|a, b| a.latency_objective == b.latency_objective);
-        let most = ops.iter().map(|o| o.billed_value).fold(0.0, f64::max);
-        let tightest = ops.iter().map(|o| o.latency_objective).min().unwrap_or(0);
+        let most = used.iter().map(|o| o.billed_value).fold(0.0, f64::max);
+        let tightest = used.iter().map(|o| o.latency_objective).min().unwrap_or(0);
         // Value decides before objectives: where each alone made a job high, at two operations all were.
         let high = |o: &Operation| match values {
-            true => o.billed_value == most,
-            false => objectives && o.latency_objective == tightest,
+            true => o.billed_value >= most,
+            false => objectives && o.latency_objective <= tightest,
         };
         // House rule of the operators: further forwards go by billed value.
         let further = f64::from(orders.most_forwards - 1);
-        let share = |o: &Operation| if most > 0.0 { o.billed_value / most } else { 1.0 };
+        let share = |o: &Operation| if most > 0.0 { (o.billed_value / most).min(1.0) } else { 1.0 };
         let linked: &[Pool] = match (orders.connecting_costs, orders.sizes) {
             (true, _) => &[Pool::LinkedNear, Pool::Linked],
             (false, Sizes::Live) => &[Pool::Linked],
@@ -162,22 +153,22 @@
         if !orders.crossing_costs {
             unkeyed.retain(|pool| !matches!(pool, Pool::LinkedNear | Pool::Near));
         }
-        let mut brain = Brain {
-            high: ops.iter().map(high).collect(),
-            allowance: ops.iter().map(|o| 1 + (further * share(o).sqrt()).ceil() as u32).collect(),
-            tightest,
-            pools: [unkeyed, vec![Pool::Homes, Pool::Cold]],
-            // Until an operation has been seen to succeed, its objective is the best guess of its time.
-            pace: ops.iter().map(|o| Recent { value: o.latency_objective as f64, noted_at: None }).collect(),
-            fullest: vec![0; ops.len()],
-            orders,
-            chance: Chance::new(seed),
-            doubt: -FIRMEST,
-            ..Brain::default()
-        };
-        brain.set_mean_pace();
-        brain.due(Micros::MIN, Due::Ask);
-        brain
+        self.high = ops.iter().map(high).collect();
+        self.allowance = ops.iter().map(|o| 1 + (further * share(o).sqrt()).ceil() as u32).collect();
+        self.tightest = tightest;
+        self.pools = [unkeyed, vec![Pool::Homes, Pool::Cold]];
+        // Until an operation has been seen to succeed, its objective is the best guess of its time.
+        let guess = |o: &Operation| Recent { value: o.latency_objective as f64, noted_at: None };
+        self.pace.extend(ops.iter().skip(self.pace.len()).map(guess));
+        self.fullest.resize(ops.len(), 0);
+        self.orders = orders;
+        self.set_mean_pace();
+        self.invs.values_mut().for_each(|inv| inv.pools = 0);
+        for id in self.queue.values().cloned().collect::<Vec<Id>>() {
+            if self.invs[&id].forwards >= self.allowance[self.invs[&id].operation] {
+                self.give_up(&id);
+            }
+        }
     }
 
     /// The one entry point: what happened up to `now`, in order; what is to be done now, in order.
@@ -193,6 +184,7 @@
                 Event::Gone { inv } => self.close(&inv),
                 Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
                 Event::Roster(roster) => self.roster(roster),
+                Event::Retuned(orders) => self.retune(*orders),
                 Event::Tick => self.armed = self.armed.split_off(&(now + 1)),
             }
         }
@@ -473,12 +465,13 @@
         (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
         let runner = &mut self.runners[tgt];
         let dialled = runner.dials(self.now, self.orders.idle_close);
-        inv.out = Some(Forward { tgt, number, dialled, sent, sign: sent, ..Forward::default() });
+        let high = self.high[inv.operation];
+        inv.out = Some(Forward { tgt, number, high, dialled, sent, sign: sent, ..Forward::default() });
         if runner.out == 0 {
             runner.silent_since = self.now;
         }
         runner.out += 1;
-        runner.out_high += u32::from(self.high[inv.operation]);
+        runner.out_high += u32::from(high);
         self.out_all += 1;
         if dialled && !self.linked.contains(&tgt) {
             self.linked.push(tgt);
@@ -547,7 +540,7 @@
         let answered = inv.answered || outcome.finished;
         let runner = &mut self.runners[out.tgt];
         runner.out -= 1;
-        runner.out_high -= u32::from(self.high[operation]);
+        runner.out_high -= u32::from(out.high);
         runner.used_at = self.now;
         self.out_all -= 1;
         if matches!(outcome.ending, Ending::Unreachable | Ending::Broken) {
@@ -881,8 +874,9 @@
     }
 
     fn set_mean_pace(&mut self) {
-        let sum: f64 = self.pace.iter().map(|pace| pace.value).sum();
-        self.mean_pace = (sum / (self.pace.len() as f64).max(1.0)).max(1.0);
+        let used = self.orders.operations.iter().zip(&self.pace).filter(|(op, _)| op.in_use);
+        let paces: Vec<f64> = used.map(|(_, pace)| pace.value).collect();
+        self.mean_pace = (paces.iter().sum::<f64>() / (paces.len() as f64).max(1.0)).max(1.0);
     }
 
     fn slots(&self, r: usize) -> f64 {
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,4 +1,4 @@
-use crate::{Id, Micros};
+use crate::{Id, Micros, StandingOrders};
 
 /// What happened to this dispatcher.
 #[derive(Clone, Debug)]
@@ -30,6 +30,8 @@
         report: Vec<f64>,
     },
     Roster(Roster),
+    /// New standing orders, in which each operation keeps its number.
+    Retuned(Box<StandingOrders>),
     /// A timer that was armed has gone off.
     Tick,
 }
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -53,8 +53,10 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Operation {
+    /// Whether anything new can be of it.
+    pub in_use: bool,
     pub latency_objective: Micros,
     pub effect: Effect,
     pub memory_span: Micros,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -15,6 +15,7 @@
 
 pub fn operation(effect: Effect) -> Operation {
     Operation {
+        in_use: true,
         latency_objective: 500_000,
         effect,
         memory_span: 3_000_000,
@@ -190,6 +191,10 @@
         self.tell(Event::Probed { tgt: tgt.into(), alive: true, report: report.to_vec() })
     }
 
+    pub fn retuned(&mut self, orders: StandingOrders) -> &mut Desk {
+        self.tell(Event::Retuned(Box::new(orders)))
+    }
+
     pub fn gone(&mut self, inv: &str) -> &mut Desk {
         self.tell(Event::Gone { inv: inv.into() })
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -609,3 +609,81 @@
         1000 high -> c
     "#]]);
 }
+
+/// Under way an invocation keeps its operation, effect and all, but gets no forward that is no longer allowed.
+#[test]
+fn new_orders_leave_what_is_under_way_its_operation_and_allow_it_no_more_forwards() {
+    let mut desk = desk(Effect::Idempotent, "a");
+    desk.arrives("under way", 0).arrives("waits", 0).ends("waits", 0, Ending::Overloaded, &FULL);
+    let was = topazsail::Operation { in_use: false, ..operation(Effect::Idempotent) };
+    let mut stricter = orders(vec![was, operation(Effect::NonIdempotent)]);
+    stricter.most_forwards = 1;
+    desk.after(10).retuned(stricter);
+    desk.after(10).ends("under way", 0, Ending::Errored, &[]);
+    desk.after(1000).arrives("new", 1).ends("new", 0, Ending::Errored, &[]);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 under way -> a
+        1000 waits -> a
+        1010 throttle waits, back in Some(500000)
+        1020 throttle under way, back in Some(500000)
+        2020 probe a
+        2020 new -> a
+        2020 error new
+    "#]]);
+}
+
+/// A forward that was sent as low ends as low, whatever its operation has become.
+#[test]
+fn new_orders_may_change_tiers_under_way() {
+    let mut low = operation(Effect::Idempotent);
+    low.billed_value = 0.5;
+    let mut desk = idle(orders(vec![operation(Effect::Idempotent), low.clone()]), "a");
+    desk.arrives("low", 1);
+    low.billed_value = 5.0;
+    desk.retuned(orders(vec![operation(Effect::Idempotent), low]));
+    desk.ends("low", 0, Ending::Succeeded, &[]).arrives("next", 1);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 low -> a
+        1000 next -> a
+    "#]]);
+}
+
+/// Pools that vanish while an invocation is between two of them.
+#[test]
+fn new_orders_may_change_pools_under_way() {
+    let mut low = operation(Effect::Idempotent);
+    low.billed_value = 0.5;
+    let mut first = orders(vec![operation(Effect::Idempotent), low.clone()]);
+    (first.crossing_costs, first.connecting_costs) = (true, true);
+    let mut desk = Desk::new(first, "ab");
+    // Its draws do not answer their probes, so it waits between two pools.
+    desk.arrives("low", 1).after(40).arrives("waits", 0);
+    let mut then = orders(vec![operation(Effect::Idempotent), low]);
+    then.may_probe = false;
+    desk.after(1).retuned(then).after(1).arrives("next", 1);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 probe a
+        1040 probe b
+        1041 waits -> b
+        1041 low -> a
+        1042 next -> b
+    "#]]);
+}
+
+/// Staff who take a runner out while the watch is lost must not be taken for word from the roster.
+#[test]
+fn own_changes_of_standing_leave_a_lost_watch_to_be_asked_for_again() {
+    let mut desk = desk(Effect::Idempotent, "ab");
+    desk.roster(Listing::Refused, "", Readiness::On, None);
+    desk.roster(Listing::Own, "a", Readiness::Fading, None);
+    desk.after(700).arrives("1", 0);
+    desk.shows(expect![[r#"
+        1000 follow
+        1700 follow
+        1700 probe b
+        1700 1 -> b
+    "#]]);
+}
