An upgrade hands over what the module has learnt, cold budgets and paces too

Change: src/brain/handing.rs copies the books out and in as one event; the rest of cold runners stays only in the old process.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 
 use topazsail::{
-    Action, Arrival, Brain, Ending, Event, Id, Listing, Micros, Outcome, Readiness, Roster as List,
+    Action, Arrival, Brain, Ending, Event, Id, Learnt, LearntOperation, Listing, Micros, Outcome, Readiness,
+    Roster as List,
 };
 use topazsail_orders::Decoded;
 
@@ -169,17 +170,19 @@
             tip_after,
         };
         desk.limit();
-        let known = match handed {
-            Some(handed) => desk.inherit(handed, told.known, wires),
-            None => told.known,
+        let (known, learnt) = match handed {
+            Some(handed) => desk.inherit(handed, told.known),
+            None => (told.known, None),
         };
         desk.list(roster::Heard { listing: Listing::Remembered, entries: known.entries() }, wires);
+        // Once it knows the runners that this is about.
+        desk.happened.extend(learnt.map(|learnt| Event::Inherited(Box::new(learnt))));
         desk
     }
 
-    /// What the process that served until now knows. Gives the list to begin with: the other's, where it comes
-    /// from the same discovery.
-    fn inherit(&mut self, handed: Handed, known: Listed, wires: &mut dyn Wires) -> Listed {
+    /// What the process that served until now knows. Gives the list to begin with, the other's where it comes
+    /// from the same discovery, and what the other's module has learnt, by the numbers of operations here.
+    fn inherit(&mut self, handed: Handed, known: Listed) -> (Listed, Option<Learnt>) {
         for (id, since) in &handed.out {
             self.members.inherit(id, Some(*since), None);
         }
@@ -187,18 +190,23 @@
             self.members.inherit(id, None, Some((*from, *until)));
         }
         handed.ids.into_iter().for_each(|id| self.remember(id.into()));
-        // By then nothing that the other one has sent to cold runners counts any more.
-        let until = wires.now() + self.tip_after;
-        self.members.rest(until, wires.now());
-        wires.wake(Due::Rested, until);
+        let mut learnt = handed.learnt;
+        let mut operations = vec![LearntOperation::default(); self.clients.operations.numbers().count()];
+        for (name, number) in self.clients.operations.numbers() {
+            let there = handed.operations.iter().find(|there| there.0 == name);
+            if let Some(told) = there.and_then(|there| learnt.operations.get(there.1)) {
+                operations[number] = told.clone();
+            }
+        }
+        learnt.operations = operations;
         let discovery = self.roster.heard_to().0;
         let listed = (handed.discovery == discovery.to_string()).then(|| Listed::from_value(handed.list));
         match listed {
             Some(Ok(listed)) => {
                 self.roster = Roster::new(discovery, listed.generation);
-                listed
+                (listed, Some(learnt))
             }
-            _ => known,
+            _ => (known, Some(learnt)),
         }
     }
 
@@ -227,6 +235,8 @@
             was_out: self.members.was_out(),
             ids: self.closed.0.iter().chain(self.invs.keys()).map(|id| id.to_string()).collect(),
             configuration: self.file.to_string(),
+            learnt: self.brain.learnt(),
+            operations: self.clients.operations.numbers().map(|(name, nth)| (name.to_owned(), nth)).collect(),
         };
         log!("handing-over", "open={} out={}", self.invs.len(), state.out.len());
         self.peer.meet(link);
@@ -247,7 +257,8 @@
         self.happened.push(Event::Roster(List { listing: Listing::Own, entries }));
     }
 
-    /// The other process has ended. Where it was to take over and nobody has told this one to end, it goes on.
+    /// The other process has ended. Where it was to take over and nobody has told this one to end, it goes on;
+    /// what the other has sent to cold runners still counts.
     fn alone(&mut self, wires: &mut dyn Wires) {
         let was = self.overlap.take();
         self.limit();
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -20,7 +20,7 @@
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use topazsail::Micros;
+use topazsail::{Learnt, Micros};
 
 use crate::clients::CallBack;
 use crate::conn::{Callbacks, End, Link, Wires};
@@ -46,6 +46,9 @@
     pub ids: Vec<String>,
     /// The text of the configuration in force.
     pub configuration: String,
+    /// What the module has learnt, and which of its operations goes by which name.
+    pub learnt: Learnt,
+    pub operations: Vec<(String, usize)>,
 }
 
 /// What the two processes tell each other while both serve.
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -51,6 +51,11 @@
         &self.all[number].0
     }
 
+    /// Those that are set, with their numbers.
+    pub fn numbers(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.set.iter().map(|(name, number)| (name.as_str(), *number))
+    }
+
     /// Names of those that are set.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.set.keys().map(String::as_str)
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1344,10 +1344,10 @@
     new.passes_on(PEER, &mut old);
     new.call("maint-off s-a");
     new.passes_on(PEER, &mut old);
-    // Whoever comes back counts as cold, and those rest for now.
+    // Whoever comes back counts as cold, and what the other process has sent it still counts.
     new.pass(2100);
     new.invoke("plan", "i4");
-    let dialled = new.stage.trace.lines().find_map(|line| line.split_once(" dials 127.0.0.1:3001"));
+    let dialled = new.stage.trace.lines().rev().find_map(|line| line.split_once(" dials 127.0.0.1:3001"));
     let dialled = dialled.unwrap().0.rsplit('#').next().unwrap().parse().unwrap();
     new.up(dialled);
     new.feed(dialled, TAKEN);
@@ -1379,20 +1379,22 @@
         0     #105 < 200 OK; Content-Length: 0
         0     #106 < YES
         0     #106 ends: answered_last
-        750   #102 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+        480   #107 dials 127.0.0.1:3001
+        730   #107 ends: dial_timeout
+        980   #102 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
         1000  #101 ends: watch_silent
-        1493  #107 dials 127.0.0.1:8500
-        1493  #107 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
-        2100  #109 dials 127.0.0.1:3001
-        2100  #109 < POST /plan/7?x=1; Host: o; X-Request-Id: i4; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-        2100  #108 < 200 OK; Content-Length: 1 = q
-        2100  #110 < 200 OK; Content-Length: 0
+        1265  #108 dials 127.0.0.1:8500
+        1265  #108 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        2100  #110 dials 127.0.0.1:3001
+        2100  #110 < POST /plan/7?x=1; Host: o; X-Request-Id: i4; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        2100  #109 < 200 OK; Content-Length: 1 = q
+        2100  #111 < 200 OK; Content-Length: 0
     "#]]);
 }
 
 /// Both together may send a cold runner no more than one dispatcher may.
 #[test]
-fn cold_runners_rest_while_two_processes_serve() {
+fn two_processes_share_one_cold_budget() {
     let mut old = Node::followed(&RUNNERS[..1]);
     let started = old.stage.now / 1000 - 1000;
     let cold = format!(
@@ -1400,20 +1402,35 @@
         "lifecycle":"up","startedAtMs":{started}}}]}}"#
     );
     old.feed(1, &chunk(&format!("{}\n", cold.replace('\n', ""))));
+    // As much as one dispatcher may send there by then.
+    for id in ["i1", "i2", "i3"] {
+        old.invoke("plan", id);
+        if id == "i1" {
+            old.up(3);
+        }
+        old.feed(3, TAKEN);
+        old.pass(450);
+        old.call_back(&format!(r#"{{"id":"{id}","from":"s-a","state":"done","result":"r"}}"#));
+    }
+    assert_eq!(old.stage.trace.matches("200 OK; Content-Length: 1 = r").count(), 3);
+    old.stage.trace.clear();
     let mut new = Node::successor(&mut old, PEER);
-    new.invoke("plan", "i1");
-    new.pass(1900);
-    old.invoke("plan", "i2");
-    assert!(!new.stage.trace.contains("3001") && !old.stage.trace.contains("3001"));
-    new.pass(200);
     new.invoke("plan", "i4");
+    new.pass(300);
+    assert!(!new.stage.trace.contains("dials 127.0.0.1:3001"));
+    new.pass(1800);
+    old.pass(2100);
+    old.stage.trace.clear();
+    new.invoke("plan", "i5");
+    old.invoke("plan", "i6");
     assert!(new.stage.trace.contains("dials 127.0.0.1:3001"));
+    assert!(!old.stage.trace.contains("POST"));
     // The one that was to take over is gone: the old one goes on, with newcomers and, in time, cold runners.
     old.end(PEER, End::Reset);
     assert!(old.desk.accepts());
     old.pass(2100);
-    old.invoke("plan", "i3");
-    assert!(old.stage.trace.contains("dials 127.0.0.1:3001"));
+    old.invoke("plan", "i7");
+    assert!(old.stage.trace.contains("POST"));
 }
 
 #[test]
--- a/src/books.rs
+++ b/src/books.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Id, Micros};
 
 /// An average that is believed less as time passes with nothing new.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Recent {
     pub value: f64,
     pub noted_at: Option<Micros>,
@@ -116,7 +118,7 @@
 const USES_MEMORY: f64 = 3e7;
 const KEYS_KEPT: usize = 10_000;
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Keys {
     pub by_hash: HashMap<u64, Key>,
     /// Uses of all keys, as they count now.
@@ -139,11 +141,13 @@
 }
 
 /// How often a key has been asked for, when last, and its first homes as of some roster with newcomers.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Key {
     pub count: f64,
     pub at: Micros,
+    #[serde(skip)]
     pub homes: Vec<usize>,
+    #[serde(skip)]
     pub newcomers: u64,
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,6 +9,8 @@
 //! stake and has `seek` find a runner, `outcome` ends a forward, and `again` or `give_up` says what follows.
 //! `least` is the design (Pod-SSP); docs/design.md lists each departure from it.
 
+mod handing;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::books::{Bond, Due, Forward, Inv, Keys, Place, Pool, Recent, Runner};
@@ -18,6 +20,8 @@
     ReportField, Roster, RosterEntry, Sizes, StandingOrders,
 };
 
+pub use handing::{Learnt, LearntOperation};
+
 /// Draws for a low and for a high invocation.
 const D1: usize = 3;
 const D2: usize = 4;
@@ -185,6 +189,7 @@
                 Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
                 Event::Roster(roster) => self.roster(roster),
                 Event::Retuned(orders) => self.retune(*orders),
+                Event::Inherited(learnt) => self.inherit(*learnt),
                 Event::Tick => self.armed = self.armed.split_off(&(now + 1)),
             }
         }
