In an upgrade only the budget of cold runners goes along; the rest of the learning is taken back

So it is the learning, not the use of cold runners, that costs; which part of it is open. Change: handing.rs hands over the work sent to cold runners of late and nothing else; serde is no dependency of the module any more.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -109,8 +109,8 @@
     })
 }
 
-/// Client timeouts and the number of forwards are numbers above 0 and nothing that only reads like one: what is
-/// wrong there is wrong for every invocation.
+/// Client timeouts and the number of forwards are numbers above 0 and nothing that only reads like one: what
+/// is wrong there is wrong for every invocation.
 fn numbers(settings: &Value) -> Result<(), String> {
     let check = |path: String, value: Option<&Value>| match value {
         Some(value) if value.as_f64().is_some_and(|number| number > 0.0) => Ok(()),
@@ -124,8 +124,8 @@
     timeouts.enumerate().try_for_each(|(nth, value)| check(path(nth), value))
 }
 
-/// The first key that a file has and one that is to take its place lacks: half a file may still be readable, and
-/// what it does not say would silently become something else. Of a list, items must have what all had.
+/// The first key that a file has and one that is to take its place lacks: half a file may still be readable,
+/// and what it does not say would silently become something else. Of a list, items must have what all had.
 pub fn lacks(before: &Value, now: &Value) -> Option<String> {
     let within =
         |key: &str, rest: String| if rest.is_empty() { key.to_owned() } else { format!("{key}.{rest}") };
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -9,8 +9,7 @@
 use std::net::SocketAddr;
 
 use topazsail::{
-    Action, Arrival, Brain, Ending, Event, Id, Learnt, LearntOperation, Listing, Micros, Outcome, Readiness,
-    Roster as List,
+    Action, Arrival, Brain, Ending, Event, Id, Listing, Micros, Outcome, Readiness, Roster as List, Spent,
 };
 use topazsail_orders::Decoded;
 
@@ -93,8 +92,8 @@
 /// What settings mean on sockets.
 fn on_sockets(decoded: &mut Decoded, clients: &mut Clients, figures: &mut Figures, now: Micros) {
     let standing = &mut decoded.standing;
-    // The list comes only on a watch, and a watch has to be opened whatever the settings say; connections end by
-    // our own time, which is shorter than the runners'.
+    // The list comes only on a watch, and a watch has to be opened whatever the settings say; connections end
+    // by our own time, which is shorter than the runners'.
     standing.must_subscribe = true;
     standing.idle_close = decoded.idle_close / 2;
     decoded.operations.iter().for_each(|operation| figures.uses(operation));
@@ -170,19 +169,21 @@
             tip_after,
         };
         desk.limit();
-        let (known, learnt) = match handed {
+        let (known, spent) = match handed {
             Some(handed) => desk.inherit(handed, told.known),
-            None => (told.known, None),
+            None => (told.known, Vec::new()),
         };
         desk.list(roster::Heard { listing: Listing::Remembered, entries: known.entries() }, wires);
         // Once it knows the runners that this is about.
-        desk.happened.extend(learnt.map(|learnt| Event::Inherited(Box::new(learnt))));
+        if !spent.is_empty() {
+            desk.happened.push(Event::Spent(spent));
+        }
         desk
     }
 
-    /// What the process that served until now knows. Gives the list to begin with, the other's where it comes
-    /// from the same discovery, and what the other's module has learnt, by the numbers of operations here.
-    fn inherit(&mut self, handed: Handed, known: Listed) -> (Listed, Option<Learnt>) {
+    /// What the process that served until now knows. Gives the list to begin with, the other's where it
+    /// comes from the same discovery, and what the other has sent to cold runners.
+    fn inherit(&mut self, handed: Handed, known: Listed) -> (Listed, Vec<Spent>) {
         for (id, since) in &handed.out {
             self.members.inherit(id, Some(*since), None);
         }
@@ -190,23 +191,15 @@
             self.members.inherit(id, None, Some((*from, *until)));
         }
         handed.ids.into_iter().for_each(|id| self.remember(id.into()));
-        let mut learnt = handed.learnt;
-        let mut operations = vec![LearntOperation::default(); self.clients.operations.numbers().count()];
-        for (name, number) in self.clients.operations.numbers() {
-            let there = handed.operations.iter().find(|there| there.0 == name);
-            if let Some(told) = there.and_then(|there| learnt.operations.get(there.1)) {
-                operations[number] = told.clone();
-            }
-        }
-        learnt.operations = operations;
+        let spent = handed.spent.into_iter().map(|(id, work)| (id.into(), work)).collect();
         let discovery = self.roster.heard_to().0;
         let listed = (handed.discovery == discovery.to_string()).then(|| Listed::from_value(handed.list));
         match listed {
             Some(Ok(listed)) => {
                 self.roster = Roster::new(discovery, listed.generation);
-                (listed, Some(learnt))
+                (listed, spent)
             }
-            _ => (known, Some(learnt)),
+            _ => (known, spent),
         }
     }
 
@@ -228,6 +221,7 @@
         let (discovery, generation) = self.roster.heard_to();
         let listed = self.members.as_listed();
         let listed = listed.filter_map(|entry| Some((entry, self.runners.address(&entry.tgt)?)));
+        let spent = self.brain.spent(wires.now());
         let state = Handed {
             discovery: discovery.to_string(),
             list: generation.map(|generation| Listed::of(generation, listed)).unwrap_or_default(),
@@ -235,8 +229,7 @@
             was_out: self.members.was_out(),
             ids: self.closed.0.iter().chain(self.invs.keys()).map(|id| id.to_string()).collect(),
             configuration: self.file.to_string(),
-            learnt: self.brain.learnt(),
-            operations: self.clients.operations.numbers().map(|(name, nth)| (name.to_owned(), nth)).collect(),
+            spent: spent.into_iter().map(|(id, work)| (id.to_string(), work)).collect(),
         };
         log!("handing-over", "open={} out={}", self.invs.len(), state.out.len());
         self.peer.meet(link);
@@ -257,8 +250,8 @@
         self.happened.push(Event::Roster(List { listing: Listing::Own, entries }));
     }
 
-    /// The other process has ended. Where it was to take over and nobody has told this one to end, it goes on;
-    /// what the other has sent to cold runners still counts.
+    /// The other process has ended. Where it was to take over and nobody has told this one to end, it goes
+    /// on; what the other has sent to cold runners still counts.
     fn alone(&mut self, wires: &mut dyn Wires) {
         let was = self.overlap.take();
         self.limit();
@@ -278,9 +271,9 @@
         self.held_most = memory / 6;
     }
 
-    /// The configuration has been read again: all of it holds from now on but name and addresses of our own. The
-    /// list that the file remembers says less than the watch, and a new seed is for a new start. A file that has
-    /// lost a key is no good.
+    /// The configuration has been read again: all of it holds from now on but name and addresses of our own.
+    /// The list that the file remembers says less than the watch, and a new seed is for a new start. A file
+    /// that has lost a key is no good.
     pub fn reload(&mut self, told: Dispatcher, wires: &mut dyn Wires) {
         if let Some(key) = config::lacks(&self.file, &told.file) {
             return self.turn_down(&format!("{key} is missing"));
@@ -615,7 +608,7 @@
         self.operators.answer(link, &answer, wires);
     }
 
-    /// From the answer on nothing new goes to a runner that is out, nor does what waits for a connection there.
+    /// From the answer on nothing new goes to a runner that is out, nor what waits for a connection there.
     fn maintain(&mut self, id: &str, out: bool, wires: &mut dyn Wires) -> Result<(), &'static str> {
         let told = self.members.by_hand(id, out, wires.now());
         let code = if out { "maint-on" } else { "maint-off" };
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -20,7 +20,7 @@
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use topazsail::{Learnt, Micros};
+use topazsail::Micros;
 
 use crate::clients::CallBack;
 use crate::conn::{Callbacks, End, Link, Wires};
@@ -46,9 +46,8 @@
     pub ids: Vec<String>,
     /// The text of the configuration in force.
     pub configuration: String,
-    /// What the module has learnt, and which of its operations goes by which name.
-    pub learnt: Learnt,
-    pub operations: Vec<(String, usize)>,
+    /// What has been sent to cold runners of late.
+    pub spent: Vec<(String, Vec<(Micros, f64)>)>,
 }
 
 /// What the two processes tell each other while both serve.
@@ -115,7 +114,7 @@
     Ok(Given { listener, stream, state })
 }
 
-/// Waits for a successor at this place, which whoever was there before has left or will not be asked at again.
+/// Waits for a successor here; whoever was here before has left, or will not be asked at this place again.
 pub fn offer(place: &Path) -> io::Result<UnixListener> {
     match fs::remove_file(place) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -20,8 +20,8 @@
 }
 
 impl Operations {
-    /// From now on these are set. Gives all that have ever been, in the order of their numbers, those that are
-    /// set marked as in use.
+    /// From now on these are set. Gives all that have ever been, in the order of their numbers, those that
+    /// are set marked as in use.
     pub fn set(&mut self, told: Vec<(String, Operation)>, now: Micros) -> Vec<Operation> {
         for (name, number) in std::mem::take(&mut self.set) {
             self.all[number].1.in_use = false;
@@ -51,11 +51,6 @@
         &self.all[number].0
     }
 
-    /// Those that are set, with their numbers.
-    pub fn numbers(&self) -> impl Iterator<Item = (&str, usize)> {
-        self.set.iter().map(|(name, number)| (name.as_str(), *number))
-    }
-
     /// Names of those that are set.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.set.keys().map(String::as_str)
--- a/node/src/runners.rs
+++ b/node/src/runners.rs
@@ -178,8 +178,8 @@
         }
     }
 
-    /// A runner is to get nothing new: what waits for a connection there has not left, and connections at rest
-    /// would only break when it is restarted.
+    /// A runner is to get nothing new: what waits for a connection there has not left, and connections at
+    /// rest would only break when it is restarted.
     pub fn recall(&mut self, tgt: &Id, wires: &mut dyn Wires) {
         self.cut_idle(tgt, End::Unlisted, wires);
         let lines = self.by_id.get(tgt).map(|runner| runner.lines.clone()).unwrap_or_default();
--- a/src/books.rs
+++ b/src/books.rs
@@ -2,12 +2,10 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use serde::{Deserialize, Serialize};
-
 use crate::{Id, Micros};
 
 /// An average that is believed less as time passes with nothing new.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Default)]
 pub struct Recent {
     pub value: f64,
     pub noted_at: Option<Micros>,
@@ -118,7 +116,7 @@
 const USES_MEMORY: f64 = 3e7;
 const KEYS_KEPT: usize = 10_000;
 
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Default)]
 pub struct Keys {
     pub by_hash: HashMap<u64, Key>,
     /// Uses of all keys, as they count now.
@@ -141,13 +139,11 @@
 }
 
 /// How often a key has been asked for, when last, and its first homes as of some roster with newcomers.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Default)]
 pub struct Key {
     pub count: f64,
     pub at: Micros,
-    #[serde(skip)]
     pub homes: Vec<usize>,
-    #[serde(skip)]
     pub newcomers: u64,
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
     ReportField, Roster, RosterEntry, Sizes, StandingOrders,
 };
 
-pub use handing::{Learnt, LearntOperation};
+pub use handing::Spent;
 
 /// Draws for a low and for a high invocation.
 const D1: usize = 3;
@@ -130,8 +130,8 @@
         brain
     }
 
-    /// What holds from now on. Operations keep their numbers, those no longer in use too: what is under way keeps
-    /// its own, but has no more forwards than are allowed now.
+    /// What holds from now on. Operations keep their numbers, those no longer in use too: what is under way
+    /// keeps its own, but has no more forwards than are allowed now.
     fn retune(&mut self, orders: StandingOrders) {
         let ops = &orders.operations;
         let used: Vec<&Operation> = ops.iter().filter(|o| o.in_use).collect();
@@ -189,7 +189,7 @@
                 Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
                 Event::Roster(roster) => self.roster(roster),
                 Event::Retuned(orders) => self.retune(*orders),
-                Event::Inherited(learnt) => self.inherit(*learnt),
+                Event::Spent(spent) => self.inherit(spent),
                 Event::Tick => self.armed = self.armed.split_off(&(now + 1)),
             }
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,4 +1,4 @@
-use crate::{Id, Learnt, Micros, StandingOrders};
+use crate::{Id, Micros, Spent, StandingOrders};
 
 /// What happened to this dispatcher.
 #[derive(Clone, Debug)]
@@ -32,8 +32,8 @@
     Roster(Roster),
     /// New standing orders, in which each operation keeps its number.
     Retuned(Box<StandingOrders>),
-    /// What another process of this dispatcher has learnt.
-    Inherited(Box<Learnt>),
+    /// What another process of this dispatcher has sent to cold runners.
+    Spent(Vec<Spent>),
     /// A timer that was armed has gone off.
     Tick,
 }
