Upgrades: ids once listed and unused descriptors go along; failing hand-overs are tested

A runner that was listed once and is gone was a NO after an upgrade. The new process was held to half the descriptors also where the old one had few open: clients of a full dispatcher would have waited at its door. Tests: no old process, a file left behind, one that says nothing, a state that cannot be read, a path too long; the environment's address goes before the file's; admin_addr that is none names its field. topazsail check shows where operators call.

--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -42,6 +42,10 @@
             let told = config::load(&config::path(path)?)?;
             let operations = told.decoded.operations.join(", ");
             println!("{} listens on {} and asks {}", told.name, told.listen, told.discovery);
+            match told.admin {
+                Some(address) => println!("operators call at {address}"),
+                None => println!("operators call nowhere: neither admin_addr nor RELAY_ADMIN_ADDR is set"),
+            }
             println!("operations: {operations}; runners known: {}", told.known.entries().len());
             Ok(())
         }
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -134,6 +134,8 @@
     overlap: Option<Overlap>,
     /// Descriptors and memory, the other process's among them.
     limits: (usize, usize),
+    /// Connections that the other process had when it handed over.
+    theirs: usize,
     tip_after: Micros,
 }
 
@@ -166,6 +168,7 @@
             peer: Peer::default(),
             overlap: None,
             limits: (told.sockets, told.memory),
+            theirs: 0,
             tip_after,
         };
         desk.limit();
@@ -184,6 +187,8 @@
     /// What the process that served until now knows. Gives the list to begin with, the other's where it
     /// comes from the same discovery, and what the other has sent to cold runners.
     fn inherit(&mut self, handed: Handed, known: Listed) -> (Listed, Vec<Spent>) {
+        self.theirs = handed.connections;
+        handed.gone.iter().for_each(|id| self.members.inherit(id, None, None));
         for (id, since) in &handed.out {
             self.members.inherit(id, Some(*since), None);
         }
@@ -225,6 +230,8 @@
         let state = Handed {
             discovery: discovery.to_string(),
             list: generation.map(|generation| Listed::of(generation, listed)).unwrap_or_default(),
+            connections: wires.connections(),
+            gone: self.members.gone(),
             out: self.members.out(),
             was_out: self.members.was_out(),
             ids: self.closed.0.iter().chain(self.invs.keys()).map(|id| id.to_string()).collect(),
@@ -262,10 +269,17 @@
         }
     }
 
-    /// Two processes share what one may use.
+    /// Two processes share what one may use: half each, but for descriptors that the old one has no use for. It
+    /// lets nobody in any more, and an eighth is left to it for what it still forwards.
     fn limit(&mut self) {
-        let share = if self.overlap.is_some() { 2 } else { 1 };
-        let (sockets, memory) = (self.limits.0 / share, self.limits.1 / share);
+        let (sockets, memory) = self.limits;
+        let (sockets, memory) = match self.overlap {
+            None => (sockets, memory),
+            Some(Overlap::Successor) => (sockets / 2, memory / 2),
+            Some(Overlap::Predecessor) => {
+                ((sockets / 2).max(sockets.saturating_sub(self.theirs + sockets / 8)), memory / 2)
+            }
+        };
         self.clients.limit(sockets);
         self.operators.limit(sockets);
         self.held_most = memory / 6;
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -39,6 +39,12 @@
     /// Where the list comes from, and the list in discovery's own form.
     pub discovery: String,
     pub list: Value,
+    /// Connections that are open.
+    #[serde(default)]
+    pub connections: usize,
+    /// Runners that were listed once.
+    #[serde(default)]
+    pub gone: Vec<String>,
     /// Runners out by hand, since when, and those that have been and are back.
     pub out: Vec<(String, Micros)>,
     pub was_out: Vec<(String, Micros, Micros)>,
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -80,6 +80,12 @@
         self.listed_now().map(|known| &known.entry)
     }
 
+    /// Who was listed once.
+    pub fn gone(&self) -> Vec<String> {
+        let gone = self.by_id.iter().filter(|(_, known)| known.gone_since.is_some());
+        gone.map(|(id, _)| id.to_string()).collect()
+    }
+
     /// Who is out by hand, and since when.
     pub fn out(&self) -> Vec<(String, Micros)> {
         self.by_id.iter().filter_map(|(id, known)| Some((id.to_string(), known.out_since?))).collect()
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -179,15 +179,17 @@
     let folder = env::temp_dir().join(format!("topazsail-upgrade-{}", std::process::id()));
     fs::create_dir_all(&folder).unwrap();
     let path = folder.join("config.json");
-    fs::write(&path, configuration(listen, discovery.local_addr().unwrap())).unwrap();
-    let start = |admin: SocketAddr| {
+    let text = configuration(listen, discovery.local_addr().unwrap());
+    fs::write(&path, text.replacen('{', &format!("{{\"admin_addr\":\"{}\",", admins[0]), 1)).unwrap();
+    // The file says where operators call, and the environment goes before it.
+    let start = |admin: Option<SocketAddr>| {
         let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::null());
         command.env("TMPDIR", &folder).env("RELAY_LISTEN", listen.to_string());
-        command.env("RELAY_ADMIN_ADDR", admin.to_string());
+        command.env("RELAY_ADMIN_ADDR", admin.map_or_else(String::new, |admin| admin.to_string()));
         Program(command.spawn().unwrap())
     };
-    let mut first = start(admins[0]);
+    let mut first = start(None);
     let mut watch = watched(&discovery);
     watch.lists(&runner, 1.0);
     let mut client = Peer::new(TcpStream::connect(listen).unwrap());
@@ -199,7 +201,7 @@
 
     // The file is no good any more: the configuration in force is handed over.
     fs::write(&path, "{").unwrap();
-    let _second = start(admins[1]);
+    let _second = start(Some(admins[1]));
     let mut watch = Peer::from(&discovery);
     assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=1 HTTP/1.1 ");
     assert_eq!(called(admins[1], "status"), "YES\n");
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -11,6 +11,7 @@
 use crate::config;
 use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
 use crate::desk::Desk;
+use crate::handover;
 use crate::http::{self, Fault};
 use crate::members::Members;
 use crate::operations::Operations;
@@ -1191,6 +1192,7 @@
     let bad = [
         ("\"127.0.0.1:0\"", "\"nowhere\""),
         ("8c1f30d27a5be964", "xyz"),
+        ("\"more\":null", "\"admin_addr\":\"here\""),
         ("\"settings\"", "\"other\""),
         ("\"memory_mb\":192", "\"memory_mb\":\"x\""),
         ("\"deduplicated\"", "\"sometimes\""),
@@ -1203,6 +1205,7 @@
     expect![[r#"
         listen has the bad address 'nowhere'
         seed has the bad value 'xyz'
+        admin_addr has the bad address 'here'
         settings is missing
         limits.memory_mb has the bad value "x"
         settings: operations.1.effect has the bad value 'sometimes'
@@ -1534,3 +1537,34 @@
     assert_eq!(operations.number("book", START + 1_000_000), None);
     assert_eq!(operations.name(5), "book");
 }
+
+/// Nobody there, a file that somebody left, one who says nothing, and one who says what cannot be read: each time
+/// the new process listens for itself, and soon.
+#[test]
+fn a_process_that_hands_nothing_over_is_done_without() {
+    let folder = std::env::temp_dir().join(format!("topazsail-handover-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let place = folder.join("one.sock");
+    assert!(handover::ask(&place).is_none());
+    drop(handover::offer(&place).unwrap());
+    assert!(handover::ask(&place).is_none());
+    // What was left there gives way; whoever asks and is not let in waits for a second at most.
+    let silent = handover::offer(&place).unwrap();
+    let before = std::time::Instant::now();
+    assert!(handover::ask(&place).is_none());
+    assert!(before.elapsed() < std::time::Duration::from_secs(20));
+    let _ = silent.accept().unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let asks = {
+        let place = place.clone();
+        std::thread::spawn(move || handover::ask(&place).is_none())
+    };
+    silent.set_nonblocking(false).unwrap();
+    let (mut stream, _) = silent.accept().unwrap();
+    handover::give(&stream, &listener).unwrap();
+    std::io::Write::write_all(&mut stream, b"{\"discovery\":7}\n").unwrap();
+    assert!(asks.join().unwrap());
+    // A folder whose name is too long for a socket's.
+    assert!(handover::offer(&folder.join("x".repeat(120))).is_err());
+    std::fs::remove_dir_all(folder).unwrap();
+}
