Further forwards stay within a budget over a sliding window

Change: Rations in the books count the window, affords() decides, orders/ reads and checks the three figures. Low work starts none beyond half. What else it holds against: floods of second tries of any cause. It may hurt where failures come in bursts and the window is short: what waits goes late.

--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1199,6 +1199,10 @@
         ("\"instances\"", "\"others\""),
         ("\"off\"", "\"heavy\""),
         ("\"classKind\"", "\"classStretch\":[2.5,-1],\"classKind\""),
+        ("\"tipAfter\"", "\"extraFloor\":3,\"repeatRatio\":0.1,\"tipAfter\""),
+        ("\"tipAfter\"", "\"extraFloor\":3,\"repeatRatio\":-0.1,\"extraWindow\":1,\"tipAfter\""),
+        ("\"tipAfter\"", "\"extraFloor\":\"x\",\"repeatRatio\":0.1,\"extraWindow\":1,\"tipAfter\""),
+        ("\"tipAfter\"", "\"extraFloor\":3,\"repeatRatio\":0.1,\"extraWindow\":0,\"tipAfter\""),
         ("}}", "}"),
     ];
     let faults = bad.iter().map(|(was, is)| config::decode(&good.replacen(was, is, 1)).unwrap_err());
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use topazsail::{Effect, Group, Micros, Operation, ReportField, Sizes, StandingOrders};
+use topazsail::{Budget, Effect, Group, Micros, Operation, ReportField, Sizes, StandingOrders};
 
 struct Info<'a>(BTreeMap<&'a str, &'a str>);
 
@@ -82,6 +82,21 @@
         })
     }
 
+    /// All of its three figures, or none.
+    fn budget(&self) -> Result<Option<Budget>, String> {
+        let paths = ["invariants.extraFloor", "invariants.repeatRatio", "invariants.extraWindow"];
+        let absent = |path: &&str| matches!(self.0.get(path), None | Some(&"" | &"-"));
+        if paths.iter().all(absent) {
+            return Ok(None);
+        }
+        let [floor, share, window] = paths;
+        Ok(Some(Budget {
+            floor: self.within(floor, 0.0, f64::MAX)?,
+            share: self.within(share, 0.0, f64::MAX)?,
+            window: self.within(window, 1, SPAN)?,
+        }))
+    }
+
     fn report_field(&self, name: &str) -> ReportField {
         match name {
             "outstanding" => ReportField::InFlight,
@@ -143,6 +158,7 @@
         overload_factor: info.within("invariants.overloadFactor", 0.0, f64::MAX)?,
         tip_after: info.within("invariants.tipAfter", 0, SPAN)?,
         most_forwards: info.within("limits.mostForwards", 1, u32::MAX)?,
+        budget: info.budget()?,
         may_cancel: flag("limits.cancel")?,
         may_probe: flag("limits.probes")?,
         come_back_max: match flag("limits.retryAfter")? {
--- a/src/books.rs
+++ b/src/books.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::{Id, Micros};
+use crate::{Budget, Id, Micros};
 
 /// An average that is believed less as time passes with nothing new.
 #[derive(Clone, Default)]
@@ -112,6 +112,42 @@
     }
 }
 
+/// What counts against a budget of further forwards: when invocations were taken, and when forwards beyond
+/// their first were made.
+#[derive(Default)]
+pub struct Rations {
+    taken: VecDeque<Micros>,
+    further: VecDeque<Micros>,
+}
+
+impl Rations {
+    pub fn take(&mut self, now: Micros) {
+        self.taken.push_back(now);
+    }
+
+    pub fn spend(&mut self, now: Micros) {
+        self.further.push_back(now);
+    }
+
+    /// Further forwards in the window that ends now, and what it allows. A forward on its edge still counts, an
+    /// invocation there does no more: whoever judges may count either way.
+    pub fn spent(&mut self, budget: &Budget, now: Micros) -> (f64, f64) {
+        let from = now - budget.window;
+        while self.taken.front().is_some_and(|at| *at <= from) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|at| *at < from) {
+            self.further.pop_front();
+        }
+        (self.further.len() as f64, budget.floor + budget.share * self.taken.len() as f64)
+    }
+
+    /// When the oldest forward counts no more.
+    pub fn eases(&self, budget: &Budget) -> Option<Micros> {
+        self.further.front().map(|at| at + budget.window + 1)
+    }
+}
+
 /// A key's uses count half after this.
 const USES_MEMORY: f64 = 3e7;
 const KEYS_KEPT: usize = 10_000;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,7 +13,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::books::{Bond, Due, Forward, Inv, Keys, Place, Pool, Recent, Runner};
+use crate::books::{Bond, Due, Forward, Inv, Keys, Place, Pool, Rations, Recent, Runner};
 use crate::chance::{Chance, first, hash};
 use crate::{
     Action, Arrival, Effect, Ending, Event, Group, Id, Listing, Micros, Operation, Outcome, Readiness,
@@ -106,6 +106,7 @@
     /// A slot has come free since the queue was last gone through.
     freed: bool,
     keys: Keys,
+    rations: Rations,
     /// Others' jobs for each unit of weight, and waits for a start, over all runners.
     others_mean: Recent,
     wait_mean: Recent,
@@ -342,6 +343,9 @@
     // Invocations.
 
     fn arrive(&mut self, arrival: Arrival) {
+        if self.orders.budget.is_some() {
+            self.rations.take(self.now);
+        }
         let op = &self.orders.operations[arrival.operation];
         let deadline = self.now + arrival.expires_in;
         // A client's repeat comes with less time left than a first try; its objective runs from the first.
@@ -451,6 +455,12 @@
             if full && !bound || self.now < inv.rests_until && !freed {
                 continue;
             }
+            if inv.forwards > 0 && !self.affords(inv.operation) {
+                let eases = self.orders.budget.and_then(|budget| self.rations.eases(&budget));
+                self.invs.entry(id.clone()).and_modify(|inv| inv.rests_until = eases.unwrap_or(0));
+                self.watch_queued(&id);
+                continue;
+            }
             match self.seek(&id) {
                 Some(tgt) => self.forward(&id, tgt),
                 None => full |= !bound && self.invs[&id].rests_until > self.now,
@@ -458,6 +468,14 @@
         }
     }
 
+    /// Whether one more forward beyond an invocation's first is within the budget. The second half of what the
+    /// window allows is kept for high work.
+    fn affords(&mut self, operation: usize) -> bool {
+        let Some(budget) = self.orders.budget else { return true };
+        let (spent, allowed) = self.rations.spent(&budget, self.now);
+        spent + 1.0 <= allowed && (self.high[operation] || spent < allowed / 2.0)
+    }
+
     fn forward(&mut self, id: &Id, tgt: usize) {
         let work = self.work(&self.invs[id]);
         let stall = self.silence_allowed();
@@ -467,6 +485,9 @@
         }
         let (number, sent) = (inv.forwards, self.now);
         inv.forwards += 1;
+        if number > 0 && self.orders.budget.is_some() {
+            self.rations.spend(self.now);
+        }
         (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
         let runner = &mut self.runners[tgt];
         let dialled = runner.dials(self.now, self.orders.idle_close);
@@ -1068,14 +1089,19 @@
             Effect::Deduplicated(_) => self.now < since + op.memory_span - 2 * MARGIN,
             Effect::NonIdempotent => false,
         };
-        if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[inv.operation]) {
+        let (tgt, operation) = (out.tgt, inv.operation);
+        let (unstarted, sign) = (self.orders.tells_start && !out.started, out.sign);
+        if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[operation]) {
             return self.watch_start(id);
         }
-        let (tgt, allowed) = (out.tgt, self.silence_allowed());
-        if self.orders.tells_start && !out.started {
+        let allowed = self.silence_allowed();
+        if !self.affords(operation) {
+            return self.watch(id, Some(self.now + allowed / 4));
+        }
+        if unstarted {
             return self.cancel(id);
         }
-        if self.silent(tgt) && self.now - out.sign >= allowed {
+        if self.silent(tgt) && self.now - sign >= allowed {
             self.cancel(id);
             self.bench(tgt, "silent");
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 pub use brain::{Brain, Spent};
 pub use chance::hash;
 pub use events::{Arrival, Ending, Event, Listing, Outcome, Readiness, Roster, RosterEntry};
-pub use standing::{Effect, Group, Operation, ReportField, Sizes, StandingOrders};
+pub use standing::{Budget, Effect, Group, Operation, ReportField, Sizes, StandingOrders};
 
 /// Whole microseconds: a moment of the adapter's clock, or a span.
 pub type Micros = i64;
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -21,6 +21,7 @@
     pub overload_factor: f64,
     pub tip_after: Micros,
     pub most_forwards: u32,
+    pub budget: Option<Budget>,
     pub may_cancel: bool,
     pub may_probe: bool,
     /// The longest come-back advice that a client follows; `None` where advice is not handed on.
@@ -68,6 +69,15 @@
     pub kind: Option<Id>,
 }
 
+/// What forwards beyond each invocation's first may number in any window: so many, and a share of the
+/// invocations taken in it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    pub floor: f64,
+    pub share: f64,
+    pub window: Micros,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Idempotent,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -42,6 +42,7 @@
         overload_factor: 3.0,
         tip_after: 2_000_000,
         most_forwards: 3,
+        budget: None,
         may_cancel: true,
         may_probe: true,
         come_back_max: Some(2_000_000),
@@ -191,6 +192,24 @@
         self.tell(Event::Probed { tgt: tgt.into(), alive: true, report: report.to_vec() })
     }
 
+    /// The number of the latest forward of an invocation that is out.
+    pub fn forwards(&self, inv: &str) -> Option<u32> {
+        let sent = format!(" {inv} -> ");
+        let sent = self.trace.lines().filter(|line| line.contains(&sent)).count() as u32;
+        self.out.contains_key(inv).then(|| sent - 1)
+    }
+
+    /// When forwards beyond an invocation's first were made, in milliseconds.
+    pub fn further(&self) -> Vec<Micros> {
+        let mut seen = BTreeSet::new();
+        let sent = self.trace.lines().filter_map(|line| {
+            let (at, rest) = line.split_once(' ')?;
+            let (inv, _) = rest.split_once(" -> ")?;
+            (!seen.insert(inv)).then(|| at.parse().unwrap())
+        });
+        sent.collect()
+    }
+
     pub fn retuned(&mut self, orders: StandingOrders) -> &mut Desk {
         self.tell(Event::Retuned(Box::new(orders)))
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -4,7 +4,7 @@
 
 use expect_test::expect;
 use helper::{Desk, operation, orders};
-use topazsail::{Effect, Ending, Group, Listing, Readiness, Sizes, StandingOrders};
+use topazsail::{Budget, Effect, Ending, Group, Listing, Readiness, Sizes, StandingOrders};
 
 const IDLE: [f64; 3] = [2.0, 0.0, 0.0];
 const BUSY: [f64; 3] = [1.0, 0.0, 1.0];
@@ -687,3 +687,69 @@
         1700 1 -> b
     "#]]);
 }
+
+/// High work may use the whole allowance, other work none beyond its half; who waits for it is sent once it eases.
+#[test]
+fn further_forwards_stay_within_the_budget() {
+    let mut low = operation(Effect::Idempotent);
+    low.billed_value = 0.5;
+    let mut orders = orders(vec![operation(Effect::Idempotent), low]);
+    orders.budget = Some(Budget { floor: 2.0, share: 0.0, window: 300_000 });
+    let mut desk = Desk::new(orders, "a");
+    desk.reports("a", &[9.0, 0.0, 0.0]);
+    for (inv, op) in [("low1", 1), ("low2", 1), ("high1", 0), ("high2", 0)] {
+        desk.arrives(inv, op).ends(inv, 0, Ending::Errored, &[]);
+    }
+    desk.after(300).gone("").after(1).gone("");
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 low1 -> a
+        1000 low1 -> a
+        1000 low2 -> a
+        1000 high1 -> a
+        1000 high1 -> a
+        1000 high2 -> a
+        1301 probe a
+        1301 high2 -> a
+    "#]]);
+}
+
+/// Arrivals, failures, bursts and silences by chance: every window is counted once more, slowly and plainly.
+#[test]
+fn no_window_holds_more_further_forwards_than_the_budget_allows() {
+    let mut drawn = 7u64;
+    let mut chance = |below: u64| {
+        drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (drawn >> 33) % below
+    };
+    let (window, floor, share) = (400, 3.0, 0.25);
+    let mut orders = orders(vec![operation(Effect::Idempotent), operation(Effect::Idempotent)]);
+    orders.operations[0].billed_value = 2.0;
+    orders.most_forwards = 5;
+    orders.budget = Some(Budget { floor, share, window: window * 1000 });
+    let mut desk = Desk::new(orders, "abcdef");
+    "abcdef".split("").filter(|tgt| !tgt.is_empty()).for_each(|tgt| _ = desk.reports(tgt, &[30.0, 0.0, 0.0]));
+    let (mut now, mut taken) = (1000i64, Vec::new());
+    for nth in 0..3000 {
+        let pause = if chance(100) == 0 { 900 } else { chance(12) as i64 };
+        now += pause;
+        desk.after(pause).arrives(&nth.to_string(), chance(2) as usize);
+        taken.push(now);
+        for past in nth - nth.min(6)..=nth {
+            if chance(3) > 0 {
+                let forward = desk.forwards(&past.to_string());
+                let ending = if chance(2) == 0 { Ending::Succeeded } else { Ending::Void };
+                if let Some(forward) = forward {
+                    desk.ends(&past.to_string(), forward, ending, &[]);
+                }
+            }
+        }
+    }
+    let further = desk.further();
+    assert!(further.len() > 100, "{} forwards beyond the first", further.len());
+    for at in &further {
+        let spent = further.iter().filter(|other| (at - window..=*at).contains(*other)).count();
+        let taken = taken.iter().filter(|other| (at - window + 1..=*at).contains(*other)).count();
+        assert!(spent as f64 <= floor + share * taken as f64, "{spent} at {at}, {taken} taken");
+    }
+}
