--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1216,6 +1216,10 @@
         known: missing field `instances`
         settings: weights has the bad value 'heavy'
         settings: familyInfo.classStretch has the bad value '-1'
+        settings: invariants.extraWindow is missing
+        settings: invariants.repeatRatio is out of range
+        settings: invariants.extraFloor has the bad value 'x'
+        settings: invariants.extraWindow is out of range
         no JSON: EOF while parsing an object at line 15 column 106"#]]
     .assert_eq(&faults.collect::<Vec<_>>().join("\n"));
     let numbers = [
