An upgrade under load is handed over though the old process goes on speaking at once

Cause: what the old process said right after its state (ids taken) was read with it and taken for a part of it: 'trailing characters', and the new process listened for itself without list, bans and budget (handover.rs, take). Ruled out by the log: no time-out, no refused descriptor. Change: the state ends at its line; the rest is heard as words.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -209,8 +209,9 @@
     }
 
     /// The process that served until now stays at the other end of this connection until it has ended.
-    pub fn takes_over(&mut self, link: Link) {
+    pub fn takes_over(&mut self, link: Link, mut since: Vec<u8>, wires: &mut dyn Wires) {
         self.peer.meet(link);
+        self.peer.bytes(link, &mut since, wires);
         self.overlap = Some(Overlap::Predecessor);
         self.limit();
     }
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -79,6 +79,8 @@
     pub listener: TcpListener,
     pub stream: UnixStream,
     pub state: State,
+    /// What the other process has said since: it goes on speaking as soon as it has handed over.
+    pub since: Vec<u8>,
 }
 
 /// Asks the process that serves, if there is one.
@@ -107,17 +109,21 @@
     let listener =
         TcpListener::from(descriptor.filter(|_| form == [FORM]).ok_or_else(|| bad("no listener"))?);
     let (mut text, mut some) = (Vec::new(), vec![0; 64 << 10]);
-    while !text.ends_with(b"\n") {
+    let length = loop {
+        if let Some(length) = text.iter().position(|byte| *byte == b'\n') {
+            break length;
+        }
         patience(&stream)?;
         let read = stream.read(&mut some)?;
         text.extend_from_slice(&some[..read]);
         if read == 0 || text.len() > STATE_MOST || Instant::now() > until {
             return Err(bad("the state did not come whole"));
         }
-    }
+    };
+    let since = text.split_off(length + 1);
     let state = serde_json::from_slice(&text)?;
     stream.set_nonblocking(true)?;
-    Ok(Given { listener, stream, state })
+    Ok(Given { listener, stream, state, since })
 }
 
 /// Waits for a successor here; whoever was here before has left, or will not be asked at this place again.
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -125,10 +125,12 @@
             added.map_err(fault("poller"))?;
         }
     }
-    let (stream, state) = given.map(|given| (given.stream, given.state)).unzip();
+    let (other, state) = given.map(|given| ((given.stream, given.since), given.state)).unzip();
     let mut desk = Desk::new(told, state, &mut reactor);
-    if let Some(link) = stream.and_then(|stream| reactor.meet(stream, listen)) {
-        desk.takes_over(link);
+    if let Some((stream, since)) = other
+        && let Some(link) = reactor.meet(stream, listen)
+    {
+        desk.takes_over(link, since, &mut reactor);
     }
     let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&reload, path));
     run.map_err(fault("poller"))?;
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -6,6 +6,9 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 /// Far more than any step takes; only a step that never comes gets there.
@@ -64,8 +67,12 @@
 
 /// The watch that a program has opened, answered.
 fn watched(discovery: &TcpListener) -> Peer {
+    watched_since(discovery, 0)
+}
+
+fn watched_since(discovery: &TcpListener, since: u64) -> Peer {
     let mut watch = Peer::from(discovery);
-    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=0 HTTP/1.1 ");
+    assert_eq!(watch.hear(), format!("GET /v1/servers?follow=1&since={since} HTTP/1.1 "));
     watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     watch
 }
@@ -224,6 +231,91 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// A runner that takes whatever comes and is done at once; what it has been given, in order.
+fn obliging(runner: TcpListener, listen: SocketAddr, given: Arc<Mutex<Vec<String>>>) {
+    for stream in runner.incoming() {
+        let (mut forwards, given) = (Peer::new(stream.unwrap()), given.clone());
+        thread::spawn(move || {
+            loop {
+                let heard = forwards.hear();
+                let Some(id) = heard.strip_prefix("POST /plan HTTP/1.1 ") else { return };
+                given.lock().unwrap().push(id.trim().to_owned());
+                forwards.say("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+                let told = format!(r#"{{"id":"{}","from":"s-a","state":"done","result":"r"}}"#, id.trim());
+                let mut call = Peer::new(TcpStream::connect(listen).unwrap());
+                call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n", told.len()));
+                call.say(&told);
+                assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+            }
+        });
+    }
+}
+
+/// Clients go on all the while, each on a connection that it keeps as long as it may: every invocation is answered
+/// and reaches the runner once, and operators are answered though hundreds of callers say nothing.
+#[test]
+fn an_upgrade_under_load_meets_nobody_at_the_door() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (listen, admins) = (free_address(82), [free_address(83), free_address(84)]);
+    let folder = env::temp_dir().join(format!("topazsail-load-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("config.json");
+    fs::write(&path, configuration(listen, discovery.local_addr().unwrap())).unwrap();
+    let start = |admin: SocketAddr| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::null()).env("TMPDIR", &folder);
+        Program(command.env("RELAY_ADMIN_ADDR", admin.to_string()).spawn().unwrap())
+    };
+    let mut first = start(admins[0]);
+    let mut watch = watched(&discovery);
+    watch.lists(&runner, 1.0);
+    let given = Arc::new(Mutex::new(Vec::new()));
+    let seen = given.clone();
+    thread::spawn(move || obliging(runner, listen, seen));
+    // Once the list has been heard it is handed over as of then.
+    let mut peer = Peer::new(TcpStream::connect(listen).unwrap());
+    peer.say("POST /plan HTTP/1.1\r\nX-Request-Id: first\r\nX-Deadline-Ms: 25000\r\n\r\n");
+    assert_eq!(peer.hear(), "HTTP/1.1 200 OK r");
+    let over = Arc::new(AtomicBool::new(false));
+    let client = |nth: usize| {
+        let over = over.clone();
+        thread::spawn(move || {
+            let (mut asked, mut connection) = (0, None);
+            while !over.load(Ordering::Relaxed) {
+                let mut peer =
+                    connection.take().unwrap_or_else(|| Peer::new(TcpStream::connect(listen).unwrap()));
+                let head = format!("X-Request-Id: c{nth}-{asked}\r\nX-Deadline-Ms: 25000");
+                peer.say(&format!("POST /plan HTTP/1.1\r\n{head}\r\n\r\n"));
+                let answer = peer.hear();
+                assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+                asked += 1;
+                connection = Some(peer).filter(|_| !answer.contains(" close "));
+            }
+            asked
+        })
+    };
+    let clients: Vec<_> = (0..3).map(client).collect();
+    let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(admins[0]).unwrap()).collect();
+    assert_eq!(called(admins[0], "status"), "YES\n");
+    let _second = start(admins[1]);
+    let _watch = watched_since(&discovery, 1);
+    assert_eq!(called(admins[1], "status"), "YES\n");
+    signal(&first, "TERM");
+    assert_eq!(first.0.wait().unwrap().code(), Some(0));
+    drop(silent);
+    assert_eq!(called(admins[1], "status"), "YES\n");
+    over.store(true, Ordering::Relaxed);
+    let asked = 1 + clients.into_iter().map(|client| client.join().unwrap()).sum::<usize>();
+    let mut given = given.lock().unwrap().clone();
+    assert!(asked > 3);
+    assert_eq!(given.len(), asked);
+    given.sort();
+    given.dedup();
+    assert_eq!(given.len(), asked);
+    fs::remove_dir_all(folder).unwrap();
+}
+
 /// The command's exit code, what it wrote to standard output and to standard error.
 fn migrates(words: &[&str]) -> (Option<i32>, String, String) {
     let done = Command::new(env!("CARGO_BIN_EXE_topazsail")).arg("migrate").args(words).output().unwrap();
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -166,12 +166,13 @@
         of.desk.hand_over(link, &mut of.stage);
         of.settle();
         let said = of.stage.said.remove(&link).unwrap();
-        let state = serde_json::from_str(&said).unwrap();
+        let (state, since) = said.split_once('\n').unwrap();
+        let state = serde_json::from_str(state).unwrap();
         let mut stage = Stage { now: of.stage.now, next: 100, ..Stage::default() };
         let told = config::decode(&configuration(&[])).unwrap();
         let mut node = Node { desk: Desk::new(told, Some(state), &mut stage), stage };
         node.stage.sides.insert(link, Side::Peer);
-        node.desk.takes_over(link);
+        node.desk.takes_over(link, since.as_bytes().to_vec(), &mut node.stage);
         node.settle();
         node
     }
@@ -1572,6 +1573,16 @@
     handover::give(&stream, &listener).unwrap();
     std::io::Write::write_all(&mut stream, b"{\"discovery\":7}\n").unwrap();
     assert!(asks.join().unwrap());
+    // Whoever has handed over goes on speaking at once.
+    let asks = {
+        let place = place.clone();
+        std::thread::spawn(move || handover::ask(&place).unwrap().since)
+    };
+    let (mut stream, _) = silent.accept().unwrap();
+    handover::give(&stream, &listener).unwrap();
+    let state = serde_json::to_string(&handover::State::default()).unwrap();
+    std::io::Write::write_all(&mut stream, format!("{state}\n{{\"taken\":\"i1\"}}\n").as_bytes()).unwrap();
+    assert!(b"{\"taken\":\"i1\"}\n".starts_with(&asks.join().unwrap()));
     // A folder whose name is too long for a socket's.
     assert!(handover::offer(&folder.join("x".repeat(120))).is_err());
     std::fs::remove_dir_all(folder).unwrap();
