Read again: doors carry their keys, members and test fixtures are made in one place

Found on reading the change once more: a door's key was worked out in three places and pausing wrote again what opening does; a Member was built twice; two loopback tests each had their own start of the program, and three their own call-back. One piece serves each now. Behaviour, assertions and kept texts are as they were.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -335,10 +335,12 @@
     /// Whether one more may come in on this side.
     pub fn room(&mut self, side: Side, wires: &mut dyn Wires) -> bool {
         match side {
-            Side::Operator => self.operators.make_room(wires),
-            _ => return self.clients.room(wires),
+            Side::Operator => {
+                self.operators.make_room(wires);
+                true
+            }
+            _ => self.clients.room(wires),
         }
-        true
     }
 
     pub fn accepted(&mut self, side: Side, link: Link, wires: &mut dyn Wires) {
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -22,6 +22,10 @@
 }
 
 impl Member {
+    fn new(entry: RosterEntry, gone_since: Option<Micros>) -> Member {
+        Member { entry, gone_since, out_since: None, was_out: None }
+    }
+
     /// What holds of it, the list, the hand and the rest of cold ones taken together.
     fn standing(&self, rest: &Rest, now: Micros) -> RosterEntry {
         let mut entry = self.entry.clone();
@@ -44,7 +48,6 @@
 }
 
 /// Cold runners get nothing until then: another process of this dispatcher may have sent them their share.
-#[derive(Default)]
 struct Rest {
     until: Micros,
     warm_within: Micros,
@@ -99,8 +102,8 @@
 
     /// What another process knew of a runner.
     pub fn inherit(&mut self, id: &str, out_since: Option<Micros>, was_out: Option<(Micros, Micros)>) {
-        let known = self.by_id.entry(id.into()).or_insert_with(|| Member {
-            entry: RosterEntry {
+        let known = self.by_id.entry(id.into()).or_insert_with(|| {
+            let entry = RosterEntry {
                 tgt: id.into(),
                 cell: -1,
                 size: 0.0,
@@ -108,10 +111,8 @@
                 zone: "".into(),
                 readiness: Readiness::Off,
                 launched: None,
-            },
-            gone_since: Some(0),
-            out_since: None,
-            was_out: None,
+            };
+            Member::new(entry, Some(0))
         });
         known.out_since = out_since.or(known.out_since);
         known.was_out = was_out.or(known.was_out);
@@ -125,12 +126,8 @@
         let mut standing = Vec::new();
         for entry in told {
             let gone_since = Some(now).filter(|_| entry.readiness == Readiness::Off);
-            let known = self.by_id.entry(entry.tgt.clone()).or_insert_with(|| Member {
-                entry: entry.clone(),
-                gone_since,
-                out_since: None,
-                was_out: None,
-            });
+            let known = self.by_id.entry(entry.tgt.clone());
+            let known = known.or_insert_with(|| Member::new(entry.clone(), gone_since));
             (known.entry, known.gone_since) = (entry, gone_since);
             standing.push(known.standing(&self.rest, now));
         }
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -56,6 +56,12 @@
 struct Door {
     listener: TcpListener,
     side: Side,
+    /// What the poller knows it by.
+    key: usize,
+}
+
+fn door_of(doors: &[Door], side: Side) -> Option<&Door> {
+    doors.iter().find(|door| door.side == side)
 }
 
 pub struct Reactor {
@@ -95,7 +101,7 @@
         let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
         let listener =
             given.unwrap_or_else(|| listen(address)).map_err(|error| format!("listen {address}: {error}"))?;
-        doors.push(Door { listener, side });
+        doors.push(Door { listener, side, key: DOORS + doors.len() });
     }
     let mut reactor = Reactor::new().map_err(fault("poller"))?;
     // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
@@ -104,8 +110,8 @@
             .poller
             .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot)
             .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level));
-        for (nth, door) in doors.iter().enumerate() {
-            let event = Event::readable(DOORS + nth);
+        for door in &doors {
+            let event = Event::readable(door.key);
             added = added.and_then(|()| reactor.poller.add_with_mode(&door.listener, event, PollMode::Level));
         }
         added.map_err(fault("poller"))?;
@@ -211,8 +217,8 @@
                     SIGNAL => desk.go_down(self),
                     RELOAD => self.reload(desk, reload, path),
                     SUCCESSOR => self.hand_over(desk, successor, doors),
-                    key => match doors.get(key - DOORS) {
-                        Some(door) => self.accept(desk, door, key)?,
+                    key => match doors.iter().find(|door| door.key == key) {
+                        Some(door) => self.accept(desk, door)?,
                         None => self.ready(key as Link, event, desk),
                     },
                 }
@@ -225,7 +231,7 @@
             desk.settle(self);
             if desk.accepts() != self.accepting {
                 self.accepting = desk.accepts();
-                self.open(Side::Client, self.accepting, doors)?;
+                self.open(door_of(doors, Side::Client), self.accepting)?;
             }
         }
     }
@@ -267,18 +273,20 @@
                     self.remove(link, end);
                 }
             }
-            Due::Accept(side) => self.open(side, side != Side::Client || self.accepting, doors)?,
+            Due::Accept(side) => {
+                self.open(door_of(doors, side), side != Side::Client || self.accepting)?;
+            }
             due => desk.due(due, self),
         }
         Ok(())
     }
 
-    /// Lets newcomers in on a side, or leaves them waiting.
-    fn open(&mut self, side: Side, open: bool, doors: &[Door]) -> io::Result<()> {
-        let Some(nth) = doors.iter().position(|door| door.side == side) else { return Ok(()) };
-        let key = DOORS + nth;
+    /// Lets newcomers in at a door, or leaves them waiting.
+    fn open(&mut self, door: Option<&Door>, open: bool) -> io::Result<()> {
+        let Some(Door { listener, key, .. }) = door else { return Ok(()) };
+        let key = *key;
         let event = if open { Event::readable(key) } else { Event::none(key) };
-        self.poller.modify_with_mode(&doors[nth].listener, event, PollMode::Level)
+        self.poller.modify_with_mode(listener, event, PollMode::Level)
     }
 
     /// A connection to another process of this dispatcher.
@@ -288,7 +296,7 @@
 
     fn hand_over(&mut self, desk: &mut Desk, successor: Option<&UnixListener>, doors: &[Door]) {
         let Some(Ok((stream, _))) = successor.map(UnixListener::accept) else { return };
-        let Some(door) = doors.iter().find(|door| door.side == Side::Client) else { return };
+        let Some(door) = door_of(doors, Side::Client) else { return };
         if !desk.may_hand_over() {
             return log!("handover-failed", "reason=\"going down, or at it already\"");
         }
@@ -303,11 +311,11 @@
         }
     }
 
-    fn accept(&mut self, desk: &mut Desk, door: &Door, key: usize) -> io::Result<()> {
+    fn accept(&mut self, desk: &mut Desk, door: &Door) -> io::Result<()> {
         for _ in 0..ACCEPTS {
             if !desk.room(door.side, self) {
                 log!("accept-paused", "connections={} reason=no_room", self.conns.len());
-                return self.pause(door, key);
+                return self.pause(door);
             }
             match door.listener.accept() {
                 Ok((stream, peer)) => {
@@ -320,7 +328,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
-                    return self.pause(door, key);
+                    return self.pause(door);
                 }
                 // The newcomer has left again, or was interrupted: the next one may be well.
                 Err(error) => log!("accept-failed", "reason={error}"),
@@ -329,9 +337,9 @@
         Ok(())
     }
 
-    fn pause(&mut self, door: &Door, key: usize) -> io::Result<()> {
+    fn pause(&mut self, door: &Door) -> io::Result<()> {
         self.wake(Due::Accept(door.side), self.now + ACCEPT_AGAIN);
-        self.poller.modify_with_mode(&door.listener, Event::none(key), PollMode::Level)
+        self.open(Some(door), false)
     }
 
     fn add(&mut self, mut conn: Conn) -> Option<Link> {
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -166,16 +167,30 @@
     // Told to end, it answers what it has taken, and lets runners tell it what became of that.
     signal(&program, "TERM");
     logged("going-down");
-    let mut call = Peer::new(TcpStream::connect(listen).unwrap());
-    let told = r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#;
-    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
-    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+    let _call = calls_back(listen, r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#);
     assert_eq!(client.hear(), "HTTP/1.1 200 OK plan");
     assert!(client.is_ended());
     assert_eq!(program.0.wait().unwrap().code(), Some(0));
     fs::remove_file(path).unwrap();
 }
 
+/// A process of one dispatcher in its folder, where the others of an upgrade find it.
+fn start(folder: &Path, listen: SocketAddr, admin: Option<SocketAddr>) -> Program {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+    command.args(["serve", "--config"]).arg(folder.join("config.json")).stderr(Stdio::null());
+    command.env("TMPDIR", folder).env("RELAY_LISTEN", listen.to_string());
+    command.env("RELAY_ADMIN_ADDR", admin.map_or_else(String::new, |admin| admin.to_string()));
+    Program(command.spawn().unwrap())
+}
+
+/// A call-back, taken; the connection that it came on.
+fn calls_back(listen: SocketAddr, told: &str) -> Peer {
+    let mut call = Peer::new(TcpStream::connect(listen).unwrap());
+    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
+    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+    call
+}
+
 /// A second process takes the listener over: who waits at the door is served by it, what the first has taken is
 /// answered by that one, and calls on runners hold in both.
 #[test]
@@ -189,14 +204,7 @@
     let text = configuration(listen, discovery.local_addr().unwrap());
     fs::write(&path, text.replacen('{', &format!("{{\"admin_addr\":\"{}\",", admins[0]), 1)).unwrap();
     // The file says where operators call, and the environment goes before it.
-    let start = |admin: Option<SocketAddr>| {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
-        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::null());
-        command.env("TMPDIR", &folder).env("RELAY_LISTEN", listen.to_string());
-        command.env("RELAY_ADMIN_ADDR", admin.map_or_else(String::new, |admin| admin.to_string()));
-        Program(command.spawn().unwrap())
-    };
-    let mut first = start(None);
+    let mut first = start(&folder, listen, None);
     let mut watch = watched(&discovery);
     watch.lists(&runner, 1.0);
     let mut client = Peer::new(TcpStream::connect(listen).unwrap());
@@ -208,17 +216,14 @@
 
     // The file is no good any more: the configuration in force is handed over.
     fs::write(&path, "{").unwrap();
-    let _second = start(Some(admins[1]));
+    let _second = start(&folder, listen, Some(admins[1]));
     let mut watch = Peer::from(&discovery);
     assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=1 HTTP/1.1 ");
     assert_eq!(called(admins[1], "status"), "YES\n");
     assert!(called(admins[1], "stats").contains("edge_relay.skipped_runners=1\n"));
     signal(&first, "TERM");
     // On a new connection, which the second process has: it passes on what it is told.
-    let mut call = Peer::new(TcpStream::connect(listen).unwrap());
-    let told = r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#;
-    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
-    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+    let _call = calls_back(listen, r#"{"id":"i1","from":"s-a","state":"done","result":"plan"}"#);
     assert_eq!(client.hear(), "HTTP/1.1 200 OK close plan");
     assert_eq!(first.0.wait().unwrap().code(), Some(0));
 
@@ -242,10 +247,7 @@
                 given.lock().unwrap().push(id.trim().to_owned());
                 forwards.say("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
                 let told = format!(r#"{{"id":"{}","from":"s-a","state":"done","result":"r"}}"#, id.trim());
-                let mut call = Peer::new(TcpStream::connect(listen).unwrap());
-                call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n", told.len()));
-                call.say(&told);
-                assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+                calls_back(listen, &told);
             }
         });
     }
@@ -260,14 +262,9 @@
     let (listen, admins) = (free_address(82), [free_address(83), free_address(84)]);
     let folder = env::temp_dir().join(format!("topazsail-load-{}", std::process::id()));
     fs::create_dir_all(&folder).unwrap();
-    let path = folder.join("config.json");
-    fs::write(&path, configuration(listen, discovery.local_addr().unwrap())).unwrap();
-    let start = |admin: SocketAddr| {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
-        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::null()).env("TMPDIR", &folder);
-        Program(command.env("RELAY_ADMIN_ADDR", admin.to_string()).spawn().unwrap())
-    };
-    let mut first = start(admins[0]);
+    let text = configuration(listen, discovery.local_addr().unwrap());
+    fs::write(folder.join("config.json"), text).unwrap();
+    let mut first = start(&folder, listen, Some(admins[0]));
     let mut watch = watched(&discovery);
     watch.lists(&runner, 1.0);
     let given = Arc::new(Mutex::new(Vec::new()));
@@ -298,7 +295,7 @@
     let clients: Vec<_> = (0..3).map(client).collect();
     let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(admins[0]).unwrap()).collect();
     assert_eq!(called(admins[0], "status"), "YES\n");
-    let _second = start(admins[1]);
+    let _second = start(&folder, listen, Some(admins[1]));
     let _watch = watched_since(&discovery, 1);
     assert_eq!(called(admins[1], "status"), "YES\n");
     signal(&first, "TERM");
