Read again: the budget's window is counted without being changed

Counting pruned as it went, so affords() needed the module mutable and stalled() had to copy four fields out first.

--- a/src/books.rs
+++ b/src/books.rs
@@ -121,30 +121,35 @@
 }
 
 impl Rations {
-    pub fn take(&mut self, now: Micros) {
+    pub fn take(&mut self, budget: &Budget, now: Micros) {
+        self.tidy(budget, now);
         self.taken.push_back(now);
     }
 
-    pub fn spend(&mut self, now: Micros) {
+    pub fn spend(&mut self, budget: &Budget, now: Micros) {
+        self.tidy(budget, now);
         self.further.push_back(now);
     }
 
+    fn tidy(&mut self, budget: &Budget, now: Micros) {
+        let from = now - budget.window;
+        self.taken.drain(..self.taken.partition_point(|at| *at <= from));
+        self.further.drain(..self.further.partition_point(|at| *at < from));
+    }
+
     /// Further forwards in the window that ends now, and what it allows. A forward on its edge still counts, an
     /// invocation there does no more: whoever judges may count either way.
-    pub fn spent(&mut self, budget: &Budget, now: Micros) -> (f64, f64) {
+    pub fn spent(&self, budget: &Budget, now: Micros) -> (f64, f64) {
         let from = now - budget.window;
-        while self.taken.front().is_some_and(|at| *at <= from) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|at| *at < from) {
-            self.further.pop_front();
-        }
-        (self.further.len() as f64, budget.floor + budget.share * self.taken.len() as f64)
+        let taken = self.taken.len() - self.taken.partition_point(|at| *at <= from);
+        let further = self.further.len() - self.further.partition_point(|at| *at < from);
+        (further as f64, budget.floor + budget.share * taken as f64)
     }
 
-    /// When the oldest forward counts no more.
-    pub fn eases(&self, budget: &Budget) -> Option<Micros> {
-        self.further.front().map(|at| at + budget.window + 1)
+    /// When the oldest forward in the window counts no more.
+    pub fn eases(&self, budget: &Budget, now: Micros) -> Option<Micros> {
+        let from = now - budget.window;
+        self.further.get(self.further.partition_point(|at| *at < from)).map(|at| at + budget.window + 1)
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -343,8 +343,8 @@
     // Invocations.
 
     fn arrive(&mut self, arrival: Arrival) {
-        if self.orders.budget.is_some() {
-            self.rations.take(self.now);
+        if let Some(budget) = &self.orders.budget {
+            self.rations.take(budget, self.now);
         }
         let op = &self.orders.operations[arrival.operation];
         let deadline = self.now + arrival.expires_in;
@@ -456,7 +456,7 @@
                 continue;
             }
             if inv.forwards > 0 && !self.affords(inv.operation) {
-                let eases = self.orders.budget.and_then(|budget| self.rations.eases(&budget));
+                let eases = self.orders.budget.and_then(|budget| self.rations.eases(&budget, self.now));
                 self.invs.entry(id.clone()).and_modify(|inv| inv.rests_until = eases.unwrap_or(0));
                 self.watch_queued(&id);
                 continue;
@@ -470,9 +470,9 @@
 
     /// Whether one more forward beyond an invocation's first is within the budget. The second half of what the
     /// window allows is kept for high work.
-    fn affords(&mut self, operation: usize) -> bool {
-        let Some(budget) = self.orders.budget else { return true };
-        let (spent, allowed) = self.rations.spent(&budget, self.now);
+    fn affords(&self, operation: usize) -> bool {
+        let Some(budget) = &self.orders.budget else { return true };
+        let (spent, allowed) = self.rations.spent(budget, self.now);
         spent + 1.0 <= allowed && (self.high[operation] || spent < allowed / 2.0)
     }
 
@@ -485,8 +485,8 @@
         }
         let (number, sent) = (inv.forwards, self.now);
         inv.forwards += 1;
-        if number > 0 && self.orders.budget.is_some() {
-            self.rations.spend(self.now);
+        if let Some(budget) = self.orders.budget.as_ref().filter(|_| number > 0) {
+            self.rations.spend(budget, self.now);
         }
         (inv.pools, inv.heard_by, inv.rests_until) = (0, 0, 0);
         let runner = &mut self.runners[tgt];
@@ -1089,19 +1089,17 @@
             Effect::Deduplicated(_) => self.now < since + op.memory_span - 2 * MARGIN,
             Effect::NonIdempotent => false,
         };
-        let (tgt, operation) = (out.tgt, inv.operation);
-        let (unstarted, sign) = (self.orders.tells_start && !out.started, out.sign);
-        if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[operation]) {
+        if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[inv.operation]) {
             return self.watch_start(id);
         }
-        let allowed = self.silence_allowed();
-        if !self.affords(operation) {
+        let (tgt, allowed) = (out.tgt, self.silence_allowed());
+        if !self.affords(inv.operation) {
             return self.watch(id, Some(self.now + allowed / 4));
         }
-        if unstarted {
+        if self.orders.tells_start && !out.started {
             return self.cancel(id);
         }
-        if self.silent(tgt) && self.now - sign >= allowed {
+        if self.silent(tgt) && self.now - out.sign >= allowed {
             self.cancel(id);
             self.bench(tgt, "silent");
         } else {
