Lab: a cancel of a forward that is still dialling withdraws it at once

A forward that had been withdrawn ended as succeeded after all and was the answer; the next one was dialling, its cancel went to the runner by wire, and meanwhile the connection came up and the forward left. On sockets the desk ends what never got out at once. Fault: Action::Cancel in lab/src/virtual_clock.rs looked at `out` only.

--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -99,6 +99,8 @@
 }
 
 struct Sent {
+    /// Its bytes have left: no new connection has to come up for it any more.
+    left: bool,
     runner: u32,
     at: Micros,
     out: bool,
@@ -563,7 +565,11 @@
                     let inv = key(&inv);
                     let sent = self.dispatchers[d as usize].invs.get(&inv);
                     let sent = sent.and_then(|open| open.sent.get(forward as usize)).filter(|sent| sent.out);
-                    if let Some(r) = sent.map(|sent| sent.runner) {
+                    if let Some(sent) = sent.filter(|sent| !sent.left) {
+                        // As on sockets: what never got out is withdrawn at once, or an answer that comes
+                        // meanwhile would be followed by a forward.
+                        self.push(self.now, Ev::Heard(life, inv, forward, Ending::Withdrawn, None));
+                    } else if let Some(r) = sent.map(|sent| sent.runner) {
                         self.tally.traffic.cancels += 1;
                         let (from, to) = self.ends(d, r);
                         self.send(from, to, Ev::Cancel(life, inv, forward, r));
@@ -592,7 +598,7 @@
         let Some(open) = dispatcher.invs.get_mut(&inv) else { return };
         let number = open.sent.len() as u32;
         let sendable = !open.answered && !open.sent.iter().any(|sent| sent.out);
-        open.sent.push(Sent { runner: r, at: now, out: sendable });
+        open.sent.push(Sent { left: false, runner: r, at: now, out: sendable });
         if !sendable {
             return self.push(now, Ev::Heard(life, inv, number, Ending::Void, None));
         }
@@ -654,6 +660,9 @@
 
     /// A forward's bytes leave.
     fn leave(&mut self, life: Incarnation, inv: u64, number: u32, r: u32) {
+        if let Some(open) = self.dispatchers[life.d as usize].invs.get_mut(&inv) {
+            open.sent[number as usize].left = true;
+        }
         let (from, to) = self.ends(life.d, r);
         let runner = &self.world.runners[r as usize];
         let cold = (runner.warmth(self.now) < 1.0).then(|| runner.capacity(self.now));
