A cold runner whose fresh report shows that it holds little may have more than its turns

The turns were used to 60 to 70%, and all of them are a third of what the rule bears. Fault: `within_cold_budget` in src/brain.rs counts only what this dispatcher sent, though a fresh report tells what all have sent that has not ended.

Change: what a runner is sent in a span is what it does in it, its capacity at most, and what it holds at the end. So while it holds no more than the rule leaves beyond its capacity (0.7 of that, two jobs that others may be sending counted in), it may have one more at any number of dispatchers.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,6 +62,8 @@
 const HOME_BOUND: f64 = 1.25;
 /// The share of the cold budget that is used: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
+/// Jobs that other dispatchers may be sending to a runner whose report is fresh.
+const MEANWHILE: f64 = 2.0;
 /// How far above the fleet's median share of failures a runner may lie.
 const FAILURES_OVER_MEDIAN: f64 = 0.3;
 /// Failures and successes count half after this.
@@ -790,6 +792,10 @@
     fn least(&mut self, inv: &Inv) -> Option<usize> {
         let mut best: Option<(f64, f64, usize)> = None;
         for &r in &inv.drawn {
+            let unheard = self.probes_tell() && (self.runners[r].probing || self.stale(r));
+            if unheard && !self.within_cold_budget(r, self.work(inv)) {
+                continue;
+            }
             if self.probes_tell() && self.runners[r].probing || !self.open(r, inv) || !self.has_room(r, inv) {
                 continue;
             }
@@ -862,7 +868,7 @@
         fits && self.now >= runner.bench_until.max(runner.full_until)
             && !(runner.on_trial && runner.out > 0)
             && !self.silent(r)
-            && self.within_cold_budget(r, self.work(inv))
+            && (self.within_cold_budget(r, self.work(inv)) || self.holds_little(r, self.work(inv)))
     }
 
     /// Where probes keep counts fresh, waiting is done here rather than in a runner's few waiting places.
@@ -980,6 +986,19 @@
         turn % (turns as u64).max(1) == 0 && runner.spent_since(slice * span) + work <= turns * share / 2.0
     }
 
+    /// What a runner is sent in a span is what it does in it, which is its capacity at most, and what it holds at
+    /// its end. So it is safe at any number of dispatchers while it holds no more than the rule leaves beyond its
+    /// capacity, some jobs that others may be sending it at this moment counted in. One with no fresh word may be
+    /// drawn, to be probed.
+    fn holds_little(&self, r: usize, work: f64) -> bool {
+        if !self.probes_tell() || self.age(r) > HEARING as f64 && !self.stale(r) {
+            return false;
+        }
+        let held = if self.stale(r) { 0.0 } else { self.count(r) };
+        let most = (self.orders.overload_factor - 1.0) * self.warmth(r) * self.slots(r);
+        (held + MEANWHILE) * self.mean_pace + work <= most * self.orders.tip_after as f64 * COLD_CAUTION
+    }
+
     // What runners show of themselves.
 
     fn report(&mut self, r: usize, values: &[f64]) {
