Read again: the shares that let low work in, and who is passed over, stand once each

admits() and short() chose between the same two pairs of shares, and least() asked twice whether a draw is still being probed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -388,7 +388,7 @@
         if self.free_share.noted_at.is_none() || self.high[operation] && !late {
             return true;
         }
-        let (none, all) = if self.forwards_tell() { TAKEN } else { SPARE };
+        let (none, all) = self.let_in();
         let share = ((self.free_share.value - none) / (all - none)).clamp(ADMITTED_LEAST, 1.0);
         if late { share >= 1.0 } else { self.chance.happens(share) }
     }
@@ -398,10 +398,14 @@
         self.orders.lists_load() || self.orders.may_probe && self.doubt > 0.0
     }
 
+    /// The shares at which no low work, and at which all, is let in.
+    fn let_in(&self) -> (f64, f64) {
+        if self.forwards_tell() { TAKEN } else { SPARE }
+    }
+
     /// Whether slots are short, by whatever tells.
     fn short(&self) -> bool {
-        let (_, all) = if self.forwards_tell() { TAKEN } else { SPARE };
-        self.free_share.noted_at.is_some() && self.free_share.value < all
+        self.free_share.noted_at.is_some() && self.free_share.value < self.let_in().1
     }
 
     fn enqueue(&mut self, id: &Id) {
@@ -792,11 +796,10 @@
     fn least(&mut self, inv: &Inv) -> Option<usize> {
         let mut best: Option<(f64, f64, usize)> = None;
         for &r in &inv.drawn {
-            let unheard = self.probes_tell() && (self.runners[r].probing || self.stale(r));
-            if unheard && !self.within_cold_budget(r, self.work(inv)) {
-                continue;
-            }
-            if self.probes_tell() && self.runners[r].probing || !self.open(r, inv) || !self.has_room(r, inv) {
+            // What was drawn to be probed, and is not heard, has its turns at most.
+            let unheard = self.stale(r) && !self.within_cold_budget(r, self.work(inv));
+            let passed_over = self.probes_tell() && (self.runners[r].probing || unheard);
+            if passed_over || !self.open(r, inv) || !self.has_room(r, inv) {
                 continue;
             }
             let high = self.high[inv.operation];
