Lab: dispatchers that are killed or stand still, a loss of power, and the ramp to measure it against

Need: the operators ask how many processes behave together when some fail; the lab could end dispatchers one after the other only, and had no measure of what a cold fleet can give.

Change: faults kill (spread, away), freeze (SIGSTOP) and power-loss under both clocks, by zone or whole; outages that overlap go with the first and end with the last; the judge excuses who stood still for that alone; each second of a run carries the ramp (capacity over work asked) and the same by value.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -95,6 +95,11 @@
     Began {
         dispatcher: u32,
     },
+    /// A dispatcher's process stands still, or goes on.
+    Still {
+        dispatcher: u32,
+        still: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -175,6 +180,7 @@
 }
 
 struct Case {
+    dispatcher: u32,
     operation: usize,
     expires_at: Micros,
     answered: Option<(Micros, Final)>,
@@ -204,6 +210,8 @@
 const KEPT: usize = 20;
 /// How long an invocation is kept when nothing of it is to come any more, for what may come all the same.
 const KEPT_FOR: Micros = 5_000_000;
+/// What a process may take to come round after it stood still.
+const GOES_ON: Micros = 100_000;
 /// How much a cold budget may be overdrawn by chance: a job's length is not known when it is sent.
 const BY_CHANCE: f64 = 1.15;
 
@@ -216,6 +224,8 @@
     told: HashMap<(u32, u32), (Option<Micros>, bool)>,
     listed: BTreeMap<u32, (Micros, bool, Option<Micros>)>,
     cold: BTreeMap<u32, Cold>,
+    /// Dispatchers that stand still, and since when.
+    still: BTreeMap<u32, Micros>,
     pub verdict: Verdict,
 }
 
@@ -249,6 +259,7 @@
             told: HashMap::new(),
             listed: BTreeMap::new(),
             cold: BTreeMap::new(),
+            still: BTreeMap::new(),
             verdict: Verdict::default(),
         }
     }
@@ -286,7 +297,9 @@
             case.history.push((at, seen.clone()));
         }
         match seen {
-            Seen::Taken { inv, operation, expires_at, .. } => self.take(at, inv, operation, expires_at, seen),
+            Seen::Taken { inv, dispatcher, operation, expires_at } => {
+                self.take(at, inv, (dispatcher, operation), expires_at, seen);
+            }
             Seen::Answered { inv, how } => self.answered(at, inv, how),
             Seen::Forged { inv } => {
                 self.violate(at, Rule::OneAnswer, inv, "succeeded with what no runner made for it".into());
@@ -320,7 +333,14 @@
                 let since = if wanted { None } else { Some(told.0.unwrap_or(at)) };
                 *told = (since, wanted);
             }
-            Seen::Began { dispatcher } => self.told.retain(|(d, _), _| *d != dispatcher),
+            Seen::Began { dispatcher } => {
+                self.told.retain(|(d, _), _| *d != dispatcher);
+                self.still.remove(&dispatcher);
+            }
+            Seen::Still { dispatcher, still: true } => {
+                self.still.entry(dispatcher).or_insert(at);
+            }
+            Seen::Still { dispatcher, still: false } => self.goes_on(at, dispatcher),
         }
     }
 
@@ -339,9 +359,29 @@
         self.cases.get(&inv).map(|case| case.operation)
     }
 
-    fn take(&mut self, at: Micros, inv: Inv, operation: usize, expires_at: Micros, seen: Seen) {
+    /// Who could not act is not to blame for having been late, and knows what was written to it meanwhile only from
+    /// now on. All else holds for it as for anybody: what it does next it does on what it can know now.
+    fn goes_on(&mut self, at: Micros, dispatcher: u32) {
+        let Some(since) = self.still.remove(&dispatcher) else { return };
+        for case in self.cases.values_mut().filter(|case| case.dispatcher == dispatcher) {
+            case.excused |= case.answered.is_none() && case.expires_at < at + GOES_ON;
+        }
+        for ((_, _), (told, _)) in self.told.iter_mut().filter(|((d, _), _)| *d == dispatcher) {
+            *told = told.map(|told| if told >= since { at } else { told });
+        }
+    }
+
+    fn take(
+        &mut self,
+        at: Micros,
+        inv: Inv,
+        (dispatcher, operation): (u32, usize),
+        expires_at: Micros,
+        seen: Seen,
+    ) {
         self.verdict.taken += 1;
         let case = Case {
+            dispatcher,
             operation,
             expires_at,
             answered: None,
@@ -626,6 +666,21 @@
         assert_eq!(rules(&verdict("", &[listed, sent(800_000, 0), end])), [Rule::NothingToDraining]);
     }
 
+    #[test]
+    fn who_stood_still_is_excused_for_that_and_for_nothing_else() {
+        let still = |at, still| (at, Seen::Still { dispatcher: 0, still });
+        let told = (1_500_000, Seen::Told { dispatcher: 0, runner: 0, wanted: false });
+        let late = answered(6_000_000, Final::Errored);
+        assert!(verdict("", &[still(1_000_000, true), still(5_500_000, false), late.clone()]).clean());
+        // It went on in time for that.
+        let early = verdict("", &[still(1_000_000, true), still(4_000_000, false), late]);
+        assert_eq!(rules(&early), [Rule::OneAnswer]);
+        let frozen = [still(1_000_000, true), told, still(2_000_000, false)];
+        let end = answered(4_000_000, Final::Errored);
+        let clean = |at| verdict("", &[&frozen[..], &[sent(at, 0), end.clone()]].concat()).clean();
+        assert!(clean(2_400_000) && !clean(2_600_000));
+    }
+
     #[test]
     fn cold_runners_keep_their_budget() {
         let began = (5, Seen::Listed { runner: 0, wanted: true, launched: Some(5) });
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod judge;
 pub mod load;
 pub mod policy;
+pub mod ramp;
 pub mod report;
 pub mod runner;
 pub mod scenario;
--- /dev/null
+++ b/lab/src/ramp.rs
@@ -0,0 +1,120 @@
+//! What the runners' warmth alone allows: the baseline "ramp" for what follows a loss of power.
+//!
+//! A fleet without dispatchers' faults, that knows everything at once and whose work can be split at will: each
+//! second it does as much work as its runners' capacity, as it is at each moment, allows, an even share of
+//! all that is asked. What it leaves undone in a second is lost, so that it has no queue to catch up with. It is
+//! no bound, as a fleet may prefer what is worth most for its length; `best` is the same with that preference.
+
+use crate::load::Bring;
+use crate::runner::Life;
+use crate::scenario::Scenario;
+use crate::tally::{Window, round};
+use crate::world::World;
+
+/// Capacity is looked at so often.
+const STEP: i64 = 10_000;
+const SECOND: i64 = 1_000_000;
+
+/// For each second of a run the share of what is asked that capacity allows: of work, and of billed value where
+/// what is worth most for its work comes first.
+pub fn ramp(scenario: &Scenario, seed: u64) -> Vec<(f64, f64)> {
+    let mut world = World::new(scenario, seed);
+    let seconds = ((scenario.length.0 + SECOND - 1) / SECOND) as usize;
+    let mut room = vec![0.0; seconds];
+    let schedule = std::mem::take(&mut world.schedule);
+    let mut schedule = schedule.into_iter().peekable();
+    for at in (0..scenario.length.0).step_by(STEP as usize) {
+        while let Some((_, change)) = schedule.next_if(|(due, _)| *due <= at) {
+            world.apply(at, &change);
+        }
+        let able = world.runners.iter().filter(|r| r.life == Life::Up && !r.frozen && !r.draining);
+        let capacity: f64 = able.map(|runner| runner.capacity(at)).sum();
+        room[(at / SECOND) as usize] += capacity * STEP as f64;
+    }
+    let mut asked: Vec<Vec<(f64, f64)>> = vec![Vec::new(); seconds];
+    for ask in Bring::new(scenario, world.capacity(), seed) {
+        let value = scenario.operation[ask.operation].billed_value;
+        asked[((ask.at / SECOND) as usize).min(seconds - 1)].push((value, ask.work));
+    }
+    let even = |asked: &[(f64, f64)], room: f64| {
+        let work: f64 = asked.iter().map(|(_, work)| work).sum();
+        if work > room { round(room / work) } else { 1.0 }
+    };
+    asked.into_iter().zip(room).map(|(asked, room)| (even(&asked, room), best(asked, room))).collect()
+}
+
+/// The share of the value that fits, by value for work.
+fn best(mut asked: Vec<(f64, f64)>, mut room: f64) -> f64 {
+    let all: f64 = asked.iter().map(|(value, _)| value).sum();
+    asked.sort_by(|a, b| (b.0 / b.1).total_cmp(&(a.0 / a.1)));
+    let mut got = 0.0;
+    for (value, work) in asked {
+        let fits = (room / work).clamp(0.0, 1.0);
+        got += value * fits;
+        room -= work * fits;
+    }
+    if all > 0.0 { round(got / all) } else { 1.0 }
+}
+
+/// Seconds over which runners are short: from the first in which the ramp falls below what it is worth measuring,
+/// until it is whole again; how much was had in them, and how much the ramp had.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Against {
+    pub from: f64,
+    pub until: f64,
+    pub had: f64,
+    pub ramp: f64,
+    /// The ramp where what is worth most comes first.
+    pub best: f64,
+    /// From `from` until a second had 0.95 of its ramp, and every later one within the stretch as well.
+    pub caught_up: Option<f64>,
+}
+
+const WHOLE: f64 = 0.995;
+const CAUGHT_UP: f64 = 0.95;
+
+/// The longest stretch after an outage in which warmth binds; none where it never does. Seconds without power are
+/// no part of it.
+pub fn against(windows: &[Window]) -> Option<Against> {
+    let short = |window: &&Window| window.ramp > 0.0 && window.ramp < WHOLE;
+    let first = windows.iter().position(|window| short(&window))?;
+    let last = windows.iter().rposition(|window| short(&window))?;
+    let stretch: Vec<&Window> = windows[first..=last].iter().filter(|window| window.ramp > 0.0).collect();
+    let behind = stretch.iter().rposition(|window| window.goodput < CAUGHT_UP * window.ramp);
+    let caught_up = match behind {
+        None => Some(0.0),
+        Some(nth) => stretch.get(nth + 1).map(|window| round(window.at - windows[first].at)),
+    };
+    Some(Against {
+        from: windows[first].at,
+        until: windows[last].at + 1.0,
+        had: round(stretch.iter().map(|window| window.goodput).sum()),
+        ramp: round(stretch.iter().map(|window| window.ramp).sum()),
+        best: round(stretch.iter().map(|window| window.best).sum()),
+        caught_up,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_most_valuable_work_comes_first_and_the_last_in_part() {
+        assert_eq!(best(vec![(1.0, 100.0), (8.0, 100.0)], 100.0), round(8.0 / 9.0));
+        assert_eq!(best(vec![(1.0, 100.0), (8.0, 100.0)], 150.0), round(8.5 / 9.0));
+        assert_eq!(best(vec![(1.0, 100.0)], 300.0), 1.0);
+        assert_eq!(best(vec![], 0.0), 1.0);
+    }
+
+    #[test]
+    fn a_stretch_begins_with_power_and_ends_with_the_last_cold_second() {
+        let window = |at: usize, ramp, goodput| Window { at: at as f64, ramp, goodput, ..Window::default() };
+        let day = [(1.0, 1.0), (0.0, 0.1), (0.5, 0.2), (0.7, 0.69), (1.0, 0.2)];
+        let day: Vec<Window> = day.iter().enumerate().map(|(at, (r, g))| window(at, *r, *g)).collect();
+        let found = against(&day).unwrap();
+        assert_eq!((found.from, found.until, found.had, found.ramp), (2.0, 4.0, 0.89, 1.2));
+        assert_eq!(found.caught_up, Some(1.0));
+        assert_eq!(against(&day[..2]), None);
+    }
+}
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -10,6 +10,7 @@
 use plotters::prelude::*;
 
 use crate::experiment::{Comparison, Step};
+use crate::ramp;
 use crate::tally::{Band, Outcome};
 
 const SIZE: (u32, u32) = (920, 260);
@@ -327,6 +328,18 @@
         outcome.traffic.probes,
         outcome.traffic.connections,
     );
+    if let Some(found) = ramp::against(&outcome.windows) {
+        text += &format!(
+            "  cold from {} s to {} s: {:.2} of the ramp's {:.2} ({:.3}; {:.2} by value), at 0.95 of it {}\n",
+            found.from,
+            found.until,
+            found.had,
+            found.ramp,
+            found.had / found.ramp,
+            found.best,
+            found.caught_up.map_or_else(|| "never".to_owned(), |after| format!("after {after} s")),
+        );
+    }
     for process in &outcome.processes {
         let share = process.cpu_ms * 1000.0 * outcome.processes.len() as f64 / counts.asked.max(1) as f64;
         text += &format!(
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -446,6 +446,21 @@
     Reload,
     /// Clients that send what is no request, `size` of them a second.
     BadClients,
+    /// Dispatchers are killed outright at once. They are back after `lasts`, in any order within `spread`; a share
+    /// `away` of them never is.
+    Kill,
+    /// Dispatchers stand still (SIGSTOP) and go on after `lasts` as if nothing had been.
+    Freeze,
+    /// Every machine of `zone`, or of the whole site, is without power for `lasts`: runners are back cold,
+    /// dispatchers as after `kill`, discovery with the first zone.
+    PowerLoss,
+}
+
+impl Kind {
+    /// Whether it strikes dispatchers: `part` is then a share of them.
+    pub fn of_dispatchers(self) -> bool {
+        matches!(self, Kind::Kill | Kind::Freeze)
+    }
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -465,6 +480,12 @@
     pub operation: Option<String>,
     #[serde(default)]
     pub zone: Option<String>,
+    /// Dispatchers that were killed come back within so long after the first.
+    #[serde(default)]
+    pub spread: Span,
+    /// The share of killed dispatchers that is not back in this run.
+    #[serde(default, deserialize_with = "share")]
+    pub away: f64,
 }
 
 impl Fault {
@@ -598,6 +619,10 @@
             if matches!(fault.kind, Kind::FastErrors | Kind::Loses) && fault.size > 1.0 {
                 return wrong("size is a share, 1 at most".to_owned());
             }
+            let kills = matches!(fault.kind, Kind::Kill | Kind::PowerLoss);
+            if !kills && (fault.spread.0 > 0 || fault.away > 0.0) {
+                return wrong("spread and away are for what kills dispatchers".to_owned());
+            }
             if fault.at.0 > self.length.0 {
                 return wrong("at lies after the end".to_owned());
             }
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -10,6 +10,7 @@
 use topazsail::Micros;
 
 use crate::load::Ask;
+use crate::ramp::ramp;
 use crate::scenario::Scenario;
 
 /// How an ask ended for its client, over all its tries.
@@ -80,6 +81,12 @@
     pub goodput: f64,
     pub p50: f64,
     pub p99: f64,
+    /// What the runners' warmth alone allows, as goodput (`ramp`).
+    #[serde(default)]
+    pub ramp: f64,
+    /// The same with what is worth most for its work first.
+    #[serde(default)]
+    pub best: f64,
 }
 
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -238,6 +245,7 @@
                 latency: Latency::of(histogram),
             });
         }
+        let ramp = ramp(scenario, about.seed);
         let window = |(nth, stretch): (usize, Stretch)| {
             let latency = Latency::of(&stretch.latency);
             Window {
@@ -246,6 +254,8 @@
                 counts: stretch.counts,
                 p50: latency.p50,
                 p99: latency.p99,
+                ramp: ramp[nth].0,
+                best: ramp[nth].1,
             }
         };
         let verdict = &about.verdict;
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -76,6 +76,8 @@
     Refused(Incarnation),
     /// The front's view of a dispatcher's life.
     Front(Incarnation, bool),
+    /// The front notices that a dispatcher stands still, if it still does.
+    Missed(Incarnation),
     Sample,
 }
 
@@ -123,6 +125,8 @@
     conns: FxHashMap<u32, (u32, u32)>,
     probes: FxHashMap<u32, u64>,
     subscribed: bool,
+    /// What has come for it while its process stands still.
+    still: Option<Vec<Ev>>,
 }
 
 struct Asked {
@@ -319,7 +323,29 @@
         }
     }
 
+    /// Whom an event is for, where a process that stands still does not get it.
+    fn meant_for(ev: &Ev) -> Option<u32> {
+        match ev {
+            Ev::Reach(_, d) => Some(*d),
+            Ev::Overdue(life, _)
+            | Ev::Dialled(life, ..)
+            | Ev::Free(life, _)
+            | Ev::Heard(life, ..)
+            | Ev::Progress(life, ..)
+            | Ev::Probed(life, ..)
+            | Ev::Tick(life)
+            | Ev::Tell(life, ..)
+            | Ev::TellAll(life)
+            | Ev::Refused(life) => Some(life.d),
+            _ => None,
+        }
+    }
+
     fn step(&mut self, ev: Ev) {
+        let held = Clock::meant_for(&ev).and_then(|d| self.dispatchers[d as usize].still.as_mut());
+        if let Some(held) = held {
+            return held.push(ev);
+        }
         match ev {
             Ev::Bring => self.bring(),
             Ev::Reach(inv, d) => self.reach(inv, d),
@@ -383,6 +409,11 @@
                     self.tell(life.d, Event::Roster(roster));
                 }
             }
+            Ev::Missed(life) => {
+                if self.living(life).is_some_and(|dispatcher| dispatcher.still.is_some()) {
+                    self.front[life.d as usize] = false;
+                }
+            }
             Ev::Front(life, up) => {
                 if self.dispatchers[life.d as usize].epoch == life.epoch {
                     self.front[life.d as usize] = up;
@@ -901,6 +932,7 @@
                 let life = self.life(d);
                 self.push(self.now + HEARS_WITHIN, Ev::Front(life, true));
             }
+            Change::Still(d, still) => self.still(d, still),
             Change::Term(d) => self.push(self.now + TERM_NOTICED, Ev::Front(self.life(d), false)),
             _ => {}
         }
@@ -956,6 +988,13 @@
         dispatcher.alive = false;
         dispatcher.epoch += 1;
         dispatcher.subscribed = false;
+        for ev in dispatcher.still.take().unwrap_or_default() {
+            if let Ev::Reach(inv, _) = ev {
+                let delay = self.client_delay();
+                self.push(self.now + delay, Ev::Back(inv, load::Seen::Nothing));
+            }
+        }
+        let dispatcher = &mut self.dispatchers[d as usize];
         let mut owed: Vec<u64> =
             dispatcher.invs.drain().filter(|(_, open)| !open.answered).map(|(inv, _)| inv).collect();
         owed.sort_unstable();
@@ -974,6 +1013,28 @@
         self.push(self.now + notice, Ev::Front(life, false));
     }
 
+    fn still(&mut self, d: u32, still: bool) {
+        let life = self.life(d);
+        let dispatcher = &mut self.dispatchers[d as usize];
+        if !dispatcher.alive || dispatcher.still.is_some() == still {
+            return;
+        }
+        self.judge.see(self.now, Seen::Still { dispatcher: d, still });
+        if still {
+            dispatcher.still = Some(Vec::new());
+        } else {
+            // As on sockets, where all that has come is read before anything is decided, lists first.
+            let mut held = dispatcher.still.take().unwrap_or_default();
+            held.sort_by_key(|ev| !matches!(ev, Ev::Tell(..) | Ev::TellAll(_) | Ev::Refused(_)));
+            held.into_iter().for_each(|ev| self.push(self.now, ev));
+        }
+        if still {
+            self.push(self.now + self.scenario.clients.front_notice.0, Ev::Missed(life));
+        } else {
+            self.push(self.now + HEARS_WITHIN, Ev::Front(life, true));
+        }
+    }
+
     fn begin(&mut self, d: u32) {
         let nth = d as usize;
         let zone = nth % self.world.zones;
@@ -989,6 +1050,7 @@
             conns: FxHashMap::default(),
             probes: FxHashMap::default(),
             subscribed: false,
+            still: None,
         };
         if nth < self.dispatchers.len() {
             self.dispatchers[nth] = dispatcher;
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -4,6 +4,8 @@
 //! It does no I/O and reads no clock; both clocks build one from scenario and seed, and apply the same changes
 //! at the same moments. It must never hold anything of dispatchers: they are what is being tried.
 
+use std::collections::BTreeMap;
+
 use rand::seq::SliceRandom;
 use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg32;
@@ -47,6 +49,8 @@
     Term(u32),
     Kill(u32),
     Begin(u32),
+    /// A dispatcher's process stands still, or goes on.
+    Still(u32, bool),
     Reload,
     BadClients(f64),
 }
@@ -142,9 +146,51 @@
             world.plan(scenario, fault, &mut struck);
         }
         world.schedule.sort_by_key(|(at, _)| *at);
+        world.overlap();
         world
     }
 
+    /// Where outages of one thing overlap it goes with the first and is back after the last.
+    fn overlap(&mut self) {
+        let mut depth: BTreeMap<(u8, u32), u32> = BTreeMap::new();
+        self.schedule.retain(|(_, change)| {
+            let (key, down) = match *change {
+                Change::Kill(d) => ((0, d), true),
+                Change::Begin(d) => ((0, d), false),
+                Change::Stop(r, _) | Change::Retire(r) => ((1, r as u32), true),
+                Change::Start(r) => ((1, r as u32), false),
+                Change::Discovery(up) => ((2, 0), !up),
+                Change::Still(d, still) => ((3, d), still),
+                _ => return true,
+            };
+            let depth = depth.entry(key).or_default();
+            let before = *depth;
+            *depth = if down { before + 1 } else { before.saturating_sub(1) };
+            (before == 0) != (*depth == 0)
+        });
+    }
+
+    /// Dispatchers of a zone, or all; which one stands where is the same in both clocks.
+    fn dispatchers(&self, scenario: &Scenario, zone: Option<usize>) -> Vec<u32> {
+        let all = 0..scenario.dispatchers;
+        all.filter(|d| zone.is_none_or(|zone| *d as usize % self.zones == zone)).collect()
+    }
+
+    fn plan_kills(&mut self, mut struck: Vec<u32>, fault: &Fault, drawn: &mut Pcg32) -> Micros {
+        use rand::RngExt;
+        struck.shuffle(drawn);
+        let away = (struck.len() as f64 * fault.away).round() as usize;
+        let (at, back) = (fault.at.0, fault.at.0 + fault.lasts.0);
+        for (nth, d) in struck.into_iter().enumerate() {
+            self.schedule.push((at, Change::Kill(d)));
+            if nth >= away {
+                let after = drawn.random_range(0..=fault.spread.0);
+                self.schedule.push((back + after, Change::Begin(d)));
+            }
+        }
+        back + fault.spread.0
+    }
+
     /// Work that all runners do in a microsecond when warm and well.
     pub fn capacity(&self) -> f64 {
         self.runners.iter().map(|runner| f64::from(runner.slots) * runner.speed).sum()
@@ -255,6 +301,27 @@
                 }
                 to = until + ROLLED;
             }
+            Kind::Kill | Kind::Freeze => {
+                let mut all = self.dispatchers(scenario, zone);
+                all.shuffle(struck);
+                all.truncate(((all.len() as f64 * fault.part).round() as usize).max(1));
+                if fault.kind == Kind::Kill {
+                    to = self.plan_kills(all, fault, struck);
+                } else {
+                    let still = |still| all.iter().map(move |d| Change::Still(*d, still));
+                    self.schedule.extend(still(true).map(|change| (at, change)));
+                    self.schedule.extend(still(false).map(|change| (until, change)));
+                }
+            }
+            Kind::PowerLoss => {
+                for &r in &all {
+                    plan.extend([(at, Change::Stop(r, Life::Down)), (until, Change::Start(r))]);
+                }
+                if zone.is_none_or(|zone| zone == 0) {
+                    plan.extend([(at, Change::Discovery(false)), (until, Change::Discovery(true))]);
+                }
+                to = self.plan_kills(self.dispatchers(scenario, zone), fault, struck);
+            }
             Kind::Reload => plan.push((at, Change::Reload)),
             Kind::BadClients => {
                 plan.extend([(at, Change::BadClients(fault.size)), (until, Change::BadClients(0.0))]);
@@ -320,8 +387,12 @@
                 follows.healed = !cut;
             }
             Change::Discovery(up) => self.discovery_up = up,
-            Change::Term(_) | Change::Kill(_) | Change::Begin(_) | Change::Reload | Change::BadClients(_) => {
-            }
+            Change::Term(_)
+            | Change::Kill(_)
+            | Change::Begin(_)
+            | Change::Still(..)
+            | Change::Reload
+            | Change::BadClients(_) => {}
         }
         if let Some(r) = of {
             follows.news.extend(news.into_iter().map(|(job, news)| (r, job, news)));
