What came while the process stood still counts from before, not from when it is read

Change: the loop looks up four times a second at least, and where it comes back over 50 ms later than the poller was told to wait, what is read in the next 100 ms counts from before (Wires::came_since).

--- a/node/src/clients.rs
+++ b/node/src/clients.rs
@@ -81,6 +81,8 @@
 struct Client {
     phase: Phase,
     since: Micros,
+    /// From when the request that is being read counts: no later than it came.
+    began: Micros,
     /// When it was accepted, until a first whole request has come.
     newcomer: Option<Micros>,
     keep: bool,
@@ -140,7 +142,8 @@
     pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
         let since = wires.now();
         let (phase, newcomer) = (Phase::Idle, Some(since));
-        let client = Client { phase, since, newcomer, keep: true, invokes: false, caller: false };
+        let client =
+            Client { phase, since, began: since, newcomer, keep: true, invokes: false, caller: false };
         self.conns.insert(link, client);
         wires.wake(Due::Link(link), since + REQUEST_WITHIN);
     }
@@ -248,7 +251,7 @@
                 if method != "POST" {
                     return Err(Fault(405, "wrong_method"));
                 }
-                let invocation = invocation(link, operation, client.since, request)?;
+                let invocation = invocation(link, operation, client.began, request)?;
                 client.phase = Phase::Owed(invocation.id.clone());
                 client.invokes = true;
                 self.heard.push(Heard::Invocation(invocation));
@@ -336,6 +339,8 @@
             if matches!(client.phase, Phase::Idle) {
                 client.phase = Phase::Reading;
                 client.since = wires.now();
+                // Its time runs from when it came, and who stood still cannot tell when that was.
+                client.began = wires.came_since();
             }
             let used = match http::request(input) {
                 Ok(None) if input.len() >= MESSAGE_MOST => Err(Fault(413, "message_too_long")),
--- a/node/src/conn.rs
+++ b/node/src/conn.rs
@@ -133,6 +133,10 @@
 /// What owners of connections may do.
 pub trait Wires {
     fn now(&self) -> Micros;
+    /// Since when what is read now may have been there: long, where this process was not let run meanwhile.
+    fn came_since(&self) -> Micros {
+        self.now()
+    }
     /// How many connections there are, of all sides.
     fn connections(&self) -> usize;
     /// Ends the oldest client's connection that only waits for the other side's end, its last answer written.
--- a/node/src/reactor.rs
+++ b/node/src/reactor.rs
@@ -31,6 +31,12 @@
 const ACCEPTS: usize = 64;
 /// Accepting rests for so long where no descriptor is left.
 const ACCEPT_AGAIN: Micros = 50_000;
+/// The loop looks up at least so often, so that it can tell having been idle from not having been let run.
+const LOOKS_UP: Duration = Duration::from_millis(250);
+/// Later than it was to look up by this much, the process stood still: frozen, starved, or swapped out.
+const STOOD_STILL: Micros = 50_000;
+/// How long it may then take to read what had come meanwhile.
+const CATCHES_UP: Micros = 100_000;
 /// How long the other side may take to read a last answer and to end.
 const FINISH_WITHIN: Micros = 2_000_000;
 
@@ -68,6 +74,8 @@
     poller: Poller,
     clock: Clock,
     now: Micros,
+    /// While it catches up after having stood still: since when, and until when.
+    behind: Option<(Micros, Micros)>,
     conns: HashMap<Link, Conn>,
     next: Link,
     dues: BTreeMap<(Micros, u64), Due>,
@@ -179,6 +187,7 @@
             poller: Poller::new()?,
             now: clock.now(),
             clock,
+            behind: None,
             conns: HashMap::new(),
             next: FIRST_LINK,
             dues: BTreeMap::new(),
@@ -198,6 +207,8 @@
         (reload, path): (&UnixStream, &str),
     ) -> io::Result<()> {
         let mut events = Events::new();
+        // What the start took is no standing still.
+        self.now = self.clock.now();
         desk.settle(self);
         loop {
             // The last look before the end: what has come meanwhile has been taken, and is still answered.
@@ -211,7 +222,7 @@
             if last && events.is_empty() {
                 return Ok(());
             }
-            self.now = self.clock.now();
+            self.look_up(patience);
             for event in events.iter() {
                 match event.key {
                     SIGNAL => desk.go_down(self),
@@ -236,6 +247,20 @@
         }
     }
 
+    /// Takes the time. Where far more has passed than the poller was to wait, whatever is read now may have come at
+    /// any time since the last look: a request that is given its whole time from here on would be answered when its
+    /// client has long left.
+    fn look_up(&mut self, patience: Option<Duration>) {
+        let before = std::mem::replace(&mut self.now, self.clock.now());
+        let waits = patience.map_or(0, |patience| patience.as_micros() as Micros);
+        if self.now - before > waits + STOOD_STILL {
+            log!("stood-still", "ms={}", (self.now - before) / 1000);
+            let since = self.behind.filter(|(_, until)| before < *until).map_or(before, |(since, _)| since);
+            self.behind = Some((since, self.now + CATCHES_UP));
+        }
+        self.behind = self.behind.filter(|(_, until)| self.now < *until);
+    }
+
     /// SIGHUP, once or more: what is running goes on whatever the file holds.
     fn reload(&mut self, desk: &mut Desk, mut raised: &UnixStream, path: &str) {
         // All bytes are taken before the file is read: a signal that comes after that has it read once more.
@@ -256,8 +281,8 @@
         if desk.pending() || !self.broken.is_empty() || !self.revisits.is_empty() {
             return Some(Duration::ZERO);
         }
-        let at = self.dues.keys().next()?.0;
-        Some(Duration::from_micros((at - self.clock.now()).max(0) as u64))
+        let Some(((at, _), _)) = self.dues.first_key_value() else { return Some(LOOKS_UP) };
+        Some(Duration::from_micros((at - self.clock.now()).max(0) as u64).min(LOOKS_UP))
     }
 
     fn fall_due(&mut self, due: Due, desk: &mut Desk, doors: &[Door]) -> io::Result<()> {
@@ -482,6 +507,10 @@
         self.now
     }
 
+    fn came_since(&self) -> Micros {
+        self.behind.map_or(self.now, |(since, _)| since)
+    }
+
     fn connections(&self) -> usize {
         self.conns.len()
     }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct Stage {
     now: Micros,
+    /// For how long the process has stood still.
+    behind: Micros,
     next: Link,
     sides: BTreeMap<Link, Side>,
     inputs: BTreeMap<Link, Vec<u8>>,
@@ -57,6 +59,10 @@
         self.now
     }
 
+    fn came_since(&self) -> Micros {
+        self.now - self.behind
+    }
+
     fn connections(&self) -> usize {
         self.sides.len()
     }
@@ -592,6 +598,30 @@
         4980  #2 < 502 Bad Gateway; Content-Length: 0"#]]);
 }
 
+/// Against a process that was frozen for longer than a client waits, and gave what had come meanwhile its whole
+/// time from then on: the answer came when nobody was there any more.
+#[test]
+fn what_came_while_the_process_stood_still_has_had_that_time() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.stage.behind = 3_000_000;
+    node.invoke("plan", "i1");
+    node.stage.behind = 5_000_000;
+    node.invoke("plan", "i2");
+    node.stage.behind = 0;
+    node.up(3);
+    node.pass(2_000);
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3001
+        0     #4 < 503 Service Unavailable; Content-Length: 0
+        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 1980; Content-Length: 2 = hi
+        1500  #3 ends: given_up
+        1500  #5 dials 127.0.0.1:3001
+        1750  #5 ends: dial_timeout
+        1980  #6 dials 127.0.0.1:3001
+        1980  #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+    "#]]);
+}
+
 #[test]
 fn a_watch_that_falls_silent_or_ends_is_asked_for_again() {
     let mut node = Node::followed(&RUNNERS[..1]);
