--- a/node/src/roster.rs
+++ b/node/src/back/roster.rs
@@ -9,9 +9,9 @@
 use serde_json::{Value, json};
 use topazsail::{Listing, Micros, Readiness, RosterEntry};
 
-use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
-use crate::http::{self, Chunks, Framing, encode_bare};
-use crate::log::log;
+use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::net::http::{self, Chunks, Framing, encode_bare};
+use crate::net::log::log;
 
 /// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets
 /// through.
--- a/node/src/runners.rs
+++ b/node/src/back/runners.rs
@@ -10,9 +10,9 @@
 use topazsail::{Ending, Id, Micros};
 use topazsail_orders::Decoded;
 
-use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
-use crate::http::{self, Answer, MESSAGE_MOST, encode_bare};
-use crate::log::log;
+use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::net::http::{self, Answer, MESSAGE_MOST, encode_bare};
+use crate::net::log::log;
 
 /// A cancel that gets no answer by then has failed: the runner is cut off or stands still.
 const CANCEL_WITHIN: Micros = 250_000;
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -4,9 +4,10 @@
 
 use std::process::ExitCode;
 
-use crate::log::log;
-use crate::migrate::{self, Place};
-use crate::{config, reactor};
+use crate::config;
+use crate::life::migrate::{self, Place};
+use crate::net::log::log;
+use crate::net::reactor;
 
 const HELP: &str = "\
 topazsail, a dispatcher that pushes jobs to runners
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use topazsail_orders::Decoded;
 
-use crate::roster::Listed;
+use crate::back::roster::Listed;
 
 #[derive(Debug)]
 pub struct Dispatcher {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -13,17 +13,17 @@
 };
 use topazsail_orders::Decoded;
 
-use crate::clients::{self, CallBack, Clients, Invocation, State};
+use crate::back::members::Members;
+use crate::back::roster::{self, Listed, Roster};
+use crate::back::runners::{self, Runners};
 use crate::config::{self, Dispatcher};
-use crate::conn::{Callbacks, Due, Link, Side, Wires};
 use crate::figures::{Figures, Now, Verdict};
-use crate::handover::{Peer, State as Handed, Word};
-use crate::http::Fault;
-use crate::log::log;
-use crate::members::Members;
-use crate::operator::{Call, Operators};
-use crate::roster::{self, Listed, Roster};
-use crate::runners::{self, Runners};
+use crate::front::clients::{self, CallBack, Clients, Invocation, State};
+use crate::front::operator::{Call, Operators};
+use crate::life::handover::{Peer, State as Handed, Word};
+use crate::net::conn::{Callbacks, Due, Link, Side, Wires};
+use crate::net::http::Fault;
+use crate::net::log::log;
 
 const SUCCEEDED: u16 = 200;
 const THROTTLED: u16 = 429;
--- a/node/src/clients.rs
+++ b/node/src/front/clients.rs
@@ -8,10 +8,10 @@
 use serde::{Deserialize, Serialize};
 use topazsail::{Id, Micros, hash};
 
-use crate::conn::{Callbacks, Due, End, Link, Wires};
-use crate::http::{self, Fault, MESSAGE_MOST, Request, encode_answer};
-use crate::log::log;
-use crate::operations::Operations;
+use crate::front::operations::Operations;
+use crate::net::conn::{Callbacks, Due, End, Link, Wires};
+use crate::net::http::{self, Fault, MESSAGE_MOST, Request, encode_answer};
+use crate::net::log::log;
 
 const READY: &str = "/healthz";
 const CALL_BACKS: &str = "/v1/job-events";
--- a/node/src/operator.rs
+++ b/node/src/front/operator.rs
@@ -7,8 +7,8 @@
 
 use topazsail::Micros;
 
-use crate::conn::{Callbacks, Due, End, Link, Wires};
-use crate::log::log;
+use crate::net::conn::{Callbacks, Due, End, Link, Wires};
+use crate::net::log::log;
 
 /// A call must be whole by then; some callers send half of one and stay.
 const CALL_WITHIN: Micros = 5_000_000;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,22 +2,14 @@
 //!
 //! It owns the list of its modules. Only what the command line and the lab need is public.
 
+mod back;
 pub mod cli;
-mod clients;
 pub mod config;
-mod conn;
 mod desk;
 mod figures;
-mod handover;
-mod http;
-mod log;
-mod members;
-mod migrate;
-mod operations;
-mod operator;
-mod reactor;
-mod roster;
-mod runners;
+mod front;
+mod life;
+mod net;
 
 #[cfg(test)]
 #[path = "../tests/traces.rs"]
--- a/node/src/handover.rs
+++ b/node/src/life/handover.rs
@@ -22,9 +22,9 @@
 use serde_json::Value;
 use topazsail::Micros;
 
-use crate::clients::CallBack;
-use crate::conn::{Callbacks, End, Link, Wires};
-use crate::log::log;
+use crate::front::clients::CallBack;
+use crate::net::conn::{Callbacks, End, Link, Wires};
+use crate::net::log::log;
 
 /// How long a starting process waits for the one that serves.
 const ASK_WITHIN: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/node/src/life/mod.rs
@@ -0,0 +1,4 @@
+//! What one process of a dispatcher leaves to the next.
+
+pub mod handover;
+pub mod migrate;
--- a/node/src/conn.rs
+++ b/node/src/net/conn.rs
@@ -10,7 +10,7 @@
 use socket2::Socket;
 use topazsail::{Id, Micros};
 
-use crate::http::MESSAGE_MOST;
+use crate::net::http::MESSAGE_MOST;
 
 /// A connection's number; none is used twice.
 pub type Link = u64;
--- a/node/src/log.rs
+++ b/node/src/net/log.rs
@@ -36,7 +36,7 @@
 
 macro_rules! log {
     ($code:expr, $($about:tt)*) => {{
-        let (may, held_back) = $crate::log::may($code);
+        let (may, held_back) = $crate::net::log::may($code);
         if held_back > 0 {
             eprintln!("held-back code={} lines={held_back}", $code);
         }
--- /dev/null
+++ b/node/src/net/mod.rs
@@ -0,0 +1,6 @@
+//! The one loop, its connections and what goes over them as HTTP.
+
+pub mod conn;
+pub mod http;
+pub mod log;
+pub mod reactor;
--- a/node/src/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -14,10 +14,10 @@
 use topazsail::Micros;
 
 use crate::config;
-use crate::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::desk::Desk;
-use crate::handover;
-use crate::log::log;
+use crate::life::handover;
+use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
+use crate::net::log::log;
 
 const SIGNAL: usize = 0;
 const RELOAD: usize = 1;
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -7,16 +7,16 @@
 use expect_test::{Expect, expect};
 use topazsail::{Id, Listing, Micros, Readiness, RosterEntry};
 
-use crate::clients::{Clients, Heard, State};
+use crate::back::members::Members;
+use crate::back::roster::Roster;
+use crate::back::runners::Runners;
 use crate::config;
-use crate::conn::{Callbacks, Due, End, Link, Side, Wires};
 use crate::desk::Desk;
-use crate::handover;
-use crate::http::{self, Fault};
-use crate::members::Members;
-use crate::operations::Operations;
-use crate::roster::Roster;
-use crate::runners::Runners;
+use crate::front::clients::{Clients, Heard, State};
+use crate::front::operations::Operations;
+use crate::life::handover;
+use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::net::http::{self, Fault};
 
 const START: Micros = 1_700_000_000_000_000;
 
