store: what outlives a process, on a disk that may fail at any moment

Need: nothing outlives a dispatcher's process but its configuration's known list; a runner out by hand is forgotten at a restart.

Change: package store. Disk, the layer at the bottom (a real folder, memory, and one that keeps what was not synced, tears it by seed, is full, slow, read-only or fails a sync); a checksummed log that is begun anew at each start and never written again after a fault; boot numbers twice beside it; how long the last life has been over, by the machine's own clock.

Shown: a cut at every operation of two lives (over 2,000 histories) and 400 seeded histories of 21 lives with full, read-only and failing disks: nothing lost that was said to be kept, no boot number twice; every byte of every file flipped three ways: the old or the right value, and owned up to.

--- /dev/null
+++ b/store/src/disk.rs
@@ -0,0 +1,212 @@
+//! The layer at the bottom: the few things that a store does to one folder.
+//!
+//! It owns what "on the disk" means: bytes of a file after [`Disk::sync`], names after [`Disk::sync_folder`]. All that
+//! is not synced may be there after a crash, in part, or not. It must never hide a fault.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use crate::Micros;
+
+/// Which life of which machine this is: after a loss of power it is another one, and has been up since then only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Machine {
+    /// Another one after each start of the machine.
+    pub life: String,
+    /// How long it has been up: its monotonic clock, which all its processes share.
+    pub up: Micros,
+}
+
+impl Machine {
+    /// The machine that this process runs on; without a name where the system does not tell.
+    pub fn here() -> Machine {
+        let life = fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+        let up = fs::read_to_string("/proc/uptime").unwrap_or_default();
+        let up = up.split(' ').next().and_then(|up| up.parse::<f64>().ok()).unwrap_or(0.0);
+        Machine { life: life.trim().to_owned(), up: (up * 1e6) as Micros }
+    }
+}
+
+/// One folder. Names are plain file names. Errors are those of the file system.
+pub trait Disk: Send {
+    fn list(&mut self) -> io::Result<Vec<String>>;
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>>;
+    /// An empty file; an older one of that name is gone.
+    fn create(&mut self, name: &str) -> io::Result<()>;
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// All bytes of a file outlive the machine's power.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// All names outlive the machine's power.
+    fn sync_folder(&mut self) -> io::Result<()>;
+    /// Writes a small file in place: it outlives this process, and nothing more is said of it.
+    fn note(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Nobody else uses the folder from now on; an error where somebody does.
+    fn lock(&mut self) -> io::Result<()>;
+    fn machine(&mut self) -> Machine {
+        Machine::here()
+    }
+}
+
+/// A real folder.
+pub struct Folder {
+    path: PathBuf,
+    lock: Option<File>,
+    /// The file that was written last stays open.
+    open: Option<(String, File)>,
+}
+
+impl Folder {
+    pub fn new(path: &Path) -> Folder {
+        Folder { path: path.to_owned(), lock: None, open: None }
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        if self.open.as_ref().is_none_or(|(known, _)| known != name) {
+            let file = OpenOptions::new().append(true).open(self.path.join(name))?;
+            self.open = Some((name.to_owned(), file));
+        }
+        self.open.as_mut().map(|(_, file)| file).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+const LOCK: &str = "lock";
+
+impl Disk for Folder {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        let names = fs::read_dir(&self.path)?.map(|entry| Ok(entry?.file_name().into_string().ok()));
+        let names: io::Result<Vec<Option<String>>> = names.collect();
+        Ok(names?.into_iter().flatten().collect())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        File::open(self.path.join(name))?.read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        File::create(self.path.join(name)).map(drop)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn note(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let path = self.path.join(name);
+        let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+        file.write_all_at(bytes, 0)
+    }
+
+    fn lock(&mut self) -> io::Result<()> {
+        let path = self.path.join(LOCK);
+        let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+        file.try_lock().map_err(|error| match error {
+            fs::TryLockError::WouldBlock => io::Error::other("another process uses this folder"),
+            fs::TryLockError::Error(error) => error,
+        })?;
+        self.lock = Some(file);
+        Ok(())
+    }
+}
+
+/// A folder in memory that never fails and loses nothing: what lies below [`crate::Faulty`] in tests and in virtual
+/// time. Clones are the same folder.
+#[derive(Clone, Default)]
+pub struct Memory {
+    files: Arc<Mutex<BTreeMap<String, Vec<u8>>>>,
+    machine: Arc<Mutex<Machine>>,
+}
+
+impl Memory {
+    /// What the folder holds, to be looked at, copied or spoilt.
+    pub fn files(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Vec<u8>>> {
+        self.files.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Moves the folder to another machine, or to another life of its own.
+    pub fn set_machine(&self, machine: Machine) {
+        *self.machine.lock().unwrap_or_else(PoisonError::into_inner) = machine;
+    }
+}
+
+fn missing() -> io::Error {
+    io::ErrorKind::NotFound.into()
+}
+
+impl Disk for Memory {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.files().keys().cloned().collect())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        self.files().get(name).cloned().ok_or_else(missing)
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.files().insert(name.to_owned(), Vec::new());
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.files().get_mut(name).ok_or_else(missing)?.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.files().get(name).map(|_| ()).ok_or_else(missing)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut files = self.files();
+        let bytes = files.remove(from).ok_or_else(missing)?;
+        files.insert(to.to_owned(), bytes);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.files().remove(name).map(|_| ()).ok_or_else(missing)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn note(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.files().insert(name.to_owned(), bytes.to_vec());
+        Ok(())
+    }
+
+    fn lock(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn machine(&mut self) -> Machine {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- /dev/null
+++ b/store/src/lib.rs
@@ -0,0 +1,20 @@
+//! What outlives a process: named records with age, form and checksum, on a disk that may fail at any moment.
+//!
+//! `disk` is the layer at the bottom, real or failing on purpose; `log` holds the files' form and reads whatever is
+//! left of them; `store` is one folder's records, in memory and on the disk; `kept` gives the records of a
+//! dispatcher their types. Nothing here has a thread or reads a clock: the node runs it on a thread of its own
+//! (`node/src/life/keeper.rs`). See `docs/recovery.md`.
+
+pub mod disk;
+pub mod faulty;
+pub mod kept;
+mod log;
+mod store;
+
+pub use disk::{Disk, Folder, Machine, Memory};
+pub use faulty::{Faults, Faulty};
+pub use log::{FORM, Record, Table};
+pub use store::{Doubt, Fault, Found, Stale, Store, look};
+
+/// Whole microseconds of Unix time, or a span.
+pub type Micros = i64;
--- /dev/null
+++ b/store/tests/crashes.rs
@@ -0,0 +1,306 @@
+//! The store through crashes at every operation, disks that fail, and files that are spoilt: what it said is kept is
+//! there afterwards, and nothing is there that was not written.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use topazsail_store::kept::{Hand, List, all};
+use topazsail_store::{Disk, Doubt, Fault, Faults, Faulty, Machine, Memory, Store, look};
+
+const NOW: i64 = 1_700_000_000_000_000;
+
+type Told = BTreeMap<String, Hand>;
+
+fn out(since: i64) -> Hand {
+    Hand { out_since: Some(since), was_out: None }
+}
+
+fn hands(store: &Store) -> Told {
+    all::<Hand>(store.records()).into_iter().map(|(key, hand, _)| (key.to_owned(), hand)).collect()
+}
+
+fn open(disk: impl Disk + 'static) -> Result<(Store, topazsail_store::Found), Fault> {
+    Store::open(Box::new(disk), "d0", 77, NOW)
+}
+
+/// What one life has written, and what of it was said to be kept, as all that may be found afterwards.
+#[derive(Clone, Default)]
+struct Life {
+    /// Told as kept: nothing older may be found.
+    kept: Told,
+    /// Every state since, the last one first in time.
+    since: Vec<Told>,
+    boots: Vec<u64>,
+}
+
+impl Life {
+    /// One life over `under`, until it ends by itself or crashes at an operation; by `seed`, what it does.
+    fn live(&mut self, under: &Memory, seed: u64, crash_at: Option<u64>, mut faults: Faults) -> u64 {
+        faults.crash_at = crash_at;
+        let faults = Arc::new(Mutex::new(faults));
+        let disk = Faulty::new(under.clone(), faults, seed).unwrap();
+        let mut drawn = Pcg32::seed_from_u64(seed ^ 0x51);
+        // Opening may crash as well; nothing is lost by it.
+        let counted = Arc::new(Mutex::new(0));
+        let counting = Counting(disk, counted.clone());
+        let opened = Store::open(Box::new(counting), "d0", 77, NOW);
+        let Ok((mut store, _)) = opened else { return *counted.lock().unwrap() };
+        let found = hands(&store);
+        assert!(
+            found == self.kept || self.since.contains(&found),
+            "seed {seed} crash {crash_at:?}: found {found:?}, kept {:?}, since {:?}",
+            self.kept,
+            self.since
+        );
+        if let Some(boot) = store.boot() {
+            assert!(self.boots.iter().all(|known| *known < boot), "{boot} again, {:?}", self.boots);
+            self.boots.push(boot);
+        }
+        // What was found is in force from here on, and kept where the start could write it.
+        if store.is_well() {
+            (self.kept, self.since) = (found.clone(), Vec::new());
+        }
+        let mut now = found;
+        for nth in 0..drawn.random_range(1..12) {
+            let runner = format!("r{}", drawn.random_range(0..3));
+            if drawn.random_range(0..4) == 0 {
+                store.keep::<Hand>(&runner, None, NOW);
+                now.remove(&runner);
+            } else {
+                let hand = out(seed as i64 * 1000 + nth);
+                store.keep(&runner, Some(&hand), NOW);
+                now.insert(runner, hand);
+            }
+            self.since.push(now.clone());
+            if drawn.random_range(0..2) == 0 && store.sync().is_ok() {
+                (self.kept, self.since) = (now.clone(), Vec::new());
+            }
+        }
+        if drawn.random_range(0..3) == 0 && store.close(NOW).is_ok() {
+            (self.kept, self.since) = (now, Vec::new());
+        }
+        *counted.lock().unwrap()
+    }
+}
+
+/// Counts operations where the disk itself has gone into the store.
+struct Counting<D: Disk>(Faulty<D>, Arc<Mutex<u64>>);
+
+macro_rules! counted {
+    ($($name:ident($($arg:ident: $type:ty),*) -> $result:ty;)*) => {
+        impl<D: Disk> Disk for Counting<D> {
+            $(fn $name(&mut self, $($arg: $type),*) -> $result {
+                let done = self.0.$name($($arg),*);
+                *self.1.lock().unwrap() = self.0.operations();
+                done
+            })*
+        }
+    };
+}
+counted! {
+    list() -> std::io::Result<Vec<String>>;
+    read(name: &str) -> std::io::Result<Vec<u8>>;
+    create(name: &str) -> std::io::Result<()>;
+    append(name: &str, bytes: &[u8]) -> std::io::Result<()>;
+    sync(name: &str) -> std::io::Result<()>;
+    rename(from: &str, to: &str) -> std::io::Result<()>;
+    remove(name: &str) -> std::io::Result<()>;
+    sync_folder() -> std::io::Result<()>;
+    note(name: &str, bytes: &[u8]) -> std::io::Result<()>;
+    lock() -> std::io::Result<()>;
+    machine() -> Machine;
+}
+
+fn copied(of: &Memory) -> Memory {
+    let copy = Memory::default();
+    *copy.files() = of.files().clone();
+    copy
+}
+
+/// Three lives, the second of them cut at every single operation, and the third at every one for each of those.
+#[test]
+fn a_cut_at_every_operation_loses_nothing_that_was_said_to_be_kept() {
+    let mut cuts = 0;
+    for seed in 0..12 {
+        let (under, mut life) = (Memory::default(), Life::default());
+        life.live(&under, seed, None, Faults::default());
+        let mut second = 0;
+        loop {
+            let (again, mut lived) = (copied(&under), life.clone());
+            let done = lived.live(&again, seed + 100, Some(second), Faults::default());
+            for third in (0..30).step_by(if seed == 0 { 1 } else { 7 }) {
+                let (again, mut lived) = (copied(&again), lived.clone());
+                lived.live(&again, seed + 200, Some(third), Faults::default());
+                lived.live(&again, seed + 300, None, Faults::default());
+                cuts += 1;
+            }
+            if done < second {
+                break;
+            }
+            second += 1;
+        }
+    }
+    assert!(cuts > 2_000, "{cuts}");
+}
+
+#[test]
+fn long_histories_by_seed() {
+    for seed in 0..400u64 {
+        let (under, mut life) = (Memory::default(), Life::default());
+        let mut drawn = Pcg32::seed_from_u64(seed);
+        for nth in 0..20 {
+            let crash = (drawn.random_range(0..4) > 0).then(|| drawn.random_range(0..60));
+            let faults = Faults {
+                full: drawn.random_range(0..8) == 0,
+                sync_fails: drawn.random_range(0..8) == 0,
+                read_only: drawn.random_range(0..12) == 0,
+                ..Faults::default()
+            };
+            life.live(&under, seed * 100 + nth, crash, faults);
+        }
+        life.live(&under, seed * 100 + 99, None, Faults::default());
+        assert!(life.boots.len() > 2, "{:?}", life.boots);
+    }
+}
+
+/// A folder with two lives in it and three bans, the last of them in the last line.
+fn folder() -> Memory {
+    let under = Memory::default();
+    let (mut store, found) = open(under.clone()).unwrap();
+    assert!(found.fresh && found.doubts.is_empty());
+    store.keep("r1", Some(&out(1)), NOW);
+    store.close(NOW).unwrap();
+    drop(store);
+    let (mut store, found) = open(under.clone()).unwrap();
+    assert!(!found.fresh && found.clean && found.boot == 1);
+    let list = List { discovery: "127.0.0.1:1".into(), generation: 4, json: "{}".into() };
+    store.keep("", Some(&list), NOW);
+    store.keep("r2", Some(&out(2)), NOW);
+    store.sync().unwrap();
+    store.keep("r3", Some(&out(3)), NOW);
+    store.sync().unwrap();
+    under
+}
+
+#[test]
+fn every_byte_flipped_gives_the_old_or_the_right_value_or_a_refusal() {
+    let under = folder();
+    let all_files = under.files().clone();
+    let right: Told = [("r1", out(1)), ("r2", out(2)), ("r3", out(3))]
+        .into_iter()
+        .map(|(id, hand)| (id.to_owned(), hand))
+        .collect();
+    for (name, bytes) in &all_files {
+        for at in 0..bytes.len() {
+            for flip in [0x01, 0x80, 0xff] {
+                let spoilt = copied(&under);
+                spoilt.files().get_mut(name).unwrap()[at] ^= flip;
+                let (store, found) =
+                    open(spoilt.clone()).unwrap_or_else(|error| panic!("{name} {at}: {error}"));
+                assert_eq!(store.boot(), Some(3), "{name} {at}");
+                let hands = hands(&store);
+                assert!(hands.iter().all(|(id, hand)| right[id] == *hand), "{name} {at}: {hands:?}");
+                // What is missing is owned up to: as a hole, or as an end that is spoilt.
+                let owned = !found.doubts.is_empty() || found.torn > 0;
+                assert!(hands == right || owned, "{name} {at}: {hands:?} {found:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_file_cut_anywhere_is_read_as_far_as_it_goes() {
+    let under = folder();
+    let newest = under.files().keys().rfind(|name| name.starts_with("log-")).cloned().unwrap();
+    let length = under.files()[&newest].len();
+    let mut least = 3;
+    for end in (0..length).rev() {
+        let cut = copied(&under);
+        cut.files().get_mut(&newest).unwrap().truncate(end);
+        let (store, found) = open(cut).unwrap();
+        let hands = hands(&store);
+        assert!(hands.len() <= least && hands.contains_key("r1"), "{end}: {hands:?}");
+        assert!(
+            hands.len() == 3 || found.torn > 0 || !found.doubts.is_empty() || end > 0,
+            "{end}: {found:?}"
+        );
+        least = hands.len();
+    }
+}
+
+#[test]
+fn a_sync_that_failed_once_is_not_believed_the_second_time() {
+    let (under, faults) = (Memory::default(), Arc::new(Mutex::new(Faults::default())));
+    let disk = Faulty::new(under.clone(), faults.clone(), 9).unwrap();
+    let (mut store, _) = open(disk).unwrap();
+    store.keep("r1", Some(&out(1)), NOW);
+    faults.lock().unwrap().sync_fails = true;
+    assert!(store.sync().is_err());
+    // From here on this disk says yes to every sync, though what the first one lost is not there.
+    faults.lock().unwrap().sync_fails = false;
+    store.keep("r2", Some(&out(2)), NOW);
+    assert!(store.sync().is_ok());
+    drop(store);
+    let (store, found) = open(under).unwrap();
+    assert_eq!(hands(&store).len(), 2, "{found:?}");
+}
+
+#[test]
+fn a_full_or_read_only_disk_is_owned_up_to_and_what_is_on_it_still_holds() {
+    for faults in
+        [Faults { full: true, ..Faults::default() }, Faults { read_only: true, ..Faults::default() }]
+    {
+        let under = folder();
+        let faults = Arc::new(Mutex::new(faults));
+        let (mut store, found) = open(Faulty::new(under.clone(), faults.clone(), 4).unwrap()).unwrap();
+        assert!(found.unwritten.is_some() && store.boot().is_none());
+        assert_eq!(hands(&store).len(), 3);
+        store.keep("r4", Some(&out(4)), NOW);
+        assert!(store.sync().is_err() && hands(&store).len() == 4);
+        // Free again.
+        *faults.lock().unwrap() = Faults::default();
+        assert!(store.sync().is_ok() && store.boot() == Some(3));
+        drop(store);
+        assert_eq!(hands(&open(under).unwrap().0).len(), 4);
+    }
+}
+
+#[test]
+fn another_dispatchers_store_a_newer_form_and_a_clock_that_went_back() {
+    let refused = Store::open(Box::new(folder()), "d1", 1, NOW).map(|_| ()).unwrap_err();
+    assert_eq!(refused.to_string(), "it is the store of \"d0\"");
+    let (_, found) = Store::open(Box::new(folder()), "d0", 1, NOW - 5_000_000).unwrap();
+    assert_eq!(found.doubts, [Doubt::Clock { behind: 5_000_000 }]);
+    let looked = look(&mut folder()).unwrap();
+    assert_eq!((looked.owner.as_deref(), looked.store, looked.found.boot), (Some("d0"), 77, 2));
+}
+
+#[test]
+fn how_long_the_last_life_has_been_over_is_told_by_the_machine_not_by_the_clock() {
+    let machine = |life: &str, up| Machine { life: life.to_owned(), up };
+    let away = |then: Machine, now: Machine| {
+        let under = Memory::default();
+        under.set_machine(then);
+        drop(open(under.clone()).unwrap());
+        under.set_machine(now);
+        open(under).unwrap().1.away
+    };
+    assert_eq!(away(machine("a", 5_000_000), machine("a", 7_500_000)), 2_500_000);
+    // Another life of the machine: over for at least as long as that has been up.
+    assert_eq!(away(machine("a", 90_000_000), machine("b", 3_000_000)), 3_000_000);
+    // A machine that does not tell proves nothing.
+    assert_eq!(away(machine("", 1), machine("", 9_000_000)), 0);
+}
+
+#[test]
+fn somebody_has_heard_of_a_higher_number() {
+    let under = folder();
+    let (mut store, _) = open(under.clone()).unwrap();
+    assert_eq!(store.boot(), Some(3));
+    store.above(9).unwrap();
+    assert_eq!(store.boot(), Some(10));
+    drop(store);
+    assert_eq!(open(under).unwrap().0.boot(), Some(11));
+}
