--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -39,7 +39,9 @@
         {
             entry.launched = Some(until);
         }
-        let cold = entry.launched.is_some_and(|launched| now < launched + rest.warm_within);
+        let cold = entry
+            .launched
+            .is_some_and(|launched| now < launched + rest.warm_within && launched < rest.before);
         if entry.readiness == Readiness::On && cold && now < rest.until {
             entry.readiness = Readiness::Fading;
         }
@@ -47,9 +49,11 @@
     }
 }
 
-/// Cold runners get nothing until then: another process of this dispatcher may have sent them their share.
+/// Cold runners get nothing until then: another process of this dispatcher may have sent them their share. Whoever
+/// started later than that process can have ended had nothing from it.
 struct Rest {
     until: Micros,
+    before: Micros,
     warm_within: Micros,
 }
 
@@ -60,7 +64,10 @@
 
 impl Members {
     pub fn new(warm_within: Micros) -> Members {
-        Members { by_id: BTreeMap::new(), rest: Rest { until: Micros::MIN, warm_within } }
+        Members {
+            by_id: BTreeMap::new(),
+            rest: Rest { until: Micros::MIN, before: Micros::MAX, warm_within },
+        }
     }
 
     /// How long a runner is cold, from now on.
@@ -68,10 +75,10 @@
         self.rest.warm_within = span;
     }
 
-    /// Has cold runners rest until then. Gives what holds of all listed ones now.
-    pub fn rest(&mut self, until: Micros, now: Micros) -> Vec<RosterEntry> {
-        self.rest.until = until;
-        self.listed_now().map(|known| known.standing(&self.rest, now)).collect()
+    /// Has cold runners that started before `before` rest until then. Gives what holds of all listed ones now.
+    pub fn rest(&mut self, until: Micros, before: Micros, now: Micros) -> Vec<RosterEntry> {
+        (self.rest.until, self.rest.before) = (until, before);
+        self.stand(now)
     }
 
     fn listed_now(&self) -> impl Iterator<Item = &Member> + Clone {
@@ -89,6 +96,22 @@
         gone.map(|(id, _)| id.to_string()).collect()
     }
 
+    /// What the hand has done to one runner: since when it is out, and when it last was.
+    pub fn hand(&self, id: &str) -> (Option<Micros>, Option<(Micros, Micros)>) {
+        self.by_id.get(id).map_or((None, None), |known| (known.out_since, known.was_out))
+    }
+
+    /// Whoever the hand has touched.
+    pub fn by_hands(&self) -> Vec<String> {
+        let touched = |known: &Member| known.out_since.is_some() || known.was_out.is_some();
+        self.by_id.iter().filter(|(_, known)| touched(known)).map(|(id, _)| id.to_string()).collect()
+    }
+
+    /// What holds of all listed ones now.
+    pub fn stand(&self, now: Micros) -> Vec<RosterEntry> {
+        self.listed_now().map(|known| known.standing(&self.rest, now)).collect()
+    }
+
     /// Who is out by hand, and since when.
     pub fn out(&self) -> Vec<(String, Micros)> {
         self.by_id.iter().filter_map(|(id, known)| Some((id.to_string(), known.out_since?))).collect()
--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -35,6 +35,10 @@
         serde_json::from_value(value).map_err(|error| error.to_string())
     }
 
+    pub fn len(&self) -> usize {
+        self.instances.len()
+    }
+
     /// A list as discovery would tell it.
     pub fn of<'a>(generation: u64, entries: impl Iterator<Item = (&'a RosterEntry, SocketAddr)>) -> Value {
         let instance = |(entry, address): (&RosterEntry, SocketAddr)| {
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -2,12 +2,15 @@
 //!
 //! It owns the sub-commands and the exit code. It must never serve by itself, nor swallow a fault.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use crate::config;
 use crate::life::migrate::{self, Place};
+use crate::life::shown::shown;
 use crate::net::log::log;
-use crate::net::reactor;
+use crate::net::reactor::{self, DiskAt};
+use topazsail_store::Folder;
 
 const HELP: &str = "\
 topazsail, a dispatcher that pushes jobs to runners
@@ -18,18 +21,25 @@
                       [--zones A,B] [--my-zone A]
                                       write the configuration's counterpart for the new shape of deployment and
                                       list what could not be carried over; --dry-run only shows both
+    topazsail store show --folder DIR [--json]
+    topazsail store verify --folder DIR [--json]
+                                      what a dispatcher has kept, with each record or without; changes nothing, and
+                                      ends with 1 where something is spoilt
     topazsail version
 
 Without --config the file is the one that RELAY_CONFIG names.
 ";
 
-fn run() -> Result<(), String> {
+fn run(disk_at: DiskAt) -> Result<(), String> {
     let mut words = pico_args::Arguments::from_env();
     if words.contains(["-h", "--help"]) {
         print!("{HELP}");
         return Ok(());
     }
     let command = words.subcommand().map_err(|error| error.to_string())?;
+    if command.as_deref() == Some("store") {
+        return run_store(words);
+    }
     let path = words.opt_value_from_str("--config").map_err(|error| error.to_string())?;
     if command.as_deref() == Some("migrate") {
         return run_migrate(words, path);
@@ -38,7 +48,7 @@
         return Err(format!("unexpected {more:?}; see --help"));
     }
     match command.as_deref() {
-        Some("serve") => reactor::serve(&config::path(path)?),
+        Some("serve") => reactor::serve(&config::path(path)?, disk_at),
         Some("check") => {
             let told = config::load(&config::path(path)?)?;
             let operations = told.decoded.operations.join(", ");
@@ -47,6 +57,14 @@
                 Some(address) => println!("operators call at {address}"),
                 None => println!("operators call nowhere: neither admin_addr nor RELAY_ADMIN_ADDR is set"),
             }
+            match &told.store {
+                Some(store) => println!(
+                    "kept in {}; without it {}",
+                    store.folder.display(),
+                    if store.require { "there is no service" } else { "service goes on" }
+                ),
+                None => println!("nothing is kept over a restart: no store is set"),
+            }
             println!("operations: {operations}; runners known: {}", told.known.entries().len());
             Ok(())
         }
@@ -59,6 +77,24 @@
     }
 }
 
+fn run_store(mut words: pico_args::Arguments) -> Result<(), String> {
+    let what = words.subcommand().map_err(|error| error.to_string())?;
+    let json = words.contains("--json");
+    let folder: Option<PathBuf> = words.opt_value_from_str("--folder").map_err(|error| error.to_string())?;
+    if let Some(more) = words.finish().first() {
+        return Err(format!("unexpected {more:?}; see --help"));
+    }
+    let all = match what.as_deref() {
+        Some("show") => true,
+        Some("verify") => false,
+        _ => return Err("store wants show or verify; see --help".to_owned()),
+    };
+    let folder = folder.ok_or("--folder is missing; see --help")?;
+    let shown = shown(&folder, all, json)?;
+    print!("{}", shown.text);
+    if shown.well { Ok(()) } else { Err(format!("--folder {}: spoilt", folder.display())) }
+}
+
 fn run_migrate(mut words: pico_args::Arguments, path: Option<String>) -> Result<(), String> {
     let dry = words.contains("--dry-run");
     let mut option =
@@ -88,9 +124,14 @@
 
 /// Runs the command that the process was started with; its exit code.
 pub fn main() -> ExitCode {
+    main_on(|folder| Ok(Box::new(Folder::new(folder))))
+}
+
+/// The same over another disk, for trials.
+pub fn main_on(disk_at: DiskAt) -> ExitCode {
     // A fault of our own is seen at once: where and why, and then the process ends with a code of its own.
     std::panic::set_hook(Box::new(|fault| log!("panic", "{fault}")));
-    match run() {
+    match run(disk_at) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("topazsail: {error}");
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -6,6 +6,7 @@
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde_json::Value;
 use topazsail_orders::Decoded;
@@ -22,6 +23,8 @@
     pub seed: u64,
     pub memory: usize,
     pub sockets: usize,
+    /// Where to keep what outlives the process, if anything is to.
+    pub store: Option<StoreAt>,
     /// The whole file, by which a key that is gone is known.
     pub file: Value,
     pub decoded: Decoded,
@@ -29,6 +32,13 @@
     pub known: Listed,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreAt {
+    pub folder: PathBuf,
+    /// Without it there is no service.
+    pub require: bool,
+}
+
 /// The file named on the command line, or else in the environment.
 pub fn path(named: Option<String>) -> Result<String, String> {
     named
@@ -97,6 +107,7 @@
             Some(_) => Some(address("admin_addr")?),
         },
         discovery: address("discovery")?,
+        store: store_at(json.get("store"))?,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
         memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
         sockets: limit("sockets", 1024)?.max(64) as usize,
@@ -109,6 +120,25 @@
     })
 }
 
+fn store_at(told: Option<&Value>) -> Result<Option<StoreAt>, String> {
+    let Some(told) = told.filter(|told| !told.is_null()) else { return Ok(None) };
+    let fields = told.as_object().ok_or_else(|| format!("store has the bad value {told}"))?;
+    if let Some(unknown) = fields.keys().find(|key| !["folder", "require"].contains(&key.as_str())) {
+        return Err(format!("store.{unknown} is unknown"));
+    }
+    let folder = match fields.get("folder") {
+        None => return Err("store.folder is missing".to_owned()),
+        Some(Value::String(folder)) if !folder.is_empty() => PathBuf::from(folder),
+        Some(other) => return Err(format!("store.folder has the bad value {other}")),
+    };
+    let require = match fields.get("require") {
+        None => false,
+        Some(Value::Bool(require)) => *require,
+        Some(other) => return Err(format!("store.require has the bad value {other}")),
+    };
+    Ok(Some(StoreAt { folder, require }))
+}
+
 /// Client timeouts and the number of forwards are numbers above 0 and nothing that only reads like one: what
 /// is wrong there is wrong for every invocation.
 fn numbers(settings: &Value) -> Result<(), String> {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -5,6 +5,8 @@
 //! outcome for each forward. It must never choose a runner, a retry or an answer of its own, but for the
 //! error that an invocation gets when its client's time is over, and must never send a forward twice.
 
+mod keeping;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -12,15 +14,17 @@
     Action, Arrival, Brain, Ending, Event, Id, Listing, Micros, Outcome, Readiness, Roster as List, Spent,
 };
 use topazsail_orders::Decoded;
+use topazsail_recovery::Stage;
 
 use crate::back::members::Members;
 use crate::back::roster::{self, Listed, Roster};
 use crate::back::runners::{self, Runners};
 use crate::config::{self, Dispatcher};
-use crate::figures::{Figures, Now, Verdict};
+use crate::figures::{self, Figures, Now, Verdict};
 use crate::front::clients::{self, CallBack, Clients, Invocation, State};
 use crate::front::operator::{Call, Operators};
 use crate::life::handover::{Peer, State as Handed, Word};
+use crate::life::keeper::Keeper;
 use crate::net::conn::{Callbacks, Due, Link, Side, Wires};
 use crate::net::http::Fault;
 use crate::net::log::log;
@@ -106,6 +110,8 @@
     decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN))
 }
 
+pub use keeping::Keeping;
+
 pub struct Desk {
     brain: Brain,
     /// What only a start can change.
@@ -129,6 +135,8 @@
     held_most: usize,
     /// When to come back where there is no room now, if clients are told.
     come_back: Option<Micros>,
+    /// The longest advice that clients follow, if any.
+    come_back_most: Option<Micros>,
     down_since: Option<Micros>,
     peer: Peer,
     overlap: Option<Overlap>,
@@ -137,14 +145,24 @@
     /// Connections that the other process had when it handed over.
     theirs: usize,
     tip_after: Micros,
+    /// What outlives the process, where there is anything.
+    keeping: Option<Keeping>,
 }
 
 impl Desk {
-    pub fn new(told: Dispatcher, handed: Option<Handed>, wires: &mut dyn Wires) -> Desk {
+    /// With a `keeper` a start from nothing goes through the stages of recovery first.
+    pub fn new(
+        told: Dispatcher,
+        handed: Option<Handed>,
+        keeper: Option<Keeper>,
+        wires: &mut dyn Wires,
+    ) -> Desk {
+        let (require, began) = (told.store.as_ref().is_some_and(|store| store.require), wires.now());
         let mut decoded = told.decoded;
         let (mut clients, mut figures) = (Clients::new(), Figures::default());
         on_sockets(&mut decoded, &mut clients, &mut figures, wires.now());
         let come_back = come_back(&decoded);
+        let come_back_most = decoded.standing.come_back_max;
         let (warm_within, tip_after) = (decoded.standing.warm_within, decoded.standing.tip_after);
         let mut desk = Desk {
             clients,
@@ -164,14 +182,26 @@
             held: 0,
             held_most: 0,
             come_back,
+            come_back_most,
             down_since: None,
             peer: Peer::default(),
             overlap: None,
             limits: (told.sockets, told.memory),
             theirs: 0,
             tip_after,
+            keeping: None,
         };
         desk.limit();
+        let keeping = |keeper, file| Keeping::new(keeper, require, file, began);
+        if handed.is_none()
+            && let Some(keeper) = keeper
+        {
+            desk.keeping = Some(keeping(keeper, Some(told.known)));
+            desk.recover(wires);
+            return desk;
+        }
+        // What another process hands over is nearer than what it has left on the disk.
+        desk.keeping = keeper.map(|keeper| keeping(keeper, None).in_service());
         let (known, spent) = match handed {
             Some(handed) => desk.inherit(handed, told.known),
             None => (told.known, Vec::new()),
@@ -224,13 +254,11 @@
     /// Another process takes over: newcomers are its own from now on, and it is told what it must know.
     pub fn hand_over(&mut self, link: Link, wires: &mut dyn Wires) {
         self.collect(wires);
-        let (discovery, generation) = self.roster.heard_to();
-        let listed = self.members.as_listed();
-        let listed = listed.filter_map(|entry| Some((entry, self.runners.address(&entry.tgt)?)));
+        let discovery = self.roster.heard_to().0;
         let spent = self.brain.spent(wires.now());
         let state = Handed {
             discovery: discovery.to_string(),
-            list: generation.map(|generation| Listed::of(generation, listed)).unwrap_or_default(),
+            list: self.as_listed().map(|(_, list)| list).unwrap_or_default(),
             connections: wires.connections(),
             gone: self.members.gone(),
             out: self.members.out(),
@@ -240,6 +268,7 @@
             spent: spent.into_iter().map(|(id, work)| (id.to_string(), work)).collect(),
         };
         log!("handing-over", "open={} out={}", self.invs.len(), state.out.len());
+        self.release(true);
         self.peer.meet(link);
         self.peer.say(&state, wires);
         self.overlap = Some(Overlap::Successor);
@@ -248,13 +277,21 @@
         self.rest(Micros::MAX, wires);
     }
 
+    /// The list as discovery would tell it, and how far that has been heard.
+    fn as_listed(&self) -> Option<(u64, serde_json::Value)> {
+        let generation = self.roster.heard_to().1?;
+        let listed = self.members.as_listed();
+        let listed = listed.filter_map(|entry| Some((entry, self.runners.address(&entry.tgt)?)));
+        Some((generation, Listed::of(generation, listed)))
+    }
+
     /// Whether newcomers are let in here.
     pub fn accepts(&self) -> bool {
         self.overlap != Some(Overlap::Successor)
     }
 
     fn rest(&mut self, until: Micros, wires: &mut dyn Wires) {
-        let entries = self.members.rest(until, wires.now());
+        let entries = self.members.rest(until, Micros::MAX, wires.now());
         self.happened.push(Event::Roster(List { listing: Listing::Own, entries }));
     }
 
@@ -264,6 +301,7 @@
         let was = self.overlap.take();
         self.limit();
         if was == Some(Overlap::Successor) {
+            self.release(self.down_since.is_some());
             self.clients.hand_over(self.down_since.is_some());
             self.rest(wires.now() + self.tip_after, wires);
             wires.wake(Due::Rested, wires.now() + self.tip_after);
@@ -297,6 +335,7 @@
             ("name", told.name != self.name),
             ("listen", told.listen != self.listen),
             ("admin_addr", told.file.get("admin_addr") != self.file.get("admin_addr")),
+            ("store", told.file.get("store") != self.file.get("store")),
         ];
         let kept: Vec<&str> = kept.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect();
         let kept = if kept.is_empty() { "none".to_owned() } else { kept.join(",") };
@@ -306,6 +345,7 @@
         self.limits = (told.sockets, told.memory);
         self.limit();
         self.file = told.file;
+        self.keep_settings();
         // What has been heard so far was said under the settings that held so far.
         self.collect(wires);
         if retuned {
@@ -321,7 +361,7 @@
         log!("retuned", "operations={} forwards={}", names.join(","), decoded.standing.most_forwards);
         self.runners.retune(&decoded);
         self.members.warm_within(decoded.standing.warm_within);
-        self.come_back = come_back(&decoded);
+        (self.come_back, self.come_back_most) = (come_back(&decoded), decoded.standing.come_back_max);
         (self.tip_after, self.open_cap) = (decoded.standing.tip_after, decoded.open_cap);
         self.happened.push(Event::Retuned(Box::new(decoded.standing)));
     }
@@ -368,7 +408,7 @@
         let now = wires.now();
         log!("going-down", "open={} runner_connections={}", self.invs.len(), self.runners.open());
         self.down_since = Some(now);
-        self.clients.drain();
+        self.clients.ready(false);
         wires.wake(Due::Down, now + DOWN_KEPT);
     }
 
@@ -388,6 +428,9 @@
             Due::Down => self.step_down(wires),
             Due::Rested if self.overlap != Some(Overlap::Successor) => self.rest(Micros::MIN, wires),
             Due::Rested => {}
+            Due::Recovery => self.recovery_due(wires),
+            Due::Keep => self.keep_list(),
+            Due::Kept(ticket) => self.not_kept_in_time(ticket, wires),
             Due::Link(_) | Due::Finish(_) | Due::Accept(_) => {}
         }
     }
@@ -542,6 +585,7 @@
 
     /// Turns what the parts have heard into events.
     pub fn collect(&mut self, wires: &mut dyn Wires) {
+        self.heard_of_disk(wires);
         for heard in std::mem::take(&mut self.roster.heard) {
             self.list(heard, wires);
         }
@@ -559,7 +603,11 @@
             match word {
                 Word::Told(told, hash) => self.called_back(told, hash, false, wires),
                 // Where it was never listed here, the other process has said so.
-                Word::Hand { id, out } => _ = self.maintain(&id, out, wires),
+                Word::Hand { id, out } => {
+                    if self.maintain(&id, out, wires).is_ok() {
+                        self.keep_hand(&id, None, wires);
+                    }
+                }
                 Word::Taken(id) => self.remember(id.into()),
             }
         }
@@ -603,7 +651,11 @@
     fn called(&mut self, link: Link, call: Call, wires: &mut dyn Wires) {
         let answer = match call {
             Call::Status if self.down_since.is_some() => "NO going down\n".to_owned(),
-            Call::Status => "YES\n".to_owned(),
+            Call::Status => match &self.keeping {
+                None => "YES\n".to_owned(),
+                Some(keeping) if keeping.stage() < Stage::Serving => format!("NO {}\n", keeping.status()),
+                Some(keeping) => format!("YES {}\n", keeping.status()),
+            },
             Call::Stats => {
                 let (known_runners, out) = self.members.count();
                 let now = Now {
@@ -612,12 +664,26 @@
                     skipped_runners: self.brain.set_aside(wires.now()) + out,
                     tries: self.runners.written(),
                 };
-                format!("{}END\n", self.figures.text(&now))
+                let kept = self.keeping.as_ref().map(Keeping::figures).unwrap_or_default();
+                let kept = kept.iter().filter(|(name, _)| !name.is_empty());
+                format!("{}{}END\n", self.figures.text(&now), figures::more(kept))
             }
             Call::Maintain { id, out } => match self.maintain(&id, out, wires) {
                 Ok(()) => {
-                    self.peer.say(&Word::Hand { id, out }, wires);
-                    "YES\n".to_owned()
+                    self.peer.say(&Word::Hand { id: id.clone(), out }, wires);
+                    match self.keeping {
+                        None => "YES\n".to_owned(),
+                        Some(_) if self.overlap == Some(Overlap::Successor) => {
+                            "NO another process takes over: call that one\n".to_owned()
+                        }
+                        Some(_) => {
+                            return self.keep_hand(
+                                &id.clone(),
+                                Some((link, Call::Maintain { id, out })),
+                                wires,
+                            );
+                        }
+                    }
                 }
                 Err(why) => format!("NO {why}\n"),
             },
@@ -651,6 +717,7 @@
         }
         self.runners.tidy(wires);
         let entries = self.members.listed(heard.listing, entries, wires.now());
+        self.heard_of_list(heard.listing, wires);
         self.happened.push(Event::Roster(List { listing: heard.listing, entries }));
     }
 
@@ -660,6 +727,12 @@
             return self.clients.reject(told.link, Fault(400, "repeated_id"), wires);
         }
         let size = told.head.len() + told.body.len();
+        if !self.may_forward() {
+            log!("not-taken", "inv={} reason=recovering", told.id);
+            let come_back = self.come_back_after(&told.id, now);
+            self.figures.ended(self.clients.operations.name(told.operation), Verdict::of(NO_ROOM));
+            return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
+        }
         let full = self.invs.len() >= self.open_cap || self.held + size > self.held_most;
         if full || told.expires_at <= now {
             log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
--- /dev/null
+++ b/node/src/desk/keeping.rs
@@ -0,0 +1,355 @@
+//! What the desk does with its store: begins with what the last life has left, and keeps what the next must know.
+//!
+//! It owns which answers wait for the disk. What is believed and in which order service begins is `recovery`'s to say,
+//! when something is on the disk the keeper's.
+
+use std::collections::BTreeMap;
+
+use topazsail::{Event, Listing, Micros};
+use topazsail_recovery::{self as recovery, Action, Belief, Known, Recovery, Source, Stage};
+use topazsail_store::kept::{Hand, List, Settings, Spent};
+
+use super::Desk;
+use crate::back::roster::{self, Listed, Roster};
+use crate::front::operator::Call;
+use crate::life::keeper::{Keeper, Left, Told};
+use crate::net::conn::{Due, Link, Wires};
+use crate::net::log::log;
+
+/// An operator's answer waits for the disk no longer than this.
+const KEPT_WITHIN: Micros = 2_000_000;
+/// A list that has changed is kept after this, the more so the longer it is: at most a megabyte in four seconds.
+const LIST_AFTER: Micros = 1_000_000;
+const LIST_BYTES: usize = 256 << 10;
+/// Those who come before there is service come back within this after it, not all at once.
+const SPREAD: Micros = 1_000_000;
+
+/// What stands between a start and its end on the disk.
+pub struct Keeping {
+    keeper: Keeper,
+    recovery: Recovery,
+    /// The list that the configuration remembers, until it is known which one to begin with.
+    file: Option<Listed>,
+    /// When this process began: whoever started later had nothing from the life before.
+    began: Micros,
+    /// What the last life left, until it has been used.
+    left: Option<Box<Left>>,
+    boot: Option<u64>,
+    /// Why the disk cannot be relied on now, if so.
+    failing: Option<String>,
+    /// Operators that wait for the disk, and their calls.
+    calls: BTreeMap<u64, (Link, Call)>,
+    /// A write of the list is due; how long the last one was.
+    list_due: bool,
+    list_length: usize,
+    /// Without a store there is no service.
+    require: bool,
+}
+
+impl Keeping {
+    pub fn new(keeper: Keeper, require: bool, file: Option<Listed>, now: Micros) -> Keeping {
+        Keeping {
+            keeper,
+            recovery: Recovery::new(now),
+            file,
+            began: now,
+            left: None,
+            boot: None,
+            failing: None,
+            calls: BTreeMap::new(),
+            list_due: false,
+            list_length: 0,
+            require,
+        }
+    }
+
+    /// Another process has handed all over: there is nothing to recover.
+    pub fn in_service(mut self) -> Keeping {
+        self.recovery = Recovery::in_service();
+        self
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.recovery.stage()
+    }
+
+    /// How it stands with the store, in the words of `status`.
+    pub fn status(&self) -> String {
+        let boot = self.boot.map_or_else(|| "none".to_owned(), |boot| boot.to_string());
+        let store = if self.failing.is_some() { "failing" } else { "well" };
+        format!("stage={} boot={boot} store={store}", self.stage().code())
+    }
+
+    pub fn figures(&self) -> [(&'static str, u64); 4] {
+        [
+            ("boot", self.boot.unwrap_or(0)),
+            ("stage", self.stage() as u64),
+            ("store_well", u64::from(self.failing.is_none())),
+            ("store_dropped", self.keeper.dropped),
+        ]
+    }
+}
+
+impl Desk {
+    /// A start from nothing, with a store: nothing is listed before that has been read.
+    pub(super) fn recover(&mut self, wires: &mut dyn Wires) {
+        self.clients.ready(false);
+        if let Some(due) = self.keeping.as_ref().and_then(|keeping| keeping.recovery.due()) {
+            wires.wake(Due::Recovery, due);
+        }
+    }
+
+    /// Whether anything may be forwarded: not before there is a list.
+    pub(super) fn may_forward(&self) -> bool {
+        self.keeping.as_ref().is_none_or(|keeping| keeping.recovery.may_forward())
+    }
+
+    /// When those who come before there is service are to come back: spread, so that they do not come together.
+    pub(super) fn come_back_after(&self, id: &str, now: Micros) -> Option<Micros> {
+        let left = self.keeping.as_ref().map_or(0, |keeping| keeping.recovery.left(now));
+        let spread = topazsail::hash(id.as_bytes()) % SPREAD as u64;
+        self.come_back_most.map(|most| (left + spread as Micros).min(most))
+    }
+
+    /// Whether service is what it was to be without the store that it must not do without.
+    pub fn fatal(&self) -> Option<String> {
+        let keeping = self.keeping.as_ref().filter(|keeping| keeping.require)?;
+        let why = keeping.failing.as_ref().filter(|_| keeping.boot.is_none())?;
+        (keeping.stage() != Stage::Finding).then(|| format!("store.folder: {why}"))
+    }
+
+    pub(super) fn recovery_due(&mut self, wires: &mut dyn Wires) {
+        let Some(keeping) = &mut self.keeping else { return };
+        let actions = keeping.recovery.tick(wires.now());
+        if keeping.boot.is_none() && keeping.failing.is_none() && !actions.is_empty() {
+            keeping.failing = Some("not read in time".to_owned());
+        }
+        self.enter(actions, wires);
+    }
+
+    fn enter(&mut self, actions: Vec<Action>, wires: &mut dyn Wires) {
+        for action in actions {
+            match action {
+                Action::Enter(stage, why) => log!("stage", "stage={} {why}", stage.code()),
+                Action::Begin => self.begin(wires),
+                Action::Serve => self.clients.ready(self.down_since.is_none()),
+            }
+        }
+        if let Some(due) = self.keeping.as_ref().and_then(|keeping| keeping.recovery.due()) {
+            wires.wake(Due::Recovery, due);
+        }
+    }
+
+    /// The list to begin with, and what holds of it.
+    fn begin(&mut self, wires: &mut dyn Wires) {
+        let now = wires.now();
+        let Some(keeping) = &mut self.keeping else { return };
+        let (file, began) = (keeping.file.take().unwrap_or_default(), keeping.began);
+        let left = keeping.left.take();
+        let discovery = self.roster.heard_to().0.to_string();
+        let stored = left.as_ref().and_then(|left| left.list.as_ref());
+        let listed = stored.and_then(|list| Some((list, serde_json::from_str::<Listed>(&list.json).ok()?)));
+        let known = |discovery, listed: &Listed| Known {
+            discovery,
+            generation: listed.generation,
+            runners: listed.len(),
+        };
+        let stored = listed.as_ref().map(|(list, listed)| known(list.discovery.as_str(), listed));
+        let (source, why) = recovery::list(stored, known(&discovery, &file));
+        log!("trusts", "item=list source={source:?} reason={why:?}");
+        let chosen = match listed {
+            Some((_, listed)) if source == Source::Store => listed,
+            _ => file,
+        };
+        self.roster = Roster::new(self.roster.heard_to().0, chosen.generation);
+        let mut rest = 0;
+        if let Some(left) = &left {
+            rest = recovery::rest(&left.found, self.tip_after);
+            self.take_hands(left, wires);
+        }
+        if rest > 0 {
+            let entries = self.members.rest(now + rest, began, now);
+            debug_assert!(entries.is_empty(), "nothing is listed yet");
+            log!("trusts", "item=spent belief=dropped rest_ms={}", rest / 1000);
+            wires.wake(Due::Rested, now + rest);
+        }
+        self.list(roster::Heard { listing: Listing::Remembered, entries: chosen.entries() }, wires);
+        if let Some(left) = left {
+            let (belief, why) = recovery::spent(&left.found);
+            if let Some(spent) = left.spent.filter(|_| belief == Belief::Trusted) {
+                log!("trusts", "item=spent belief=trusted reason={why:?} runners={}", spent.runners.len());
+                // It is told as how long before the life's end; that it is over for longer only helps.
+                let end = now - left.found.away;
+                let at =
+                    |work: Vec<(Micros, f64)>| work.into_iter().map(move |(ago, w)| (end - ago, w)).collect();
+                let spent = spent.runners.into_iter().map(|(id, work)| (id.into(), at(work))).collect();
+                self.happened.push(Event::Spent(spent));
+            }
+        }
+    }
+
+    /// Who was out by hand is out, whatever else is in doubt.
+    fn take_hands(&mut self, left: &Left, wires: &mut dyn Wires) {
+        let (belief, why) = recovery::hands(&left.found);
+        let out = left.hands.iter().filter(|(_, hand)| hand.out_since.is_some()).count();
+        log!("trusts", "item=hands belief={belief:?} out={out} reason={why:?}");
+        for (id, hand) in &left.hands {
+            // What has been said since the start goes first.
+            if self.members.hand(id) == (None, None) {
+                self.members.inherit(id, hand.out_since, hand.was_out);
+            }
+        }
+        let entries = self.members.stand(wires.now());
+        if !entries.is_empty() {
+            self.happened.push(Event::Roster(topazsail::Roster { listing: Listing::Own, entries }));
+        }
+    }
+
+    /// What the keeper has to say.
+    pub(super) fn heard_of_disk(&mut self, wires: &mut dyn Wires) {
+        let Some(keeping) = &mut self.keeping else { return };
+        for told in keeping.keeper.heard() {
+            let Some(keeping) = &mut self.keeping else { return };
+            match told {
+                Told::Opened(left) => {
+                    keeping.boot = left.boot;
+                    keeping.failing = left.found.unwritten.as_ref().map(ToString::to_string);
+                    let boot = left.boot;
+                    if keeping.stage() == Stage::Finding {
+                        keeping.left = Some(left);
+                        let found = keeping.left.as_ref().map(|left| left.found.clone()).unwrap_or_default();
+                        let event = recovery::Event::Opened { found: &found, boot };
+                        let actions = keeping.recovery.handle(wires.now(), event);
+                        self.keep_settings();
+                        self.enter(actions, wires);
+                    } else {
+                        // It comes late, or after an upgrade that came to nothing: bans hold all the same.
+                        log!("store", "state=opened boot={boot:?}");
+                        self.take_hands(&left, wires);
+                        self.keep_all(wires);
+                    }
+                }
+                Told::Unopened(why) => {
+                    log!("store", "state=refused reason={why:?}");
+                    keeping.failing = Some(why.clone());
+                    let event = recovery::Event::Unopened { why: &why };
+                    let actions = keeping.recovery.handle(wires.now(), event);
+                    self.enter(actions, wires);
+                }
+                Told::Synced(ticket, kept) => self.kept(ticket, kept, wires),
+                Told::Health(Ok(boot)) => {
+                    (keeping.boot, keeping.failing) = (boot, None);
+                    log!("store", "state=well boot={}", boot.unwrap_or(0));
+                }
+                Told::Health(Err(why)) => {
+                    log!("store", "state=failing reason={why:?}");
+                    keeping.failing = Some(why);
+                }
+                Told::Closed => log!("store", "state=released"),
+            }
+        }
+    }
+
+    /// Discovery has been heard, or not.
+    pub(super) fn heard_of_list(&mut self, listing: Listing, wires: &mut dyn Wires) {
+        let Some(keeping) = &mut self.keeping else { return };
+        let event = match listing {
+            Listing::All | Listing::Changes => recovery::Event::Heard,
+            Listing::Refused => recovery::Event::Refused,
+            Listing::Remembered | Listing::Own => return,
+        };
+        let fresh = matches!(event, recovery::Event::Heard);
+        let actions = keeping.recovery.handle(wires.now(), event);
+        if fresh && !std::mem::replace(&mut keeping.list_due, true) {
+            let more = (keeping.list_length / LIST_BYTES) as Micros * LIST_AFTER;
+            wires.wake(Due::Keep, wires.now() + LIST_AFTER + more);
+        }
+        self.enter(actions, wires);
+    }
+
+    /// The list as it is now, for the next life.
+    pub(super) fn keep_list(&mut self) {
+        let list = self.as_listed();
+        let discovery = self.roster.heard_to().0.to_string();
+        let Some(keeping) = &mut self.keeping else { return };
+        keeping.list_due = false;
+        let Some((generation, json)) = list else { return };
+        let json = json.to_string();
+        keeping.list_length = json.len();
+        keeping.keeper.keep("", Some(&List { discovery, generation, json }));
+    }
+
+    pub(super) fn keep_settings(&mut self) {
+        let Some(keeping) = &mut self.keeping else { return };
+        let settings = self.file.get("settings").map(ToString::to_string).unwrap_or_default();
+        let version = topazsail::hash(settings.as_bytes());
+        let known = keeping.left.as_ref().and_then(|left| left.settings.as_ref());
+        if let Some(known) = known.filter(|known| known.version != version) {
+            log!("trusts", "item=settings source=File reason=\"differs from {:016x} before\"", known.version);
+        }
+        keeping.keeper.keep("", Some(&Settings { version, json: self.file.to_string() }));
+    }
+
+    fn keep_all(&mut self, wires: &mut dyn Wires) {
+        self.keep_settings();
+        self.keep_list();
+        for id in self.members.by_hands() {
+            self.keep_hand(&id, None, wires);
+        }
+    }
+
+    /// What the hand has done to a runner is kept; whoever called is answered once it is.
+    pub(super) fn keep_hand(&mut self, id: &str, call: Option<(Link, Call)>, wires: &mut dyn Wires) {
+        let (out_since, was_out) = self.members.hand(id);
+        let Some(keeping) = &mut self.keeping else { return };
+        let hand = Hand { out_since, was_out };
+        match call {
+            None => keeping.keeper.keep(id, Some(&hand)),
+            Some(call) => {
+                let ticket = keeping.keeper.keep_now(id, Some(&hand));
+                keeping.calls.insert(ticket, call);
+                wires.wake(Due::Kept(ticket), wires.now() + KEPT_WITHIN);
+            }
+        }
+    }
+
+    /// The disk has kept what an operator waits for, or has not.
+    pub(super) fn kept(&mut self, ticket: u64, kept: Result<(), String>, wires: &mut dyn Wires) {
+        let Some(keeping) = &mut self.keeping else { return };
+        let Some((link, call)) = keeping.calls.remove(&ticket) else { return };
+        let answer = match kept {
+            Ok(()) => "YES\n".to_owned(),
+            Err(why) => {
+                log!("not-kept", "call={call:?} reason={why:?}");
+                format!("NO it holds here until a restart, and is not kept: {why}\n")
+            }
+        };
+        self.operators.answer(link, &answer, wires);
+    }
+
+    pub(super) fn not_kept_in_time(&mut self, ticket: u64, wires: &mut dyn Wires) {
+        self.kept(ticket, Err("the disk has not answered in time".to_owned()), wires);
+    }
+
+    /// Another process has the folder from now on, or this one again.
+    pub(super) fn release(&mut self, released: bool) {
+        let Some(keeping) = &mut self.keeping else { return };
+        if released {
+            keeping.keeper.close();
+        } else {
+            keeping.keeper.open();
+        }
+    }
+
+    /// The process ends as it should: the next life knows to the last forward what was spent.
+    pub fn leave(mut self, now: Micros, within: std::time::Duration) {
+        let spent = self.brain.spent(now);
+        self.keep_list();
+        let Some(mut keeping) = self.keeping.take() else { return };
+        let ago = |work: Vec<(Micros, f64)>| work.into_iter().map(|(at, w)| (now - at, w)).collect();
+        let runners = spent.into_iter().map(|(id, work)| (id.to_string(), ago(work))).collect();
+        keeping.keeper.keep("", Some(&Spent { runners }));
+        let clean = keeping.keeper.finish(within);
+        log!("store", "state=closed clean={clean}");
+    }
+}
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -40,6 +40,11 @@
     pub tries: u64,
 }
 
+/// Further figures, in the same form.
+pub fn more<'a>(named: impl Iterator<Item = &'a (&'static str, u64)>) -> String {
+    named.map(|(name, value)| format!("{PREFIX}.{name}={value}\n")).collect()
+}
+
 #[derive(Debug, Default)]
 pub struct Figures {
     /// By operation, in the order of [`VERDICTS`]. One that is no longer set keeps its counts: they run from
--- a/node/src/front/clients.rs
+++ b/node/src/front/clients.rs
@@ -183,9 +183,9 @@
         }
     }
 
-    /// From now on nobody new is told that this dispatcher is ready.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// Whether whoever asks is told that this dispatcher is ready, from now on.
+    pub fn ready(&mut self, ready: bool) {
+        self.draining = !ready;
     }
 
     /// Whether each connection ends with its next answer, as another process goes on from here.
--- /dev/null
+++ b/node/src/life/shown.rs
@@ -0,0 +1,182 @@
+//! `topazsail store`: what a folder holds, for people and for scripts, also where it is spoilt.
+//!
+//! It only reads: it takes no lock, so that a dispatcher may be using the folder meanwhile, and changes nothing.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use serde_json::{Value, json};
+use topazsail_store::kept::{self, Hand, List, Settings, Spent};
+use topazsail_store::{Doubt, Folder, Record, Stale, look};
+
+/// What is said, and whether all is well.
+pub struct Shown {
+    pub text: String,
+    pub well: bool,
+}
+
+fn value(record: &Record) -> Value {
+    if let Some(list) = kept::value::<List>(record) {
+        let list_json: Value = serde_json::from_str(&list.json).unwrap_or_default();
+        let runners = list_json.get("instances").and_then(Value::as_array).map_or(0, Vec::len);
+        return json!({
+            "discovery": list.discovery, "generation": list.generation, "runners": runners, "list": list_json,
+        });
+    }
+    if let Some(hand) = kept::value::<Hand>(record) {
+        return json!({"out_since": hand.out_since, "was_out": hand.was_out});
+    }
+    if let Some(spent) = kept::value::<Spent>(record) {
+        return json!({"runners": spent.runners});
+    }
+    if let Some(settings) = kept::value::<Settings>(record) {
+        let version = format!("{:016x}", settings.version);
+        return json!({"version": version, "configuration": serde_json::from_str::<Value>(&settings.json).ok()});
+    }
+    json!({"bytes": record.value.as_ref().map_or(0, Vec::len)})
+}
+
+/// One line of a table: the value in short.
+fn short(record: &Record) -> String {
+    match value(record) {
+        Value::Object(fields) if fields.contains_key("list") => format!(
+            "{} runners, generation {}, from {}",
+            fields["runners"],
+            fields["generation"],
+            fields["discovery"].as_str().unwrap_or_default()
+        ),
+        Value::Object(fields) if fields.contains_key("configuration") => {
+            format!("version {}", fields["version"].as_str().unwrap_or_default())
+        }
+        Value::Object(fields) if fields.contains_key("out_since") => match fields["out_since"].as_i64() {
+            Some(since) => format!("out since {}", seconds(since)),
+            None => "back".to_owned(),
+        },
+        other => {
+            let text = other.to_string();
+            if text.chars().count() > 60 {
+                text.chars().take(57).chain("...".chars()).collect()
+            } else {
+                text
+            }
+        }
+    }
+}
+
+fn seconds(at: i64) -> String {
+    format!("{:.3}", at as f64 / 1e6)
+}
+
+/// What `folder` holds; with `all`, each record as well.
+pub fn shown(folder: &Path, all: bool, as_json: bool) -> Result<Shown, String> {
+    let fault = |why: String| format!("--folder {}: {why}", folder.display());
+    if !folder.is_dir() {
+        return Err(fault("no such folder".to_owned()));
+    }
+    let look = look(&mut Folder::new(folder)).map_err(|error| fault(error.to_string()))?;
+    let found = &look.found;
+    let doubts: Vec<String> = found.doubts.iter().map(Doubt::to_string).collect();
+    let well = doubts.is_empty();
+    if as_json {
+        let records = look.records.values().filter(|_| all).map(|record| {
+            json!({
+                "table": kept::name(record.table), "key": record.key, "form": record.form, "boot": record.boot,
+                "written": record.written, "value": value(record),
+            })
+        });
+        let whole = json!({
+            "owner": look.owner, "store": format!("{:016x}", look.store), "boot": found.boot, "clean": found.clean,
+            "torn": found.torn, "written": found.written, "doubts": doubts, "empty": found.fresh,
+            "unwritten": found.unwritten.as_ref().map(Stale::to_string),
+            "files": look.files.iter().map(|(name, bytes)| json!({"name": name, "bytes": bytes})).collect::<Vec<_>>(),
+            "records": records.collect::<Vec<_>>(),
+        });
+        return Ok(Shown { text: format!("{whole:#}\n"), well });
+    }
+    let mut text = String::new();
+    let mut line = |name: &str, value: &dyn std::fmt::Display| _ = writeln!(text, "{name:<9} {value}");
+    if found.fresh {
+        line("state", &"empty: no dispatcher has kept anything here");
+        return Ok(Shown { text, well });
+    }
+    line("owner", &look.owner.as_deref().unwrap_or("not known"));
+    line("boot", &found.boot);
+    let ended = if found.clean { "the last life ended as it should" } else { "cut short, or still going on" };
+    line("state", &ended);
+    line("written", &seconds(found.written));
+    look.files.iter().for_each(|(name, bytes)| line("file", &format!("{name}, {bytes} bytes")));
+    if found.torn > 0 {
+        line("torn", &format!("{} bytes at the end are no record", found.torn));
+    }
+    doubts.iter().for_each(|doubt| line("doubt", doubt));
+    line("records", &look.records.len());
+    if all {
+        let head = ("table", "key", "boot", "written", "value");
+        let _ = writeln!(text, "{:<9} {:<20} {:>5} {:>17} {}", head.0, head.1, head.2, head.3, head.4);
+        for record in look.records.values() {
+            let (table, at) = (kept::name(record.table), seconds(record.written));
+            let key = record.key.escape_debug().to_string();
+            let short = short(record);
+            let _ = writeln!(text, "{table:<9} {key:<20} {:>5} {at:>17} {short}", record.boot);
+        }
+    }
+    Ok(Shown { text, well })
+}
+
+#[cfg(test)]
+mod tests {
+    use expect_test::expect;
+    use topazsail_store::Store;
+
+    use super::*;
+
+    fn folder() -> tempfile::TempDir {
+        let folder = tempfile::tempdir().unwrap();
+        let open =
+            || Store::open(Box::new(Folder::new(folder.path())), "d0", 7, 1_700_000_000_000_000).unwrap();
+        let (mut store, _) = open();
+        let list =
+            List { discovery: "127.0.0.1:8500".into(), generation: 4, json: r#"{"instances":[{}]}"#.into() };
+        store.keep("", Some(&list), 1_700_000_000_000_000);
+        let hand = Hand { out_since: Some(1_700_000_000_500_000), was_out: None };
+        store.keep("s-a", Some(&hand), 1_700_000_001_000_000);
+        store.put(topazsail_store::Table(40), "x", 1, Some(vec![1, 2]), 1_700_000_001_000_000);
+        store.close(1_700_000_002_000_000).unwrap();
+        folder
+    }
+
+    #[test]
+    fn a_folder_is_told_whole_and_spoilt() {
+        let folder = folder();
+        let whole = shown(folder.path(), true, false).unwrap();
+        assert!(whole.well);
+        expect![[r#"
+            owner     d0
+            boot      1
+            state     the last life ended as it should
+            written   1700000002.000
+            file      log-0000000000000001, 247 bytes
+            records   3
+            table     key                   boot           written value
+            list                               1    1700000000.000 1 runners, generation 4, from 127.0.0.1:8500
+            hand      s-a                      1    1700000001.000 out since 1700000000.500
+            table-40  x                        1    1700000001.000 {"bytes":2}
+        "#]].assert_eq(&whole.text);
+        let json: Value = serde_json::from_str(&shown(folder.path(), true, true).unwrap().text).unwrap();
+        assert_eq!((&json["clean"], &json["records"][1]["key"]), (&json!(true), &json!("s-a")));
+        let log = folder.path().join("log-0000000000000001");
+        let mut bytes = std::fs::read(&log).unwrap();
+        bytes[30] ^= 1;
+        std::fs::write(&log, &bytes).unwrap();
+        let spoilt = shown(folder.path(), false, false).unwrap();
+        assert!(!spoilt.well && spoilt.text.contains("doubt     spoilt in 1 places"), "{}", spoilt.text);
+        assert_eq!(std::fs::read(&log).unwrap(), bytes, "nothing was changed");
+    }
+
+    #[test]
+    fn no_folder_and_an_empty_one() {
+        assert!(shown(Path::new("/nowhere/at/all"), true, false).is_err());
+        let folder = tempfile::tempdir().unwrap();
+        assert!(shown(folder.path(), true, false).unwrap().text.starts_with("state     empty"));
+    }
+}
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -115,6 +115,12 @@
     Down,
     /// Cold runners may have rested for long enough.
     Rested,
+    /// A stage of recovery has had its time.
+    Recovery,
+    /// What has changed is to be kept.
+    Keep,
+    /// The disk has had its time to keep what an operator was told of.
+    Kept(u64),
 }
 
 /// What the owner of connections is called back for.
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -7,15 +7,20 @@
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use topazsail::Micros;
+use topazsail_store::Disk;
 
 use crate::config;
 use crate::desk::Desk;
 use crate::life::handover;
+use crate::life::keeper::Keeper;
 use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::net::log::log;
 
@@ -37,6 +42,8 @@
 const STOOD_STILL: Micros = 50_000;
 /// How long it may then take to read what had come meanwhile.
 const CATCHES_UP: Micros = 100_000;
+/// How long a process that ends waits for its disk.
+const CLOSED_WITHIN: Duration = Duration::from_millis(500);
 /// How long the other side may take to read a last answer and to end.
 const FINISH_WITHIN: Micros = 2_000_000;
 
@@ -71,7 +78,7 @@
 }
 
 pub struct Reactor {
-    poller: Poller,
+    poller: Arc<Poller>,
     clock: Clock,
     now: Micros,
     /// While it catches up after having stood still: since when, and until when.
@@ -96,12 +103,40 @@
     Ok(read)
 }
 
+/// Makes the disk below a store's folder: the real one, or one that fails on purpose.
+pub type DiskAt = fn(&Path) -> io::Result<Box<dyn Disk>>;
+
+/// Nobody else has the folder of the store: known before anything listens. A disk on which nothing can be written
+/// now is no fault of the configuration.
+fn locked(told: &config::Dispatcher, disk_at: DiskAt) -> Result<Option<Box<dyn Disk>>, String> {
+    let Some(store) = &told.store else { return Ok(None) };
+    let fault = |error: io::Error| format!("store.folder {}: {error}", store.folder.display());
+    if !store.folder.is_dir() {
+        return Err(fault(io::Error::new(io::ErrorKind::NotADirectory, "no such folder")));
+    }
+    let mut disk = disk_at(&store.folder).map_err(fault)?;
+    match disk.lock() {
+        Ok(()) => Ok(Some(disk)),
+        Err(error)
+            if !store.require
+                && matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::ReadOnlyFilesystem) =>
+        {
+            Ok(None)
+        }
+        Err(error) => Err(fault(error)),
+    }
+}
+
 /// Serves by the configuration in `path`, which is read again at each SIGHUP.
-pub fn serve(path: &str) -> Result<(), String> {
+pub fn serve(path: &str, disk_at: DiskAt) -> Result<(), String> {
     let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
     let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
     let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
+    // A file that may not grow is an error of the write, and no signal.
+    let ignored = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(libc::SIGXFSZ, ignored).map_err(fault("signal"))?;
     let (told, given) = begin(path)?;
+    let locked = if given.is_none() { locked(&told, disk_at)? } else { None };
     let addresses = [(Side::Client, Some(told.listen)), (Side::Operator, told.admin)];
     let mut doors = Vec::new();
     for (side, address) in addresses {
@@ -139,8 +174,19 @@
             added.map_err(fault("poller"))?;
         }
     }
+    let keeper = match &told.store {
+        None => None,
+        Some(store) => {
+            let (folder, poller) = (store.folder.clone(), reactor.poller.clone());
+            let id = topazsail::hash(format!("{} {} {}", told.name, told.seed, reactor.now).as_bytes());
+            let disks = Box::new(move || disk_at(&folder));
+            let wake = move || drop(poller.notify());
+            let kept = Keeper::start(locked, disks, told.name.clone(), id, wake);
+            Some(kept.map_err(fault("store"))?)
+        }
+    };
     let (other, state) = given.map(|given| ((given.stream, given.since), given.state)).unzip();
-    let mut desk = Desk::new(told, state, &mut reactor);
+    let mut desk = Desk::new(told, state, keeper, &mut reactor);
     if let Some((stream, since)) = other
         && let Some(link) = reactor.meet(stream, listen)
     {
@@ -148,6 +194,11 @@
     }
     let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&reload, path));
     run.map_err(fault("poller"))?;
+    let fatal = desk.fatal();
+    desk.leave(reactor.clock.now(), CLOSED_WITHIN);
+    if let Some(why) = fatal {
+        return Err(why);
+    }
     log!("ended", "connections={}", reactor.conns.len());
     Ok(())
 }
@@ -184,7 +235,7 @@
     fn new() -> io::Result<Reactor> {
         let clock = Clock::new();
         Ok(Reactor {
-            poller: Poller::new()?,
+            poller: Arc::new(Poller::new()?),
             now: clock.now(),
             clock,
             behind: None,
@@ -219,7 +270,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 waited => drop(waited?),
             }
-            if last && events.is_empty() {
+            if last && events.is_empty() || desk.fatal().is_some() {
                 return Ok(());
             }
             self.look_up(patience);
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -160,7 +160,7 @@
     fn new(runners: &[(&str, &str)]) -> Node {
         let mut stage = Stage { now: START, ..Stage::default() };
         let told = config::decode(&configuration(runners)).unwrap();
-        let mut node = Node { desk: Desk::new(told, None, &mut stage), stage };
+        let mut node = Node { desk: Desk::new(told, None, None, &mut stage), stage };
         node.settle();
         node
     }
@@ -176,7 +176,7 @@
         let state = serde_json::from_str(state).unwrap();
         let mut stage = Stage { now: of.stage.now, next: 100, ..Stage::default() };
         let told = config::decode(&configuration(&[])).unwrap();
-        let mut node = Node { desk: Desk::new(told, Some(state), &mut stage), stage };
+        let mut node = Node { desk: Desk::new(told, Some(state), None, &mut stage), stage };
         node.stage.sides.insert(link, Side::Peer);
         node.desk.takes_over(link, since.as_bytes().to_vec(), &mut node.stage);
         node.settle();
@@ -953,7 +953,7 @@
 fn beyond_what_it_may_hold_it_turns_away_at_once() {
     let text = configuration(&RUNNERS[..1]).replace("\"openCap\":20000", "\"openCap\":1");
     let mut stage = Stage { now: START, ..Stage::default() };
-    let desk = Desk::new(config::decode(&text).unwrap(), None, &mut stage);
+    let desk = Desk::new(config::decode(&text).unwrap(), None, None, &mut stage);
     let mut node = Node { desk, stage };
     node.invoke("plan", "i1");
     node.invoke("plan", "i2");
@@ -1217,6 +1217,25 @@
     assert!(serde_json::from_str::<State>("\"lost\"").is_ok());
 }
 
+#[test]
+fn a_bad_store_names_the_field() {
+    let fault = |store: &str| {
+        let text = configuration(&[]).replacen('{', &format!("{{\"store\":{store},"), 1);
+        config::decode(&text).map(|told| told.store.is_some())
+    };
+    assert_eq!(fault("null"), Ok(false));
+    assert_eq!(fault(r#"{"folder":"/x","require":true}"#), Ok(true));
+    for (store, said) in [
+        ("5", "store has the bad value 5"),
+        ("{}", "store.folder is missing"),
+        (r#"{"folder":""}"#, "store.folder has the bad value \"\""),
+        (r#"{"folder":"/x","require":1}"#, "store.require has the bad value 1"),
+        (r#"{"folder":"/x","foldr":"y"}"#, "store.foldr is unknown"),
+    ] {
+        assert_eq!(fault(store), Err(said.to_owned()), "{store}");
+    }
+}
+
 #[test]
 fn a_bad_configuration_names_the_field() {
     let good = configuration(&RUNNERS);
--- /dev/null
+++ b/recovery/src/lib.rs
@@ -0,0 +1,309 @@
+//! From power to service: the stages that a starting dispatcher goes through, and what it trusts of what it has.
+//!
+//! A core without I/O, clock or chance: events and the time are handed in, what is to be done comes out. Each stage has
+//! a due time, after which it goes on with less trust and says so; none waits for something that may never come. It
+//! must never let anything be forwarded before there is a list, nor take what its last life may have spent for free.
+//! See `docs/recovery.md` for the table of trust.
+
+use topazsail_store::{Doubt, Found, Micros};
+
+/// From the process's start until the store must have been read: a disk that hangs keeps nobody from serving.
+pub const FOUND_WITHIN: Micros = 5_000_000;
+/// From there until discovery must have been heard: then the list is the remembered one.
+pub const LISTED_WITHIN: Micros = 500_000;
+
+/// How far a starting dispatcher has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Its store is being read.
+    Finding,
+    /// What the store holds is known, and this life's number is on the disk, or neither is to be had.
+    Numbered,
+    /// There is a list to forward by.
+    Listed,
+    Serving,
+}
+
+impl Stage {
+    pub fn code(self) -> &'static str {
+        match self {
+            Stage::Finding => "finding",
+            Stage::Numbered => "numbered",
+            Stage::Listed => "listed",
+            Stage::Serving => "serving",
+        }
+    }
+}
+
+/// How far an item is believed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// As if it had just been said.
+    Trusted,
+    /// For want of better: whoever says otherwise goes first.
+    Doubted,
+    Dropped,
+}
+
+/// Where an item is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    Store,
+    /// The configuration, as written by whoever starts the process.
+    File,
+}
+
+/// A list that is at hand before discovery has been heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known<'a> {
+    pub discovery: &'a str,
+    pub generation: u64,
+    pub runners: usize,
+}
+
+/// Which list to begin with. Generations are one discovery's own: a list of another one says nothing here, however
+/// high its number. Of two of the same the newer one is taken, and none that is empty where the other is not.
+pub fn list(stored: Option<Known>, file: Known) -> (Source, &'static str) {
+    match stored {
+        None => (Source::File, "the store has none"),
+        Some(stored) if stored.discovery != file.discovery => {
+            (Source::File, "the store's is from another discovery")
+        }
+        Some(stored) if stored.runners == 0 && file.runners > 0 => (Source::File, "the store's is empty"),
+        Some(stored) if stored.generation > file.generation || file.runners == 0 => {
+            (Source::Store, "the store's is newer")
+        }
+        Some(_) => (Source::File, "the file's is as new"),
+    }
+}
+
+/// What the last life sent to cold runners: exact only where that life ended as it should.
+pub fn spent(found: &Found) -> (Belief, &'static str) {
+    if found.fresh {
+        (Belief::Dropped, "there was no last life")
+    } else if found.clean {
+        (Belief::Trusted, "the last life ended as it should")
+    } else {
+        (Belief::Dropped, "the last life was cut short")
+    }
+}
+
+/// Who is out by hand: a ban that was said yes to holds whatever else is in doubt.
+pub fn hands(found: &Found) -> (Belief, &'static str) {
+    if found.doubts.iter().any(|doubt| !matches!(doubt, Doubt::Clock { .. })) {
+        (Belief::Doubted, "the store is spoilt: one may be missing")
+    } else {
+        (Belief::Trusted, "as said yes to")
+    }
+}
+
+/// For how long cold runners must rest that were there in the last life: what it sent them at its very end may still
+/// count, and how long that has been over is known only as far as the machine tells.
+pub fn rest(found: &Found, tip_after: Micros) -> Micros {
+    if found.fresh || found.clean { 0 } else { (tip_after - found.away).max(0) }
+}
+
+/// What has happened.
+#[derive(Clone, Debug)]
+pub enum Event<'a> {
+    /// The store has been read; this life's number, if it is on the disk.
+    Opened { found: &'a Found, boot: Option<u64> },
+    /// There is no store to be had.
+    Unopened { why: &'a str },
+    /// Discovery has told the whole list, or what changed since the remembered one.
+    Heard,
+    /// Discovery has refused or was not reached.
+    Refused,
+}
+
+/// What is to be done, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// A stage has been reached; why, and on what grounds.
+    Enter(Stage, String),
+    /// The list to begin with is wanted now, the remembered one or what discovery has said.
+    Begin,
+    /// Newcomers are let in and told that this dispatcher is ready.
+    Serve,
+}
+
+pub struct Recovery {
+    stage: Stage,
+    due: Option<Micros>,
+    heard: bool,
+    refused: bool,
+}
+
+impl Recovery {
+    pub fn new(now: Micros) -> Recovery {
+        Recovery { stage: Stage::Finding, due: Some(now + FOUND_WITHIN), heard: false, refused: false }
+    }
+
+    /// One that has nothing to recover, as another process goes on in it.
+    pub fn in_service() -> Recovery {
+        Recovery { stage: Stage::Serving, due: None, heard: true, refused: false }
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Whether anything may be forwarded.
+    pub fn may_forward(&self) -> bool {
+        self.stage >= Stage::Listed
+    }
+
+    /// When to look again at the latest.
+    pub fn due(&self) -> Option<Micros> {
+        self.due
+    }
+
+    /// How long until it serves at the latest, for who is told when to come back.
+    pub fn left(&self, now: Micros) -> Micros {
+        match self.stage {
+            Stage::Finding => self.due.map_or(0, |due| (due - now).max(0)) + LISTED_WITHIN,
+            Stage::Numbered => self.due.map_or(0, |due| (due - now).max(0)),
+            Stage::Listed | Stage::Serving => 0,
+        }
+    }
+
+    pub fn handle(&mut self, now: Micros, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Opened { found, boot } if self.stage == Stage::Finding => {
+                let doubts: Vec<String> = found.doubts.iter().map(Doubt::to_string).collect();
+                let store = match (found.fresh, found.clean, doubts.is_empty()) {
+                    (true, ..) => "new".to_owned(),
+                    (_, true, _) => "clean".to_owned(),
+                    (_, _, true) => format!("cut short, {} bytes torn", found.torn),
+                    _ => doubts.join(", "),
+                };
+                let boot = boot.map_or_else(|| "none".to_owned(), |boot| boot.to_string());
+                self.numbered(now, format!("boot={boot} store={store:?}"), &mut actions);
+            }
+            Event::Unopened { why } if self.stage == Stage::Finding => {
+                self.numbered(now, format!("boot=none store={why:?}"), &mut actions);
+            }
+            Event::Heard => {
+                self.heard = true;
+                self.listed("list=fresh", &mut actions);
+            }
+            Event::Refused => {
+                self.refused = true;
+                // There is nothing to wait for: the watch is tried again in any case.
+                self.listed("list=remembered reason=refused", &mut actions);
+            }
+            Event::Opened { .. } | Event::Unopened { .. } => {}
+        }
+        actions
+    }
+
+    /// The due time of a stage may have come.
+    pub fn tick(&mut self, now: Micros) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.due.is_some_and(|due| now >= due) {
+            match self.stage {
+                Stage::Finding => {
+                    self.numbered(now, "boot=none store=\"not read in time\"".to_owned(), &mut actions);
+                }
+                Stage::Numbered => self.listed("list=remembered reason=silent", &mut actions),
+                Stage::Listed | Stage::Serving => self.due = None,
+            }
+        }
+        actions
+    }
+
+    fn numbered(&mut self, now: Micros, why: String, actions: &mut Vec<Action>) {
+        (self.stage, self.due) = (Stage::Numbered, Some(now + LISTED_WITHIN));
+        actions.extend([Action::Enter(Stage::Numbered, why), Action::Begin]);
+        if self.heard {
+            self.listed("list=fresh", actions);
+        } else if self.refused {
+            self.listed("list=remembered reason=refused", actions);
+        }
+    }
+
+    fn listed(&mut self, why: &str, actions: &mut Vec<Action>) {
+        if self.stage == Stage::Numbered {
+            (self.stage, self.due) = (Stage::Serving, None);
+            actions.extend([
+                Action::Enter(Stage::Listed, why.to_owned()),
+                Action::Enter(Stage::Serving, "reason=listed".to_owned()),
+                Action::Serve,
+            ]);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn found() -> Found {
+        Found { boot: 4, ..Found::default() }
+    }
+
+    fn stages(actions: &[Action]) -> Vec<&'static str> {
+        let stage = |action: &Action| match action {
+            Action::Enter(stage, _) => Some(stage.code()),
+            _ => None,
+        };
+        actions.iter().filter_map(stage).collect()
+    }
+
+    #[test]
+    fn nothing_is_forwarded_before_there_is_a_list_and_nothing_is_waited_for_without_end() {
+        let mut recovery = Recovery::new(100);
+        assert!(!recovery.may_forward() && recovery.due() == Some(100 + FOUND_WITHIN));
+        assert_eq!(recovery.left(100), FOUND_WITHIN + LISTED_WITHIN);
+        assert_eq!(recovery.tick(99 + FOUND_WITHIN), []);
+        assert_eq!(stages(&recovery.tick(100 + FOUND_WITHIN)), ["numbered"]);
+        assert!(!recovery.may_forward());
+        assert_eq!(stages(&recovery.tick(100 + FOUND_WITHIN + LISTED_WITHIN)), ["listed", "serving"]);
+        assert!(recovery.may_forward() && recovery.due().is_none());
+        // The store comes at last: it has no say any more in what is under way.
+        assert_eq!(recovery.handle(9_000_000, Event::Opened { found: &found(), boot: Some(5) }), []);
+    }
+
+    #[test]
+    fn the_list_may_come_before_the_store_but_holds_only_after_it() {
+        let mut recovery = Recovery::new(0);
+        assert_eq!(recovery.handle(10, Event::Heard), []);
+        let actions = recovery.handle(20, Event::Opened { found: &found(), boot: Some(5) });
+        assert_eq!(stages(&actions), ["numbered", "listed", "serving"]);
+        assert_eq!(actions.last(), Some(&Action::Serve));
+        assert_eq!(recovery.handle(30, Event::Refused), []);
+    }
+
+    #[test]
+    fn a_discovery_that_refuses_is_not_waited_for() {
+        let mut recovery = Recovery::new(0);
+        recovery.handle(10, Event::Unopened { why: "no space" });
+        let actions = recovery.handle(20, Event::Refused);
+        assert_eq!(stages(&actions), ["listed", "serving"]);
+    }
+
+    #[test]
+    fn which_list_comes_first() {
+        let known = |discovery, generation, runners| Known { discovery, generation, runners };
+        let file = known("a", 5, 3);
+        assert_eq!(list(None, file).0, Source::File);
+        assert_eq!(list(Some(known("b", 9, 3)), file).0, Source::File);
+        assert_eq!(list(Some(known("a", 9, 3)), file).0, Source::Store);
+        assert_eq!(list(Some(known("a", 5, 3)), file).0, Source::File);
+        assert_eq!(list(Some(known("a", 9, 0)), file).0, Source::File);
+        assert_eq!(list(Some(known("a", 0, 2)), known("a", 0, 0)).0, Source::Store);
+    }
+
+    #[test]
+    fn a_life_that_was_cut_short_may_have_spent_until_its_end() {
+        let cut = Found { away: 500_000, ..found() };
+        assert_eq!(rest(&cut, 2_000_000), 1_500_000);
+        assert_eq!(rest(&Found { away: 3_000_000, ..found() }, 2_000_000), 0);
+        assert_eq!(rest(&Found { clean: true, ..found() }, 2_000_000), 0);
+        assert_eq!(rest(&Found { fresh: true, ..found() }, 2_000_000), 0);
+        assert_eq!(spent(&cut).0, Belief::Dropped);
+        assert_eq!(hands(&Found { doubts: vec![Doubt::Holes(1)], ..found() }).0, Belief::Doubted);
+        assert_eq!(hands(&Found { doubts: vec![Doubt::Clock { behind: 1 }], ..found() }).0, Belief::Trusted);
+    }
+}
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -124,6 +124,9 @@
     }
 
     fn lock(&mut self) -> io::Result<()> {
+        if self.lock.is_some() {
+            return Ok(());
+        }
         let path = self.path.join(LOCK);
         let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
         file.try_lock().map_err(|error| match error {
--- a/store/src/store.rs
+++ b/store/src/store.rs
@@ -307,7 +307,7 @@
         };
         store.behind = true;
         found.unwritten = store.sync().err();
-        store.alive();
+        store.alive(0);
         Ok((store, found))
     }
 
@@ -345,10 +345,11 @@
         Ok(())
     }
 
-    /// Takes note that this life goes on, for the next one to know when it ended. It may fail: then the next one
-    /// knows less.
-    pub fn alive(&mut self) {
-        let machine = self.disk.machine();
+    /// Takes note that this life goes on, and may for so long without another note, for the next one to know when it
+    /// ended at the latest. It may fail: then the next one knows less.
+    pub fn alive(&mut self, more: Micros) {
+        let mut machine = self.disk.machine();
+        machine.up += more;
         let _ = self.disk.note(ALIVE, &write_alive(&machine));
     }
 
