--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -95,6 +95,26 @@
     Began {
         dispatcher: u32,
     },
+    /// A dispatcher has said yes to a runner being out by hand, or back; or it was asked and nobody knows (none).
+    Hand {
+        dispatcher: u32,
+        runner: u32,
+        out: Option<bool>,
+    },
+    /// A dispatcher has told its boot number.
+    Boot {
+        dispatcher: u32,
+        boot: u64,
+    },
+    /// Asked at that moment, a dispatcher has said that it has no list to forward by.
+    Unlisted {
+        dispatcher: u32,
+        asked: Micros,
+    },
+    /// A dispatcher's disk was taken away or laid back: it cannot know what it once kept.
+    Forgets {
+        dispatcher: u32,
+    },
     /// A dispatcher's process stands still, or goes on.
     Still {
         dispatcher: u32,
@@ -109,6 +129,12 @@
     NoEffectTwice,
     NothingToDraining,
     ColdBudget,
+    /// Out by hand, said yes to, over any restart.
+    HandHolds,
+    /// No boot number for two lives, and each higher than those before.
+    BootRises,
+    /// Nothing forwarded while it says that it has no list.
+    NotBeforeListed,
 }
 
 impl fmt::Display for Rule {
@@ -118,6 +144,9 @@
             Rule::NoEffectTwice => "no-effect-twice",
             Rule::NothingToDraining => "nothing-to-draining",
             Rule::ColdBudget => "cold-budget",
+            Rule::HandHolds => "hand-holds",
+            Rule::BootRises => "boot-rises",
+            Rule::NotBeforeListed => "not-before-listed",
         })
     }
 }
@@ -226,6 +255,12 @@
     cold: BTreeMap<u32, Cold>,
     /// Dispatchers that stand still, and since when.
     still: BTreeMap<u32, Micros>,
+    /// Runners out by hand, by dispatcher, and since when.
+    hands: BTreeMap<(u32, u32), Micros>,
+    /// By dispatcher, the highest boot number of earlier lives, and this life's.
+    boots: BTreeMap<u32, (u64, Option<u64>)>,
+    /// When each dispatcher's present life first forwarded anything.
+    first: BTreeMap<u32, Micros>,
     pub verdict: Verdict,
 }
 
@@ -260,6 +295,9 @@
             listed: BTreeMap::new(),
             cold: BTreeMap::new(),
             still: BTreeMap::new(),
+            hands: BTreeMap::new(),
+            boots: BTreeMap::new(),
+            first: BTreeMap::new(),
             verdict: Verdict::default(),
         }
     }
@@ -336,6 +374,24 @@
             Seen::Began { dispatcher } => {
                 self.told.retain(|(d, _), _| *d != dispatcher);
                 self.still.remove(&dispatcher);
+                self.first.remove(&dispatcher);
+                let (before, now) = self.boots.entry(dispatcher).or_default();
+                *before = (*before).max(now.take().unwrap_or(0));
+            }
+            Seen::Hand { dispatcher, runner, out: Some(true) } => {
+                self.hands.entry((dispatcher, runner)).or_insert(at);
+            }
+            Seen::Hand { dispatcher, runner, .. } => _ = self.hands.remove(&(dispatcher, runner)),
+            Seen::Boot { dispatcher, boot } => self.booted(at, dispatcher, boot),
+            Seen::Unlisted { dispatcher, asked } => {
+                if self.first.get(&dispatcher).is_some_and(|first| *first < asked) {
+                    let what = format!("d{dispatcher} had forwarded before it had a list");
+                    self.violate(at, Rule::NotBeforeListed, 0, what);
+                }
+            }
+            Seen::Forgets { dispatcher } => {
+                self.hands.retain(|(d, _), _| *d != dispatcher);
+                self.boots.remove(&dispatcher);
             }
             Seen::Still { dispatcher, still: true } => {
                 self.still.entry(dispatcher).or_insert(at);
@@ -371,6 +427,15 @@
         }
     }
 
+    fn booted(&mut self, at: Micros, dispatcher: u32, boot: u64) {
+        let (before, now) = self.boots.entry(dispatcher).or_default();
+        let (before, known) = (*before, now.replace(boot));
+        if boot <= before || known.is_some_and(|known| known > boot) {
+            let what = format!("d{dispatcher} has the boot number {boot}, after {}", known.unwrap_or(before));
+            self.violate(at, Rule::BootRises, 0, what);
+        }
+    }
+
     fn take(
         &mut self,
         at: Micros,
@@ -502,6 +567,12 @@
             let what = format!("forwarded to r{runner} {} us after it was told to leave it", at - since);
             wrong.push((Rule::NothingToDraining, what));
         }
+        self.first.entry(dispatcher).or_insert(at);
+        let out = self.hands.get(&(dispatcher, runner)).copied();
+        if let Some(since) = out.filter(|since| at > since + slack) {
+            let what = format!("d{dispatcher} forwarded to r{runner}, out by hand for {} us", at - since);
+            wrong.push((Rule::HandHolds, what));
+        }
         if let Some(capacity) = cold {
             let told_of_start = told.is_some_and(|(_, wanted)| wanted);
             let cold = self.cold.entry(runner).or_default();
@@ -681,6 +752,39 @@
         assert!(clean(2_400_000) && !clean(2_600_000));
     }
 
+    #[test]
+    fn what_an_operator_was_told_holds_over_a_restart() {
+        let hand = |at, out| (at, Seen::Hand { dispatcher: 0, runner: 0, out });
+        let began = (200, Seen::Began { dispatcher: 0 });
+        let end = answered(900, Final::Errored);
+        let broken =
+            |seen: &[(Micros, Seen)]| rules(&verdict("", &[seen, std::slice::from_ref(&end)].concat()));
+        assert_eq!(broken(&[hand(100, Some(true)), began.clone(), sent(300, 0)]), [Rule::HandHolds]);
+        assert_eq!(broken(&[hand(100, Some(true)), sent(300, 1)]), []);
+        for back in [Some(false), None] {
+            assert_eq!(broken(&[hand(100, Some(true)), hand(150, back), sent(300, 0)]), []);
+        }
+        let forgets = (200, Seen::Forgets { dispatcher: 0 });
+        assert_eq!(broken(&[hand(100, Some(true)), forgets, sent(300, 0)]), []);
+    }
+
+    #[test]
+    fn boot_numbers_rise_and_nothing_is_forwarded_without_a_list() {
+        let boot = |boot| (10, Seen::Boot { dispatcher: 0, boot });
+        let began = (20, Seen::Began { dispatcher: 0 });
+        let end = answered(900, Final::Errored);
+        let broken =
+            |seen: &[(Micros, Seen)]| rules(&verdict("", &[seen, std::slice::from_ref(&end)].concat()));
+        assert_eq!(broken(&[boot(3), boot(3), began.clone(), boot(4)]), []);
+        assert_eq!(broken(&[boot(3), began.clone(), boot(3)]), [Rule::BootRises]);
+        assert_eq!(broken(&[boot(3), began.clone(), began.clone(), boot(2)]), [Rule::BootRises]);
+        assert_eq!(broken(&[boot(3), boot(2)]), [Rule::BootRises]);
+        let unlisted = |asked| (500, Seen::Unlisted { dispatcher: 0, asked });
+        assert_eq!(broken(&[sent(300, 0), unlisted(400)]), [Rule::NotBeforeListed]);
+        assert_eq!(broken(&[sent(300, 0), unlisted(200)]), []);
+        assert_eq!(broken(&[sent(300, 0), (350, Seen::Began { dispatcher: 0 }), unlisted(400)]), []);
+    }
+
     #[test]
     fn cold_runners_keep_their_budget() {
         let began = (5, Seen::Listed { runner: 0, wanted: true, launched: Some(5) });
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,9 +4,11 @@
 //! `tally` say what came of it. `virtual_clock` plays it with the module in process, `sockets` with the real
 //! program on loopback. `experiment` and `report` are for people.
 
+pub mod disks;
 pub mod experiment;
 pub mod judge;
 pub mod load;
+pub mod ordeal;
 pub mod policy;
 pub mod ramp;
 pub mod report;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
+use rayon::prelude::*;
 use topazsail_lab::experiment::{self, Who};
 use topazsail_lab::policy::Policy;
 use topazsail_lab::report;
@@ -91,6 +92,20 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Play days drawn by seed, on which power, processes, disks and links fail, on sockets; stops at none.
+    Ordeal {
+        /// FROM..TO, the second not played.
+        #[arg(long, default_value = "1..13")]
+        seeds: String,
+        /// How many at a time: each has up to nine dispatchers.
+        #[arg(long, default_value_t = 2)]
+        at_once: usize,
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Write all results into this folder.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// Read scenarios and say what they hold, or which field of which line is at fault.
     Check { scenarios: Vec<PathBuf> },
     /// Make pages of results that were written before.
@@ -155,13 +170,29 @@
     Ok(run.outcome)
 }
 
+/// One drawn day, with a line on how it went, and all of it where a rule was broken.
+fn ordeal(seed: u64, program: Option<&Path>, to: Option<&Path>) -> Result<Outcome, String> {
+    let day = topazsail_lab::ordeal::day(seed)?;
+    let program = program.map_or_else(|| own_program(&day), Path::to_owned);
+    let outcome = topazsail_lab::sockets::play(&day, &program, seed, &|_| ())?;
+    if outcome.broken.is_empty() {
+        println!("{}: goodput {:.3}, no rule broken", outcome.scenario, outcome.goodput);
+    } else {
+        print!("{}", report::run_text(&outcome));
+    }
+    if let Some(folder) = to {
+        report::write(&folder.join(format!("{}.json", outcome.scenario)), &json(&outcome)?)?;
+    }
+    Ok(outcome)
+}
+
 fn run(line: Line) -> Result<ExitCode, String> {
     match line.command {
         Command::Run { scenario, clock, seed, program, policy, time, json: to, report: folder } => {
             let scenario = Scenario::load(&scenario)?;
             let who = match clock {
                 ClockName::Virtual => Who::Policy(policy.parse::<Policy>()?),
-                ClockName::Sockets => Who::Program(program.unwrap_or_else(own_program)),
+                ClockName::Sockets => Who::Program(program.unwrap_or_else(|| own_program(&scenario))),
             };
             let seed = seed.unwrap_or(scenario.seed);
             let bar = bar(&scenario.name);
@@ -207,6 +238,23 @@
             })?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Ordeal { seeds, at_once, program, json: to } => {
+            let range =
+                seeds.split_once("..").and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
+            let (from, until): (u64, u64) = range.ok_or("--seeds wants FROM..TO")?;
+            let pool = rayon::ThreadPoolBuilder::new().num_threads(at_once.max(1)).build();
+            let played: Result<Vec<Outcome>, String> =
+                pool.map_err(|error| error.to_string())?.install(|| {
+                    (from..until)
+                        .into_par_iter()
+                        .map(|seed| ordeal(seed, program.as_deref(), to.as_deref()))
+                        .collect()
+                });
+            let outcomes: Vec<Outcome> = played?;
+            let broken = outcomes.iter().filter(|outcome| !outcome.broken.is_empty()).count();
+            println!("{} days, rules broken on {broken}", outcomes.len());
+            Ok(code(outcomes.iter()))
+        }
         Command::Check { scenarios } => {
             if scenarios.is_empty() {
                 return Err("check wants at least one scenario".to_owned());
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize, Serializer};
 use topazsail::Micros;
 
+use crate::disks::{Found, Wrong};
+
 /// A span of time, written with its unit (`250ms`, `2s`); whole microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Span(pub Micros);
@@ -103,10 +105,34 @@
     pub reports: Reports,
     #[serde(default)]
     pub limits: Limits,
+    /// What dispatchers keep over a restart, and who calls them; nothing and nobody where it is missing. On sockets
+    /// only: in virtual time each start is one from nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store: Option<Store>,
     #[serde(default)]
     pub fault: Vec<Fault>,
 }
 
+/// Each dispatcher keeps a folder, and operators take runners out and back by hand.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Store {
+    #[serde(default)]
+    pub require: bool,
+    /// From one call on a runner to the next, at any dispatcher (0 s: none).
+    #[serde(default)]
+    pub hands_every: Span,
+    /// How many runners may be out by hand at once.
+    #[serde(default = "Store::most")]
+    pub out_most: u32,
+}
+
+impl Store {
+    fn most() -> u32 {
+        1
+    }
+}
+
 fn one() -> u64 {
     1
 }
@@ -130,6 +156,7 @@
     discovery: Option<Discovery>,
     reports: Option<Reports>,
     limits: Option<Limits>,
+    store: Option<Store>,
     #[serde(default)]
     fault: Vec<Fault>,
 }
@@ -153,6 +180,7 @@
             discovery: self.discovery.unwrap_or(base.discovery),
             reports: self.reports.unwrap_or(base.reports),
             limits: self.limits.unwrap_or(base.limits),
+            store: self.store.or(base.store),
             fault: self.fault,
         }
     }
@@ -454,12 +482,14 @@
     /// Every machine of `zone`, or of the whole site, is without power for `lasts`: runners are back cold,
     /// dispatchers as after `kill`, discovery with the first zone.
     PowerLoss,
+    /// Something is wrong with the disks of some dispatchers; what, `wrong` says (`size` ms a sync where it is slow).
+    Disk,
 }
 
 impl Kind {
     /// Whether it strikes dispatchers: `part` is then a share of them.
     pub fn of_dispatchers(self) -> bool {
-        matches!(self, Kind::Kill | Kind::Freeze)
+        matches!(self, Kind::Kill | Kind::Freeze | Kind::Disk)
     }
 }
 
@@ -486,6 +516,11 @@
     /// The share of killed dispatchers that is not back in this run.
     #[serde(default, deserialize_with = "share")]
     pub away: f64,
+    /// In which state killed dispatchers find their disks; `old` is `size` ms from before they were killed.
+    #[serde(default)]
+    pub disk: Found,
+    #[serde(default)]
+    pub wrong: Option<Wrong>,
 }
 
 impl Fault {
@@ -623,6 +658,18 @@
             if !kills && (fault.spread.0 > 0 || fault.away > 0.0) {
                 return wrong("spread and away are for what kills dispatchers".to_owned());
             }
+            if !kills && fault.disk != Found::Kept {
+                return wrong("disk is for what kills dispatchers".to_owned());
+            }
+            if (fault.kind == Kind::Disk || fault.disk != Found::Kept) && self.store.is_none() {
+                return wrong("there is no [store]".to_owned());
+            }
+            if (fault.kind == Kind::Disk) != fault.wrong.is_some() {
+                return wrong("wrong is for the kind disk, and missing there".to_owned());
+            }
+            if (fault.disk == Found::Old || fault.wrong == Some(Wrong::Slow)) && fault.size <= 0.0 {
+                return wrong("size is missing".to_owned());
+            }
             if fault.at.0 > self.length.0 {
                 return wrong("at lies after the end".to_owned());
             }
@@ -696,6 +743,11 @@
             "seed": format!("{:x}", told.seed), "limits": {"memory_mb": 192, "sockets": 1024},
             "known": told.known, "settings": settings,
         });
+        let mut whole = whole;
+        if let (Some(store), Some(kept)) = (&self.store, &told.kept) {
+            whole["admin_addr"] = kept.admin.as_str().into();
+            whole["store"] = serde_json::json!({"folder": kept.folder, "require": store.require});
+        }
         whole.to_string()
     }
 }
@@ -709,4 +761,11 @@
     pub discovery: String,
     /// The list as this dispatcher last had it, in discovery's form.
     pub known: serde_json::Value,
+    /// Where it keeps what outlives it, and where operators call.
+    pub kept: Option<Kept>,
+}
+
+pub struct Kept {
+    pub folder: String,
+    pub admin: String,
 }
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -8,6 +8,7 @@
 //! knows who speaks, and plays that link's delay and faults.
 
 mod http;
+mod operators;
 mod process;
 
 use std::cell::{Cell, RefCell};
@@ -16,6 +17,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt;
@@ -29,10 +31,11 @@
 
 use self::http::{Message, Rest, Wire, answer, request};
 use self::process::Process;
+use crate::disks::{Folder, Found, Wrong};
 use crate::judge::{Back, Final, Judge, Seen, Terms};
 use crate::load::{self, Ask, Bring, chance, returns};
 use crate::runner::{Life, Load, News, Taken};
-use crate::scenario::{Effect, Group, Scenario, Told};
+use crate::scenario::{Effect, Group, Kept, Scenario, Told};
 use crate::tally::{About, End, Outcome, Tally};
 use crate::virtual_clock::runners as of_runners;
 use crate::world::{Change, State, World};
@@ -56,6 +59,10 @@
 const FAR_TOO_LATE: Micros = 250_000;
 const TICK: Micros = 5_000;
 const TRY_BITS: u32 = 4;
+/// Runs that can go on at once in one process.
+const PLAYS_MOST: u8 = 32;
+/// Where this is set, configurations, logs and disks of the dispatchers are left where they were.
+const KEEP: &str = "TOPAZSAIL_LAB_KEEP";
 
 /// What all tasks share; borrowed only between two waits.
 struct Stage {
@@ -92,6 +99,12 @@
     void: Vec<String>,
     notes: Vec<String>,
     crashes: u64,
+    /// Where operators call each dispatcher, and its disk, where it has one.
+    admins: Vec<SocketAddr>,
+    folders: Vec<Folder>,
+    /// Operators' calls that were not answered yes, and those that were.
+    hands: [u64; 2],
+    spoils: Pcg32,
 }
 
 #[derive(Clone)]
@@ -170,7 +183,12 @@
         return Err(format!("{}: no such program; build it or name it with --program", program.display()));
     }
     let folder = tempfile::Builder::new().prefix("topazsail-lab-").tempdir();
-    let folder = folder.map_err(|error| format!("no folder for the dispatchers' files: {error}"))?;
+    let mut folder = folder.map_err(|error| format!("no folder for the dispatchers' files: {error}"))?;
+    // For a look at logs and disks afterwards.
+    if std::env::var_os(KEEP).is_some() {
+        folder.disable_cleanup(true);
+        eprintln!("{} seed {seed}: {}", scenario.name, folder.path().display());
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
     let local = tokio::task::LocalSet::new();
@@ -194,23 +212,40 @@
     progress: &dyn Fn(f64),
 ) -> Result<Outcome, String> {
     // Addresses of this lab's own: nobody else is given a port that was free a moment ago.
+    // Runs of one process at once have their own as well: dispatchers share a port that two are told.
+    static PLAYS: AtomicU8 = AtomicU8::new(0);
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = |net: u8| Ipv4Addr::new(127, net, high, low | 1);
+    let first = 64 + PLAYS.fetch_add(1, Ordering::Relaxed) % PLAYS_MOST * 4;
+    let ip = |net: u8| Ipv4Addr::new(127, first + net, high, low | 1);
     let world = World::new(scenario, seed);
     let (d_all, r_all) = (scenario.dispatchers as usize, scenario.runners());
     let mut listeners = Vec::new();
+    let mut held = Vec::new();
     let (mut addresses, mut discoveries, mut listen) = (Vec::new(), Vec::new(), Vec::new());
     for _ in 0..d_all {
         let mut row = Vec::new();
         for _ in 0..r_all {
-            let (listener, address) = bound(ip(78)).await?;
+            let (listener, address) = bound(ip(0)).await?;
             listeners.push(Some(listener));
             row.push(address);
         }
         addresses.push(row);
-        discoveries.push(bound(ip(79)).await?);
-        listen.push(bound(ip(80)).await?.1);
+        discoveries.push(bound(ip(1)).await?);
+        let (listener, address) = bound(ip(2)).await?;
+        held.push(listener);
+        listen.push(address);
+    }
+    let (mut admins, mut folders) = (Vec::new(), Vec::new());
+    for d in 0..if scenario.store.is_some() { d_all } else { 0 } {
+        let (listener, address) = bound(ip(3)).await?;
+        held.push(listener);
+        admins.push(address);
+        let at = folder.join(format!("d{d}-store"));
+        let made = Folder::new(at, seed ^ (d as u64) << 32);
+        folders.push(made.map_err(|error| format!("no folder for d{d}: {error}"))?);
     }
+    // Only now: a port that is free again could be given twice.
+    drop(held);
     let terms = Terms::of(scenario, world.places(), ORDER_SLACK, ANSWER_SLACK);
     let stage = Stage {
         judge: Judge::new(terms),
@@ -236,6 +271,10 @@
         void: Vec::new(),
         notes: Vec::new(),
         crashes: 0,
+        admins,
+        folders,
+        hands: [0; 2],
+        spoils: chance(seed, 8),
         scenario: scenario.clone(),
         seed,
         world,
@@ -271,6 +310,10 @@
     spawn_local(keep_time(lab.clone()));
     spawn_local(bring(lab.clone()));
     spawn_local(bad_clients(lab.clone()));
+    if scenario.store.is_some() {
+        spawn_local(operators::hands(lab.clone()));
+        (0..d_all).for_each(|d| _ = spawn_local(operators::asks(lab.clone(), d as u32)));
+    }
     let processes = conduct(&lab, processes, progress).await?;
 
     // A last look at every connection that a client kept.
@@ -286,6 +329,11 @@
             most / 1000
         ));
     }
+    if let [refused, done] = stage.hands
+        && refused + done > 0
+    {
+        stage.notes.push(format!("operators' calls: {done} answered yes, {refused} not"));
+    }
     let about = About {
         clock: "sockets".to_owned(),
         program: program.display().to_string(),
@@ -320,6 +368,10 @@
         listen: stage.listen[nth].to_string(),
         discovery: stage.discoveries[nth].to_string(),
         known,
+        kept: stage.folders.get(nth).map(|folder| Kept {
+            folder: folder.path().display().to_string(),
+            admin: stage.admins[nth].to_string(),
+        }),
     };
     process.configure(&stage.scenario.configuration(&told))?;
     process.start()?;
@@ -445,6 +497,22 @@
             let notice = lab.stage.borrow().scenario.clients.front_notice.0;
             front(lab, d, !still, if still { notice } else { BACK_NOTICED });
         }
+        Change::Wrong(d, wrong, slow, on) => {
+            let stage = &mut *lab.stage.borrow_mut();
+            let folder = &mut stage.folders[d as usize];
+            match wrong {
+                Wrong::Full => folder.ailment.full = on,
+                Wrong::ReadOnly => folder.ailment.read_only = on,
+                Wrong::SyncFails => folder.ailment.sync_fails = on,
+                Wrong::Slow => folder.ailment.slow = if on { slow } else { 0 },
+            }
+            folder.tell().map_err(|error| format!("disk of d{d}: {error}"))?;
+        }
+        Change::Save(d) => {
+            let stage = &mut *lab.stage.borrow_mut();
+            stage.folders[d as usize].save().map_err(|error| format!("disk of d{d}: {error}"))?;
+        }
+        Change::Find(d, found, power) => find(lab, d, found, power, processes[d as usize].runs())?,
         Change::Reload => {
             for process in processes.iter().filter(|process| process.runs()) {
                 process.signal(libc::SIGHUP);
@@ -482,6 +550,30 @@
     Ok(())
 }
 
+/// The disk as the next life of a dispatcher finds it.
+fn find(lab: &Lab, d: u32, found: Found, power: bool, runs: bool) -> Result<(), String> {
+    let unix = lab.zero.get().1 + lab.now();
+    let now = lab.now();
+    let stage = &mut *lab.stage.borrow_mut();
+    // Outages overlap: it is up, or is not back yet.
+    if stage.folders.is_empty() || runs {
+        return Ok(());
+    }
+    let (nth, all) = (d as usize, stage.folders.len());
+    let ailment = &mut stage.folders[nth].ailment;
+    ailment.seed = ailment.seed.wrapping_add(1);
+    if power {
+        (ailment.life, ailment.up_since) = (ailment.life + 1, unix);
+    }
+    let other = Some(&stage.folders[(nth + 1) % all]).filter(|_| all > 1);
+    let done = stage.folders[nth].find(found, other, &mut stage.spoils);
+    let told = done.and_then(|()| stage.folders[nth].tell());
+    if found != Found::Kept {
+        stage.judge.see(now, Seen::Forgets { dispatcher: d });
+    }
+    told.map_err(|error| format!("disk of d{d}: {error}"))
+}
+
 /// The front's view of a dispatcher, after a while, unless it has another life by then.
 fn front(lab: &Lab, d: u32, up: bool, after: Micros) {
     let lab = lab.clone();
@@ -674,7 +766,8 @@
     let handshake = {
         let stage = &mut *lab.stage.borrow_mut();
         let runner = &mut stage.world.runners[r];
-        if !runner.connect(now) {
+        // Accepted in the moment of its death: nobody reads there, and the kernel resets it.
+        if runner.life == Life::Down || !runner.connect(now) {
             return wire.reset();
         }
         stage.tally.traffic.connections += 1;
@@ -1171,8 +1264,8 @@
     }
 }
 
-/// The program beside the lab's own, as one build leaves both.
-pub fn own_program() -> PathBuf {
+/// The program beside the lab's own, as one build leaves both; over a disk that can fail where the scenario has one.
+pub fn own_program(scenario: &Scenario) -> PathBuf {
     let lab = std::env::current_exe().unwrap_or_default();
-    lab.with_file_name("topazsail")
+    lab.with_file_name(if scenario.store.is_some() { "lab-dispatcher" } else { "topazsail" })
 }
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -216,6 +216,7 @@
                 listen: "127.0.0.1:1".to_owned(),
                 discovery: "127.0.0.1:1".to_owned(),
                 known: serde_json::Value::Null,
+                kept: None,
             };
             let decoded = topazsail_node::config::decode(&scenario.configuration(&told))?;
             orders.push(decoded.decoded.standing);
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg32;
 use topazsail::Micros;
 
+use crate::disks::{Found, Wrong};
 use crate::load::chance;
 use crate::runner::{Ail, Job, Life, News, Runner};
 use crate::scenario::{Fault, Kind, Scenario};
@@ -51,6 +52,12 @@
     Begin(u32),
     /// A dispatcher's process stands still, or goes on.
     Still(u32, bool),
+    /// A dispatcher's disk has something wrong with it, or no more; a sync takes so long where it is slow.
+    Wrong(u32, Wrong, Micros, bool),
+    /// A copy of a dispatcher's disk is laid by.
+    Save(u32),
+    /// In which state a dispatcher that is about to begin finds its disk, and whether its machine has begun anew.
+    Find(u32, Found, bool),
     Reload,
     BadClients(f64),
 }
@@ -183,8 +190,13 @@
         let (at, back) = (fault.at.0, fault.at.0 + fault.lasts.0);
         for (nth, d) in struck.into_iter().enumerate() {
             self.schedule.push((at, Change::Kill(d)));
+            if fault.disk == Found::Old {
+                self.schedule.push((at - (fault.size * 1000.0) as Micros, Change::Save(d)));
+            }
             if nth >= away {
                 let after = drawn.random_range(0..=fault.spread.0);
+                let find = Change::Find(d, fault.disk, fault.kind == Kind::PowerLoss);
+                self.schedule.push((back + after, find));
                 self.schedule.push((back + after, Change::Begin(d)));
             }
         }
@@ -301,12 +313,17 @@
                 }
                 to = until + ROLLED;
             }
-            Kind::Kill | Kind::Freeze => {
+            Kind::Kill | Kind::Freeze | Kind::Disk => {
                 let mut all = self.dispatchers(scenario, zone);
                 all.shuffle(struck);
                 all.truncate(((all.len() as f64 * fault.part).round() as usize).max(1));
                 if fault.kind == Kind::Kill {
                     to = self.plan_kills(all, fault, struck);
+                } else if let Some(wrong) = fault.wrong {
+                    let slow = (fault.size * 1000.0) as Micros;
+                    let change = |on| all.iter().map(move |d| Change::Wrong(*d, wrong, slow, on));
+                    self.schedule.extend(change(true).map(|change| (at, change)));
+                    self.schedule.extend(change(false).map(|change| (until, change)));
                 } else {
                     let still = |still| all.iter().map(move |d| Change::Still(*d, still));
                     self.schedule.extend(still(true).map(|change| (at, change)));
@@ -391,6 +408,9 @@
             | Change::Kill(_)
             | Change::Begin(_)
             | Change::Still(..)
+            | Change::Wrong(..)
+            | Change::Save(_)
+            | Change::Find(..)
             | Change::Reload
             | Change::BadClients(_) => {}
         }
--- /dev/null
+++ b/lab/tests/ordeals.rs
@@ -0,0 +1,118 @@
+//! Losses of power and what comes with them, on several processes of the program itself: a dozen days by seed, and
+//! twins that each do one thing wrong and are caught by its name.
+//!
+//! Real time: about ten seconds a day, a few at once, so that the lab may be late; only the judgement counts here.
+
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+
+use topazsail_lab::ordeal::day;
+use topazsail_lab::scenario::Scenario;
+use topazsail_lab::sockets;
+use topazsail_lab::tally::Outcome;
+
+fn play(day: &Scenario, program: &Path) -> Outcome {
+    let outcome = sockets::play(day, program, day.seed, &|_| ()).unwrap();
+    let own: Vec<&String> = outcome.void.iter().filter(|line| !line.contains("was late")).collect();
+    assert!(own.is_empty(), "{}: {own:?}", outcome.scenario);
+    assert!(outcome.counts.asked > 300, "{}: hardly anything was asked", outcome.scenario);
+    outcome
+}
+
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_lab-dispatcher"))
+}
+
+#[test]
+fn a_dozen_days_on_which_power_and_more_fail() {
+    let seeds = Mutex::new(1..13u64);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                loop {
+                    let Some(seed) = seeds.lock().unwrap().next() else { return };
+                    let outcome = play(&day(seed).unwrap(), &program());
+                    let kept = outcome.verdict["kept"].to_string();
+                    let notes = &outcome.notes;
+                    assert!(outcome.broken.is_empty(), "{seed}: {:?} {kept} {notes:?}", outcome.broken);
+                    let served = outcome.counts.in_time;
+                    assert!(served * 3 > outcome.counts.asked, "{seed}: {served} in time");
+                }
+            });
+        }
+    });
+}
+
+/// Power goes twice while operators take runners out and in.
+const TWICE: &str = r#"
+[store]
+hands-every = "400ms"
+
+[[fault]]
+kind = "power-loss"
+at = "3s"
+lasts = "300ms"
+
+[[fault]]
+kind = "power-loss"
+at = "5500ms"
+lasts = "300ms"
+"#;
+
+fn twice() -> Scenario {
+    let text = r#"
+name = "twice"
+length = "8s"
+dispatchers = 3
+[zones]
+names = ["east", "west"]
+between = "1ms"
+[[pool]]
+kind = "box"
+count = 4
+slots = 3
+queue = 3
+[[operation]]
+name = "plan"
+work = "60ms"
+latency-objective = "500ms"
+client-timeout = "2s"
+[clients]
+load = 0.5
+front-notice = "200ms"
+[discovery]
+notice = "200ms"
+[limits]
+warm-within = "2s"
+"#;
+    Scenario::parse("twice", &format!("{text}{TWICE}")).unwrap()
+}
+
+fn broken_by(twin: &str) -> Vec<String> {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join(format!("twin-{twin}"));
+    let text = format!("#!/bin/sh\nLAB_TWIN={twin} exec {} \"$@\"\n", program().display());
+    std::fs::write(&path, text).unwrap();
+    std::fs::set_permissions(&path, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+    play(&twice(), &path).broken.keys().cloned().collect()
+}
+
+#[test]
+fn the_same_day_without_a_fault_of_the_program_passes() {
+    assert_eq!(broken_by("none"), [""; 0]);
+}
+
+#[test]
+fn one_that_speaks_before_the_disk_has_it() {
+    assert_eq!(broken_by("unsynced"), ["boot-rises", "hand-holds"]);
+}
+
+#[test]
+fn one_that_forgets_who_is_out_by_hand() {
+    assert_eq!(broken_by("forgets-hands"), ["hand-holds"]);
+}
+
+#[test]
+fn one_that_takes_an_old_state_for_the_latest() {
+    assert!(broken_by("rolled-back").contains(&"boot-rises".to_owned()));
+}
--- a/store/src/faulty.rs
+++ b/store/src/faulty.rs
@@ -20,6 +20,8 @@
     pub read_only: bool,
     /// A sync fails, and the next one says yes without having written what the first one lost.
     pub sync_fails: bool,
+    /// A sync says yes and has done nothing: as a program would be that does not wait for it.
+    pub lies: bool,
     /// Each sync takes so long.
     pub slow: Duration,
     /// Nothing is done from this operation on, counted from 0: a crash there.
@@ -208,6 +210,9 @@
         std::thread::sleep(faults.slow);
         let node = self.node(name)?;
         let (on_disk, all) = (self.nodes[node].on_disk, self.nodes[node].written.len());
+        if faults.lies {
+            return Ok(());
+        }
         if faults.sync_fails {
             self.nodes[node].lost.push((on_disk, all));
             return Err(io::Error::other("the disk has failed"));
@@ -233,6 +238,9 @@
     fn sync_folder(&mut self) -> io::Result<()> {
         let faults = self.changes()?;
         std::thread::sleep(faults.slow);
+        if faults.lies {
+            return Ok(());
+        }
         if faults.sync_fails {
             return Err(io::Error::other("the disk has failed"));
         }
