Dispatchers talk to one another: bans, boot numbers and how far each has come, by datagram

Need: the core of peers was not wired in; a dispatcher with a rolled-back or emptied disk forgot bans and used a boot number twice.

The lab carries each link between dispatchers: cut, one-way, loss, repeat, reorder, delay, flap.

--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -119,9 +119,15 @@
 pub struct Store {
     #[serde(default)]
     pub require: bool,
+    /// Dispatchers talk to one another.
+    #[serde(default)]
+    pub peers: bool,
     /// From one call on a runner to the next, at any dispatcher (0 s: none).
     #[serde(default)]
     pub hands_every: Span,
+    /// What nobody could have told a dispatcher is not held against it.
+    #[serde(default = "Store::excused")]
+    pub excused: bool,
     /// How many runners may be out by hand at once.
     #[serde(default = "Store::most")]
     pub out_most: u32,
@@ -131,6 +137,10 @@
     fn most() -> u32 {
         1
     }
+
+    fn excused() -> bool {
+        true
+    }
 }
 
 fn one() -> u64 {
@@ -482,6 +492,8 @@
     /// Every machine of `zone`, or of the whole site, is without power for `lasts`: runners are back cold,
     /// dispatchers as after `kill`, discovery with the first zone.
     PowerLoss,
+    /// Datagrams between dispatchers, those of `part` of them: `link` says what becomes of them.
+    Link,
     /// Something is wrong with the disks of some dispatchers; what, `wrong` says (`size` ms a sync where it is slow).
     Disk,
 }
@@ -489,7 +501,7 @@
 impl Kind {
     /// Whether it strikes dispatchers: `part` is then a share of them.
     pub fn of_dispatchers(self) -> bool {
-        matches!(self, Kind::Kill | Kind::Freeze | Kind::Disk)
+        matches!(self, Kind::Kill | Kind::Freeze | Kind::Disk | Kind::Link)
     }
 }
 
@@ -521,6 +533,26 @@
     pub disk: Found,
     #[serde(default)]
     pub wrong: Option<Wrong>,
+    #[serde(default)]
+    pub link: Option<Bad>,
+}
+
+/// What becomes of datagrams between dispatchers; `size` is a share, or milliseconds where it is a time.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bad {
+    /// Nothing passes, either way.
+    Cut,
+    /// Nothing that they send passes.
+    OneWay,
+    /// A share is lost, comes twice, or is overtaken.
+    Loss,
+    Repeat,
+    Reorder,
+    /// Later by `size` ms.
+    Delay,
+    /// Cut for `size` ms, whole for as long, and so on.
+    Flap,
 }
 
 impl Fault {
@@ -667,6 +699,17 @@
             if (fault.kind == Kind::Disk) != fault.wrong.is_some() {
                 return wrong("wrong is for the kind disk, and missing there".to_owned());
             }
+            if (fault.kind == Kind::Link) != fault.link.is_some() {
+                return wrong("link is for the kind link, and missing there".to_owned());
+            }
+            if fault.kind == Kind::Link && !self.store.as_ref().is_some_and(|store| store.peers) {
+                return wrong("there are no peers in [store]".to_owned());
+            }
+            let share = matches!(fault.link, Some(Bad::Loss | Bad::Repeat | Bad::Reorder));
+            let sized = share || matches!(fault.link, Some(Bad::Delay | Bad::Flap));
+            if sized && (fault.size <= 0.0 || share && fault.size > 1.0) {
+                return wrong("size is missing, or no share".to_owned());
+            }
             if (fault.disk == Found::Old || fault.wrong == Some(Wrong::Slow)) && fault.size <= 0.0 {
                 return wrong("size is missing".to_owned());
             }
@@ -747,6 +790,11 @@
         if let (Some(store), Some(kept)) = (&self.store, &told.kept) {
             whole["admin_addr"] = kept.admin.as_str().into();
             whole["store"] = serde_json::json!({"folder": kept.folder, "require": store.require});
+            if let Some((listen, members)) = &kept.peers {
+                let member = |(name, at): &(String, String)| serde_json::json!({"name": name, "address": at});
+                let members: Vec<_> = members.iter().map(member).collect();
+                whole["peers"] = serde_json::json!({"listen": listen, "members": members});
+            }
         }
         whole.to_string()
     }
@@ -768,4 +816,6 @@
 pub struct Kept {
     pub folder: String,
     pub admin: String,
+    /// Where it hears other dispatchers, and their names and addresses.
+    pub peers: Option<(String, Vec<(String, String)>)>,
 }
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -101,6 +101,10 @@
         self.by_id.get(id).map_or((None, None), |known| (known.out_since, known.was_out))
     }
 
+    pub fn knows(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
     /// Whoever the hand has touched.
     pub fn by_hands(&self) -> Vec<String> {
         let touched = |known: &Member| known.out_since.is_some() || known.was_out.is_some();
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -65,6 +65,10 @@
                 ),
                 None => println!("nothing is kept over a restart: no store is set"),
             }
+            match &told.peers {
+                Some(peers) => println!("talks at {} to {} others", peers.listen, peers.members.len()),
+                None => println!("talks to no other dispatcher: no peers are set"),
+            }
             println!("operations: {operations}; runners known: {}", told.known.entries().len());
             Ok(())
         }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -10,9 +10,13 @@
 
 use serde_json::Value;
 use topazsail_orders::Decoded;
+use topazsail_peers::Member;
 
 use crate::back::roster::Listed;
 
+/// Other dispatchers that there may be.
+const PEERS_MOST: usize = 4_096;
+
 #[derive(Debug)]
 pub struct Dispatcher {
     pub name: String,
@@ -25,6 +29,8 @@
     pub sockets: usize,
     /// Where to keep what outlives the process, if anything is to.
     pub store: Option<StoreAt>,
+    /// The other dispatchers, where they may talk.
+    pub peers: Option<PeersAt>,
     /// The whole file, by which a key that is gone is known.
     pub file: Value,
     pub decoded: Decoded,
@@ -39,6 +45,12 @@
     pub require: bool,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeersAt {
+    pub listen: SocketAddr,
+    pub members: Vec<Member>,
+}
+
 /// The file named on the command line, or else in the environment.
 pub fn path(named: Option<String>) -> Result<String, String> {
     named
@@ -107,6 +119,7 @@
             Some(_) => Some(address("admin_addr")?),
         },
         discovery: address("discovery")?,
+        peers: peers_at(&json, &string("name")?)?,
         store: store_at(json.get("store"))?,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
         memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
@@ -139,6 +152,40 @@
     Ok(Some(StoreAt { folder, require }))
 }
 
+fn peers_at(json: &Value, own: &str) -> Result<Option<PeersAt>, String> {
+    let Some(told) = json.get("peers").filter(|told| !told.is_null()) else { return Ok(None) };
+    let fields = told.as_object().ok_or_else(|| format!("peers has the bad value {told}"))?;
+    if let Some(unknown) = fields.keys().find(|key| !["listen", "members"].contains(&key.as_str())) {
+        return Err(format!("peers.{unknown} is unknown"));
+    }
+    if json.get("store").is_none_or(Value::is_null) {
+        return Err("peers is set and store is missing: lives are numbered there".to_owned());
+    }
+    let address = |field: &str, value: Option<&Value>| {
+        let value = value.ok_or_else(|| format!("peers.{field} is missing"))?;
+        let read = value.as_str().and_then(|text| text.parse::<SocketAddr>().ok());
+        read.ok_or_else(|| format!("peers.{field} has the bad address {value}"))
+    };
+    let listen = address("listen", fields.get("listen"))?;
+    let told = fields.get("members").ok_or("peers.members is missing")?;
+    let told = told.as_array().filter(|told| !told.is_empty() && told.len() <= PEERS_MOST);
+    let told = told.ok_or_else(|| format!("peers.members must name 1 to {PEERS_MOST} others"))?;
+    let mut members: Vec<Member> = Vec::new();
+    for (nth, member) in told.iter().enumerate() {
+        let name = member.get("name").and_then(Value::as_str).filter(|name| !name.is_empty());
+        let name = name.ok_or_else(|| format!("peers.members.{nth}.name is missing"))?;
+        let at = address(&format!("members.{nth}.address"), member.get("address"))?;
+        if name == own || at == listen {
+            return Err(format!("peers.members.{nth} is this dispatcher itself"));
+        }
+        if members.iter().any(|known| known.name == name || known.address == at) {
+            return Err(format!("peers.members.{nth} is named twice"));
+        }
+        members.push(Member { name: name.to_owned(), address: at });
+    }
+    Ok(Some(PeersAt { listen, members }))
+}
+
 /// Client timeouts and the number of forwards are numbers above 0 and nothing that only reads like one: what
 /// is wrong there is wrong for every invocation.
 fn numbers(settings: &Value) -> Result<(), String> {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -6,6 +6,7 @@
 //! error that an invocation gets when its client's time is over, and must never send a forward twice.
 
 mod keeping;
+mod meeting;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -111,6 +112,7 @@
 }
 
 pub use keeping::Keeping;
+pub use meeting::Meeting;
 
 pub struct Desk {
     brain: Brain,
@@ -147,6 +149,8 @@
     tip_after: Micros,
     /// What outlives the process, where there is anything.
     keeping: Option<Keeping>,
+    /// The other dispatchers, where they may talk.
+    meeting: Option<Meeting>,
 }
 
 impl Desk {
@@ -157,6 +161,8 @@
         keeper: Option<Keeper>,
         wires: &mut dyn Wires,
     ) -> Desk {
+        let meeting = told.peers.as_ref().map(|at| Meeting::new(at.clone(), &told.name, told.seed));
+        let peers = meeting.is_some();
         let (require, began) = (told.store.as_ref().is_some_and(|store| store.require), wires.now());
         let mut decoded = told.decoded;
         let (mut clients, mut figures) = (Clients::new(), Figures::default());
@@ -190,9 +196,10 @@
             theirs: 0,
             tip_after,
             keeping: None,
+            meeting,
         };
         desk.limit();
-        let keeping = |keeper, file| Keeping::new(keeper, require, file, began);
+        let keeping = |keeper, file| Keeping::new(keeper, (require, peers), file, began);
         if handed.is_none()
             && let Some(keeper) = keeper
         {
@@ -335,6 +342,7 @@
             ("name", told.name != self.name),
             ("listen", told.listen != self.listen),
             ("admin_addr", told.file.get("admin_addr") != self.file.get("admin_addr")),
+            ("peers", told.file.get("peers") != self.file.get("peers")),
             ("store", told.file.get("store") != self.file.get("store")),
         ];
         let kept: Vec<&str> = kept.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect();
@@ -430,6 +438,7 @@
             Due::Rested => {}
             Due::Recovery => self.recovery_due(wires),
             Due::Keep => self.keep_list(),
+            Due::Peers => self.round(wires),
             Due::Kept(ticket) => self.not_kept_in_time(ticket, wires),
             Due::Link(_) | Due::Finish(_) | Due::Accept(_) => {}
         }
@@ -653,8 +662,11 @@
             Call::Status if self.down_since.is_some() => "NO going down\n".to_owned(),
             Call::Status => match &self.keeping {
                 None => "YES\n".to_owned(),
-                Some(keeping) if keeping.stage() < Stage::Serving => format!("NO {}\n", keeping.status()),
-                Some(keeping) => format!("YES {}\n", keeping.status()),
+                Some(keeping) => {
+                    let yes = if keeping.stage() < Stage::Serving { "NO" } else { "YES" };
+                    let peers = self.meeting.as_ref().map(Meeting::status).unwrap_or_default();
+                    format!("{yes} {}{peers}\n", keeping.status())
+                }
             },
             Call::Stats => {
                 let (known_runners, out) = self.members.count();
@@ -665,11 +677,13 @@
                     tries: self.runners.written(),
                 };
                 let kept = self.keeping.as_ref().map(Keeping::figures).unwrap_or_default();
-                let kept = kept.iter().filter(|(name, _)| !name.is_empty());
+                let peers = self.meeting.as_ref().map(Meeting::figures).unwrap_or_default();
+                let kept = kept.iter().chain(&peers).filter(|(name, _)| !name.is_empty());
                 format!("{}{}END\n", self.figures.text(&now), figures::more(kept))
             }
             Call::Maintain { id, out } => match self.maintain(&id, out, wires) {
                 Ok(()) => {
+                    self.tell_hand(&id, wires);
                     self.peer.say(&Word::Hand { id: id.clone(), out }, wires);
                     match self.keeping {
                         None => "YES\n".to_owned(),
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -47,10 +47,10 @@
 }
 
 impl Keeping {
-    pub fn new(keeper: Keeper, require: bool, file: Option<Listed>, now: Micros) -> Keeping {
+    pub fn new(keeper: Keeper, (require, peers): (bool, bool), file: Option<Listed>, now: Micros) -> Keeping {
         Keeping {
             keeper,
-            recovery: Recovery::new(now),
+            recovery: Recovery::new(peers, now),
             file,
             began: now,
             left: None,
@@ -75,7 +75,9 @@
 
     /// How it stands with the store, in the words of `status`.
     pub fn status(&self) -> String {
-        let boot = self.boot.map_or_else(|| "none".to_owned(), |boot| boot.to_string());
+        // Others may have heard of a later life: until they have been asked the number may not be the last word.
+        let boot = self.boot.filter(|_| self.stage() >= Stage::Asked);
+        let boot = boot.map_or_else(|| "none".to_owned(), |boot| boot.to_string());
         let store = if self.failing.is_some() { "failing" } else { "well" };
         format!("stage={} boot={boot} store={store}", self.stage().code())
     }
@@ -130,7 +132,10 @@
     fn enter(&mut self, actions: Vec<Action>, wires: &mut dyn Wires) {
         for action in actions {
             match action {
-                Action::Enter(stage, why) => log!("stage", "stage={} {why}", stage.code()),
+                Action::Enter(stage, why) => {
+                    log!("stage", "stage={} {why}", stage.code());
+                    self.stage_for_peers();
+                }
                 Action::Begin => self.begin(wires),
                 Action::Serve => self.clients.ready(self.down_since.is_none()),
             }
@@ -140,12 +145,29 @@
         }
     }
 
+    pub(super) fn heard_of_peers(&mut self, event: recovery::Event, wires: &mut dyn Wires) {
+        let Some(keeping) = &mut self.keeping else { return };
+        let actions = keeping.recovery.handle(wires.now(), event);
+        if !actions.is_empty() {
+            self.enter(actions, wires);
+        }
+    }
+
+    pub(super) fn keep_above(&mut self, heard: u64) {
+        if let Some(keeping) = &mut self.keeping {
+            keeping.boot = None;
+            keeping.keeper.above(heard);
+        }
+    }
+
     /// The list to begin with, and what holds of it.
     fn begin(&mut self, wires: &mut dyn Wires) {
         let now = wires.now();
+        let boot = self.keeping.as_ref().and_then(|keeping| keeping.boot);
+        let left = self.keeping.as_mut().and_then(|keeping| keeping.left.take());
+        self.meet(boot, left.as_deref(), wires);
         let Some(keeping) = &mut self.keeping else { return };
         let (file, began) = (keeping.file.take().unwrap_or_default(), keeping.began);
-        let left = keeping.left.take();
         let discovery = self.roster.heard_to().0.to_string();
         let stored = left.as_ref().and_then(|left| left.list.as_ref());
         let listed = stored.and_then(|list| Some((list, serde_json::from_str::<Listed>(&list.json).ok()?)));
@@ -199,10 +221,7 @@
                 self.members.inherit(id, hand.out_since, hand.was_out);
             }
         }
-        let entries = self.members.stand(wires.now());
-        if !entries.is_empty() {
-            self.happened.push(Event::Roster(topazsail::Roster { listing: Listing::Own, entries }));
-        }
+        self.stand_anew(wires);
     }
 
     /// What the keeper has to say.
@@ -226,6 +245,7 @@
                         // It comes late, or after an upgrade that came to nothing: bans hold all the same.
                         log!("store", "state=opened boot={boot:?}");
                         self.take_hands(&left, wires);
+                        self.meet(boot, Some(&left), wires);
                         self.keep_all(wires);
                     }
                 }
@@ -240,6 +260,7 @@
                 Told::Health(Ok(boot)) => {
                     (keeping.boot, keeping.failing) = (boot, None);
                     log!("store", "state=well boot={}", boot.unwrap_or(0));
+                    self.meet_numbered(boot);
                 }
                 Told::Health(Err(why)) => {
                     log!("store", "state=failing reason={why:?}");
@@ -301,8 +322,9 @@
     /// What the hand has done to a runner is kept; whoever called is answered once it is.
     pub(super) fn keep_hand(&mut self, id: &str, call: Option<(Link, Call)>, wires: &mut dyn Wires) {
         let (out_since, was_out) = self.members.hand(id);
+        let (count, author) = self.hand_version(id);
         let Some(keeping) = &mut self.keeping else { return };
-        let hand = Hand { out_since, was_out };
+        let hand = Hand { out_since, was_out, count, author };
         match call {
             None => keeping.keeper.keep(id, Some(&hand)),
             Some(call) => {
--- /dev/null
+++ b/node/src/desk/meeting.rs
@@ -0,0 +1,189 @@
+//! What the desk does with the other dispatchers: who is out by hand is agreed with them, and this life's number.
+//!
+//! It turns datagrams into calls of the core and what that says into calls of its own. What is believed is the core's
+//! to say; a peer's word on a runner holds here as an operator's would.
+
+use std::net::SocketAddr;
+
+use topazsail::{Event, Listing, Micros};
+use topazsail_peers::{Action, Life, Peers, Told, Version};
+use topazsail_recovery as recovery;
+
+use super::Desk;
+use crate::config::PeersAt;
+use crate::life::keeper::Left;
+use crate::net::conn::{Due, Wires};
+use crate::net::log::log;
+
+/// The other dispatchers: from the start as configured, and once this life has a number, or none is to be had, as met.
+pub struct Meeting {
+    at: PeersAt,
+    name: String,
+    seed: u64,
+    core: Option<Peers>,
+    /// Whether a round is asked for already.
+    due: Option<Micros>,
+}
+
+impl Meeting {
+    pub fn new(at: PeersAt, name: &str, seed: u64) -> Meeting {
+        Meeting { at, name: name.to_owned(), seed, core: None, due: None }
+    }
+
+    fn alive(&self) -> usize {
+        let lives = self.core.iter().flat_map(|core| core.lives());
+        lives.filter(|(_, life, _)| *life == Life::Alive).count()
+    }
+
+    pub fn status(&self) -> String {
+        format!(" peers={}/{}", self.alive(), self.at.members.len())
+    }
+
+    pub fn figures(&self) -> [(&'static str, u64); 7] {
+        let counts = self.core.as_ref().map(|core| core.counts).unwrap_or_default();
+        [
+            ("peers", self.at.members.len() as u64),
+            ("peers_alive", self.alive() as u64),
+            ("peers_sent", counts.sent),
+            ("peers_sent_bytes", counts.sent_bytes),
+            ("peers_heard", counts.heard),
+            ("peers_bad", counts.bad + counts.strangers),
+            ("peers_old", counts.old),
+        ]
+    }
+
+    /// How new the word on a runner is, where peers are set.
+    fn version(&self, id: &str) -> Option<Version> {
+        self.core.as_ref()?.hands.get(id).map(|hand| hand.version)
+    }
+}
+
+impl Desk {
+    /// The others are met in this life, with what the last one knew of runners out by hand.
+    pub(super) fn meet(&mut self, boot: Option<u64>, left: Option<&Left>, wires: &mut dyn Wires) {
+        let now = wires.now();
+        let Some(meeting) = &mut self.meeting else { return };
+        if let Some(core) = &mut meeting.core {
+            core.numbered(boot.unwrap_or(0));
+            return;
+        }
+        let nonce = topazsail::hash(format!("{} {} {now}", meeting.name, meeting.seed).as_bytes()) as u32;
+        let seed = meeting.seed ^ u64::from(nonce);
+        let life = (boot.unwrap_or(0), nonce);
+        let mut core = Peers::new(&meeting.name, meeting.at.members.clone(), life, seed, now);
+        for (runner, hand) in left.map(|left| left.hands.as_slice()).unwrap_or_default() {
+            core.hands.merge(topazsail_peers::Hand {
+                runner: runner.clone(),
+                // One that was said before there were peers is older than whatever they say.
+                version: Version { count: hand.count.max(1), author: hand.author },
+                out_since: hand.out_since,
+                was_out: hand.was_out,
+            });
+        }
+        meeting.core = Some(core);
+        self.round(wires);
+    }
+
+    /// The disk has this life's number, perhaps only now.
+    pub(super) fn meet_numbered(&mut self, boot: Option<u64>) {
+        if let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) {
+            core.numbered(boot.unwrap_or(0));
+        }
+    }
+
+    /// How new the word on a runner is: its count and its author.
+    pub(super) fn hand_version(&self, id: &str) -> (u64, u32) {
+        let version = self.meeting.as_ref().and_then(|meeting| meeting.version(id));
+        version.map_or((0, 0), |version| (version.count, version.author))
+    }
+
+    /// A call that was made here is told to the others.
+    pub(super) fn tell_hand(&mut self, id: &str, wires: &mut dyn Wires) {
+        let (out_since, was_out) = self.members.hand(id);
+        let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) else { return };
+        let (_, actions) = core.call(id, out_since, was_out, wires.now());
+        self.act_on_peers(actions, wires);
+    }
+
+    pub(super) fn stage_for_peers(&mut self) {
+        let stage = self.keeping.as_ref().map(|keeping| keeping.stage());
+        if let (Some(stage), Some(core)) =
+            (stage, self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()))
+        {
+            core.stage(stage as u8);
+        }
+    }
+
+    /// A round of probes, where one is due.
+    pub(super) fn round(&mut self, wires: &mut dyn Wires) {
+        let Some(meeting) = &mut self.meeting else { return };
+        let Some(core) = &mut meeting.core else { return };
+        let actions = core.tick(wires.now());
+        let due = core.due();
+        if meeting.due != Some(due) {
+            meeting.due = Some(due);
+            wires.wake(Due::Peers, due);
+        }
+        self.act_on_peers(actions, wires);
+    }
+
+    /// A datagram has come.
+    pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], wires: &mut dyn Wires) {
+        let now = wires.now();
+        let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) else { return };
+        let actions = core.heard(now, from, bytes);
+        self.act_on_peers(actions, wires);
+    }
+
+    fn act_on_peers(&mut self, actions: Vec<Action>, wires: &mut dyn Wires) {
+        for action in actions {
+            match action {
+                Action::Send { to, bytes } => wires.datagram(to, &bytes),
+                Action::Told(Told::Peer { name, life, boot }) => {
+                    log!("peer", "name={name} life={} boot={boot}", life.code());
+                }
+                Action::Told(Told::Numbered(heard)) => self.number_taken(heard),
+                Action::Told(Told::Hand(hand)) => {
+                    self.hand_heard(&hand.runner, hand.out_since.is_some(), wires);
+                }
+            }
+        }
+        let core = self.meeting.as_ref().and_then(|meeting| meeting.core.as_ref());
+        let Some((all, agree)) = core.map(Peers::agree) else { return };
+        self.heard_of_peers(recovery::Event::Agree { all, agree }, wires);
+    }
+
+    /// Others have heard of a later life of this dispatcher than its own disk has: it was rolled back, or could not be
+    /// written. This life gets a number above that.
+    fn number_taken(&mut self, heard: u64) {
+        let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) else { return };
+        if heard >= core.boot() {
+            log!("boot-taken", "heard={heard} ours={}", core.boot());
+            core.numbered(heard + 1);
+            self.keep_above(heard);
+        }
+    }
+
+    /// A peer has a newer word on a runner: it holds here as a call would. Its times are of another clock.
+    fn hand_heard(&mut self, id: &str, out: bool, wires: &mut dyn Wires) {
+        let now = wires.now();
+        let is_out = self.members.hand(id).0.is_some();
+        if is_out != out {
+            log!("hand-heard", "runner={id:?} out={out}");
+            if !self.members.knows(id) {
+                self.members.inherit(id, None, None);
+            }
+            _ = self.maintain(id, out, wires);
+        }
+        debug_assert!(self.members.hand(id).0.is_some() == out, "at {now}");
+        self.keep_hand(id, None, wires);
+    }
+
+    /// What holds of all runners is told anew, after bans have been learnt of.
+    pub(super) fn stand_anew(&mut self, wires: &mut dyn Wires) {
+        let entries = self.members.stand(wires.now());
+        if !entries.is_empty() {
+            self.happened.push(Event::Roster(topazsail::Roster { listing: Listing::Own, entries }));
+        }
+    }
+}
--- a/node/src/life/keeper.rs
+++ b/node/src/life/keeper.rs
@@ -38,6 +38,8 @@
     },
     /// Tell when all before this is on the disk.
     Sync(u64),
+    /// This life's number is to be above that one.
+    Above(u64),
     /// Ends the life's records as they should be, and lets go of the folder.
     Close,
 }
@@ -118,6 +120,10 @@
         self.tickets
     }
 
+    pub fn above(&mut self, heard: u64) {
+        self.ask(Ask::Above(heard));
+    }
+
     /// Lets go of the folder; another process may have it then.
     pub fn close(&mut self) {
         self.ask(Ask::Close);
@@ -187,6 +193,15 @@
                         }
                     }
                     Ask::Sync(ticket) => self.waiting.push(ticket),
+                    Ask::Above(heard) => {
+                        if let Some(store) = &mut self.store {
+                            let kept = store.above(heard).map_err(|stale| stale.to_string());
+                            self.well = kept.is_ok();
+                            let boot = store.boot();
+                            let _ = self.tells.send(Told::Health(kept.map(|()| boot)));
+                            due = due.or_else(|| self.later());
+                        }
+                    }
                     Ask::Open => {
                         self.released = false;
                         if self.store.is_none() {
@@ -313,7 +328,7 @@
     }
 
     fn out() -> Hand {
-        Hand { out_since: Some(5), was_out: None }
+        Hand { out_since: Some(5), ..Hand::default() }
     }
 
     #[test]
--- a/node/src/life/shown.rs
+++ b/node/src/life/shown.rs
@@ -24,7 +24,9 @@
         });
     }
     if let Some(hand) = kept::value::<Hand>(record) {
-        return json!({"out_since": hand.out_since, "was_out": hand.was_out});
+        return json!({
+            "out_since": hand.out_since, "was_out": hand.was_out, "count": hand.count, "author": hand.author,
+        });
     }
     if let Some(spent) = kept::value::<Spent>(record) {
         return json!({"runners": spent.runners});
@@ -138,7 +140,7 @@
         let list =
             List { discovery: "127.0.0.1:8500".into(), generation: 4, json: r#"{"instances":[{}]}"#.into() };
         store.keep("", Some(&list), 1_700_000_000_000_000);
-        let hand = Hand { out_since: Some(1_700_000_000_500_000), was_out: None };
+        let hand = Hand { out_since: Some(1_700_000_000_500_000), ..Hand::default() };
         store.keep("s-a", Some(&hand), 1_700_000_001_000_000);
         store.put(topazsail_store::Table(40), "x", 1, Some(vec![1, 2]), 1_700_000_001_000_000);
         store.close(1_700_000_002_000_000).unwrap();
@@ -155,7 +157,7 @@
             boot      1
             state     the last life ended as it should
             written   1700000002.000
-            file      log-0000000000000001, 247 bytes
+            file      log-0000000000000001, 249 bytes
             records   3
             table     key                   boot           written value
             list                               1    1700000000.000 1 runners, generation 4, from 127.0.0.1:8500
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -117,6 +117,8 @@
     Rested,
     /// A stage of recovery has had its time.
     Recovery,
+    /// A round of the other dispatchers.
+    Peers,
     /// What has changed is to be kept.
     Keep,
     /// The disk has had its time to keep what an operator was told of.
@@ -160,6 +162,8 @@
     fn finish(&mut self, link: Link, end: End);
     fn cut(&mut self, link: Link, end: End);
     fn wake(&mut self, due: Due, at: Micros);
+    /// To another dispatcher; it may get lost.
+    fn datagram(&mut self, _to: SocketAddr, _bytes: &[u8]) {}
 }
 
 /// Why a connection never came up. Only a refusal says that no process listens there.
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use topazsail::Micros;
+use topazsail_peers::PACKET_MOST;
 use topazsail_store::Disk;
 
 use crate::config;
@@ -28,9 +29,13 @@
 const RELOAD: usize = 1;
 /// A successor asks for what this process has.
 const SUCCESSOR: usize = 2;
+/// A datagram has come from another dispatcher.
+const PEERS: usize = 3;
 /// The keys of the doors, in their order.
-const DOORS: usize = 3;
-const FIRST_LINK: Link = 5;
+const DOORS: usize = 4;
+const FIRST_LINK: Link = 6;
+/// Datagrams read in one turn: clients come first.
+const DATAGRAMS: usize = 256;
 const BACKLOG: i32 = 1024;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
@@ -79,6 +84,8 @@
 
 pub struct Reactor {
     poller: Arc<Poller>,
+    /// Where other dispatchers are heard, if anywhere.
+    datagrams: Option<UdpSocket>,
     clock: Clock,
     now: Micros,
     /// While it catches up after having stood still: since when, and until when.
@@ -159,6 +166,15 @@
         }
         added.map_err(fault("poller"))?;
     }
+    if let Some(peers) = &told.peers {
+        let socket = talk(peers.listen).map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
+        // SAFETY: it is kept beside the poller and never closed before it.
+        unsafe {
+            let added = reactor.poller.add_with_mode(&socket, Event::readable(PEERS), PollMode::Level);
+            added.map_err(fault("poller"))?;
+        }
+        reactor.datagrams = Some(socket);
+    }
     let admin = told.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
     let (listen, discovery) = (told.listen, told.discovery);
     log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", told.name);
@@ -231,11 +247,21 @@
     Ok(socket.into())
 }
 
+/// The socket to other dispatchers. In an upgrade the other process may still have its own there for a moment.
+fn talk(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
 impl Reactor {
     fn new() -> io::Result<Reactor> {
         let clock = Clock::new();
         Ok(Reactor {
             poller: Arc::new(Poller::new()?),
+            datagrams: None,
             now: clock.now(),
             clock,
             behind: None,
@@ -278,6 +304,7 @@
                 match event.key {
                     SIGNAL => desk.go_down(self),
                     RELOAD => self.reload(desk, reload, path),
+                    PEERS => self.hear(desk),
                     SUCCESSOR => self.hand_over(desk, successor, doors),
                     key => match doors.iter().find(|door| door.key == key) {
                         Some(door) => self.accept(desk, door)?,
@@ -322,6 +349,20 @@
         }
     }
 
+    /// Datagrams of other dispatchers, some at a time.
+    fn hear(&mut self, desk: &mut Desk) {
+        let mut bytes = [0; 2 * PACKET_MOST];
+        for _ in 0..DATAGRAMS {
+            let heard = self.datagrams.as_ref().map(|socket| socket.recv_from(&mut bytes));
+            match heard {
+                Some(Ok((length, from))) => desk.datagram(from, &bytes[..length], self),
+                // One of ours was refused: nobody is there yet.
+                Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                _ => return,
+            }
+        }
+    }
+
     /// Whether all answers to clients and operators have been written.
     fn all_told(&self) -> bool {
         self.conns.values().all(|conn| !matches!(conn.side, Side::Client | Side::Operator) || !conn.unsent())
@@ -382,6 +423,10 @@
                 if let Some(link) = self.meet(stream, listen) {
                     desk.hand_over(link, self);
                 }
+                // From now on the others talk to the new process.
+                if let Some(socket) = self.datagrams.take() {
+                    let _ = self.poller.delete(&socket);
+                }
             }
             Err(error) => log!("handover-failed", "reason={:?}", error.to_string()),
         }
@@ -630,6 +675,13 @@
         self.remove(link, end);
     }
 
+    fn datagram(&mut self, to: SocketAddr, bytes: &[u8]) {
+        if let Some(socket) = &self.datagrams {
+            // What cannot be sent now is as good as lost on its way.
+            let _ = socket.send_to(bytes, to);
+        }
+    }
+
     fn wake(&mut self, due: Due, at: Micros) {
         self.serial += 1;
         self.dues.insert((at, self.serial), due);
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1236,6 +1236,35 @@
     }
 }
 
+#[test]
+fn bad_peers_name_the_field() {
+    let fault = |peers: &str, store: &str| {
+        let text = configuration(&[]).replacen('{', &format!("{{\"peers\":{peers},{store}"), 1);
+        config::decode(&text).map(|told| told.peers.map_or(0, |peers| peers.members.len()))
+    };
+    let members = |members: &str| format!(r#"{{"listen":"127.0.0.1:7000","members":[{members}]}}"#);
+    let store = r#""store":{"folder":"/x"},"#;
+    let other = r#"{"name":"n1","address":"127.0.0.1:7001"}"#;
+    assert_eq!(fault(&members(other), store), Ok(1));
+    assert_eq!(fault("null", ""), Ok(0));
+    let missing = "peers is set and store is missing: lives are numbered there";
+    assert_eq!(fault(&members(other), ""), Err(missing.to_owned()));
+    for (peers, said) in [
+        ("7".to_owned(), "peers has the bad value 7"),
+        (r#"{"members":[]}"#.to_owned(), "peers.listen is missing"),
+        (r#"{"listen":"x","members":[]}"#.to_owned(), "peers.listen has the bad address \"x\""),
+        (members(""), "peers.members must name 1 to 4096 others"),
+        (members(r#"{"name":"n1"}"#), "peers.members.0.address is missing"),
+        (members(r#"{"address":"127.0.0.1:7001"}"#), "peers.members.0.name is missing"),
+        (members(r#"{"name":"n0","address":"127.0.0.1:7001"}"#), "peers.members.0 is this dispatcher itself"),
+        (members(r#"{"name":"n1","address":"127.0.0.1:7000"}"#), "peers.members.0 is this dispatcher itself"),
+        (members(&format!("{other},{other}")), "peers.members.1 is named twice"),
+        (r#"{"listen":"127.0.0.1:1","every":0,"members":[]}"#.to_owned(), "peers.every is unknown"),
+    ] {
+        assert_eq!(fault(&peers, store), Err(said.to_owned()), "{peers}");
+    }
+}
+
 #[test]
 fn a_bad_configuration_names_the_field() {
     let good = configuration(&RUNNERS);
--- a/peers/src/peers/tests.rs
+++ b/peers/src/peers/tests.rs
@@ -121,9 +121,8 @@
     }
 
     fn life(&self, at: usize, of: usize) -> Life {
-        let found =
-            self.cores[at].as_ref().unwrap().lives().find(|(known, ..)| *known == name(of)).unwrap().1;
-        found
+        let core = self.cores[at].as_ref().unwrap();
+        core.lives().find(|(known, ..)| *known == name(of)).unwrap().1
     }
 }
 
--- a/store/examples/stores.rs
+++ b/store/examples/stores.rs
@@ -43,7 +43,7 @@
     let mut times = Vec::new();
     for nth in 0..SYNCS {
         let began = Instant::now();
-        store.keep("r7", Some(&Hand { out_since: Some(nth as i64), was_out: None }), 1);
+        store.keep("r7", Some(&Hand { out_since: Some(nth as i64), ..Hand::default() }), 1);
         store.sync()?;
         times.push(began.elapsed());
     }
--- a/store/src/kept.rs
+++ b/store/src/kept.rs
@@ -40,6 +40,10 @@
 pub struct Hand {
     pub out_since: Option<Micros>,
     pub was_out: Option<(Micros, Micros)>,
+    /// How new this word is among dispatchers: calls on this runner so far, and the author of the last one; 0 and 0 where
+    /// there are no others.
+    pub count: u64,
+    pub author: u32,
 }
 
 impl Kept for Hand {
