--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1236,6 +1236,12 @@
     }
 }
 
+#[test]
+fn the_example_with_a_store_and_peers_is_accepted() {
+    let told = config::decode(include_str!("../../deploy/kept.json")).unwrap();
+    assert!(told.store.is_some() && told.peers.is_some_and(|peers| peers.members.len() == 2));
+}
+
 #[test]
 fn bad_peers_name_the_field() {
     let fault = |peers: &str, store: &str| {
