While the fleet is cold what is worth most for its work is taken first, once it is short

Change: stage limited, a core (recovery/src/limits.rs) that each dispatcher asks before it takes anything: by arrivals, times and values it has seen itself, down to the list's warmth after a sign of shortage, up by a quarter of all work in a second without one. Played in virtual time where a scenario has a store, by the same cores.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod runner;
 pub mod scenario;
 pub mod sockets;
+mod start;
 pub mod tally;
 pub mod virtual_clock;
 pub mod world;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -105,8 +105,9 @@
     pub reports: Reports,
     #[serde(default)]
     pub limits: Limits,
-    /// What dispatchers keep over a restart, and who calls them; nothing and nobody where it is missing. On sockets
-    /// only: in virtual time each start is one from nothing.
+    /// What dispatchers keep over a restart, and who calls them; nothing and nobody where it is missing. In virtual
+    /// time only the stages of a start are played, with a disk that is read at once; calls, faults of disks and words
+    /// between dispatchers on sockets only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub store: Option<Store>,
     #[serde(default)]
--- /dev/null
+++ b/lab/src/start.rs
@@ -0,0 +1,116 @@
+//! A dispatcher's start in virtual time, where its scenario has a store: the stages of recovery and what is taken while
+//! the fleet is cold, by the very cores that the program uses.
+//!
+//! The disk itself is not played here: it is read at once and holds what was kept. It must never decide anything that
+//! the cores do not.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use topazsail::{Micros, StandingOrders};
+use topazsail_recovery::limits::{Limits, Worth};
+use topazsail_recovery::{Event, Recovery, Stage};
+use topazsail_store::Found;
+
+/// Advice to those who come before there is service, or for whom there is no room: spread over this.
+const SPREAD: Micros = 1_000_000;
+
+pub struct Start {
+    recovery: Recovery,
+    limits: Limits,
+    /// Listed runners and when each started, as this dispatcher has been told.
+    listed: BTreeMap<u32, Option<Micros>>,
+    /// Runners that the remembered list had.
+    began_with: usize,
+    cold_from: f64,
+    warm_within: Micros,
+    come_back_most: Option<Micros>,
+    drawn: Pcg32,
+}
+
+impl Start {
+    pub fn new(orders: &StandingOrders, began_with: usize, drawn: Pcg32, now: Micros) -> Start {
+        let worth = |op: &topazsail::Operation| Worth {
+            value: op.billed_value,
+            latency_objective: op.latency_objective,
+        };
+        let mut recovery = Recovery::new(false, now);
+        recovery.handle(now, Event::Opened { found: &Found::default(), boot: Some(1) });
+        Start {
+            recovery,
+            limits: Limits::new(orders.operations.iter().map(worth), now),
+            listed: BTreeMap::new(),
+            began_with,
+            cold_from: orders.cold_from,
+            warm_within: orders.warm_within,
+            come_back_most: orders.come_back_max,
+            drawn,
+        }
+    }
+
+    /// Discovery has told a whole list, or one change.
+    pub fn list(
+        &mut self,
+        told: impl Iterator<Item = (u32, bool, Option<Micros>)>,
+        whole: bool,
+        now: Micros,
+    ) {
+        if whole {
+            self.listed.clear();
+        }
+        for (runner, wanted, launched) in told {
+            if wanted {
+                self.listed.insert(runner, launched)
+            } else {
+                self.listed.remove(&runner)
+            };
+        }
+        self.recovery.handle(now, Event::Heard);
+    }
+
+    pub fn refused(&mut self, now: Micros) {
+        self.recovery.handle(now, Event::Refused);
+    }
+
+    fn warmth(&self, now: Micros) -> f64 {
+        let share = |launched: &Option<Micros>| match launched {
+            Some(at) if now < at + self.warm_within => {
+                let age = (now - at).max(0) as f64 / self.warm_within.max(1) as f64;
+                self.cold_from + (1.0 - self.cold_from) * age
+            }
+            _ => 1.0,
+        };
+        let warm: f64 = self.listed.values().map(share).sum();
+        warm / self.listed.len().max(self.began_with).max(1) as f64
+    }
+
+    /// Whether one that comes now is taken; else when its client is told to come back.
+    pub fn takes(&mut self, operation: usize, now: Micros) -> Result<(), Option<Micros>> {
+        if self.recovery.stage() == Stage::Serving {
+            return Ok(());
+        }
+        self.recovery.tick(now);
+        let (drawn, spread): (f64, Micros) = (self.drawn.random(), self.drawn.random_range(0..SPREAD));
+        let come_back = self.come_back_most.map(|most| (self.recovery.left(now) + spread).min(most));
+        if !self.recovery.may_forward() {
+            return Err(come_back);
+        }
+        self.recovery.handle(now, Event::Warmth(self.warmth(now)));
+        let limited = self.recovery.stage() == Stage::Limited;
+        if limited && !self.limits.takes(operation, drawn, now) { Err(come_back) } else { Ok(()) }
+    }
+
+    /// Something that was taken found no room.
+    pub fn short(&mut self, now: Micros) {
+        if self.recovery.stage() == Stage::Limited {
+            self.limits.short(self.warmth(now), now);
+        }
+    }
+
+    pub fn succeeded(&mut self, operation: usize, took: Micros) {
+        if self.recovery.stage() == Stage::Limited {
+            self.limits.succeeded(operation, took);
+        }
+    }
+}
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -21,6 +21,7 @@
 use crate::policy::{Decide, Policy, decider, number};
 use crate::runner::{Life, Load, News, Taken};
 use crate::scenario::{Scenario, Told};
+use crate::start::Start;
 use crate::tally::{About, End, OfRunner, Outcome, Tally, round};
 use crate::world::{Change, State, World};
 
@@ -110,6 +111,7 @@
 
 struct Open {
     id: Id,
+    at: Micros,
     answered: bool,
     sent: Vec<Sent>,
 }
@@ -127,6 +129,8 @@
     subscribed: bool,
     /// What has come for it while its process stands still.
     still: Option<Vec<Ev>>,
+    /// Where the scenario has a store: the stages of its start.
+    start: Option<Start>,
 }
 
 struct Asked {
@@ -397,6 +401,10 @@
                 if self.living(life).is_some_and(|dispatcher| dispatcher.subscribed) {
                     let wanted = state == State::Up;
                     self.judge.see(self.now, Seen::Told { dispatcher: life.d, runner: r, wanted });
+                    let (now, launched) = (self.now, self.world.runners[r as usize].launched);
+                    if let Some(start) = &mut self.dispatchers[life.d as usize].start {
+                        start.list(std::iter::once((r, wanted, launched)), false, now);
+                    }
                     let entries = vec![self.entry(r, state)];
                     self.tell(life.d, Event::Roster(Roster { listing: Listing::Changes, entries }));
                 }
@@ -404,8 +412,12 @@
             Ev::Call(life) => self.call(life),
             Ev::TellAll(life) => self.tell_all(life),
             Ev::Refused(life) => {
+                let now = self.now;
                 if let Some(dispatcher) = self.living(life) {
                     dispatcher.subscribed = false;
+                    if let Some(start) = &mut dispatcher.start {
+                        start.refused(now);
+                    }
                     let roster = Roster { listing: Listing::Refused, entries: Vec::new() };
                     self.tell(life.d, Event::Roster(roster));
                 }
@@ -508,11 +520,17 @@
         let id = Id::from(format!("{inv:x}"));
         let expires_in = gives_up - WAY_BACK - self.now;
         self.judge.see(self.now, Seen::Taken { inv, dispatcher: d, operation, expires_at: gives_up });
-        let open = Open { id: id.clone(), answered: false, sent: Vec::new() };
+        let open = Open { id: id.clone(), at: self.now, answered: false, sent: Vec::new() };
         self.dispatchers[d as usize].invs.insert(inv, open);
         if expires_in <= 0 {
             return self.answer(d, inv, Final::Throttled, None);
         }
+        let now = self.now;
+        let taken =
+            self.dispatchers[d as usize].start.as_mut().map_or(Ok(()), |start| start.takes(operation, now));
+        if let Err(come_back) = taken {
+            return self.answer(d, inv, Final::Throttled, come_back);
+        }
         let life = self.life(d);
         self.push(self.now + expires_in, Ev::Overdue(life, inv));
         self.tell(d, Event::Arrival(Arrival { inv: id, operation, expires_in, slots: 1.0, hint: None, key }));
@@ -608,7 +626,13 @@
                         self.send(from, to, Ev::Cancel(life, inv, forward, r));
                     }
                 }
-                Action::Throttle { inv, come_back } => self.answer(d, key(&inv), Final::Throttled, come_back),
+                Action::Throttle { inv, come_back } => {
+                    let now = self.now;
+                    if let Some(start) = &mut self.dispatchers[d as usize].start {
+                        start.short(now);
+                    }
+                    self.answer(d, key(&inv), Final::Throttled, come_back);
+                }
                 Action::Error { inv } => self.answer(d, key(&inv), Final::Errored, None),
                 Action::Probe { tgt } => self.probe(life, number(&tgt)),
                 Action::Follow => {
@@ -735,9 +759,15 @@
 
     fn heard(&mut self, life: Incarnation, inv: u64, number: u32, ending: Ending, load: Option<Load>) {
         let now = self.now;
+        let operation = self.asks.get(&(inv >> TRY_BITS)).map(|asked| asked.ask.operation);
         let Some(dispatcher) = self.living(life) else { return };
         let Some(open) = dispatcher.invs.get_mut(&inv) else { return };
         let id = open.id.clone();
+        if let Some(start) = dispatcher.start.as_mut().filter(|_| ending == Ending::Succeeded)
+            && let Some(operation) = operation
+        {
+            start.succeeded(operation, now - open.at);
+        }
         let sent = &mut open.sent[number as usize];
         let (r, elapsed, was_out) = (sent.runner, now - sent.at, sent.out);
         sent.out = false;
@@ -1052,6 +1082,10 @@
             probes: FxHashMap::default(),
             subscribed: false,
             still: None,
+            start: self.scenario.store.is_some().then(|| {
+                let drawn = chance(self.seed, 1 << 42 | u64::from(d) << 8 | starts);
+                Start::new(&self.orders[nth], self.world.runners.len(), drawn, self.now)
+            }),
         };
         if nth < self.dispatchers.len() {
             self.dispatchers[nth] = dispatcher;
@@ -1140,6 +1174,16 @@
                 entries.push(self.entry(r, state));
             }
         }
+        let now = self.now;
+        let (states, runners) = (&self.states, &self.world.runners);
+        if let Some(start) = &mut self.dispatchers[life.d as usize].start {
+            let told = states.iter().zip(runners).enumerate();
+            start.list(
+                told.map(|(r, (state, runner))| (r as u32, *state == State::Up, runner.launched)),
+                true,
+                now,
+            );
+        }
         self.tell(life.d, Event::Roster(Roster { listing: Listing::All, entries }));
     }
 
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -111,6 +111,20 @@
         self.by_id.iter().filter(|(_, known)| touched(known)).map(|(id, _)| id.to_string()).collect()
     }
 
+    /// Listed ones that may be sent to, counted by how much of their full capacity they have, and all that are listed.
+    pub fn warmth(&self, cold_from: f64, now: Micros) -> (f64, usize) {
+        let share = |entry: RosterEntry| match entry.launched {
+            _ if entry.readiness != Readiness::On => 0.0,
+            Some(at) if now < at + self.rest.warm_within => {
+                let age = (now - at).max(0) as f64 / self.rest.warm_within.max(1) as f64;
+                cold_from + (1.0 - cold_from) * age
+            }
+            _ => 1.0,
+        };
+        let warm = self.listed_now().map(|known| share(known.standing(&self.rest, now))).sum();
+        (warm, self.listed_now().count())
+    }
+
     /// What holds of all listed ones now.
     pub fn stand(&self, now: Micros) -> Vec<RosterEntry> {
         self.listed_now().map(|known| known.standing(&self.rest, now)).collect()
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -16,6 +16,7 @@
 };
 use topazsail_orders::Decoded;
 use topazsail_recovery::Stage;
+use topazsail_recovery::limits::Worth;
 
 use crate::back::members::Members;
 use crate::back::roster::{self, Listed, Roster};
@@ -68,6 +69,7 @@
 struct Open {
     link: Link,
     operation: usize,
+    taken_at: Micros,
     expires_at: Micros,
     head: Vec<u8>,
     body: Vec<u8>,
@@ -106,6 +108,12 @@
     standing.operations = clients.operations.set(told.collect(), now);
 }
 
+fn worth(decoded: &Decoded) -> Vec<Worth> {
+    let of =
+        |op: &topazsail::Operation| Worth { value: op.billed_value, latency_objective: op.latency_objective };
+    decoded.standing.operations.iter().map(of).collect()
+}
+
 /// When to come back where there is no room.
 fn come_back(decoded: &Decoded) -> Option<Micros> {
     decoded.standing.come_back_max.map(|most| most.min(ROOM_AGAIN))
@@ -147,6 +155,9 @@
     /// Connections that the other process had when it handed over.
     theirs: usize,
     tip_after: Micros,
+    cold_from: f64,
+    /// What each operation is worth, by its number.
+    worth: Vec<Worth>,
     /// What outlives the process, where there is anything.
     keeping: Option<Keeping>,
     /// The other dispatchers, where they may talk.
@@ -170,6 +181,7 @@
         let come_back = come_back(&decoded);
         let come_back_most = decoded.standing.come_back_max;
         let (warm_within, tip_after) = (decoded.standing.warm_within, decoded.standing.tip_after);
+        let (cold_from, worth) = (decoded.standing.cold_from, worth(&decoded));
         let mut desk = Desk {
             clients,
             operators: Operators::default(),
@@ -195,6 +207,8 @@
             limits: (told.sockets, told.memory),
             theirs: 0,
             tip_after,
+            cold_from,
+            worth,
             keeping: None,
             meeting,
         };
@@ -370,6 +384,7 @@
         self.runners.retune(&decoded);
         self.members.warm_within(decoded.standing.warm_within);
         (self.come_back, self.come_back_most) = (come_back(&decoded), decoded.standing.come_back_max);
+        (self.cold_from, self.worth) = (decoded.standing.cold_from, worth(&decoded));
         (self.tip_after, self.open_cap) = (decoded.standing.tip_after, decoded.open_cap);
         self.happened.push(Event::Retuned(Box::new(decoded.standing)));
     }
@@ -478,7 +493,10 @@
         match action {
             Action::Forward { inv, tgt } => self.forward(&inv, tgt, wires),
             Action::Cancel { inv, forward } => self.cancel(&inv, forward, wires),
-            Action::Throttle { inv, come_back } => self.answer(&inv, THROTTLED, come_back, b"", wires),
+            Action::Throttle { inv, come_back } => {
+                self.was_short(wires.now());
+                self.answer(&inv, THROTTLED, come_back, b"", wires);
+            }
             Action::Error { inv } => self.answer(&inv, ERRORED, None, b"", wires),
             Action::Probe { tgt } => self.runners.probe(&tgt, wires),
             Action::Follow => self.roster.follow(wires),
@@ -663,7 +681,7 @@
             Call::Status => match &self.keeping {
                 None => "YES\n".to_owned(),
                 Some(keeping) => {
-                    let yes = if keeping.stage() < Stage::Serving { "NO" } else { "YES" };
+                    let yes = if keeping.stage() < Stage::Listed { "NO" } else { "YES" };
                     let peers = self.meeting.as_ref().map(Meeting::status).unwrap_or_default();
                     format!("{yes} {}{peers}\n", keeping.status())
                 }
@@ -747,6 +765,11 @@
             self.figures.ended(self.clients.operations.name(told.operation), Verdict::of(NO_ROOM));
             return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
         }
+        if !self.limits(told.operation, &told.id, now) {
+            let come_back = self.come_back_after(&told.id, now);
+            self.figures.ended(self.clients.operations.name(told.operation), Verdict::of(THROTTLED));
+            return self.clients.answer(told.link, THROTTLED, come_back, b"", wires);
+        }
         let full = self.invs.len() >= self.open_cap || self.held + size > self.held_most;
         if full || told.expires_at <= now {
             log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
@@ -762,7 +785,9 @@
         let (expires_in, hint) = (told.expires_at - now, told.hint);
         self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, hint, key }));
         let (link, expires_at, head, body) = (told.link, told.expires_at, told.head, told.body);
-        let open = Open { link, operation, expires_at, head, body, answered: false, forwards: Vec::new() };
+        let taken_at = now;
+        let open =
+            Open { link, operation, taken_at, expires_at, head, body, answered: false, forwards: Vec::new() };
         self.invs.insert(told.id, open);
     }
 
@@ -812,6 +837,8 @@
         };
         if ending == Ending::Succeeded && !answered {
             let result = told.result.unwrap_or_default();
+            let (operation, took) = (open.operation, now - open.taken_at);
+            self.took(operation, took);
             self.answer(&inv, SUCCEEDED, None, result.as_bytes(), wires);
             if !out {
                 // Given up, but it came to its end all the same: this is the result that is owed.
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use topazsail::{Event, Listing, Micros};
+use topazsail_recovery::limits::Limits;
 use topazsail_recovery::{self as recovery, Action, Belief, Known, Recovery, Source, Stage};
 use topazsail_store::kept::{Hand, List, Settings, Spent};
 
@@ -44,8 +45,15 @@
     list_length: usize,
     /// Without a store there is no service.
     require: bool,
+    limits: Limits,
+    /// Runners that the list to begin with had; and warmth as it was a moment ago.
+    began_with: usize,
+    warmth: (f64, Micros),
 }
 
+/// Warmth is looked at again after so long.
+const WARMTH_AGAIN: Micros = 50_000;
+
 impl Keeping {
     pub fn new(keeper: Keeper, (require, peers): (bool, bool), file: Option<Listed>, now: Micros) -> Keeping {
         Keeping {
@@ -60,6 +68,9 @@
             list_due: false,
             list_length: 0,
             require,
+            limits: Limits::new(std::iter::empty(), now),
+            began_with: 0,
+            warmth: (0.0, Micros::MIN),
         }
     }
 
@@ -113,6 +124,48 @@
         self.come_back_most.map(|most| (left + spread as Micros).min(most))
     }
 
+    /// Whether one that comes now is taken, as far as a cold fleet limits what is.
+    pub(super) fn limits(&mut self, operation: usize, id: &str, now: Micros) -> bool {
+        if self.warmth(now).is_none() {
+            return true;
+        }
+        let Some(keeping) = &mut self.keeping else { return true };
+        let drawn = topazsail::hash(id.as_bytes()) as f64 / u64::MAX as f64;
+        keeping.limits.takes(operation, drawn, now)
+    }
+
+    /// The share of its full capacity that the fleet has, while that limits anything.
+    fn warmth(&mut self, now: Micros) -> Option<f64> {
+        let keeping = self.keeping.as_mut().filter(|keeping| keeping.stage() == Stage::Limited)?;
+        if now >= keeping.warmth.1 + WARMTH_AGAIN {
+            let (warm, listed) = self.members.warmth(self.cold_from, now);
+            let all = listed.max(keeping.began_with).max(1);
+            keeping.warmth = (warm / all as f64, now);
+            for action in keeping.recovery.handle(now, recovery::Event::Warmth(keeping.warmth.0)) {
+                if let Action::Enter(stage, why) = action {
+                    log!("stage", "stage={} {why}", stage.code());
+                }
+            }
+        }
+        Some(keeping.warmth.0)
+    }
+
+    /// Something that was taken found no room.
+    pub(super) fn was_short(&mut self, now: Micros) {
+        if let Some(warmth) = self.warmth(now)
+            && let Some(keeping) = &mut self.keeping
+        {
+            keeping.limits.short(warmth, now);
+        }
+    }
+
+    /// One has succeeded, so long after it was taken.
+    pub(super) fn took(&mut self, operation: usize, took: Micros) {
+        if let Some(keeping) = self.keeping.as_mut().filter(|keeping| keeping.stage() == Stage::Limited) {
+            keeping.limits.succeeded(operation, took);
+        }
+    }
+
     /// Whether service is what it was to be without the store that it must not do without.
     pub fn fatal(&self) -> Option<String> {
         let keeping = self.keeping.as_ref().filter(|keeping| keeping.require)?;
@@ -184,6 +237,7 @@
             _ => file,
         };
         self.roster = Roster::new(self.roster.heard_to().0, chosen.generation);
+        (keeping.began_with, keeping.limits) = (chosen.len(), Limits::new(self.worth.iter().copied(), now));
         let mut rest = 0;
         if let Some(left) = &left {
             rest = recovery::rest(&left.found, self.tip_after);
