--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -129,6 +129,9 @@
     /// What nobody could have told a dispatcher is not held against it.
     #[serde(default = "Store::excused")]
     pub excused: bool,
+    /// Whether runners are taken back in again.
+    #[serde(default = "Store::back")]
+    pub back: bool,
     /// How many runners may be out by hand at once.
     #[serde(default = "Store::most")]
     pub out_most: u32,
@@ -142,6 +145,10 @@
     fn excused() -> bool {
         true
     }
+
+    fn back() -> bool {
+        true
+    }
 }
 
 fn one() -> u64 {
--- a/lab/src/sockets/operators.rs
+++ b/lab/src/sockets/operators.rs
@@ -39,12 +39,13 @@
 
 /// Takes runners out and back in, by seed.
 pub async fn hands(lab: Lab) {
-    let (every, most, seed, runners, all) = {
+    let (every, most, back, seed, runners, all) = {
         let stage = lab.stage.borrow();
         let Some(store) = &stage.scenario.store else { return };
         (
             store.hands_every.0,
             store.out_most as usize,
+            store.back,
             stage.seed,
             stage.world.runners.len(),
             stage.epochs.len(),
@@ -58,7 +59,10 @@
     loop {
         let at = lab.now() + every / 2 + drawn.random_range(0..every);
         lab.until(at).await;
-        let takes = out.len() < most && (out.is_empty() || drawn.random_range(0..2) == 0);
+        if !back && out.len() >= most {
+            return;
+        }
+        let takes = out.len() < most && (!back || out.is_empty() || drawn.random_range(0..2) == 0);
         let runner = if takes {
             drawn.random_range(0..runners) as u32
         } else {
--- a/lab/tests/input.rs
+++ b/lab/tests/input.rs
@@ -90,9 +90,23 @@
         "[clients]",
         "[[fault]]\nkind = \"melts\"\nat = \"1s\"\n[clients]",
         expect![
-            "t.toml:5: kind: unknown variant `melts`, expected one of `crash`, `hang`, `pauses`, `slow`, `fast-errors`, `loses`, `late-reports`, `zone-cut`, `zone-mute`, `zone-loss`, `discovery-down`, `deploy`, `roll-term`, `roll-kill`, `reload`, `bad-clients`"
+            "t.toml:5: kind: unknown variant `melts`, expected one of `crash`, `hang`, `pauses`, `slow`, `fast-errors`, `loses`, `late-reports`, `zone-cut`, `zone-mute`, `zone-loss`, `discovery-down`, `deploy`, `roll-term`, `roll-kill`, `reload`, `bad-clients`, `kill`, `freeze`, `power-loss`, `link`, `disk`"
         ],
     );
+    let fault = |more: &str| format!("[[fault]]\nat = \"1s\"\nlasts = \"1s\"\n{more}\n[clients]");
+    for (more, said) in [
+        ("kind = \"disk\"", "t.toml:4: fault Disk: there is no [store]"),
+        ("kind = \"link\"", "t.toml:4: fault Link: link is for the kind link, and missing there"),
+        ("kind = \"link\"\nlink = \"cut\"", "t.toml:4: fault Link: there are no peers in [store]"),
+        (
+            "kind = \"freeze\"\naway = 0.5",
+            "t.toml:4: fault Freeze: spread and away are for what kills dispatchers",
+        ),
+        ("kind = \"freeze\"\ndisk = \"old\"", "t.toml:4: fault Freeze: disk is for what kills dispatchers"),
+    ] {
+        let text = GOOD.replacen("[clients]", &fault(more), 1);
+        assert_eq!(Scenario::parse("t.toml", &text).unwrap_err(), said);
+    }
     refused("[clients]", "[clients", expect!["t.toml:4: unclosed table, expected `]`"]);
 }
 
--- a/lab/tests/ordeals.rs
+++ b/lab/tests/ordeals.rs
@@ -46,8 +46,9 @@
 /// Every dispatcher is killed twice while operators take runners out and in.
 const TWICE: &str = r#"
 [store]
-hands-every = "600ms"
+hands-every = "400ms"
 out-most = 2
+back = false
 
 [[fault]]
 kind = "kill"
