A store that must be there ends a start, not service; a folder that changes hands is tested

Read again: with store.require set, a disk that failed while others had just told of a taken boot number would have ended a process that served (node/src/desk/keeping.rs, fatal looked at the present state). Now it is settled at the start only. Warmth of a runner is one formula for node and lab.

New loopback test: an upgrade takes the folder along, the old process refuses calls, a third process is refused the folder before it listens, and after SIGKILL the ban holds and the boot number is 3.

--- a/lab/src/start.rs
+++ b/lab/src/start.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 use topazsail::{Micros, StandingOrders};
-use topazsail_recovery::limits::{Limits, Worth};
+use topazsail_recovery::limits::{self, Limits, Worth};
 use topazsail_recovery::{Event, Recovery, Stage};
 use topazsail_store::Found;
 
@@ -74,14 +74,8 @@
     }
 
     fn warmth(&self, now: Micros) -> f64 {
-        let share = |launched: &Option<Micros>| match launched {
-            Some(at) if now < at + self.warm_within => {
-                let age = (now - at).max(0) as f64 / self.warm_within.max(1) as f64;
-                self.cold_from + (1.0 - self.cold_from) * age
-            }
-            _ => 1.0,
-        };
-        let warm: f64 = self.listed.values().map(share).sum();
+        let span = (self.cold_from, self.warm_within);
+        let warm: f64 = self.listed.values().map(|launched| limits::warmth(*launched, span, now)).sum();
         warm / self.listed.len().max(self.began_with).max(1) as f64
     }
 
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use topazsail::{Id, Listing, Micros, Readiness, RosterEntry};
+use topazsail_recovery::limits;
 
 /// Runners that are listed no more and that are still known as having been.
 const GONE_MOST: usize = 4096;
@@ -113,13 +114,10 @@
 
     /// Listed ones that may be sent to, counted by how much of their full capacity they have, and all that are listed.
     pub fn warmth(&self, cold_from: f64, now: Micros) -> (f64, usize) {
-        let share = |entry: RosterEntry| match entry.launched {
-            _ if entry.readiness != Readiness::On => 0.0,
-            Some(at) if now < at + self.rest.warm_within => {
-                let age = (now - at).max(0) as f64 / self.rest.warm_within.max(1) as f64;
-                cold_from + (1.0 - cold_from) * age
-            }
-            _ => 1.0,
+        let span = (cold_from, self.rest.warm_within);
+        let share = |entry: RosterEntry| match entry.readiness {
+            Readiness::On => limits::warmth(entry.launched, span, now),
+            Readiness::Fading | Readiness::Off => 0.0,
         };
         let warm = self.listed_now().map(|known| share(known.standing(&self.rest, now))).sum();
         (warm, self.listed_now().count())
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -43,16 +43,20 @@
     /// A write of the list is due; how long the last one was.
     list_due: bool,
     list_length: usize,
-    /// Without a store there is no service.
+    /// When the stage is to be looked at next.
+    armed: Micros,
+    /// Without a store there is no service; and why there is none, then.
     require: bool,
+    fatal: Option<String>,
     limits: Limits,
     /// Runners that the list to begin with had; and warmth as it was a moment ago.
     began_with: usize,
     warmth: (f64, Micros),
 }
 
-/// Warmth is looked at again after so long.
+/// Warmth is looked at again after so long; where nothing comes after so long.
 const WARMTH_AGAIN: Micros = 50_000;
+const LIMITED_AGAIN: Micros = 500_000;
 
 impl Keeping {
     pub fn new(keeper: Keeper, (require, peers): (bool, bool), file: Option<Listed>, now: Micros) -> Keeping {
@@ -67,7 +71,9 @@
             calls: BTreeMap::new(),
             list_due: false,
             list_length: 0,
+            armed: Micros::MIN,
             require,
+            fatal: None,
             limits: Limits::new(std::iter::empty(), now),
             began_with: 0,
             warmth: (0.0, Micros::MIN),
@@ -80,6 +86,14 @@
         self
     }
 
+    /// Nothing is kept for now, and why. A start that must not do without ends here; who serves already goes on.
+    fn without(&mut self, why: &str) {
+        self.failing = Some(why.to_owned());
+        if self.require && self.stage() < Stage::Listed {
+            self.fatal = Some(format!("store.folder: {why}"));
+        }
+    }
+
     pub fn stage(&self) -> Stage {
         self.recovery.stage()
     }
@@ -107,9 +121,7 @@
     /// A start from nothing, with a store: nothing is listed before that has been read.
     pub(super) fn recover(&mut self, wires: &mut dyn Wires) {
         self.clients.ready(false);
-        if let Some(due) = self.keeping.as_ref().and_then(|keeping| keeping.recovery.due()) {
-            wires.wake(Due::Recovery, due);
-        }
+        self.arm(wires);
     }
 
     /// Whether anything may be forwarded: not before there is a list.
@@ -141,11 +153,14 @@
             let (warm, listed) = self.members.warmth(self.cold_from, now);
             let all = listed.max(keeping.began_with).max(1);
             keeping.warmth = (warm / all as f64, now);
-            for action in keeping.recovery.handle(now, recovery::Event::Warmth(keeping.warmth.0)) {
+            let warmth = keeping.warmth.0;
+            for action in keeping.recovery.handle(now, recovery::Event::Warmth(warmth)) {
                 if let Action::Enter(stage, why) = action {
                     log!("stage", "stage={} {why}", stage.code());
                 }
             }
+            self.stage_for_peers();
+            return Some(warmth);
         }
         Some(keeping.warmth.0)
     }
@@ -166,20 +181,36 @@
         }
     }
 
-    /// Whether service is what it was to be without the store that it must not do without.
+    /// Why this process must not serve, where it has no store and must not do without.
     pub fn fatal(&self) -> Option<String> {
-        let keeping = self.keeping.as_ref().filter(|keeping| keeping.require)?;
-        let why = keeping.failing.as_ref().filter(|_| keeping.boot.is_none())?;
-        (keeping.stage() != Stage::Finding).then(|| format!("store.folder: {why}"))
+        self.keeping.as_ref()?.fatal.clone()
     }
 
     pub(super) fn recovery_due(&mut self, wires: &mut dyn Wires) {
         let Some(keeping) = &mut self.keeping else { return };
+        let finding = keeping.stage() == Stage::Finding;
         let actions = keeping.recovery.tick(wires.now());
-        if keeping.boot.is_none() && keeping.failing.is_none() && !actions.is_empty() {
-            keeping.failing = Some("not read in time".to_owned());
+        if finding && !actions.is_empty() {
+            keeping.without("not read in time");
         }
         self.enter(actions, wires);
+        // Whether the fleet has become warm shows also where nothing comes.
+        self.warmth(wires.now());
+        self.arm(wires);
+    }
+
+    /// Asks for the next look at the stage, once.
+    fn arm(&mut self, wires: &mut dyn Wires) {
+        let now = wires.now();
+        let Some(keeping) = &mut self.keeping else { return };
+        let Some(due) = keeping.recovery.due() else { return };
+        let limited = keeping.stage() == Stage::Limited;
+        let at = if limited { due.min(now + LIMITED_AGAIN) } else { due };
+        // One that is asked for already, and comes in time, will ask for the next.
+        if keeping.armed <= now || at < keeping.armed {
+            keeping.armed = at;
+            wires.wake(Due::Recovery, at);
+        }
     }
 
     fn enter(&mut self, actions: Vec<Action>, wires: &mut dyn Wires) {
@@ -193,9 +224,7 @@
                 Action::Serve => self.clients.ready(self.down_since.is_none()),
             }
         }
-        if let Some(due) = self.keeping.as_ref().and_then(|keeping| keeping.recovery.due()) {
-            wires.wake(Due::Recovery, due);
-        }
+        self.arm(wires);
     }
 
     pub(super) fn heard_of_peers(&mut self, event: recovery::Event, wires: &mut dyn Wires) {
@@ -286,7 +315,10 @@
             match told {
                 Told::Opened(left) => {
                     keeping.boot = left.boot;
-                    keeping.failing = left.found.unwritten.as_ref().map(ToString::to_string);
+                    keeping.failing = None;
+                    if let Some(why) = &left.found.unwritten {
+                        keeping.without(&why.to_string());
+                    }
                     let boot = left.boot;
                     if keeping.stage() == Stage::Finding {
                         keeping.left = Some(left);
@@ -305,7 +337,7 @@
                 }
                 Told::Unopened(why) => {
                     log!("store", "state=refused reason={why:?}");
-                    keeping.failing = Some(why.clone());
+                    keeping.without(&why);
                     let event = recovery::Event::Unopened { why: &why };
                     let actions = keeping.recovery.handle(wires.now(), event);
                     self.enter(actions, wires);
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -237,6 +237,67 @@
 }
 
 /// A runner that takes whatever comes and is done at once; what it has been given, in order.
+/// The answer of a call once it holds what is waited for.
+fn called_until(admin: SocketAddr, line: &str, holds: &str) -> String {
+    let until = std::time::Instant::now() + PATIENCE;
+    loop {
+        let answer = TcpStream::connect(admin).map_or_else(|_| String::new(), |_| called(admin, line));
+        if answer.contains(holds) {
+            return answer;
+        }
+        assert!(std::time::Instant::now() < until, "{line}: {answer}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn a_store_changes_hands_and_what_it_holds_outlives_every_end() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (listen, admins) = (free_address(85), [free_address(86), free_address(87)]);
+    let folder = env::temp_dir().join(format!("topazsail-store-{}", std::process::id()));
+    let store = folder.join("store");
+    fs::create_dir_all(&store).unwrap();
+    let text = configuration(listen, discovery.local_addr().unwrap());
+    let kept = format!("{{\"store\":{{\"folder\":{:?},\"require\":true}},", store.display().to_string());
+    fs::write(folder.join("config.json"), text.replacen('{', &kept, 1)).unwrap();
+    let mut first = start(&folder, listen, Some(admins[0]));
+    let mut watch = watched(&discovery);
+    watch.lists(&runner, 1.0);
+    assert_eq!(called_until(admins[0], "status", "serving"), "YES stage=serving boot=1 store=well\n");
+    assert_eq!(called_until(admins[0], "maint-on s-a", "YES"), "YES\n");
+
+    // An upgrade: the new process has the folder, and calls are its own from then on.
+    let second = start(&folder, listen, Some(admins[1]));
+    let _watch = watched_since(&discovery, 1);
+    called_until(admins[1], "status", "boot=2");
+    assert_eq!(called(admins[0], "maint-off s-a"), "NO another process takes over: call that one\n");
+    called_until(admins[1], "stats", "skipped_runners=0");
+    assert_eq!(called(admins[1], "maint-on s-a"), "YES\n");
+    signal(&first, "TERM");
+    assert_eq!(first.0.wait().unwrap().code(), Some(0));
+
+    // Nobody else gets it meanwhile, and says so before it listens.
+    let other = folder.join("other.json");
+    let text = fs::read_to_string(folder.join("config.json")).unwrap();
+    fs::write(&other, text.replace(&listen.to_string(), &free_address(88).to_string())).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+    let refused = command.args(["serve", "--config"]).arg(&other).env("TMPDIR", "").output().unwrap();
+    let said = String::from_utf8(refused.stderr).unwrap();
+    let expected = format!("store.folder {}: another process uses this folder", store.display());
+    assert!(!refused.status.success() && said.contains(&expected), "{said}");
+
+    // Killed outright, then begun anew: the ban holds, by the list from before as well.
+    drop(second);
+    let _third = start(&folder, listen, Some(admins[0]));
+    let mut watch = Peer::from(&discovery);
+    assert_eq!(watch.hear(), "GET /v1/servers?follow=1&since=1 HTTP/1.1 ");
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    called_until(admins[0], "status", "boot=3");
+    called_until(admins[0], "stats", "skipped_runners=1");
+    fs::remove_dir_all(folder).unwrap();
+}
+
 fn obliging(runner: TcpListener, listen: SocketAddr, given: Arc<Mutex<Vec<String>>>) {
     for stream in runner.incoming() {
         let (mut forwards, given) = (Peer::new(stream.unwrap()), given.clone());
--- a/recovery/src/limits.rs
+++ b/recovery/src/limits.rs
@@ -17,6 +17,17 @@
 /// How far one success moves the mean time of its operation.
 const NEWS: f64 = 0.05;
 
+/// The share of its full capacity that a runner has, by when it started, where that is known and not long ago.
+pub fn warmth(launched: Option<Micros>, (cold_from, warm_within): (f64, Micros), now: Micros) -> f64 {
+    match launched {
+        Some(at) if now < at.saturating_add(warm_within) => {
+            let age = now.saturating_sub(at).max(0) as f64 / warm_within.max(1) as f64;
+            cold_from + (1.0 - cold_from) * age
+        }
+        _ => 1.0,
+    }
+}
+
 /// What settings say of one operation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Worth {
@@ -103,6 +114,14 @@
         Limits::new(worth.map(|(value, latency_objective)| Worth { value, latency_objective }).into_iter(), 0)
     }
 
+    #[test]
+    fn a_runner_warms_evenly() {
+        let at = |launched, now| warmth(launched, (0.2, 10), now);
+        assert_eq!((at(Some(5), 5), at(Some(5), 10), at(Some(5), 15)), (0.2, 0.6, 1.0));
+        // One that starts in the future, by a clock that is off, is as cold as can be.
+        assert_eq!((at(None, 5), at(Some(5), 0), at(Some(i64::MAX), 0)), (1.0, 0.2, 0.2));
+    }
+
     #[test]
     fn nothing_is_turned_away_where_nothing_is_short() {
         let mut limits = limits();
