--- a/node/src/life/keeper.rs
+++ b/node/src/life/keeper.rs
@@ -91,8 +91,18 @@
         let (tells, from) = channel();
         let away = (ALIVE_EVERY, Instant::now());
         let waiting = Vec::new();
-        let mut shell =
-            Shell { disks, owner, id, tells, store: None, waiting, well: true, released: false, away };
+        let mut shell = Shell {
+            disks,
+            owner,
+            id,
+            tells,
+            store: None,
+            waiting,
+            well: true,
+            released: false,
+            spoke: false,
+            away,
+        };
         let run = move || shell.run(disk, &asks, &wake);
         thread::Builder::new().name("keeper".to_owned()).spawn(run)?;
         Ok(Keeper { to, from, tickets: 0, refused: Vec::new(), dropped: 0 })
@@ -168,6 +178,8 @@
     well: bool,
     /// Another process has the folder.
     released: bool,
+    /// Something has been told since the loop was last woken.
+    spoke: bool,
     /// The longest that this thread was away from its queue, and when it was last there.
     away: (Duration, Instant),
 }
@@ -198,7 +210,7 @@
                             let kept = store.above(heard).map_err(|stale| stale.to_string());
                             self.well = kept.is_ok();
                             let boot = store.boot();
-                            let _ = self.tells.send(Told::Health(kept.map(|()| boot)));
+                            self.tell(Told::Health(kept.map(|()| boot)));
                             due = due.or_else(|| self.later());
                         }
                     }
@@ -214,7 +226,7 @@
                             let _ = store.close(now());
                         }
                         self.released = true;
-                        let _ = self.tells.send(Told::Closed);
+                        self.tell(Told::Closed);
                     }
                 }
             }
@@ -239,17 +251,24 @@
             if !self.well {
                 self.answer(&Err("the disk has failed".to_owned()));
             }
-            wake();
+            if std::mem::take(&mut self.spoke) {
+                wake();
+            }
         }
     }
 
+    fn tell(&mut self, told: Told) {
+        self.spoke = true;
+        let _ = self.tells.send(told);
+    }
+
     fn later(&self) -> Option<Instant> {
         (!self.well).then(|| Instant::now() + AGAIN)
     }
 
     fn answer(&mut self, how: &Result<(), String>) {
         for ticket in std::mem::take(&mut self.waiting) {
-            let _ = self.tells.send(Told::Synced(ticket, how.clone()));
+            self.tell(Told::Synced(ticket, how.clone()));
         }
     }
 
@@ -262,7 +281,7 @@
         let well = synced.is_ok();
         if well != std::mem::replace(&mut self.well, well) {
             let health = synced.clone().map(|()| boot);
-            let _ = self.tells.send(Told::Health(health));
+            self.tell(Told::Health(health));
         }
         self.answer(&synced);
         well
@@ -303,7 +322,7 @@
                 }
             }
         };
-        let _ = self.tells.send(told);
+        self.tell(told);
     }
 }
 
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -8,7 +8,7 @@
 use std::io::{self, Read, Write};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use crate::Micros;
 
@@ -24,7 +24,9 @@
 impl Machine {
     /// The machine that this process runs on; without a name where the system does not tell.
     pub fn here() -> Machine {
-        let life = fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+        static LIFE: OnceLock<String> = OnceLock::new();
+        let read = || fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+        let life = LIFE.get_or_init(read);
         let up = fs::read_to_string("/proc/uptime").unwrap_or_default();
         let up = up.split(' ').next().and_then(|up| up.parse::<f64>().ok()).unwrap_or(0.0);
         Machine { life: life.trim().to_owned(), up: (up * 1e6) as Micros }
