--- a/recovery/src/limits.rs
+++ b/recovery/src/limits.rs
@@ -116,10 +116,10 @@
 
     #[test]
     fn a_runner_warms_evenly() {
-        let at = |launched, now| warmth(launched, (0.2, 10), now);
-        assert_eq!((at(Some(5), 5), at(Some(5), 10), at(Some(5), 15)), (0.2, 0.6, 1.0));
+        let at = |launched, now| warmth(launched, (0.25, 10), now);
+        assert_eq!((at(Some(5), 5), at(Some(5), 10), at(Some(5), 15)), (0.25, 0.625, 1.0));
         // One that starts in the future, by a clock that is off, is as cold as can be.
-        assert_eq!((at(None, 5), at(Some(5), 0), at(Some(i64::MAX), 0)), (1.0, 0.2, 0.2));
+        assert_eq!((at(None, 5), at(Some(5), 0), at(Some(i64::MAX), 0)), (1.0, 0.25, 0.25));
     }
 
     #[test]
