Read again: the others are reached in one place, what was found is not copied, a comment said the opposite

node/src/desk/meeting.rs reached the peers' core in five places by the same two steps; keeping.rs copied what the store had found only to hand it on; Found.fresh was described the wrong way round. No behaviour changes.

--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -321,10 +321,9 @@
                     }
                     let boot = left.boot;
                     if keeping.stage() == Stage::Finding {
-                        keeping.left = Some(left);
-                        let found = keeping.left.as_ref().map(|left| left.found.clone()).unwrap_or_default();
-                        let event = recovery::Event::Opened { found: &found, boot };
+                        let event = recovery::Event::Opened { found: &left.found, boot };
                         let actions = keeping.recovery.handle(wires.now(), event);
+                        keeping.left = Some(left);
                         self.keep_settings();
                         self.enter(actions, wires);
                     } else {
--- a/node/src/desk/meeting.rs
+++ b/node/src/desk/meeting.rs
@@ -59,6 +59,11 @@
 }
 
 impl Desk {
+    /// The others, once they have been met.
+    fn peers(&mut self) -> Option<&mut Peers> {
+        self.meeting.as_mut()?.core.as_mut()
+    }
+
     /// The others are met in this life, with what the last one knew of runners out by hand.
     pub(super) fn meet(&mut self, boot: Option<u64>, left: Option<&Left>, wires: &mut dyn Wires) {
         let now = wires.now();
@@ -86,7 +91,7 @@
 
     /// The disk has this life's number, perhaps only now.
     pub(super) fn meet_numbered(&mut self, boot: Option<u64>) {
-        if let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) {
+        if let Some(core) = self.peers() {
             core.numbered(boot.unwrap_or(0));
         }
     }
@@ -100,16 +105,14 @@
     /// A call that was made here is told to the others.
     pub(super) fn tell_hand(&mut self, id: &str, wires: &mut dyn Wires) {
         let (out_since, was_out) = self.members.hand(id);
-        let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) else { return };
+        let Some(core) = self.peers() else { return };
         let (_, actions) = core.call(id, out_since, was_out, wires.now());
         self.act_on_peers(actions, wires);
     }
 
     pub(super) fn stage_for_peers(&mut self) {
         let stage = self.keeping.as_ref().map(|keeping| keeping.stage());
-        if let (Some(stage), Some(core)) =
-            (stage, self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()))
-        {
+        if let (Some(stage), Some(core)) = (stage, self.peers()) {
             core.stage(stage as u8);
         }
     }
@@ -130,7 +133,7 @@
     /// A datagram has come.
     pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], wires: &mut dyn Wires) {
         let now = wires.now();
-        let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) else { return };
+        let Some(core) = self.peers() else { return };
         let actions = core.heard(now, from, bytes);
         self.act_on_peers(actions, wires);
     }
@@ -148,15 +151,14 @@
                 }
             }
         }
-        let core = self.meeting.as_ref().and_then(|meeting| meeting.core.as_ref());
-        let Some((all, agree)) = core.map(Peers::agree) else { return };
+        let Some((all, agree)) = self.peers().map(|core| core.agree()) else { return };
         self.heard_of_peers(recovery::Event::Agree { all, agree }, wires);
     }
 
     /// Others have heard of a later life of this dispatcher than its own disk has: it was rolled back, or could not be
     /// written. This life gets a number above that.
     fn number_taken(&mut self, heard: u64) {
-        let Some(core) = self.meeting.as_mut().and_then(|meeting| meeting.core.as_mut()) else { return };
+        let Some(core) = self.peers() else { return };
         if heard >= core.boot() {
             log!("boot-taken", "heard={heard} ours={}", core.boot());
             core.numbered(heard + 1);
--- a/store/src/store.rs
+++ b/store/src/store.rs
@@ -88,7 +88,7 @@
 /// What was found at the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Found {
-    /// Whether there was anything.
+    /// Whether there was nothing: no life has kept anything here.
     pub fresh: bool,
     /// Of which life the records are.
     pub boot: u64,
