--- a/lab/src/bin/lab-dispatcher.rs
+++ b/lab/src/bin/lab-dispatcher.rs
@@ -5,7 +5,8 @@
 //! the lab writes and this reads again all the time.
 //!
 //! By `LAB_TWIN` it is a faulty twin, for the judge's tests: `unsynced` says that the disk has what it has not,
-//! `forgets-hands` begins without its records, `rolled-back` each time with what its first life found.
+//! `forgets-hands` begins without its records, `rolled-back` each time with what its first life found, `spends-alone`
+//! takes all that may be sent to a cold runner for its own.
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -87,6 +88,17 @@
     Ok(Box::new(Faulty::new(Folder::new(folder), shared, seed)?))
 }
 
+/// A twin's own settings, in place of what the lab has written for it.
+fn mislead() -> Option<()> {
+    let path = std::env::args().skip_while(|arg| arg != "--config").nth(1);
+    let path = path.filter(|_| twin() == "spends-alone")?;
+    let mut told: serde_json::Value = serde_json::from_str(&std::fs::read_to_string(&path).ok()?).ok()?;
+    told["settings"]["balancers"] = 1.into();
+    told.as_object_mut()?.remove("peers");
+    std::fs::write(&path, told.to_string()).ok()
+}
+
 fn main() -> ExitCode {
+    mislead();
     topazsail_node::cli::main_on(disk_at)
 }
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -262,6 +262,9 @@
     /// When each dispatcher's present life first forwarded anything.
     first: BTreeMap<u32, Micros>,
     pub verdict: Verdict,
+    /// Work sent to cold runners, and the largest share of a budget that was used by all together.
+    pub cold_sent: f64,
+    pub cold_most: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -299,6 +302,8 @@
             boots: BTreeMap::new(),
             first: BTreeMap::new(),
             verdict: Verdict::default(),
+            cold_sent: 0.0,
+            cold_most: 0.0,
         }
     }
 
@@ -583,7 +588,10 @@
             cold.spent.push_back((at, work, told_of_start));
             let all: f64 = cold.spent.iter().map(|(_, work, _)| work).sum();
             let knowing: f64 = cold.spent.iter().filter(|(.., told)| *told).map(|(_, work, _)| work).sum();
-            let budget = self.terms.overload_factor * capacity * span as f64 * BY_CHANCE;
+            let budget = self.terms.overload_factor * capacity * span as f64;
+            self.cold_sent += work;
+            self.cold_most = self.cold_most.max(all / budget);
+            let budget = budget * BY_CHANCE;
             if all > budget && knowing * 3.0 >= all * 2.0 && cold.spent.len() > 3 && !cold.broken {
                 cold.broken = true;
                 let what = format!("r{runner} was sent {all:.0} us of work in a span worth {budget:.0}");
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod scenario;
 pub mod sockets;
 mod start;
+mod talk;
 pub mod tally;
 pub mod virtual_clock;
 pub mod world;
--- a/lab/src/ramp.rs
+++ b/lab/src/ramp.rs
@@ -16,11 +16,12 @@
 const SECOND: i64 = 1_000_000;
 
 /// For each second of a run the share of what is asked that capacity allows: of work, and of billed value where
-/// what is worth most for its work comes first.
-pub fn ramp(scenario: &Scenario, seed: u64) -> Vec<(f64, f64)> {
+/// what is worth most for its work comes first. And the work that the rule on cold runners lets them be sent.
+pub fn ramp(scenario: &Scenario, seed: u64) -> (Vec<(f64, f64)>, f64) {
     let mut world = World::new(scenario, seed);
     let seconds = ((scenario.length.0 + SECOND - 1) / SECOND) as usize;
     let mut room = vec![0.0; seconds];
+    let mut budget = 0.0;
     let schedule = std::mem::take(&mut world.schedule);
     let mut schedule = schedule.into_iter().peekable();
     for at in (0..scenario.length.0).step_by(STEP as usize) {
@@ -28,6 +29,8 @@
             world.apply(at, &change);
         }
         let able = world.runners.iter().filter(|r| r.life == Life::Up && !r.frozen && !r.draining);
+        let cold = able.clone().filter(|runner| runner.warmth(at) < 1.0);
+        budget += cold.map(|runner| runner.capacity(at)).sum::<f64>() * STEP as f64;
         let capacity: f64 = able.map(|runner| runner.capacity(at)).sum();
         room[(at / SECOND) as usize] += capacity * STEP as f64;
     }
@@ -40,7 +43,8 @@
         let work: f64 = asked.iter().map(|(_, work)| work).sum();
         if work > room { round(room / work) } else { 1.0 }
     };
-    asked.into_iter().zip(room).map(|(asked, room)| (even(&asked, room), best(asked, room))).collect()
+    let by_second = asked.into_iter().zip(room).map(|(asked, room)| (even(&asked, room), best(asked, room)));
+    (by_second.collect(), budget * scenario.limits.overload_factor)
 }
 
 /// The share of the value that fits, by value for work.
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -340,6 +340,20 @@
             found.caught_up.map_or_else(|| "never".to_owned(), |after| format!("after {after} s")),
         );
     }
+    if let Some(cold) = &outcome.cold {
+        let (used, most) = (cold.used, cold.most);
+        text += &format!("  cold runners were sent {used:.3} of their budgets, {most:.3} of one at most\n");
+    }
+    let traffic = &outcome.traffic;
+    if traffic.calls > 0 {
+        text +=
+            &format!("  discovery was called {} times, {} in a second\n", traffic.calls, traffic.calls_most);
+    }
+    if traffic.datagrams > 0 {
+        let each = traffic.datagram_bytes as f64 / outcome.seconds / f64::from(outcome.dispatchers.max(1));
+        let sent = traffic.datagrams;
+        text += &format!("  {sent} datagrams between dispatchers, {each:.0} bytes a second from each\n");
+    }
     for process in &outcome.processes {
         let share = process.cpu_ms * 1000.0 * outcome.processes.len() as f64 / counts.asked.max(1) as f64;
         text += &format!(
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -367,6 +367,7 @@
         seed,
         runners: of_runners(scenario, &stage.world, &stage.tally.forwards),
         faults: std::mem::take(&mut stage.world.bands),
+        cold: (stage.judge.cold_sent, stage.judge.cold_most),
         verdict: std::mem::take(&mut stage.judge.verdict),
         void: std::mem::take(&mut stage.void),
         processes,
--- a/lab/src/start.rs
+++ b/lab/src/start.rs
@@ -30,12 +30,12 @@
 }
 
 impl Start {
-    pub fn new(orders: &StandingOrders, began_with: usize, drawn: Pcg32, now: Micros) -> Start {
+    pub fn new(orders: &StandingOrders, peers: bool, began_with: usize, drawn: Pcg32, now: Micros) -> Start {
         let worth = |op: &topazsail::Operation| Worth {
             value: op.billed_value,
             latency_objective: op.latency_objective,
         };
-        let mut recovery = Recovery::new(false, now);
+        let mut recovery = Recovery::new(peers, now);
         recovery.handle(now, Event::Opened { found: &Found::default(), boot: Some(1) });
         Start {
             recovery,
@@ -69,6 +69,21 @@
         self.recovery.handle(now, Event::Heard);
     }
 
+    /// Of so many others so many have answered.
+    pub fn agree(&mut self, (all, agree): (usize, usize), now: Micros) {
+        self.recovery.handle(now, Event::Agree { all, agree });
+    }
+
+    pub fn asks(&self) -> bool {
+        self.recovery.stage() < Stage::Asked
+    }
+
+    /// Listed runners that are cold.
+    pub fn cold(&self, now: Micros) -> Vec<u32> {
+        let cold = |launched: &Option<Micros>| launched.is_some_and(|at| now < at + self.warm_within);
+        self.listed.iter().filter(|(_, launched)| cold(launched)).map(|(r, _)| *r).collect()
+    }
+
     pub fn refused(&mut self, now: Micros) {
         self.recovery.handle(now, Event::Refused);
     }
--- /dev/null
+++ b/lab/src/talk.rs
@@ -0,0 +1,86 @@
+//! What one dispatcher says to the others in virtual time, where its scenario has peers: the very core that the program
+//! uses, its datagrams carried by the world's links.
+//!
+//! It must never decide anything that the core does not.
+
+use std::net::SocketAddr;
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use topazsail::{Micros, StandingOrders};
+use topazsail_peers::{Action, Member, Peers, Told};
+
+pub struct Talk {
+    pub core: Peers,
+    /// What its last life sent to cold runners may count until then.
+    rests_until: Micros,
+}
+
+/// A datagram, and the dispatcher that it is for.
+pub type Datagram = (u32, Vec<u8>);
+
+fn name(d: u32) -> String {
+    format!("d{d}")
+}
+
+/// Any that are not the same: no socket is bound there.
+fn address(d: u32) -> SocketAddr {
+    SocketAddr::from(([127, 0, (d >> 8) as u8, d as u8], 1))
+}
+
+fn number(address: SocketAddr) -> u32 {
+    match address {
+        SocketAddr::V4(v4) => u32::from_be_bytes(v4.ip().octets()) & 0xffff,
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+impl Talk {
+    pub fn new(
+        (d, all): (u32, u32),
+        boot: u64,
+        orders: &StandingOrders,
+        mut drawn: Pcg32,
+        rests_until: Micros,
+        now: Micros,
+    ) -> Talk {
+        let others = (0..all).filter(|other| *other != d);
+        let members = others.map(|d| Member { name: name(d), address: address(d) }).collect();
+        let (nonce, seed) = (drawn.random(), drawn.random());
+        let mut core = Peers::new(&name(d), members, (boot, nonce), seed, now);
+        core.settings(orders.dispatchers as usize, orders.tip_after);
+        Talk { core, rests_until }
+    }
+
+    /// What is to be sent, and to whom.
+    fn act(&mut self, actions: Vec<Action>) -> Vec<Datagram> {
+        let mut sent = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { to, bytes } => sent.push((number(to), bytes)),
+                Action::Told(Told::Numbered(heard)) => self.core.numbered(heard + 1),
+                Action::Told(Told::Peer { .. } | Told::Hand(_)) => {}
+            }
+        }
+        sent
+    }
+
+    pub fn round(&mut self, now: Micros) -> Vec<Datagram> {
+        let actions = self.core.tick(now);
+        self.act(actions)
+    }
+
+    pub fn heard(&mut self, from: u32, bytes: &[u8], now: Micros) -> Vec<Datagram> {
+        let actions = self.core.heard(now, address(from), bytes);
+        self.act(actions)
+    }
+
+    /// What is this dispatcher's own of cold runners' budgets.
+    pub fn portions(&mut self, cold: Vec<topazsail::Id>, now: Micros) -> Vec<topazsail::Portion> {
+        let portions = self.core.portions(cold.iter().map(|id| &**id), now);
+        if now < self.rests_until {
+            return Vec::new();
+        }
+        cold.into_iter().zip(portions).map(|(id, p)| (id, p.share, p.until)).collect()
+    }
+}
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -3,7 +3,7 @@
 //! It owns the figures and their form as JSON. It does no I/O; a run with the same seed in virtual time gives
 //! the same bytes, so it must never hold anything that depends on the wall clock there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -116,6 +116,24 @@
     pub cancels: u64,
     pub connections: u64,
     pub turned_away: u64,
+    /// Between dispatchers.
+    #[serde(default)]
+    pub datagrams: u64,
+    #[serde(default)]
+    pub datagram_bytes: u64,
+    /// Calls at discovery, and the most of them in any second.
+    #[serde(default)]
+    pub calls: u64,
+    #[serde(default)]
+    pub calls_most: u64,
+}
+
+/// What all dispatchers together sent to cold runners, of what the rule on them allows: in the mean of all of it, and
+/// at most in any span that the rule looks at.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OfCold {
+    pub used: f64,
+    pub most: f64,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -125,6 +143,8 @@
     pub program: String,
     pub seed: u64,
     pub seconds: f64,
+    #[serde(default)]
+    pub dispatchers: u32,
     /// Billed value answered in time (in part where late) over the value asked for. Simulated runners.
     pub goodput: f64,
     pub counts: Counts,
@@ -133,6 +153,8 @@
     pub traffic: Traffic,
     pub windows: Vec<Window>,
     pub runners: Vec<OfRunner>,
+    #[serde(default)]
+    pub cold: Option<OfCold>,
     pub faults: Vec<Band>,
     pub verdict: serde_json::Value,
     /// Rules broken, by name: empty where all were kept.
@@ -170,6 +192,8 @@
     objectives: Vec<(Micros, Micros, f64, f64)>,
     pub traffic: Traffic,
     pub forwards: Vec<u64>,
+    /// When discovery was called within the last second.
+    calls: VecDeque<Micros>,
 }
 
 /// Three digits up to an hour, in units of a hundredth of a millisecond.
@@ -194,6 +218,7 @@
                 .collect(),
             traffic: Traffic::default(),
             forwards: vec![0; scenario.runners()],
+            calls: VecDeque::new(),
         }
     }
 
@@ -225,6 +250,16 @@
         }
     }
 
+    /// A call has reached discovery.
+    pub fn called(&mut self, at: Micros) {
+        self.traffic.calls += 1;
+        self.calls.push_back(at);
+        while self.calls.front().is_some_and(|first| *first <= at - WINDOW) {
+            self.calls.pop_front();
+        }
+        self.traffic.calls_most = self.traffic.calls_most.max(self.calls.len() as u64);
+    }
+
     pub fn outcome(self, scenario: &Scenario, about: About) -> Outcome {
         let ratio = |got: f64, asked: f64| if asked > 0.0 { round(got / asked) } else { 1.0 };
         let (mut counts, mut asked, mut got) = (Counts::default(), 0.0, 0.0);
@@ -245,7 +280,7 @@
                 latency: Latency::of(histogram),
             });
         }
-        let ramp = ramp(scenario, about.seed);
+        let (ramp, budget) = ramp(scenario, about.seed);
         let window = |(nth, stretch): (usize, Stretch)| {
             let latency = Latency::of(&stretch.latency);
             Window {
@@ -265,6 +300,7 @@
             program: about.program,
             seed: about.seed,
             seconds: scenario.length.0 as f64 / 1e6,
+            dispatchers: scenario.dispatchers,
             goodput: ratio(got, asked),
             counts,
             latency: Latency::of(&self.all),
@@ -272,6 +308,8 @@
             traffic: self.traffic,
             windows: self.stretches.into_iter().enumerate().map(window).collect(),
             runners: about.runners,
+            cold: (budget > 0.0)
+                .then(|| OfCold { used: round(about.cold.0 / budget), most: round(about.cold.1) }),
             faults: about.faults,
             broken: verdict.violations.iter().map(|(rule, count)| (rule.to_string(), *count)).collect(),
             verdict: serde_json::to_value(verdict).unwrap_or_default(),
@@ -290,6 +328,8 @@
     pub runners: Vec<OfRunner>,
     pub faults: Vec<Band>,
     pub verdict: crate::judge::Verdict,
+    /// Work that was sent to cold runners, and the largest share of a budget that was used.
+    pub cold: (f64, f64),
     pub void: Vec<String>,
     pub processes: Vec<Process>,
     pub notes: Vec<String>,
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
@@ -22,6 +23,7 @@
 use crate::runner::{Life, Load, News, Taken};
 use crate::scenario::{Scenario, Told};
 use crate::start::Start;
+use crate::talk::{Datagram, Talk};
 use crate::tally::{About, End, OfRunner, Outcome, Tally, round};
 use crate::world::{Change, State, World};
 
@@ -69,6 +71,10 @@
     Probed(Incarnation, u32, u64, Option<Load>),
     RunnerDue(u32, u32),
     Tick(Incarnation),
+    /// A dispatcher's round of words to the others.
+    Round(Incarnation),
+    /// To whom, from whom.
+    Datagram(u32, u32, Rc<[u8]>),
     Change(usize),
     Listed(u32, State),
     Tell(Incarnation, u32, State),
@@ -131,6 +137,10 @@
     still: Option<Vec<Ev>>,
     /// Where the scenario has a store: the stages of its start.
     start: Option<Start>,
+    /// Where it has peers: what they say to one another.
+    talk: Option<Talk>,
+    /// When its process was last killed.
+    killed_at: Option<Micros>,
 }
 
 struct Asked {
@@ -187,6 +197,7 @@
     states: Vec<State>,
     busy_until: Micros,
     network: Pcg32,
+    links: Pcg32,
     clients: Pcg32,
     judge: Judge,
     tally: Tally,
@@ -223,7 +234,9 @@
                 kept: None,
             };
             let decoded = topazsail_node::config::decode(&scenario.configuration(&told))?;
-            orders.push(decoded.decoded.standing);
+            let mut standing = decoded.decoded.standing;
+            standing.portioned = scenario.store.as_ref().is_some_and(|store| store.peers);
+            orders.push(standing);
         }
         let runners = world.runners.len();
         let places = world.places();
@@ -250,6 +263,7 @@
             states: vec![State::Up; runners],
             busy_until: 0,
             network: chance(seed, 5),
+            links: chance(seed, 7),
             clients: chance(seed, 6),
             judge: Judge::new(Terms::of(scenario, places, 0, 0)),
             tally: Tally::new(scenario),
@@ -331,7 +345,7 @@
     /// Whom an event is for, where a process that stands still does not get it.
     fn meant_for(ev: &Ev) -> Option<u32> {
         match ev {
-            Ev::Reach(_, d) => Some(*d),
+            Ev::Reach(_, d) | Ev::Datagram(d, ..) => Some(*d),
             Ev::Overdue(life, _)
             | Ev::Dialled(life, ..)
             | Ev::Free(life, _)
@@ -339,6 +353,7 @@
             | Ev::Progress(life, ..)
             | Ev::Probed(life, ..)
             | Ev::Tick(life)
+            | Ev::Round(life)
             | Ev::Tell(life, ..)
             | Ev::TellAll(life)
             | Ev::Refused(life) => Some(life.d),
@@ -395,6 +410,17 @@
                     self.tell(life.d, Event::Tick);
                 }
             }
+            Ev::Round(life) => self.round(life),
+            Ev::Datagram(to, from, bytes) => {
+                let now = self.now;
+                let to = self.dispatchers[to as usize].alive.then_some(to);
+                let Some((d, talk)) = to.and_then(|d| Some((d, self.dispatchers[d as usize].talk.as_mut()?)))
+                else {
+                    return;
+                };
+                let said = talk.heard(from, &bytes, now);
+                self.say(d, said);
+            }
             Ev::Change(nth) => self.change(nth),
             Ev::Listed(r, state) => self.list(r, state),
             Ev::Tell(life, r, state) => {
@@ -407,6 +433,7 @@
                     }
                     let entries = vec![self.entry(r, state)];
                     self.tell(life.d, Event::Roster(Roster { listing: Listing::Changes, entries }));
+                    self.portions(life.d);
                 }
             }
             Ev::Call(life) => self.call(life),
@@ -444,6 +471,51 @@
         Incarnation { d, epoch: self.dispatchers[d as usize].epoch }
     }
 
+    // Words between dispatchers.
+
+    fn round(&mut self, life: Incarnation) {
+        let now = self.now;
+        let Some(dispatcher) = self.living(life) else { return };
+        let Some(talk) = &mut dispatcher.talk else { return };
+        let said = talk.round(now);
+        let due = talk.core.due();
+        self.push(due, Ev::Round(life));
+        self.portions(life.d);
+        self.say(life.d, said);
+    }
+
+    /// Which portions of cold runners' budgets are a dispatcher's own.
+    fn portions(&mut self, d: u32) {
+        let now = self.now;
+        let dispatcher = &mut self.dispatchers[d as usize];
+        let (Some(start), Some(talk)) = (&dispatcher.start, &mut dispatcher.talk) else { return };
+        let cold = start.cold(now).into_iter().map(|r| self.ids[r as usize].clone()).collect();
+        let portions = talk.portions(cold, now);
+        if !portions.is_empty() {
+            self.tell(d, Event::Portions(portions));
+        }
+    }
+
+    /// A dispatcher's datagrams leave, and what it has heard counts for the stages of its start.
+    fn say(&mut self, d: u32, said: Vec<Datagram>) {
+        for (to, bytes) in said {
+            self.tally.traffic.datagrams += 1;
+            self.tally.traffic.datagram_bytes += bytes.len() as u64;
+            let bytes: Rc<[u8]> = bytes.into();
+            let path = (d, to);
+            for after in self.world.carry(self.scenario, path, self.now, &mut self.links) {
+                self.push(self.now + after, Ev::Datagram(to, d, bytes.clone()));
+            }
+        }
+        let now = self.now;
+        let dispatcher = &mut self.dispatchers[d as usize];
+        if let (Some(start), Some(talk)) = (&mut dispatcher.start, &dispatcher.talk)
+            && start.asks()
+        {
+            start.agree(talk.core.agree(), now);
+        }
+    }
+
     // Clients.
 
     fn bring(&mut self) {
@@ -1017,6 +1089,7 @@
     fn kill(&mut self, d: u32) {
         let dispatcher = &mut self.dispatchers[d as usize];
         dispatcher.alive = false;
+        dispatcher.killed_at = Some(self.now);
         dispatcher.epoch += 1;
         dispatcher.subscribed = false;
         for ev in dispatcher.still.take().unwrap_or_default() {
@@ -1070,6 +1143,9 @@
         let nth = d as usize;
         let zone = nth % self.world.zones;
         let (epoch, starts) = self.dispatchers.get(nth).map_or((0, 0), |old| (old.epoch + 1, old.starts + 1));
+        let (now, killed_at) = (self.now, self.dispatchers.get(nth).and_then(|old| old.killed_at));
+        let orders = &self.orders[nth];
+        let peers = self.scenario.store.as_ref().is_some_and(|store| store.peers);
         let seed = chance(self.seed, 1 << 41 | u64::from(d) << 8 | starts).random();
         let dispatcher = Dispatcher {
             decide: decider(self.policy, self.orders[nth].clone(), seed),
@@ -1084,8 +1160,14 @@
             still: None,
             start: self.scenario.store.is_some().then(|| {
                 let drawn = chance(self.seed, 1 << 42 | u64::from(d) << 8 | starts);
-                Start::new(&self.orders[nth], self.world.runners.len(), drawn, self.now)
+                Start::new(orders, peers, self.world.runners.len(), drawn, now)
+            }),
+            talk: peers.then(|| {
+                let drawn = chance(self.seed, 1 << 43 | u64::from(d) << 8 | starts);
+                let rests_until = killed_at.map_or(now, |at| at + orders.tip_after);
+                Talk::new((d, self.scenario.dispatchers), starts + 1, orders, drawn, rests_until, now)
             }),
+            killed_at: None,
         };
         if nth < self.dispatchers.len() {
             self.dispatchers[nth] = dispatcher;
@@ -1093,6 +1175,10 @@
             self.dispatchers.push(dispatcher);
         }
         self.judge.see(self.now, Seen::Began { dispatcher: d });
+        if peers {
+            let life = self.life(d);
+            self.push(now, Ev::Round(life));
+        }
         let listed = (0..self.states.len()).filter(|r| self.states[*r] == State::Up);
         let entries = listed.map(|r| self.entry(r as u32, State::Up)).collect();
         self.tell(d, Event::Roster(Roster { listing: Listing::Remembered, entries }));
@@ -1145,6 +1231,7 @@
 
     /// A call has reached discovery, which works through calls in turn.
     fn call(&mut self, life: Incarnation) {
+        self.tally.called(self.now);
         let discovery = &self.scenario.discovery;
         let begins = self.busy_until.max(self.now);
         let zone = self.dispatchers[life.d as usize].zone;
@@ -1185,6 +1272,7 @@
             );
         }
         self.tell(life.d, Event::Roster(Roster { listing: Listing::All, entries }));
+        self.portions(life.d);
     }
 
     fn sample(&mut self) {
@@ -1222,6 +1310,7 @@
             seed: self.seed,
             runners,
             faults: std::mem::take(&mut self.world.bands),
+            cold: (self.judge.cold_sent, self.judge.cold_most),
             verdict: self.judge.verdict,
             void: Vec::new(),
             processes: Vec::new(),
--- a/lab/tests/ordeals.rs
+++ b/lab/tests/ordeals.rs
@@ -93,13 +93,30 @@
     Scenario::parse("twice", &format!("{SITE}{TWICE}")).unwrap()
 }
 
+/// Whether any broke a rule while all runners were cold together and nobody could ask them what they hold.
+fn while_cold(twin: &str) -> Vec<String> {
+    let text = format!(
+        "{SITE}cold-from = 0.1\nprobes = false\noverload-factor = 1.2\n[reports]\ndelay = \"2s\"\n[store]\npeers = true\n\
+         [[fault]]\nkind = \"crash\"\nat = \"2500ms\"\nlasts = \"1s\"\npart = 1.0\n"
+    );
+    let text = text.replace("dispatchers = 3", "dispatchers = 9").replace("load = 0.5", "load = 0.9");
+    let text = text.replace("latency-objective = \"500ms\"", "latency-objective = \"1500ms\"");
+    let text = text.replace("queue = 3", "queue = 30");
+    let text = text.replace("warm-within = \"2s\"", "warm-within = \"6s\"");
+    with_twin(twin, &Scenario::parse("cold", &text).unwrap()).broken.keys().cloned().collect()
+}
+
 fn broken_by(twin: &str) -> Vec<String> {
+    with_twin(twin, &twice()).broken.keys().cloned().collect()
+}
+
+fn with_twin(twin: &str, day: &Scenario) -> Outcome {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join(format!("twin-{twin}"));
     let text = format!("#!/bin/sh\nLAB_TWIN={twin} exec {} \"$@\"\n", program().display());
     std::fs::write(&path, text).unwrap();
     std::fs::set_permissions(&path, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
-    play(&twice(), &path).broken.keys().cloned().collect()
+    play(day, &path)
 }
 
 /// One of five is killed and finds its disk empty, or as it was before; the others know better.
@@ -147,3 +164,9 @@
 fn one_that_takes_an_old_state_for_the_latest() {
     assert!(broken_by("rolled-back").contains(&"boot-rises".to_owned()));
 }
+
+#[test]
+fn one_that_spends_the_whole_cold_budget_alone() {
+    assert_eq!(while_cold("none"), [""; 0]);
+    assert_eq!(while_cold("spends-alone"), ["cold-budget"]);
+}
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -123,6 +123,15 @@
         (warm, self.listed_now().count())
     }
 
+    /// Listed ones that are cold, whatever else keeps them out of use.
+    pub fn cold(&self, now: Micros) -> Vec<Id> {
+        let cold = |known: &&Member| {
+            let launched = known.standing(&self.rest, now).launched;
+            launched.is_some_and(|launched| now < launched + self.rest.warm_within)
+        };
+        self.listed_now().filter(cold).map(|known| known.entry.tgt.clone()).collect()
+    }
+
     /// What holds of all listed ones now.
     pub fn stand(&self, now: Micros) -> Vec<RosterEntry> {
         self.listed_now().map(|known| known.standing(&self.rest, now)).collect()
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -97,8 +97,15 @@
 }
 
 /// What settings mean on sockets.
-fn on_sockets(decoded: &mut Decoded, clients: &mut Clients, figures: &mut Figures, now: Micros) {
+fn on_sockets(
+    decoded: &mut Decoded,
+    portioned: bool,
+    clients: &mut Clients,
+    figures: &mut Figures,
+    now: Micros,
+) {
     let standing = &mut decoded.standing;
+    standing.portioned = portioned;
     // The list comes only on a watch, and a watch has to be opened whatever the settings say; connections end
     // by our own time, which is shorter than the runners'.
     standing.must_subscribe = true;
@@ -154,6 +161,7 @@
     limits: (usize, usize),
     /// Connections that the other process had when it handed over.
     theirs: usize,
+    dispatchers: usize,
     tip_after: Micros,
     cold_from: f64,
     /// What each operation is worth, by its number.
@@ -177,10 +185,11 @@
         let (require, began) = (told.store.as_ref().is_some_and(|store| store.require), wires.now());
         let mut decoded = told.decoded;
         let (mut clients, mut figures) = (Clients::new(), Figures::default());
-        on_sockets(&mut decoded, &mut clients, &mut figures, wires.now());
+        on_sockets(&mut decoded, peers, &mut clients, &mut figures, wires.now());
         let come_back = come_back(&decoded);
         let come_back_most = decoded.standing.come_back_max;
         let (warm_within, tip_after) = (decoded.standing.warm_within, decoded.standing.tip_after);
+        let dispatchers = decoded.standing.dispatchers as usize;
         let (cold_from, worth) = (decoded.standing.cold_from, worth(&decoded));
         let mut desk = Desk {
             clients,
@@ -206,6 +215,7 @@
             overlap: None,
             limits: (told.sockets, told.memory),
             theirs: 0,
+            dispatchers,
             tip_after,
             cold_from,
             worth,
@@ -378,7 +388,8 @@
     }
 
     fn retune(&mut self, mut decoded: Decoded, wires: &mut dyn Wires) {
-        on_sockets(&mut decoded, &mut self.clients, &mut self.figures, wires.now());
+        let portioned = self.meeting.is_some();
+        on_sockets(&mut decoded, portioned, &mut self.clients, &mut self.figures, wires.now());
         let names: Vec<&str> = self.clients.operations.names().collect();
         log!("retuned", "operations={} forwards={}", names.join(","), decoded.standing.most_forwards);
         self.runners.retune(&decoded);
@@ -386,6 +397,8 @@
         (self.come_back, self.come_back_most) = (come_back(&decoded), decoded.standing.come_back_max);
         (self.cold_from, self.worth) = (decoded.standing.cold_from, worth(&decoded));
         (self.tip_after, self.open_cap) = (decoded.standing.tip_after, decoded.open_cap);
+        self.dispatchers = decoded.standing.dispatchers as usize;
+        self.account();
         self.happened.push(Event::Retuned(Box::new(decoded.standing)));
     }
 
@@ -751,6 +764,7 @@
         let entries = self.members.listed(heard.listing, entries, wires.now());
         self.heard_of_list(heard.listing, wires);
         self.happened.push(Event::Roster(List { listing: heard.listing, entries }));
+        self.portions(wires.now());
     }
 
     fn take(&mut self, told: Invocation, wires: &mut dyn Wires) {
--- a/node/src/desk/meeting.rs
+++ b/node/src/desk/meeting.rs
@@ -1,4 +1,5 @@
-//! What the desk does with the other dispatchers: who is out by hand is agreed with them, and this life's number.
+//! What the desk does with the other dispatchers: who is out by hand is agreed with them, this life's number, and which
+//! portions of cold runners' budgets are its own.
 //!
 //! It turns datagrams into calls of the core and what that says into calls of its own. What is believed is the core's
 //! to say; a peer's word on a runner holds here as an operator's would.
@@ -76,6 +77,7 @@
         let seed = meeting.seed ^ u64::from(nonce);
         let life = (boot.unwrap_or(0), nonce);
         let mut core = Peers::new(&meeting.name, meeting.at.members.clone(), life, seed, now);
+        core.settings(self.dispatchers, self.tip_after);
         for (runner, hand) in left.map(|left| left.hands.as_slice()).unwrap_or_default() {
             core.hands.merge(topazsail_peers::Hand {
                 runner: runner.clone(),
@@ -121,15 +123,40 @@
     pub(super) fn round(&mut self, wires: &mut dyn Wires) {
         let Some(meeting) = &mut self.meeting else { return };
         let Some(core) = &mut meeting.core else { return };
-        let actions = core.tick(wires.now());
+        let now = wires.now();
+        let actions = core.tick(now);
         let due = core.due();
         if meeting.due != Some(due) {
             meeting.due = Some(due);
             wires.wake(Due::Peers, due);
         }
+        // Before anything else is decided: a promise may begin in this round.
+        self.portions(now);
         self.act_on_peers(actions, wires);
     }
 
+    /// The settings of the account on cold runners have been read again.
+    pub(super) fn account(&mut self) {
+        let (dispatchers, tip_after) = (self.dispatchers, self.tip_after);
+        if let Some(core) = self.peers() {
+            core.settings(dispatchers, tip_after);
+        }
+    }
+
+    /// Which portions of cold runners' budgets are this dispatcher's own.
+    pub(super) fn portions(&mut self, now: Micros) {
+        if self.peers().is_none() {
+            return;
+        }
+        let cold = self.members.cold(now);
+        let Some(core) = self.peers() else { return };
+        let portions = core.portions(cold.iter().map(|id| &**id), now);
+        if !cold.is_empty() {
+            let told = cold.into_iter().zip(portions).map(|(id, p)| (id, p.share, p.until));
+            self.happened.push(Event::Portions(told.collect()));
+        }
+    }
+
     /// A datagram has come.
     pub fn datagram(&mut self, from: SocketAddr, bytes: &[u8], wires: &mut dyn Wires) {
         let now = wires.now();
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -157,6 +157,7 @@
         warm_within: info.within("invariants.warmWithin", 0, SPAN)?,
         overload_factor: info.within("invariants.overloadFactor", 0.0, f64::MAX)?,
         tip_after: info.within("invariants.tipAfter", 0, SPAN)?,
+        portioned: false,
         most_forwards: info.within("limits.mostForwards", 1, u32::MAX)?,
         budget: info.budget()?,
         may_cancel: flag("limits.cancel")?,
--- a/peers/src/packet.rs
+++ b/peers/src/packet.rs
@@ -14,7 +14,7 @@
 /// No datagram is larger: it passes every link whole.
 pub const PACKET_MOST: usize = 1_200;
 const MARK: [u8; 2] = *b"tp";
-pub const FORM: u8 = 1;
+pub const FORM: u8 = 2;
 const HEAD: usize = 7;
 
 /// What the hand has done to one runner, and how new that is.
@@ -46,6 +46,8 @@
     Answer {
         number: u64,
         behalf: Option<(u16, u64)>,
+        /// From now on nothing is sent to other owners' cold runners, by this list of dispatchers (`account`).
+        promise: Option<u32>,
     },
     /// Please probe that one for me.
     Ask {
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -17,6 +17,7 @@
 use rand_pcg::Pcg32;
 
 use crate::Micros;
+use crate::account::{Account, Portion};
 use crate::hands::{Hands, Version};
 use crate::packet::{Bad, Digest, Hand, PACKET_MOST, Packet, What, open, seal};
 
@@ -33,6 +34,8 @@
 /// What differs is sent to one peer at most so often, in so many datagrams.
 const TELL_AGAIN: Micros = 200_000;
 const TELL_MOST: usize = 4;
+/// At the start nobody has been heard yet; who is not by then is not there.
+const ALONE_AFTER: Micros = 2_000_000;
 /// Probes on others' behalf that may be under way.
 const BEHALF_MOST: usize = 256;
 
@@ -129,6 +132,10 @@
     names: Vec<String>,
     by_address: BTreeMap<SocketAddr, usize>,
     pub hands: Hands,
+    account: Account,
+    /// Whether cold runners are listed: promises are then asked for in time.
+    cold: bool,
+    began: Micros,
     /// Who is to be probed next, in this order.
     turn: Vec<usize>,
     number: u64,
@@ -167,6 +174,9 @@
             nonce,
             stage: 0,
             peers: members.into_iter().map(peer).collect(),
+            account: Account::new(&names, name, now),
+            cold: false,
+            began: now,
             names,
             by_address,
             hands: Hands::default(),
@@ -231,6 +241,26 @@
         (version, std::mem::take(&mut self.actions))
     }
 
+    /// What the settings say of the account on cold runners: how many dispatchers share it, over which span.
+    pub fn settings(&mut self, dispatchers: usize, looks_at: Micros) {
+        self.account.settings(dispatchers, looks_at);
+    }
+
+    /// Which portions of these cold runners' budgets are this dispatcher's own, in the same order: to be asked for
+    /// in each round, and to hold from when they are told.
+    pub fn portions<'a>(&mut self, cold: impl Iterator<Item = &'a str>, now: Micros) -> Vec<Portion> {
+        let portions = self.account.portions(cold, now);
+        self.cold = !portions.is_empty();
+        portions
+    }
+
+    /// Whether fewer than half of the others are heard.
+    fn alone(&self, now: Micros) -> bool {
+        let starting = now < self.began + ALONE_AFTER;
+        let heard = |peer: &&Peer| peer.life == Life::Alive || starting && peer.life == Life::Unknown;
+        self.peers.iter().filter(heard).count() * 2 < self.peers.len()
+    }
+
     fn packet(&self, nth: usize, what: What) -> Packet {
         let digest = Digest { stage: self.stage, hands: self.hands.digest() };
         let peer = &self.peers[nth];
@@ -269,7 +299,13 @@
             }
             self.look(nth, now);
         }
-        let at_once = self.peers.len().div_ceil(AT_ONCE_SHARE).min(AT_ONCE_MOST);
+        let alone = self.alone(now);
+        self.account.round(alone, now);
+        let mut at_once = self.peers.len().div_ceil(AT_ONCE_SHARE).min(AT_ONCE_MOST);
+        if self.cold {
+            let rounds = (self.account.renew_within() / ROUND).max(1) as usize;
+            at_once = at_once.max(self.peers.len().div_ceil(rounds));
+        }
         for _ in 0..at_once {
             if self.turn.is_empty() {
                 self.turn = (0..self.peers.len()).collect();
@@ -365,7 +401,7 @@
             // Of an earlier life, or of another one with a number that is taken: it is told so, and not believed.
             self.counts.old += 1;
             if let What::Probe { number, behalf } = packet.what {
-                self.send(nth, What::Answer { number, behalf });
+                self.send(nth, What::Answer { number, behalf, promise: None });
             }
             return;
         }
@@ -383,13 +419,20 @@
         peer.knows_us |= (yours > 0 || self.boot == 0) && nonce == self.nonce;
         self.becomes(nth, Life::Alive);
         match packet.what {
-            What::Probe { number, behalf } => self.send(nth, What::Answer { number, behalf }),
-            What::Answer { number, behalf: None } => {
-                if self.peers[nth].probe.is_some_and(|probe| probe.number == number) {
-                    self.peers[nth].probe = None;
+            What::Probe { number, behalf } => {
+                let alone = self.alone(now);
+                let promise = behalf.is_none() && self.account.promise(alone, now);
+                let promise = Some(self.account.list).filter(|_| promise);
+                self.send(nth, What::Answer { number, behalf, promise });
+            }
+            What::Answer { number, behalf: None, promise } => {
+                if let Some(probe) = self.peers[nth].probe.take_if(|probe| probe.number == number)
+                    && promise == Some(self.account.list)
+                {
+                    self.account.promised(usize::from(self.place(nth)), probe.at);
                 }
             }
-            What::Answer { number, behalf: Some(_) } => {
+            What::Answer { number, behalf: Some(_), .. } => {
                 if let Some((asker, theirs, target)) = self.behalf.remove(&number)
                     && target == nth
                 {
--- a/peers/src/peers/tests.rs
+++ b/peers/src/peers/tests.rs
@@ -21,6 +21,50 @@
     doubled: u32,
     cut: Vec<(usize, usize)>,
     told: Vec<(usize, Told)>,
+    spenders: Vec<Spender>,
+}
+
+/// What spends a core's portion of one cold runner's budget, all of it as soon as it may, as the module counts it.
+#[derive(Clone, Default)]
+struct Spender {
+    /// Its own clock: so far ahead, and so many parts in a thousand faster.
+    ahead: Micros,
+    faster: Micros,
+    portion: Option<Portion>,
+    /// By the true clock, and by its own.
+    sent: Vec<(Micros, Micros, f64)>,
+    rests_until: Micros,
+    frozen: bool,
+    /// A faulty twin: it takes the whole account for its own.
+    alone: bool,
+}
+
+const LOOKS_AT: Micros = 2_000_000;
+
+impl Spender {
+    fn clock(&self, now: Micros) -> Micros {
+        self.ahead + now + now * self.faster / 1_000
+    }
+
+    fn spend(&mut self, now: Micros, job: f64, all: usize) {
+        let own = self.clock(now);
+        if self.frozen || now < self.rests_until {
+            return;
+        }
+        let even = 1.0 / all as f64;
+        let share = match self.portion {
+            _ if self.alone => 1.0,
+            None => 0.0,
+            Some(portion) if own < portion.until => portion.share,
+            Some(_) => even,
+        };
+        let sent = self.sent.iter().rev().take_while(|(_, at, _)| *at >= own - LOOKS_AT);
+        let mut sent: f64 = sent.map(|(.., work)| work).sum();
+        while sent + job <= share + 1e-9 {
+            sent += job;
+            self.sent.push((now, own, job));
+        }
+    }
 }
 
 fn name(nth: usize) -> String {
@@ -43,6 +87,7 @@
             doubled: 0,
             cut: Vec::new(),
             told: Vec::new(),
+            spenders: vec![Spender::default(); all],
         };
         (0..all).for_each(|nth| net.begin(nth, 1));
         net
@@ -54,7 +99,48 @@
             .map(|other| Member { name: name(other), address: address(other) })
             .collect();
         let (nonce, seed) = (self.drawn.random(), self.drawn.random());
-        self.cores[nth] = Some(Peers::new(&name(nth), members, (boot, nonce), seed, self.now));
+        let now = self.spenders[nth].clock(self.now);
+        let mut core = Peers::new(&name(nth), members, (boot, nonce), seed, now);
+        core.settings(self.cores.len(), LOOKS_AT);
+        self.cores[nth] = Some(core);
+    }
+
+    /// A life ends, its words are lost with it; the next one rests as `recovery` has it.
+    fn restart(&mut self, nth: usize, boot: u64) {
+        self.begin(nth, boot);
+        self.spenders[nth].portion = None;
+        self.spenders[nth].rests_until = self.now + LOOKS_AT;
+    }
+
+    /// All spend what they may for a span; gives the share of the budget that was used in the mean.
+    fn spend(&mut self, span: Micros, job: f64) -> f64 {
+        const STEP: Micros = 10_000;
+        let (from, all) = (self.now, self.cores.len());
+        while self.now < from + span {
+            self.run(STEP);
+            let now = self.now;
+            self.spenders.iter_mut().for_each(|spender| spender.spend(now, job, all));
+        }
+        let sent = self.spenders.iter().flat_map(|spender| &spender.sent);
+        let sent: f64 = sent.filter(|(at, ..)| *at > from).map(|(.., work)| work).sum();
+        sent * LOOKS_AT as f64 / span as f64
+    }
+
+    /// The most that all together have sent in any span that the rule looks at.
+    fn most(&self) -> f64 {
+        let sent = self.spenders.iter().flat_map(|spender| &spender.sent);
+        let mut sent: Vec<(Micros, f64)> = sent.map(|(at, _, work)| (*at, *work)).collect();
+        sent.sort_by_key(|(at, _)| *at);
+        let (mut from, mut sum, mut most) = (0, 0.0, 0.0);
+        for nth in 0..sent.len() {
+            sum += sent[nth].1;
+            while sent[from].0 <= sent[nth].0 - LOOKS_AT {
+                sum -= sent[from].1;
+                from += 1;
+            }
+            most = f64::max(most, sum);
+        }
+        most
     }
 
     fn act(&mut self, nth: usize, actions: Vec<Action>) {
@@ -82,21 +168,38 @@
     fn run(&mut self, span: Micros) {
         let end = self.now + span;
         loop {
-            let dues =
-                self.cores.iter().enumerate().filter_map(|(nth, core)| Some((core.as_ref()?.due(), nth)));
+            // By the true clock, whatever each core's own says.
+            let due = |nth: usize, core: &Option<Peers>| {
+                let spender = &self.spenders[nth];
+                let left = core.as_ref()?.due() - spender.clock(self.now);
+                Some((
+                    self.now + left.max(0) * 1_000 / (1_000 + spender.faster) + Micros::from(left > 0),
+                    nth,
+                ))
+            };
+            let awake = |nth: &usize| !self.spenders[*nth].frozen;
+            let dues = self.cores.iter().enumerate().filter(|(nth, _)| awake(nth));
+            let dues = dues.filter_map(|(nth, core)| due(nth, core));
             let round = dues.min();
             let packet = self.under_way.peek().map(|Reverse((at, ..))| *at);
             match (round, packet) {
                 (Some((due, nth)), packet) if due <= end && packet.is_none_or(|at| due <= at) => {
                     self.now = self.now.max(due);
-                    let actions = self.cores[nth].as_mut().unwrap().tick(self.now);
+                    let now = self.spenders[nth].clock(self.now);
+                    let core = self.cores[nth].as_mut().unwrap();
+                    let actions = core.tick(now);
+                    self.spenders[nth].portion = core.portions(["r1"].into_iter(), now).pop();
                     self.act(nth, actions);
                 }
                 (_, Some(at)) if at <= end => {
                     self.now = at;
                     let Some(Reverse((_, _, from, to, bytes))) = self.under_way.pop() else { return };
-                    if let Some(core) = &mut self.cores[to] {
-                        let actions = core.heard(at, address(from), &bytes);
+                    if self.spenders[to].frozen {
+                        // It waits in the socket until the process goes on.
+                        self.serial += 1;
+                        self.under_way.push(Reverse((at + 50_000, self.serial, from, to, bytes)));
+                    } else if let Some(core) = &mut self.cores[to] {
+                        let actions = core.heard(self.spenders[to].clock(at), address(from), &bytes);
                         self.act(to, actions);
                     }
                 }
@@ -283,3 +386,69 @@
     let bytes = (after.sent_bytes - before.sent_bytes) / 10;
     assert!(bytes < 8_000, "{bytes} bytes a second");
 }
+
+/// What the account is for: of one cold runner's budget all together never have more than the whole, whatever happens
+/// to links, processes and clocks, and use most of it where links are whole.
+#[test]
+fn all_together_never_have_more_than_the_account() {
+    let mut used = Vec::new();
+    for (loss, seed) in [(0, 1), (200, 2), (400, 3), (0, 4), (200, 5), (400, 6)] {
+        let all = 9;
+        let mut net = Net::new(all, seed);
+        for spender in &mut net.spenders {
+            // Two of the clocks were set wrong; all run at rates of their own.
+            spender.ahead = [0, 5_000_000, -40_000_000_000][seed as usize % 3];
+            spender.faster = net.drawn.random_range(-5..=5);
+        }
+        (0..all).for_each(|nth| net.begin(nth, 1));
+        net.loss = loss;
+        net.doubled = 100;
+        net.run(3_000_000);
+        used.push((loss, net.spend(20_000_000, 0.005)));
+        let mut boots = vec![1; all];
+        for _ in 0..25 {
+            match net.drawn.random_range(0..5) {
+                0 => {
+                    // A machine's links, or some of them one way.
+                    let (from, to) = (net.drawn.random_range(0..all), net.drawn.random_range(0..all));
+                    net.cut.extend([(from, to)]);
+                }
+                1 => {
+                    let side = net.drawn.random_range(1..all);
+                    let both = (0..all).flat_map(|a| (0..all).map(move |b| (a, b)));
+                    net.cut = both.filter(|(a, b)| (*a < side) != (*b < side)).collect();
+                }
+                2 => net.cut.clear(),
+                3 => {
+                    let nth = net.drawn.random_range(0..all);
+                    boots[nth] += 1;
+                    net.restart(nth, boots[nth]);
+                }
+                _ => {
+                    let nth = net.drawn.random_range(0..all);
+                    net.spenders[nth].frozen ^= true;
+                }
+            }
+            let span = net.drawn.random_range(0..15_000_000);
+            net.spend(span, 0.005);
+        }
+        let most = net.most();
+        assert!(most <= 1.0 + 1e-9, "{most} at {loss} of a thousand lost, seed {seed}");
+        assert!(most > 0.5, "{most}: nobody has used it");
+    }
+    // Whole links; what a fifth and two fifths of lost datagrams cost is stated in docs/peers.md.
+    for (loss, used) in used {
+        let least = [0.9, 0.85, 0.6][loss as usize / 200];
+        assert!(used > least, "{used} used at {loss} of a thousand lost");
+    }
+}
+
+/// Whoever takes the whole account for its own is seen by the sum.
+#[test]
+fn one_that_spends_alone_is_seen() {
+    let mut net = Net::new(9, 1);
+    net.spenders[4].alone = true;
+    net.run(3_000_000);
+    net.spend(10_000_000, 0.02);
+    assert!(net.most() > 1.5, "{}", net.most());
+}
--- a/src/books.rs
+++ b/src/books.rs
@@ -66,6 +66,8 @@
     pub silent_since: Micros,
     /// Work sent of late, and when.
     pub spent: VecDeque<(Micros, f64)>,
+    /// The share of its cold budget that was told to be this dispatcher's own, and until when.
+    pub portion: Option<(f64, Micros)>,
 }
 
 impl Runner {
@@ -98,6 +100,12 @@
         self.spent.iter().filter(|(at, _)| *at >= from).map(|(_, work)| work).sum()
     }
 
+    /// The share of a cold budget that dispatchers agree on; an even one once that is over.
+    pub fn portion(&self, now: Micros, dispatchers: u32) -> f64 {
+        let even = 1.0 / f64::from(dispatchers.max(1));
+        self.portion.map_or(0.0, |(share, until)| if now < until { share } else { even })
+    }
+
     /// The share of failures. Two successes are granted in advance: one failure alone condemns nobody.
     pub fn failing(&self) -> f64 {
         self.bad / (self.good + self.bad + 2.0)
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
     ReportField, Roster, RosterEntry, Sizes, StandingOrders,
 };
 
-pub use handing::Spent;
+pub use handing::{Portion, Spent};
 
 /// Draws for a low and for a high invocation.
 const D1: usize = 3;
@@ -62,6 +62,9 @@
 const HOME_BOUND: f64 = 1.25;
 /// The share of the cold budget that is used: sizes are known only on average.
 const COLD_CAUTION: f64 = 0.7;
+/// The parts of that which are spent by agreed portions and by turns, where there are portions: fewer then send more
+/// each, so that chance weighs more; without any turn whoever has no portion never learns how long jobs take.
+const PORTIONED: (f64, f64) = (0.3, 0.1);
 /// Jobs that other dispatchers may be sending to a runner whose report is fresh.
 const MEANWHILE: f64 = 2.0;
 /// How far above the fleet's median share of failures a runner may lie.
@@ -194,6 +197,7 @@
                 Event::Roster(roster) => self.roster(roster),
                 Event::Retuned(orders) => self.retune(*orders),
                 Event::Spent(spent) => self.inherit(spent),
+                Event::Portions(portions) => self.portions(portions),
                 Event::Tick => self.armed = self.armed.split_off(&(now + 1)),
             }
         }
@@ -965,28 +969,33 @@
         self.pace[inv.operation].value.max(inv.hint) * inv.slots
     }
 
-    /// An even share of what all dispatchers may send a cold runner in the span that the rule looks at.
-    fn cold_share(&self, r: usize) -> f64 {
+    /// What all dispatchers together may send a cold runner in the span that the rule looks at.
+    fn cold_budget(&self, r: usize) -> f64 {
         let most = self.orders.overload_factor * self.warmth(r) * self.slots(r);
-        most * self.orders.tip_after as f64 * COLD_CAUTION / f64::from(self.orders.dispatchers)
+        most * self.orders.tip_after as f64 * COLD_CAUTION
     }
 
-    /// Among hundreds of dispatchers a share is less than one job and would never be used: there they take
-    /// turns by their own numbers, a time slice each, at whole jobs. Two slices touch any span that the rule
-    /// looks at, so each has half the budget.
+    /// An even share of it, or the portion that was agreed on. Among hundreds of dispatchers a share is less than one
+    /// job and would never be used: there they take turns by their own numbers, a time slice each, at whole jobs. Two
+    /// slices touch any span that the rule looks at, so each has half the budget.
     fn within_cold_budget(&self, r: usize, work: f64) -> bool {
         if self.warmth(r) >= 1.0 {
             return true;
         }
-        let (span, share) = (self.orders.tip_after.max(1), self.cold_share(r));
+        let (span, budget) = (self.orders.tip_after.max(1), self.cold_budget(r));
         let runner = &self.runners[r];
-        if share >= work {
-            return runner.spent_since(self.now - span) + work <= share;
+        let (by_portions, by_turns) = if self.orders.portioned { PORTIONED } else { (0.0, 1.0) };
+        let portion = runner.portion(self.now, self.orders.dispatchers) * by_portions * budget;
+        let share = by_turns * budget / f64::from(self.orders.dispatchers);
+        let spent = runner.spent_since(self.now - span) + work;
+        if spent <= portion || share >= work {
+            return spent <= portion.max(share);
         }
         let slice = self.now.div_euclid(span);
         let turns = (self.mean_pace / (share / 2.0)).ceil();
         let turn = (slice as u64).wrapping_add(runner.hash >> 32).wrapping_add(self.orders.number.into());
-        turn % (turns as u64).max(1) == 0 && runner.spent_since(slice * span) + work <= turns * share / 2.0
+        let most = portion + turns * share / 2.0;
+        turn % (turns as u64).max(1) == 0 && runner.spent_since(slice * span) + work <= most
     }
 
     /// What a runner is sent in a span is what it does in it, which is its capacity at most, and what it holds at
--- a/src/brain/handing.rs
+++ b/src/brain/handing.rs
@@ -1,5 +1,5 @@
 //! What one dispatcher's module has sent to cold runners, for the process that takes over from it: both count
-//! as one. Nothing is decided here. Nothing else goes along: a module that also took over loads, paces and
+//! as one; and what it is told of its portions of their budgets. Nothing is decided here. Nothing else goes along: a module that also took over loads, paces and
 //! shares did worse in a shortage than one that begins anew (docs/operations.md).
 
 use super::Brain;
@@ -8,6 +8,9 @@
 /// Work sent to a runner, and when.
 pub type Spent = (Id, Vec<(Micros, f64)>);
 
+/// The share of a cold runner's budget that is this dispatcher's own until then; afterwards it is an even one.
+pub type Portion = (Id, f64, Micros);
+
 impl Brain {
     /// What counts, now or later, against the budgets of cold runners.
     pub fn spent(&self, now: Micros) -> Vec<Spent> {
@@ -27,4 +30,12 @@
             }
         }
     }
+
+    pub(super) fn portions(&mut self, portions: Vec<Portion>) {
+        for (id, share, until) in portions {
+            if let Some(&r) = self.by_id.get(&id) {
+                self.runners[r].portion = Some((share, until));
+            }
+        }
+    }
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,4 +1,4 @@
-use crate::{Id, Micros, Spent, StandingOrders};
+use crate::{Id, Micros, Portion, Spent, StandingOrders};
 
 /// What happened to this dispatcher.
 #[derive(Clone, Debug)]
@@ -34,6 +34,8 @@
     Retuned(Box<StandingOrders>),
     /// What another process of this dispatcher has sent to cold runners.
     Spent(Vec<Spent>),
+    /// Which portions of cold runners' budgets are this dispatcher's own.
+    Portions(Vec<Portion>),
     /// A timer that was armed has gone off.
     Tick,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 pub use actions::Action;
-pub use brain::{Brain, Spent};
+pub use brain::{Brain, Portion, Spent};
 pub use chance::hash;
 pub use events::{Arrival, Ending, Event, Listing, Outcome, Readiness, Roster, RosterEntry};
 pub use standing::{Budget, Effect, Group, Operation, ReportField, Sizes, StandingOrders};
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -20,6 +20,8 @@
     pub warm_within: Micros,
     pub overload_factor: f64,
     pub tip_after: Micros,
+    /// Whether dispatchers agree on portions of cold runners' budgets, in place of even shares.
+    pub portioned: bool,
     pub most_forwards: u32,
     pub budget: Option<Budget>,
     pub may_cancel: bool,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -41,6 +41,7 @@
         warm_within: 10_000_000,
         overload_factor: 3.0,
         tip_after: 2_000_000,
+        portioned: false,
         most_forwards: 3,
         budget: None,
         may_cancel: true,
@@ -210,6 +211,12 @@
         sent.collect()
     }
 
+    /// This share of a cold runner's budget is this dispatcher's for so many milliseconds.
+    pub fn portion(&mut self, tgt: &str, share: f64, ms: Micros) -> &mut Desk {
+        let until = self.now + ms * 1000;
+        self.tell(Event::Portions(vec![(tgt.into(), share, until)]))
+    }
+
     pub fn retuned(&mut self, orders: StandingOrders) -> &mut Desk {
         self.tell(Event::Retuned(Box::new(orders)))
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -430,6 +430,41 @@
     .assert_eq(&shown);
 }
 
+#[test]
+fn a_portion_that_was_agreed_on_goes_before_turns_and_ends() {
+    let mut shown = String::new();
+    // With 40 dispatchers an even share is 0.04 s of work; none of them is a job's.
+    for (told, after) in [(None, 0), (Some(0.0), 0), (Some(0.9), 0), (Some(0.9), 600)] {
+        for number in [0, 5] {
+            let mut orders = orders(vec![operation(Effect::Idempotent)]);
+            (orders.dispatchers, orders.number, orders.may_probe) = (40, number, false);
+            orders.portioned = true;
+            let mut desk = Desk::new(orders, "a");
+            desk.roster(Listing::Changes, "a", Readiness::On, Some(1_000_000));
+            desk.reports("a", &IDLE).passes(3_000);
+            if let Some(share) = told {
+                desk.portion("a", share, 500);
+            }
+            desk.after(after);
+            for nth in ["1", "2", "3", "4"] {
+                desk.arrives_with(nth, 0, Some(nth));
+            }
+            shown += &format!("{told:?} after {after} ms, dispatcher {number}: {}\n", desk.counts());
+        }
+    }
+    expect![[r#"
+        None after 0 ms, dispatcher 0: 
+        None after 0 ms, dispatcher 5: 
+        Some(0.0) after 0 ms, dispatcher 0: 
+        Some(0.0) after 0 ms, dispatcher 5: 
+        Some(0.9) after 0 ms, dispatcher 0: a1 
+        Some(0.9) after 0 ms, dispatcher 5: a1 
+        Some(0.9) after 600 ms, dispatcher 0: 
+        Some(0.9) after 600 ms, dispatcher 5: 
+    "#]]
+    .assert_eq(&shown);
+}
+
 #[test]
 fn a_cold_runner_that_holds_little_by_fresh_word_is_safe_without_a_turn() {
     let mut shown = String::new();
