Peers: a life that begins holds for as long as an earlier one may have promised

Cause: the account learnt the span that the rule on cold runners looks at only after it had set until when it holds (peers/src/account.rs, Account::new before Account::settings), so that a restarted process held two seconds too short. Seen by the unit test once its owners were right; the test of nine spenders had not met it, as its restarted cores rest for that long anyway.

Change: settings() lengthens what is held from the start of the life.

--- a/peers/src/account.rs
+++ b/peers/src/account.rs
@@ -46,6 +46,7 @@
     counted: usize,
     /// The span that the rule on cold runners looks at.
     looks_at: Micros,
+    began: Micros,
     /// Nothing is sent to other owners' runners until then; who asks from `gives_from` on is promised so.
     holds_until: Micros,
     gives_from: Micros,
@@ -78,6 +79,7 @@
             list: crc32fast::hash(names.join("\n").as_bytes()),
             counted: names.len(),
             looks_at: 0,
+            began: now,
             holds_until: 0,
             gives_from: now,
             promised: vec![Micros::MIN; names.len()],
@@ -90,6 +92,8 @@
     /// What the settings say: how many dispatchers there are, and which span the rule on cold runners looks at.
     pub fn settings(&mut self, dispatchers: usize, looks_at: Micros) {
         (self.counted, self.looks_at) = (dispatchers.max(self.hashes.len()), looks_at);
+        // What an earlier life may have promised lasts as long as this one's promises do.
+        self.holds_until = self.holds_until.max(self.began + self.span());
     }
 
     /// How long a promise lasts, from the answer that makes it.
