--- a/node/src/desk/meeting.rs
+++ b/node/src/desk/meeting.rs
@@ -9,6 +9,7 @@
 use topazsail::{Event, Listing, Micros};
 use topazsail_peers::{Action, Life, Peers, Told, Version};
 use topazsail_recovery as recovery;
+use topazsail_store::kept as store;
 
 use super::Desk;
 use crate::config::PeersAt;
@@ -69,8 +70,21 @@
     pub(super) fn meet(&mut self, boot: Option<u64>, left: Option<&Left>, wires: &mut dyn Wires) {
         let now = wires.now();
         let Some(meeting) = &mut self.meeting else { return };
+        let left = left.map(|left| left.hands.as_slice()).unwrap_or_default();
+        let of_left = |(runner, hand): &(String, store::Hand)| topazsail_peers::Hand {
+            runner: runner.clone(),
+            // One that was said before there were peers is older than whatever they say.
+            version: Version { count: hand.count.max(1), author: hand.author },
+            out_since: hand.out_since,
+            was_out: hand.was_out,
+        };
         if let Some(core) = &mut meeting.core {
+            // The disk opens late: the others hear of what it holds all the same.
             core.numbered(boot.unwrap_or(0));
+            let holds: Vec<_> = left.iter().filter_map(|left| core.remember(of_left(left))).collect();
+            for hand in holds {
+                self.hand_heard(&hand.runner, hand.out_since.is_some(), wires);
+            }
             return;
         }
         let nonce = topazsail::hash(format!("{} {} {now}", meeting.name, meeting.seed).as_bytes()) as u32;
@@ -78,14 +92,8 @@
         let life = (boot.unwrap_or(0), nonce);
         let mut core = Peers::new(&meeting.name, meeting.at.members.clone(), life, seed, now);
         core.settings(self.dispatchers, self.tip_after);
-        for (runner, hand) in left.map(|left| left.hands.as_slice()).unwrap_or_default() {
-            core.hands.merge(topazsail_peers::Hand {
-                runner: runner.clone(),
-                // One that was said before there were peers is older than whatever they say.
-                version: Version { count: hand.count.max(1), author: hand.author },
-                out_since: hand.out_since,
-                was_out: hand.was_out,
-            });
+        for left in left {
+            core.remember(of_left(left));
         }
         meeting.core = Some(core);
         self.round(wires);
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -227,8 +227,7 @@
         was_out: Option<(Micros, Micros)>,
         now: Micros,
     ) -> (Version, Vec<Action>) {
-        let author = crc32fast::hash(format!("{} {}", self.name, self.boot).as_bytes());
-        let version = self.hands.next(runner, author);
+        let version = self.hands.next(runner, self.author());
         let hand = Hand { runner: runner.to_owned(), version, out_since, was_out };
         self.hands.merge(hand.clone());
         // At once to all who are there: rounds are for who was not.
@@ -241,6 +240,25 @@
         (version, std::mem::take(&mut self.actions))
     }
 
+    /// Marks calls that were made in this life.
+    fn author(&self) -> u32 {
+        crc32fast::hash(format!("{} {}", self.name, self.nonce).as_bytes())
+    }
+
+    /// A word that an earlier life has left, perhaps on a disk that opens late. Gives it back where it holds from now
+    /// on: not where a newer one is known, nor where a call was made here since, which then counts above it.
+    pub fn remember(&mut self, hand: Hand) -> Option<Hand> {
+        let own = self.author();
+        let known = self.hands.get(&hand.runner).filter(|known| known.version.author == own).cloned();
+        if !self.hands.merge(hand.clone()) {
+            return None;
+        }
+        let Some(called) = known else { return Some(hand) };
+        let version = self.hands.next(&called.runner, own);
+        self.hands.merge(Hand { version, ..called });
+        None
+    }
+
     /// What the settings say of the account on cold runners: how many dispatchers share it, over which span.
     pub fn settings(&mut self, dispatchers: usize, looks_at: Micros) {
         self.account.settings(dispatchers, looks_at);
--- a/peers/src/peers/tests.rs
+++ b/peers/src/peers/tests.rs
@@ -452,3 +452,21 @@
     net.spend(10_000_000, 0.02);
     assert!(net.most() > 1.5, "{}", net.most());
 }
+
+/// A disk that opens after the others were met: what it holds is told to them, and undoes no call that was made since.
+#[test]
+fn what_a_late_disk_holds_is_told_and_undoes_no_call() {
+    let mut net = Net::new(3, 1);
+    net.run(300_000);
+    net.call(0, "r1", false);
+    net.run(50_000);
+    let version = Version { count: 3, author: 9 };
+    let left = |runner: &str| Hand { runner: runner.into(), version, out_since: Some(5), was_out: None };
+    assert_eq!(net.core(0).remember(left("r1")), None);
+    assert_eq!(net.core(0).remember(left("r2")), Some(left("r2")));
+    assert_eq!(net.core(0).remember(left("r2")), None);
+    net.run(2_000_000);
+    for nth in 0..3 {
+        assert_eq!((net.out(nth, "r1"), net.out(nth, "r2")), (Some(false), Some(true)));
+    }
+}
