Read again: one mixing function and one look at promises, no second copy of either

Seen on reading the change since: peers/src/account.rs wrote the finalizer of SplitMix64 again beside hands.rs, counted promises by two copies of one condition, and lab/src/virtual_clock.rs asked the scenario for what the orders say; a comment in src/brain/handing.rs was too long a line. One pair told of as alike (account.rs and world.rs) is a list of unlike constants and stays.

--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -1145,7 +1145,7 @@
         let (epoch, starts) = self.dispatchers.get(nth).map_or((0, 0), |old| (old.epoch + 1, old.starts + 1));
         let (now, killed_at) = (self.now, self.dispatchers.get(nth).and_then(|old| old.killed_at));
         let orders = &self.orders[nth];
-        let peers = self.scenario.store.as_ref().is_some_and(|store| store.peers);
+        let peers = orders.portioned;
         let seed = chance(self.seed, 1 << 41 | u64::from(d) << 8 | starts).random();
         let dispatcher = Dispatcher {
             decide: decider(self.policy, self.orders[nth].clone(), seed),
--- a/peers/src/account.rs
+++ b/peers/src/account.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::Micros;
+use crate::{Micros, mix};
 
 /// Owners of each runner. Measured from one to eight (docs/peers.md): with more a portion is less than a job, with fewer
 /// the loss of one machine of three takes the account of many runners with it.
@@ -55,14 +55,6 @@
     owners: BTreeMap<String, Vec<u16>>,
 }
 
-fn mix(mut value: u64) -> u64 {
-    // The finalizer of SplitMix64.
-    value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 fn hash(text: &str) -> u64 {
     let bytes = text.as_bytes();
     // Two halves, as a checksum alone has 32 bits.
@@ -139,25 +131,21 @@
         }
     }
 
-    /// Whose promises count until a portion told now is over.
-    fn count(&self, now: Micros) -> usize {
-        let counts = |(place, until): (usize, &Micros)| place != self.own && *until >= now + TOLD_FOR;
-        self.promised.iter().enumerate().filter(|told| counts((told.0, told.1))).count()
+    /// Whether another one's promise counts until a portion told now is over.
+    fn gives(&self, place: usize, now: Micros) -> bool {
+        place != self.own && self.promised[place] >= now + TOLD_FOR
     }
 
     /// What this dispatcher may send each of these runners, in the same order.
     pub fn portions<'a>(&mut self, runners: impl Iterator<Item = &'a str>, now: Micros) -> Vec<Portion> {
-        let all = self.count(now);
+        let all = (0..self.promised.len()).filter(|place| self.gives(*place, now)).count();
         let portion = |runner: &str| {
             let owners = self.owners_of(runner);
             if !owners.contains(&(self.own as u16)) {
                 // A promise may have been made since, and the next round not come.
                 return Portion { share: 0.0, until: self.holds_until + TOLD_FOR };
             }
-            let theirs = |place: &&u16| {
-                usize::from(**place) != self.own && self.promised[usize::from(**place)] >= now + TOLD_FOR
-            };
-            let givers = all - owners.iter().filter(theirs).count();
+            let givers = all - owners.iter().filter(|place| self.gives(usize::from(**place), now)).count();
             let shares = 1.0 + givers as f64 / owners.len() as f64;
             Portion { share: shares / self.counted as f64, until: now + TOLD_FOR }
         };
--- a/peers/src/hands.rs
+++ b/peers/src/hands.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::mix;
 use crate::packet::Hand;
 
 /// Digests are kept for so many parts, by the hash of the runner's id.
@@ -41,11 +42,7 @@
     sum.update(hand.runner.as_bytes());
     sum.update(&hand.version.count.to_le_bytes());
     sum.update(&hand.version.author.to_le_bytes());
-    // The finalizer of SplitMix64.
-    let mut mixed = u64::from(sum.finalize()).wrapping_add(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (mixed ^ (mixed >> 31)) as u32
+    mix(u64::from(sum.finalize())) as u32
 }
 
 impl Hands {
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -16,3 +16,11 @@
 
 /// Whole microseconds: a moment of the caller's clock, or a span.
 pub type Micros = i64;
+
+/// The finalizer of SplitMix64: all bits of the result depend on all that are given.
+pub(crate) fn mix(value: u64) -> u64 {
+    let mut mixed = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/src/brain/handing.rs
+++ b/src/brain/handing.rs
@@ -1,6 +1,7 @@
 //! What one dispatcher's module has sent to cold runners, for the process that takes over from it: both count
-//! as one; and what it is told of its portions of their budgets. Nothing is decided here. Nothing else goes along: a module that also took over loads, paces and
-//! shares did worse in a shortage than one that begins anew (docs/operations.md).
+//! as one; and what it is told of its portions of their budgets. Nothing is decided here. Nothing else goes
+//! along: a module that also took over loads, paces and shares did worse in a shortage than one that begins
+//! anew (docs/operations.md).
 
 use super::Brain;
 use crate::{Id, Micros};
