Where nothing tells what runners hold, nobody is probed, nothing moves, draws go by size

Cause: report.fields is empty there. src/brain.rs probed each draw anew, as no answer ever made a report fresh (`stale`), and set runners aside whose probe waited its turn (`probed`). Work that had not begun moved after a third of its objective (`stalled`), while runners go on with what is cancelled: each move was one more job. Linked and near pools settled on counts that are only own forwards, so a hot zone stayed hot, and the largest runners always looked least loaded (`least`).

Change: `StandingOrders::blind` and `probes`; moves and early giving up need word of load; where there is none all runners are one pool, drawn by size, and equals are taken in the order of chance.

Other deployments tell loads.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -155,12 +155,13 @@
         let further = f64::from(orders.most_forwards - 1);
         let share = |o: &Operation| if most > 0.0 { (o.billed_value / most).min(1.0) } else { 1.0 };
         let linked: &[Pool] = match (orders.connecting_costs, orders.sizes) {
+            _ if orders.blind() => &[],
             (true, _) => &[Pool::LinkedNear, Pool::Linked],
             (false, Sizes::Live) => &[Pool::Linked],
             _ => &[],
         };
         let mut unkeyed = [linked, &[Pool::Near, Pool::All, Pool::Cold]].concat();
-        if !orders.crossing_costs {
+        if !orders.crossing_costs || orders.blind() {
             unkeyed.retain(|pool| !matches!(pool, Pool::LinkedNear | Pool::Near));
         }
         self.high = ops.iter().map(high).collect();
@@ -204,7 +205,8 @@
         while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
                 Due::Look(inv) => self.look(&inv),
-                Due::Ask => self.ask(),
+                Due::Ask if self.orders.must_subscribe && !self.following => self.todo.push(Action::Follow),
+                Due::Ask => {}
             }
         }
         self.place();
@@ -266,12 +268,6 @@
 
     // The roster.
 
-    fn ask(&mut self) {
-        if self.orders.must_subscribe && !self.following {
-            self.todo.push(Action::Follow);
-        }
-    }
-
     fn roster(&mut self, roster: Roster) {
         match roster.listing {
             Listing::Refused => {
@@ -399,7 +395,7 @@
 
     /// Whether it is forwards, taken or turned away, that tell of free slots: draws are not probed, or in vain.
     fn forwards_tell(&self) -> bool {
-        self.orders.lists_load() || self.orders.may_probe && self.doubt > 0.0
+        self.orders.lists_load() || self.orders.probes() && self.doubt > 0.0
     }
 
     /// The shares at which no low work, and at which all, is let in.
@@ -526,7 +522,7 @@
         }
         runner.spent.push_back((self.now, work));
         self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
-        if self.orders.lists_load() && self.orders.may_probe && runner.slots.is_none() {
+        if self.orders.lists_load() && self.orders.probes() && runner.slots.is_none() {
             // The list tells of load in shares of slots, but not how many these are.
             self.probe(tgt);
         }
@@ -698,7 +694,7 @@
     }
 
     fn probes_tell(&self) -> bool {
-        self.orders.may_probe && !self.orders.lists_load() && self.doubt <= 0.0
+        self.orders.probes() && !self.orders.lists_load() && self.doubt <= 0.0
     }
 
     /// Whether a new connection is priced, or has been seen to take a good part of an objective.
@@ -762,7 +758,7 @@
     /// Where sizes move with load, draws go by them: all hear the same late list, and who drew evenly and then
     /// took the least would meet all others there.
     fn pick(&mut self, from: &[usize]) -> usize {
-        if !self.orders.lists_load() {
+        if !self.orders.lists_load() && !self.orders.blind() {
             return self.chance.below(from.len() as u64) as usize;
         }
         let weights: Vec<f64> = from.iter().map(|r| self.capacity(*r).max(1e-6)).collect();
@@ -809,7 +805,9 @@
             let high = self.high[inv.operation];
             let first = if high { f64::from(self.runners[r].out_high) / self.slots(r) } else { 0.0 };
             let fetch = if inv.spare == Some(r) { FETCH } else { 0.0 };
-            let load = (self.guess(r) + 1.0 + fetch) / self.capacity(r);
+            // Where no load is told the order of chance, which goes by size, decides among equals.
+            let own = if self.orders.blind() { 0.0 } else { 1.0 };
+            let load = (self.guess(r) + own + fetch) / self.capacity(r);
             if best.is_none_or(|best| (first, load) < (best.0, best.1)) {
                 best = Some((first, load, r));
             }
@@ -885,7 +883,7 @@
             return true;
         }
         let (slots, count) = (self.slots(r), self.count(r));
-        let room = if self.orders.may_probe {
+        let room = if self.orders.probes() {
             // Own forwards tell here when they end, so a job may as well wait here for their slots; where
             // others hold the slots, none would tell, and it waits in the runner.
             let others = 1.0 - f64::from(self.runners[r].out) / count.max(1.0);
@@ -1132,7 +1130,10 @@
     fn stalled(&mut self, id: &Id) {
         let Some(inv) = self.invs.get(id).filter(|inv| !inv.answered) else { return };
         let Some(out) = inv.out.as_ref().filter(|out| !out.flowing && !out.cancelled) else { return };
-        if self.orders.tells_start && !out.started && self.now >= inv.in_time && self.orders.may_cancel {
+        // Where no load is told a move is a guess as good as the first, and a cancel that stops nothing makes two
+        // jobs of one: no setting says whether it does.
+        let unbegun = self.orders.tells_start && !out.started && !self.orders.blind();
+        if unbegun && self.now >= inv.in_time && self.orders.may_cancel {
             // Not begun, and late whatever comes: to go on would take a slot from what can still be in time.
             return self.give_up(id);
         }
@@ -1150,7 +1151,7 @@
         if !self.affords(inv.operation) {
             return self.watch(id, Some(self.now + allowed / 4));
         }
-        if self.orders.tells_start && !out.started {
+        if unbegun {
             return self.cancel(id);
         }
         if self.silent(tgt) && self.now - out.sign >= allowed {
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -37,6 +37,17 @@
 }
 
 impl StandingOrders {
+    /// Whether a probe may be sent and tells what a runner holds. One that tells only that it lives says nothing
+    /// that a forward would not, and costs as much.
+    pub fn probes(&self) -> bool {
+        self.may_probe && self.report_fields.contains(&ReportField::InFlight)
+    }
+
+    /// Whether nothing tells what runners hold.
+    pub fn blind(&self) -> bool {
+        !self.lists_load() && !self.report_fields.contains(&ReportField::InFlight)
+    }
+
     /// Whether the list is where runners' load is told.
     pub fn lists_load(&self) -> bool {
         self.sizes == Sizes::Live
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -886,3 +886,27 @@
         assert!(spent as f64 <= floor + share * taken as f64, "{spent} at {at}, {taken} taken");
     }
 }
+
+/// Against a customer whose runners tell no loads, answer probes in their turn and go on with what was cancelled:
+/// all runners were set aside for slow probes, and moves doubled the work until nothing was in time.
+#[test]
+fn where_no_load_is_told_nothing_is_probed_or_moved_and_draws_go_by_size() {
+    let mut orders = orders(vec![operation(Effect::Idempotent)]);
+    orders.report_fields.clear();
+    (orders.sizes, orders.tells_start) = (Sizes::Registered, true);
+    (orders.crossing_costs, orders.connecting_costs) = (true, true);
+    let mut desk = Desk::new(orders, "abcd");
+    desk.arrives("1", 0).passes(900);
+    desk.shows(expect![[r#"
+        1000 follow
+        1000 1 -> d
+    "#]]);
+    desk.sizes("a", 8.0);
+    desk.sizes("b", 4.0);
+    desk.sizes("cd", 2.0);
+    for nth in 0..160 {
+        let inv = format!("i{nth}");
+        desk.arrives(&inv, 0).starts(&inv, 0).ends(&inv, 0, Ending::Succeeded, &[]);
+    }
+    desk.shows_counts(expect!["a93 b47 c20 probes 0"]);
+}
