Going down goes by the longest client timeout in force, and owes nothing at its end

Cause: DOWN_KEPT 2.0 s and DOWN_ALL 3.3 s (node/src/desk.rs) were right for clients who wait 3 s or longer; SIGKILL comes at the longest client timeout and 0.7 s. Two more by reading and trace: what was taken between the last step and the exit was forwarded and then owed (`take`, `is_down` ended by the clock alone), and `Desk::error` answered 502 to what had never left.

Change: both times follow from the longest client timeout of the settings in force (3.0 s and more: as before); past the last step whatever comes is answered at once, and the process does not end while an answer is owed. The brain says the last word (`Event::Over`), as it knows what may be throttled; 502 of the desk's own is the backstop. One kept trace changes: an idempotent invocation given up at the end is throttled now, not errored, and nothing is forwarded after, as strictly as before.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -42,16 +42,16 @@
 /// How many ids are known after their final answer: each is for one request only, and whoever sends one again
 /// has it from somebody else.
 const CLOSED_KEPT: usize = 4096;
-/// How long an error may take that the brain owes when the client's time is over.
+/// How long an answer may take that the brain owes when the time is over.
 const OVERDUE: Micros = 10_000;
 /// A cancel that failed is tried again after this, doubled each time: the forward is out until then.
 const CANCEL_AGAIN: Micros = 125_000;
 const CANCEL_AGAIN_MOST: Micros = 2_000_000;
-/// After being told to end: clients keep their connections for so long, as the dispatcher that was restarted
-/// before us may not be back yet, and whatever is not answered by the second time is given up, before we are
-/// killed (3.7 s at the earliest). What is taken last has the time between the two.
-const DOWN_KEPT: Micros = 2_000_000;
-const DOWN_ALL: Micros = 3_300_000;
+/// After being told to end we are killed no sooner than the longest client timeout, or this where that is less,
+/// and 0.7 s more.
+const DOWN_LONGEST: Micros = 3_000_000;
+/// Whatever is not answered so long after the longest client timeout is given up, well before we are killed.
+const DOWN_GRACE: Micros = 300_000;
 const DOWN_STEP: Micros = 50_000;
 
 struct Forward {
@@ -74,6 +74,8 @@
     head: Vec<u8>,
     body: Vec<u8>,
     answered: bool,
+    /// The brain has been told that its time is over.
+    over: bool,
     forwards: Vec<Forward>,
 }
 
@@ -155,6 +157,8 @@
     /// The longest advice that clients follow, if any.
     come_back_most: Option<Micros>,
     down_since: Option<Micros>,
+    /// The longest client timeout of the settings in force.
+    longest_timeout: Micros,
     peer: Peer,
     overlap: Option<Overlap>,
     /// Descriptors and memory, the other process's among them.
@@ -211,6 +215,7 @@
             come_back,
             come_back_most,
             down_since: None,
+            longest_timeout: decoded.longest_timeout,
             peer: Peer::default(),
             overlap: None,
             limits: (told.sockets, told.memory),
@@ -397,6 +402,10 @@
         (self.come_back, self.come_back_most) = (come_back(&decoded), decoded.standing.come_back_max);
         (self.cold_from, self.worth) = (decoded.standing.cold_from, worth(&decoded));
         (self.tip_after, self.open_cap) = (decoded.standing.tip_after, decoded.open_cap);
+        self.longest_timeout = decoded.longest_timeout;
+        if self.down_since.is_some() {
+            wires.wake(Due::Down, wires.now());
+        }
         self.dispatchers = decoded.standing.dispatchers as usize;
         self.account();
         self.happened.push(Event::Retuned(Box::new(decoded.standing)));
@@ -445,15 +454,30 @@
         log!("going-down", "open={} runner_connections={}", self.invs.len(), self.runners.open());
         self.down_since = Some(now);
         self.clients.ready(false);
-        wires.wake(Due::Down, now + DOWN_KEPT);
+        wires.wake(Due::Down, now + self.down_spans().0);
+    }
+
+    /// After being told to end: for how long clients keep their connections, as the dispatcher that was restarted
+    /// before us may not be back yet, and when whatever is not answered is given up. Both go by the settings: with
+    /// client timeouts of a second we are killed long before another customer's clients would have been let go.
+    /// What is taken last has the time between the two.
+    fn down_spans(&self) -> (Micros, Micros) {
+        let longest = self.longest_timeout.min(DOWN_LONGEST);
+        (DOWN_GRACE + longest * 17 / 30, DOWN_GRACE + longest)
+    }
+
+    /// Whether it is too late to take anything more.
+    fn too_late_to_take(&self, now: Micros) -> bool {
+        self.down_since.is_some_and(|since| now >= since + self.down_spans().1)
     }
 
     /// Whether all is said and done after having been told to end.
     pub fn is_down(&self, now: Micros) -> bool {
         let Some(since) = self.down_since else { return false };
         let owed = self.invs.values().any(|open| !open.answered);
-        let at_work = owed || self.clients.remain() || self.runners.cancelling();
-        now >= since + DOWN_KEPT && !at_work || now >= since + DOWN_ALL + 2 * OVERDUE
+        let at_work = self.clients.remain() || self.runners.cancelling();
+        let (kept, all) = self.down_spans();
+        !owed && (now >= since + kept && !at_work || now >= since + all + 2 * OVERDUE)
     }
 
     pub fn due(&mut self, due: Due, wires: &mut dyn Wires) {
@@ -474,13 +498,16 @@
 
     fn step_down(&mut self, wires: &mut dyn Wires) {
         let (Some(since), now) = (self.down_since, wires.now()) else { return };
+        let (kept, all) = self.down_spans();
+        if now < since + kept {
+            return wires.wake(Due::Down, since + kept);
+        }
         self.clients.let_go(wires);
-        if now < since + DOWN_ALL {
-            return wires.wake(Due::Down, (now + DOWN_STEP).min(since + DOWN_ALL));
+        if now < since + all {
+            return wires.wake(Due::Down, (now + DOWN_STEP).min(since + all));
         }
         for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
-            self.time_out(&id, wires);
-            self.error(&id, wires);
+            self.overdue(&id, wires);
         }
     }
 
@@ -597,14 +624,17 @@
         }
     }
 
-    /// The client's time is over: a forward still out is timed out, and the brain owes the error now.
+    /// The time is over: a forward still out is timed out, and the brain owes the answer now. It knows whether it may
+    /// still be a throttling: what never left, or never ran, has not failed.
     fn overdue(&mut self, inv: &Id, wires: &mut dyn Wires) {
-        if self.time_out(inv, wires) {
-            wires.wake(Due::Inv(inv.clone()), wires.now() + OVERDUE);
-        } else if let Some(open) = self.invs.get(inv).filter(|open| !open.answered) {
+        self.time_out(inv, wires);
+        let Some(open) = self.invs.get_mut(inv).filter(|open| !open.answered) else { return };
+        if std::mem::replace(&mut open.over, true) {
             log!("overdue", "inv={inv} forwards={}", open.forwards.len());
-            self.error(inv, wires);
+            return self.error(inv, wires);
         }
+        self.happened.push(Event::Over { inv: inv.clone() });
+        wires.wake(Due::Inv(inv.clone()), wires.now() + OVERDUE);
     }
 
     /// Ends the forward that is out, if one is.
@@ -785,9 +815,17 @@
             return self.clients.answer(told.link, THROTTLED, come_back, b"", wires);
         }
         let full = self.invs.len() >= self.open_cap || self.held + size > self.held_most;
-        if full || told.expires_at <= now {
-            log!("not-taken", "inv={} reason={}", told.id, if full { "no_room" } else { "too_late" });
-            let come_back = self.come_back.filter(|_| full);
+        let ending = self.too_late_to_take(now);
+        if full || ending || told.expires_at <= now {
+            let reason = if ending {
+                "going_down"
+            } else if full {
+                "no_room"
+            } else {
+                "too_late"
+            };
+            log!("not-taken", "inv={} reason={reason}", told.id);
+            let come_back = self.come_back.filter(|_| full || ending);
             let operation = self.clients.operations.name(told.operation);
             self.figures.ended(operation, Verdict::of(NO_ROOM));
             return self.clients.answer(told.link, NO_ROOM, come_back, b"", wires);
@@ -800,8 +838,8 @@
         self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, hint, key }));
         let (link, expires_at, head, body) = (told.link, told.expires_at, told.head, told.body);
         let taken_at = now;
-        let open =
-            Open { link, operation, taken_at, expires_at, head, body, answered: false, forwards: Vec::new() };
+        let (answered, over, forwards) = (false, false, Vec::new());
+        let open = Open { link, operation, taken_at, expires_at, head, body, answered, over, forwards };
         self.invs.insert(told.id, open);
     }
 
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -158,8 +158,12 @@
 
 impl Node {
     fn new(runners: &[(&str, &str)]) -> Node {
+        Node::told(&configuration(runners))
+    }
+
+    fn told(configuration: &str) -> Node {
         let mut stage = Stage { now: START, ..Stage::default() };
-        let told = config::decode(&configuration(runners)).unwrap();
+        let told = config::decode(configuration).unwrap();
         let mut node = Node { desk: Desk::new(told, None, None, &mut stage), stage };
         node.settle();
         node
@@ -798,12 +802,54 @@
         2900  #3 dials 127.0.0.1:3002
         2900  #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
         3300  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3002; Content-Length: 0
-        3300  #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
+        3300  #2 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
         3300  #2 ends: terminated
         3330  down: true
     "#]]);
 }
 
+/// Against the time of one customer's clients deciding for another's: killed 0.7 s after the longest client timeout,
+/// with clients still let in. What comes after the last step is answered all the same, and what never left has not
+/// failed.
+#[test]
+fn told_to_end_it_goes_by_the_longest_client_timeout_of_its_settings() {
+    let text = configuration(&RUNNERS[..1]);
+    let mut node = Node::told(&text.replace("8000000", "900000").replace("5000000", "600000"));
+    let kept: Vec<Link> = (0..3).map(|_| node.accept()).collect();
+    let asks = |id: &str| format!("POST /book HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 900\r\n\r\n");
+    node.desk.go_down(&mut node.stage);
+    node.pass(800);
+    node.feed(kept[0], &asks("i1"));
+    node.up(5);
+    // Nobody takes the dial of the second one.
+    node.feed(kept[1], &asks("i2"));
+    node.stage.stale.insert(kept[2]);
+    node.pass(401);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.feed(kept[2], &asks("i3"));
+    node.pass(30);
+    node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
+    node.shows(expect![[r#"
+        0     #1 dials 127.0.0.1:8500
+        0     #1 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
+        800   #5 dials 127.0.0.1:3001
+        800   #5 < POST /book; X-Request-Id: i1; X-Deadline-Ms: 880; Content-Length: 0
+        800   #6 dials 127.0.0.1:3001
+        1000  #1 ends: watch_silent
+        1050  #6 ends: dial_timeout
+        1200  #5 ends: given_up
+        1200  #7 dials 127.0.0.1:3001
+        1200  #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
+        1200  #2 ends: terminated
+        1200  #3 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
+        1200  #3 ends: terminated
+        1201  down: false
+        1201  #4 < 503 Service Unavailable; Retry-After: 1.000; Connection: close; Content-Length: 0
+        1201  #4 ends: terminated
+        1231  down: true
+    "#]]);
+}
+
 /// Who asks nothing goes first, then who has only asked whether we are ready, then whoever was idle longest.
 #[test]
 fn a_newcomer_takes_the_place_of_one_that_asks_nothing() {
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -62,7 +62,6 @@
                 Some(named.ok_or_else(|| format!("familyInfo.classKind has the bad value '{text}'"))?)
             }
         };
-        self.within::<i64>(&path("clientTimeout"), 1, SPAN)?;
         Ok(Operation {
             in_use: true,
             latency_objective: self.within(&path("latencyObjective"), 0, SPAN)?,
@@ -126,12 +125,16 @@
     pub idle_close: Micros,
     /// How many invocations a dispatcher may hold.
     pub open_cap: usize,
+    /// The longest that any client waits.
+    pub longest_timeout: Micros,
 }
 
 pub fn decode<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Decoded, String> {
     let info = Info(pairs.into_iter().collect());
-    let (mut operations, mut names) = (Vec::new(), Vec::new());
+    let (mut operations, mut names, mut longest_timeout) = (Vec::new(), Vec::new(), 0);
     for index in 0..info.value("operations.count")? {
+        let timeout = info.within(&format!("operations.{index}.clientTimeout"), 1, SPAN)?;
+        longest_timeout = timeout.max(longest_timeout);
         names.push(info.text(&format!("operations.{index}.name"))?.to_owned());
         operations.push(info.operation(index)?);
     }
@@ -183,5 +186,6 @@
         dial_timeout: info.value_or("limits.dialTimeout", 250_000)?.clamp(1, SPAN),
         idle_close,
         open_cap: info.value_or("limits.openCap", usize::MAX)?,
+        longest_timeout,
     })
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -194,6 +194,7 @@
                 Event::Progress { inv, forward } => _ = self.sign(&inv, forward),
                 Event::Outcome(outcome) => self.outcome(outcome),
                 Event::Gone { inv } => self.close(&inv),
+                Event::Over { inv } => self.give_up(&inv),
                 Event::Probed { tgt, alive, report } => self.probed(&tgt, alive, &report),
                 Event::Roster(roster) => self.roster(roster),
                 Event::Retuned(orders) => self.retune(*orders),
--- a/src/events.rs
+++ b/src/events.rs
@@ -24,6 +24,10 @@
     Gone {
         inv: Id,
     },
+    /// It cannot be held any longer: its final answer is owed now.
+    Over {
+        inv: Id,
+    },
     Probed {
         tgt: Id,
         alive: bool,
