A dead watch is known in 2.8 s and asked for within the grace; a drain is heard however it is told

By the logs: discovery silent from the start, all 300 watches lost at 4.5 s, 90 calls cut by their own 5 s at 9.5 s, just before discovery came back at about 9.6 s, and then asked for again only after 0.4 to 0.8 s (the wait after a second refusal).

Cause: where lists are pushed the wait before asking again had no bound by the settings (orders: ask_within was about two years, so src/brain.rs `roster` waited up to 3.2 s); a change counts from when the agent has it. Besides, by reading: a watch took 4.5 s to be known as silent, so that one failed dial of 1 s and the wait after it already passed the 6 s in which a change counts (SILENT_MOST, node/src/back/roster.rs); any byte kept a watch alive; an entry that drained but had one odd field was dropped while its version counted as had; an indented list broke the watch for good, as each line was taken for an object.

Ruled out: loss of the calls themselves (210 of 300 were answered by the same discovery when it returned).

Change: pushed lists are asked for again within the drain's grace; a beat late by 0.8 s is missing; only whole lines are heard; whatever names a runner and does not say `up` is a drain; objects may span lines. Kept traces change where a watch without beats is now lost earlier.

--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -18,8 +18,9 @@
 const DIAL_WITHIN: Micros = 1_000_000;
 /// A call that waits its turn for longer is as good as lost.
 const HEAD_WITHIN: Micros = 5_000_000;
-/// An empty line comes every 2 s; with a second one missing the watch is taken for dead.
-const SILENT_MOST: Micros = 4_500_000;
+/// An empty line comes every 2 s; one that is late by this much is missing. What a dead watch has not told counts as
+/// told 6 s after it fell silent, and by then a dial may have failed as well, with a wait before the next.
+const SILENT_MOST: Micros = 2_800_000;
 const LINE_MOST: usize = 4 << 20;
 
 #[derive(Debug, Default, Deserialize)]
@@ -57,18 +58,25 @@
         json!({ "generation": generation, "reset": true, "instances": instances })
     }
 
-    /// The entries that can be read; each of the others leaves a line in the log.
+    /// The entries that can be read; each of the others leaves a line in the log. The version counts as had all the
+    /// same, and nothing tells an entry twice: one that says of a runner that it is not up says so whatever else of
+    /// it cannot be read.
     pub fn entries(self) -> Vec<(RosterEntry, Option<SocketAddr>)> {
-        let entry = |value| match serde_json::from_value::<Instance>(value) {
-            Ok(instance) => instance.read(),
-            Err(error) => Err(error.to_string()),
+        let entry = |value: Value| {
+            let told = match Instance::deserialize(&value) {
+                Ok(instance) => instance.read(),
+                Err(error) => Err(error.to_string()),
+            };
+            told.or_else(|fault| {
+                log!("bad-entry", "reason={fault:?}");
+                Instance::known_by(&value).and_then(|instance| instance.read().ok()).ok_or(())
+            })
         };
-        let told = |fault: &String| log!("bad-entry", "reason={fault:?}");
-        self.instances.into_iter().filter_map(|value| entry(value).inspect_err(told).ok()).collect()
+        self.instances.into_iter().filter_map(|value| entry(value).ok()).collect()
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Instance {
     instance_id: String,
@@ -85,6 +93,19 @@
 }
 
 impl Instance {
+    /// What is left of an entry at fault: who it is about, if that is no longer up. A state that is not known is none
+    /// in which something new could go there.
+    fn known_by(value: &Value) -> Option<Instance> {
+        let state = value.get("lifecycle").and_then(Value::as_str).unwrap_or_default();
+        let lifecycle = match state {
+            "up" => return None,
+            "removed" => state,
+            _ => "draining",
+        };
+        let id = value.get("instanceId")?.as_str()?;
+        Some(Instance { instance_id: id.to_owned(), lifecycle: lifecycle.to_owned(), ..Instance::default() })
+    }
+
     fn read(self) -> Result<(RosterEntry, Option<SocketAddr>), String> {
         // It stands in the log and is told back by runners.
         if self.instance_id.is_empty() || self.instance_id.contains(|c: char| c.is_control() || c == ' ') {
@@ -209,13 +230,13 @@
                 Some((answer, _, _)) if answer.status != 200 => return Err("bad_status"),
                 Some((answer, framing, head)) => {
                     watch.keep = answer.keep;
+                    watch.heard_at = now;
                     drop(input.drain(..head));
                     watch.framing = Some(framing);
                     framing
                 }
             },
         };
-        watch.heard_at = now;
         match framing {
             Framing::Chunked => {
                 let used = watch.chunks.feed(input, &mut watch.text).map_err(|_| "bad_chunk")?;
@@ -235,19 +256,26 @@
                 false => Ok(()),
             };
         }
-        let mut read = 0;
-        while let Some(length) = watch.text[read..].iter().position(|byte| *byte == b'\n') {
-            let line = watch.text[read..read + length].trim_ascii();
-            read += length + 1;
-            if line.is_empty() {
-                continue;
+        // A line is the sign of life; single bytes are none, or a trickle would keep a dead watch for good. An object
+        // may be indented, over several lines.
+        if let Some(end) = watch.text.iter().rposition(|byte| *byte == b'\n') {
+            watch.heard_at = now;
+            let mut lists = serde_json::Deserializer::from_slice(&watch.text[..=end]).into_iter::<Listed>();
+            let mut read = 0;
+            while let Some(listed) = lists.next() {
+                let listed = match listed {
+                    Ok(listed) => listed,
+                    Err(error) if error.is_eof() => break,
+                    Err(_) => return Err("bad_line"),
+                };
+                read = lists.byte_offset();
+                let listing = if listed.reset { Listing::All } else { Listing::Changes };
+                self.generation = Some(listed.generation);
+                self.heard.push(Heard { listing, entries: listed.entries() });
             }
-            let listed: Listed = serde_json::from_slice(line).map_err(|_| "bad_line")?;
-            let listing = if listed.reset { Listing::All } else { Listing::Changes };
-            self.generation = Some(listed.generation);
-            self.heard.push(Heard { listing, entries: listed.entries() });
+            let rest = watch.text[read..=end].iter().position(|byte| !byte.is_ascii_whitespace());
+            drop(watch.text.drain(..rest.map_or(end + 1, |at| read + at)));
         }
-        drop(watch.text.drain(..read));
         if watch.text.len() > LINE_MOST {
             return Err("line_too_long");
         }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -631,20 +631,74 @@
     let mut node = Node::followed(&RUNNERS[..1]);
     node.pass(2000);
     node.feed(1, BEAT);
-    node.pass(5000);
+    node.pass(3300);
     node.up(2);
     node.feed(2, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
     node.pass(1200);
     // Not even a dial comes up.
     node.pass(1500);
     node.shows(expect![[r#"
-        6500  #1 ends: watch_silent
-        6993  #2 dials 127.0.0.1:8500
-        6993  #2 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
-        7000  #2 ends: bad_answer
-        7586  #3 dials 127.0.0.1:8500
-        7586  #3 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
-        8586  #3 ends: watch_silent
+        4800  #1 ends: watch_silent
+        5293  #2 dials 127.0.0.1:8500
+        5293  #2 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        5300  #2 ends: bad_answer
+        5886  #3 dials 127.0.0.1:8500
+        5886  #3 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        6886  #3 ends: watch_silent
+    "#]]);
+}
+
+/// A byte now and then is no sign of life: what the watch does not tell counts as told all the same.
+#[test]
+fn a_watch_that_trickles_without_a_whole_line_is_silent() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    for _ in 0..4 {
+        node.pass(700);
+        node.feed(1, "1\r\n \r\n");
+    }
+    node.shows(expect![[r#"
+        2800  #1 ends: watch_silent
+    "#]]);
+}
+
+/// Against a version that counts as had while its drain was thrown away: nothing tells it again.
+#[test]
+fn a_drain_is_heard_whatever_else_of_its_entry_cannot_be_read() {
+    let mut node = Node::followed(&RUNNERS);
+    let changes = [
+        r#"{"instanceId":"s-a","lifecycle":"draining","hostPort":"nowhere","cell":"x"}"#,
+        r#"{"instanceId":"s-b","lifecycle":"resting"}"#,
+        r#"{"instanceId":"s-a","lifecycle":"up","hostPort":7}"#,
+        r#"{"instanceId":7,"lifecycle":"draining"}"#,
+    ];
+    let list = format!(r#"{{"generation":43,"reset":false,"instances":[{}]}}"#, changes.join(","));
+    node.feed(1, &chunk(&format!("{list}\n")));
+    node.invoke("plan", "i1");
+    node.pass(900);
+    node.shows(expect![[r#"
+        750   #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+    "#]]);
+}
+
+/// An indented list is many lines and one object; it may come in pieces.
+#[test]
+fn a_list_over_several_lines_is_read_once_it_is_whole() {
+    let mut node = Node::followed(&RUNNERS);
+    node.feed(1, &chunk("{\n  \"generation\": 43,\n  \"reset\": false,\n  \"instances\": [\n"));
+    node.feed(1, &chunk("    {\"instanceId\": \"s-a\",\n \"lifecycle\": \"draining\"}\n  ]\n"));
+    node.feed(1, &chunk("}\n\n{\"generation\":44,\"instances\":[]}\n{\"gen"));
+    for id in ["i1", "i2", "i3"] {
+        node.invoke("plan", id);
+    }
+    node.end(1, End::Reset);
+    node.pass(500);
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3002
+        0     #5 dials 127.0.0.1:3002
+        250   #3 ends: dial_timeout
+        250   #5 ends: dial_timeout
+        309   #7 dials 127.0.0.1:8500
+        309   #7 < GET /v1/servers?follow=1&since=44; Host: 127.0.0.1:8500
     "#]]);
 }
 
@@ -762,6 +816,7 @@
         2000  #3 dials 127.0.0.1:3001
         2420  #4 dials 127.0.0.1:3001
         2670  #4 ends: dial_timeout
+        2800  #1 ends: watch_silent
         2820  #2 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
         2820  #2 ends: terminated
         2900  down: true
@@ -780,6 +835,9 @@
         0     #3 dials 127.0.0.1:3001
         0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
         2200  #4 < 200 OK; Content-Length: 0
+        2800  #1 ends: watch_silent
+        3093  #5 dials 127.0.0.1:8500
+        3093  #5 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
         3300  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
         3300  #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
         3300  #2 ends: terminated
@@ -799,9 +857,12 @@
     node.pass(430);
     node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
     node.shows(expect![[r#"
-        2900  #3 dials 127.0.0.1:3002
+        2800  #1 ends: watch_silent
+        2900  #3 dials 127.0.0.1:3001
         2900  #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-        3300  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3002; Content-Length: 0
+        3293  #4 dials 127.0.0.1:8500
+        3293  #4 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
+        3300  #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
         3300  #2 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
         3300  #2 ends: terminated
         3330  down: true
@@ -905,6 +966,9 @@
         2500  #2 ends: silent
         2500  #3 ends: slow_request
         3400  looks asked for: 1
+        5200  #1 ends: watch_silent
+        5693  #5 dials 127.0.0.1:8500
+        5693  #5 < GET /v1/servers?follow=1&since=42; Host: 127.0.0.1:8500
         5900  #4 ends: slow_request
     "#]]);
 }
@@ -958,6 +1022,7 @@
         0     #2 < 200 OK; Content-Length: 0
         0     #2 < 200 OK; Content-Length: 0
         2500  #2 ends: slow_reader
+        2800  #1 ends: watch_silent
     "#]]);
 }
 
@@ -1165,7 +1230,7 @@
         0     #23 < NO unknown call; there are: status, stats, maint-on ID, maint-off ID
         0     #24 < NO the line is too long
         0     #25 < NO unknown call; there are: status, stats, maint-on ID, maint-off ID
-        5000  #31 < NO going down
+        5000  #32 < NO going down
     "#]]
     .assert_eq(&lines.map(|line| format!("{line}\n")).collect::<String>());
     assert!(node.stage.trace.contains("#4 ends: made_room"));
--- a/orders/src/lib.rs
+++ b/orders/src/lib.rs
@@ -155,7 +155,12 @@
             || info.value_or("prices.connection", 0.0)? > 0.0,
         idle_close,
         must_subscribe,
-        ask_within: if must_subscribe { info.within("invariants.askWithin", 1, SPAN)? } else { SPAN },
+        // Where lists are pushed, a change counts as told though nobody listens: whoever has to listen on sockets is
+        // to be without a watch for no longer than a drain leaves.
+        ask_within: match must_subscribe {
+            true => info.within("invariants.askWithin", 1, SPAN)?,
+            false => info.value_or("invariants.drainGrace", SPAN)?.clamp(1, SPAN),
+        },
         cold_from: info.within("invariants.coldFrom", 0.0, 1.0)?,
         warm_within: info.within("invariants.warmWithin", 0, SPAN)?,
         overload_factor: info.within("invariants.overloadFactor", 0.0, f64::MAX)?,
