What has not left when its client leaves, or its runner drains, does not leave later

Cause: Brain::cancel needs leave to cancel, and was the only way back (node/src/desk.rs `gone`); Desk::list recalled nothing (`note` only cut idle connections of those removed); Conn::wants stopped at MESSAGE_MOST.

Change: Runners::hold_back, asked by Desk::close for whatever is still out and unsent, without a cancel; recall_waiting for whoever is listed as not up; clients' events go first in a turn, after a standstill they are read to the end; up to 1 MB beyond what is kept is read and thrown away, the connection ends with its answer.

Second answers: a pooled connection read a late second answer as the next task's.

--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -20,6 +20,9 @@
 const GONE_KEPT: Micros = 60_000_000;
 /// How long an answer that is too late to count may still come, so that its connection can be kept.
 const LATE_MOST: Micros = 2_000_000;
+/// A second answer may follow some milliseconds after the first. What comes within this is not believed to be the next
+/// task's where it would say that a job never ran, or has ended, that may be running.
+const SECOND_WITHIN: Micros = 15_000;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Task {
@@ -76,8 +79,8 @@
     phase: Phase,
     since: Micros,
     task: Option<Task>,
-    /// Whether it has been answered on before: its runner may have let go of it since.
-    kept: bool,
+    /// When it was answered on last, if it was: its runner may have let go of it since, or answer once more.
+    answered_at: Option<Micros>,
     /// The message of a task that waits for the dial.
     message: Vec<u8>,
     /// When what it is at must have come to an end.
@@ -166,7 +169,7 @@
     pub fn tidy(&mut self, wires: &mut dyn Wires) {
         let gone = self.by_id.iter().filter(|(_, runner)| runner.gone_since.is_some());
         let gone: Vec<Id> = gone.map(|(id, _)| id.clone()).collect();
-        gone.iter().for_each(|tgt| self.cut_idle(tgt, End::Unlisted, wires));
+        gone.iter().for_each(|tgt| self.recall(tgt, wires));
         let long_gone = |since: Micros| wires.now() - since > GONE_KEPT;
         self.by_id.retain(|_, runner| !runner.gone_since.is_some_and(long_gone) || !runner.lines.is_empty());
     }
@@ -182,6 +185,12 @@
     /// rest would only break when it is restarted.
     pub fn recall(&mut self, tgt: &Id, wires: &mut dyn Wires) {
         self.cut_idle(tgt, End::Unlisted, wires);
+        self.recall_waiting(tgt, wires);
+    }
+
+    /// What waits for a connection to a runner that drains or is gone would reach it whenever its dial comes up, long
+    /// after the grace.
+    pub fn recall_waiting(&mut self, tgt: &Id, wires: &mut dyn Wires) {
         let lines = self.by_id.get(tgt).map(|runner| runner.lines.clone()).unwrap_or_default();
         for link in lines {
             let waits = |line: &&mut Line| matches!(line.task, Some(Task::Forward { .. }));
@@ -221,27 +230,41 @@
         self.ask(tgt, Task::Probe, message, wires.now() + self.probe_within, wires);
     }
 
+    /// Nobody waits for this forward any more: what of it has not left does not leave. That is no cancel, and needs no
+    /// leave to send one. Whether it was held back.
+    pub fn hold_back(&mut self, tgt: &Id, inv: &Id, number: u32, wires: &mut dyn Wires) -> bool {
+        let Some(link) = self.carrying(tgt, inv, number) else { return false };
+        let Some(line) = self.lines.get_mut(&link) else { return false };
+        if line.phase == Phase::Dialling {
+            line.task = None;
+            line.message.clear();
+        } else if wires.unsent(link) {
+            self.written -= 1;
+            self.end_line(link, End::GivenUp, wires);
+        } else {
+            return false;
+        }
+        self.heard.push(Heard::Dropped { inv: inv.clone(), number });
+        true
+    }
+
+    /// The connection that has a forward's request or still awaits its answer.
+    fn carrying(&self, tgt: &Id, inv: &Id, number: u32) -> Option<Link> {
+        let forward = Task::Forward { inv: inv.clone(), number };
+        let lines = self.by_id.get(tgt).map(|runner| runner.lines.as_slice()).unwrap_or_default();
+        let carries = |link: &&Link| self.lines.get(link).and_then(|l| l.task.as_ref()) == Some(&forward);
+        lines.iter().find(carries).copied()
+    }
+
     /// Gives up a forward: unsent it is simply dropped; before its 202 its connection is closed, and the job
     /// is deleted all the same, as the 202 may be under way. As long as the runner has not answered, the job
     /// may go on there, and another forward would be a second copy.
     pub fn give_up(&mut self, tgt: &Id, inv: &Id, number: u32, wires: &mut dyn Wires) {
-        let forward = Task::Forward { inv: inv.clone(), number };
-        let lines = self.by_id.get(tgt).map(|runner| runner.lines.as_slice()).unwrap_or_default();
-        let carries = |link: &&Link| self.lines.get(link).and_then(|l| l.task.as_ref()) == Some(&forward);
-        if let Some(link) = lines.iter().find(carries).copied()
-            && let Some(line) = self.lines.get_mut(&link)
-        {
-            line.task = None;
-            if line.phase == Phase::Dialling {
-                line.message.clear();
-                return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
-            }
-            let unsent = wires.unsent(link);
+        if self.hold_back(tgt, inv, number, wires) {
+            return;
+        }
+        if let Some(link) = self.carrying(tgt, inv, number) {
             self.end_line(link, End::GivenUp, wires);
-            if unsent {
-                self.written -= 1;
-                return self.heard.push(Heard::Dropped { inv: inv.clone(), number });
-            }
         }
         // A runner that is listed no more may still be at it, cut off from whoever keeps the list.
         let Some(runner) = self.by_id.get(tgt).filter(|_| self.may_cancel) else {
@@ -273,7 +296,8 @@
         runner.lines.push(link);
         let since = wires.now();
         let (phase, task, tgt) = (Phase::Dialling, Some(task), tgt.clone());
-        let line = Line { tgt, phase, since, task, kept: false, message, due, overdue: false, rest_check: 0 };
+        let line =
+            Line { tgt, phase, since, task, answered_at: None, message, due, overdue: false, rest_check: 0 };
         self.lines.insert(link, line);
         wires.wake(Due::Link(link), since + self.dial_timeout);
     }
@@ -370,6 +394,16 @@
         });
     }
 
+    /// What has come on a connection tells nothing of its task, which may have run; the connection ends with it.
+    fn unread(&mut self, link: Link, why: &str, wires: &mut dyn Wires) {
+        let Some(Line { tgt, task, overdue, .. }) = self.drop_line(link) else { return };
+        log!("bad-answer", "link={link} runner={tgt} reason={why}");
+        wires.cut(link, End::BadAnswer);
+        if let Some(task) = task.filter(|_| !overdue) {
+            self.unanswered(&tgt, task, Ending::Broken, false);
+        }
+    }
+
     pub fn read_report(&self, load: &Value) -> Vec<f64> {
         read_report(&self.report_fields, load)
     }
@@ -422,14 +456,22 @@
         if line.phase != Phase::Busy {
             return self.end_line(link, End::Stale, wires);
         }
-        let tgt = line.tgt.clone();
+        let (tgt, now) = (line.tgt.clone(), wires.now());
+        let hasty = line.answered_at.is_some_and(|at| now < at + SECOND_WITHIN);
+        let harmless = |status: u16| match line.task {
+            Some(Task::Forward { .. }) => status == 202,
+            Some(Task::Cancel { .. }) => false,
+            Some(Task::Probe) | None => true,
+        };
+        let doubted = |answer: &Answer| hasty && !harmless(answer.status);
         let (keep, used) = match http::answer(input, false) {
+            Ok(Some((answer, _))) if doubted(&answer) => return self.unread(link, "perhaps_anothers", wires),
             Ok(None) if input.len() < MESSAGE_MOST => return,
             Ok(Some((answer, used))) => {
                 // Late word on a probe says nothing any more; that a job is deleted still holds.
                 let counts = |task: &Task| !line.overdue || matches!(task, Task::Cancel { .. });
                 let task = line.task.take().filter(counts);
-                line.kept = true;
+                line.answered_at = Some(now);
                 if let Some(task) = task {
                     self.answered(&tgt, task, &answer);
                 }
@@ -437,13 +479,7 @@
             }
             unread => {
                 let why = unread.err().map_or("too_long", |fault| fault.1);
-                let task = line.task.take().filter(|_| !line.overdue);
-                log!("bad-answer", "link={link} runner={tgt} reason={why}");
-                self.end_line(link, End::BadAnswer, wires);
-                if let Some(task) = task {
-                    self.unanswered(&tgt, task, Ending::Broken, false);
-                }
-                return;
+                return self.unread(link, why, wires);
             }
         };
         drop(input.drain(..used));
@@ -459,7 +495,7 @@
         let Some(task) = line.task.filter(|_| !line.overdue) else { return };
         // A kept connection that breaks at its next request tells of the connection, not of the runner: a
         // probe is asked once more. Anything else sent again might be a second copy.
-        if line.kept && input.is_empty() && task == Task::Probe {
+        if line.answered_at.is_some() && input.is_empty() && task == Task::Probe {
             let message = self.probe_message(&line.tgt);
             return self.ask_anew(&line.tgt, task, message, line.due, wires);
         }
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -575,21 +575,26 @@
         wires: &mut dyn Wires,
     ) {
         let operation = self.invs.get(inv).map_or(0, |open| open.operation);
-        if let Some(link) = self.close(inv) {
+        if let Some(link) = self.close(inv, wires) {
             self.figures.ended(self.clients.operations.name(operation), Verdict::of(status));
             self.clients.answer(link, status, come_back, body, wires);
         }
     }
 
-    /// Nothing more is owed to the client; a forward still out keeps its entry until it ends.
-    fn close(&mut self, inv: &Id) -> Option<Link> {
+    /// Nothing more is owed to the client; a forward still out keeps its entry until it ends, and does not leave if it
+    /// has not left yet.
+    fn close(&mut self, inv: &Id, wires: &mut dyn Wires) -> Option<Link> {
         let open = self.invs.get_mut(inv).filter(|open| !open.answered)?;
         open.answered = true;
         self.held -= open.size();
         (open.head, open.body) = (Vec::new(), Vec::new());
         let link = open.link;
-        if open.out().is_none() {
-            self.invs.remove(inv);
+        match open.out() {
+            None => drop(self.invs.remove(inv)),
+            Some(number) => {
+                let tgt = open.forwards[number as usize].tgt.clone();
+                self.runners.hold_back(&tgt, inv, number, wires);
+            }
         }
         self.remember(inv.clone());
         Some(link)
@@ -666,7 +671,7 @@
             match heard {
                 clients::Heard::Invocation(invocation) => self.take(invocation, wires),
                 clients::Heard::CallBack(told, hash) => self.called_back(told, hash, true, wires),
-                clients::Heard::Gone(link, id) => self.gone(link, id),
+                clients::Heard::Gone(link, id) => self.gone(link, id, wires),
             }
         }
         for word in std::mem::take(&mut self.peer.heard) {
@@ -788,6 +793,9 @@
         for (entry, address) in heard.entries {
             let listed = entry.readiness != Readiness::Off;
             self.runners.note(&entry.tgt, listed, address, wires);
+            if entry.readiness != Readiness::On {
+                self.runners.recall_waiting(&entry.tgt, wires);
+            }
             entries.push(entry);
         }
         self.runners.tidy(wires);
@@ -843,10 +851,10 @@
         self.invs.insert(told.id, open);
     }
 
-    fn gone(&mut self, link: Link, id: Id) {
+    fn gone(&mut self, link: Link, id: Id, wires: &mut dyn Wires) {
         let owed = self.invs.get(&id).is_some_and(|open| open.link == link && !open.answered);
         if owed {
-            self.close(&id);
+            self.close(&id, wires);
             self.happened.push(Event::Gone { inv: id });
         }
     }
--- a/node/src/front/clients.rs
+++ b/node/src/front/clients.rs
@@ -171,7 +171,7 @@
         wires: &mut dyn Wires,
     ) {
         let Some(client) = self.conns.get_mut(&link) else { return };
-        let keep = client.keep && may_keep;
+        let keep = client.keep && may_keep && !wires.spilt(link);
         wires.send(link, &encode_answer(status, more, body, keep));
         client.phase = Phase::Idle;
         client.since = wires.now();
@@ -336,6 +336,9 @@
             if input.is_empty() || matches!(client.phase, Phase::Owed(_)) || wires.unsent(link) {
                 return;
             }
+            if wires.spilt(link) {
+                return self.reject(link, Fault(413, "message_too_long"), wires);
+            }
             if matches!(client.phase, Phase::Idle) {
                 client.phase = Phase::Reading;
                 client.since = wires.now();
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -156,6 +156,10 @@
     fn fresh(&mut self, link: Link) -> bool;
     /// Whether something sent has not yet been written.
     fn unsent(&self, link: Link) -> bool;
+    /// Whether so much has come that some of it was thrown away: what follows makes no sense.
+    fn spilt(&self, _link: Link) -> bool {
+        false
+    }
     /// Calls the owner back with what has been read, even if nothing more comes.
     fn revisit(&mut self, link: Link);
     /// Ends it as soon as all is written.
@@ -175,6 +179,9 @@
     }
 }
 
+/// What a client may send beyond what is kept, and have it thrown away: it is read on only to see whether it leaves.
+const SPILT_MOST: usize = 1 << 20;
+
 pub struct Conn {
     pub stream: Socket,
     pub side: Side,
@@ -188,6 +195,8 @@
     pub input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
+    /// Bytes thrown away, as nobody took those before them.
+    spilt: usize,
     /// What the poller watches it for: reading, writing.
     pub watched: (bool, bool),
 }
@@ -205,13 +214,18 @@
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
+            spilt: 0,
             watched: (false, false),
         }
     }
 
     pub fn wants(&self) -> (bool, bool) {
-        let reads = !self.dialling && (self.lingering || self.input.len() < MESSAGE_MOST);
-        (reads, self.dialling || self.unsent())
+        let room = self.input.len() < MESSAGE_MOST || self.side == Side::Client && self.spilt < SPILT_MOST;
+        (!self.dialling && (self.lingering || room), self.dialling || self.unsent())
+    }
+
+    pub fn spilt(&self) -> bool {
+        self.spilt > 0
     }
 
     pub fn unsent(&self) -> bool {
@@ -241,16 +255,20 @@
         Ok(())
     }
 
-    /// Reads what there is, up to one buffer's worth; the poller tells if there is more.
-    pub fn read(&mut self, scratch: &mut [u8]) -> Result<(), End> {
+    /// Reads what there is, up to one buffer's worth; the poller tells if there is more. Says whether there was any.
+    pub fn read(&mut self, scratch: &mut [u8]) -> Result<bool, End> {
         match self.stream.read(scratch) {
             Ok(0) => Err(End::PeerClosed),
-            Ok(_) if self.lingering => Ok(()),
+            Ok(_) if self.lingering => Ok(true),
+            Ok(read) if self.input.len() >= MESSAGE_MOST => {
+                self.spilt += read;
+                Ok(true)
+            }
             Ok(read) => {
                 self.input.extend_from_slice(&scratch[..read]);
-                Ok(())
+                Ok(true)
             }
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(()),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(false),
             Err(_) => Err(End::Reset),
         }
     }
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -34,6 +34,8 @@
 /// The keys of the doors, in their order.
 const DOORS: usize = 4;
 const FIRST_LINK: Link = 6;
+/// Buffers read from one client in a turn that comes after a standstill.
+const READS_ON: usize = 4;
 /// Datagrams read in one turn: clients come first.
 const DATAGRAMS: usize = 256;
 const BACKLOG: i32 = 1024;
@@ -300,7 +302,13 @@
                 return Ok(());
             }
             self.look_up(patience);
-            for event in events.iter() {
+            // Clients first: what waits for a connection to its runner is not written once its client has left, though
+            // both are heard of in one turn.
+            let of_client = |event: &Event| {
+                self.conns.get(&(event.key as Link)).is_some_and(|conn| conn.side == Side::Client)
+            };
+            let (clients, others): (Vec<Event>, Vec<Event>) = events.iter().partition(of_client);
+            for event in clients.into_iter().chain(others) {
                 match event.key {
                     SIGNAL => desk.go_down(self),
                     RELOAD => self.reload(desk, reload, path),
@@ -537,7 +545,16 @@
         let mut end = None;
         if event.readable {
             let had = conn.input.len();
-            end = conn.read(&mut self.scratch).err();
+            let mut read = conn.read(&mut self.scratch);
+            // After a standstill a client may have asked and left again: both are to be known before it is served.
+            let on = self.behind.is_some() && side == Side::Client;
+            for _ in 0..READS_ON {
+                if !on || read != Ok(true) {
+                    break;
+                }
+                read = conn.read(&mut self.scratch);
+            }
+            end = read.err();
             if conn.input.len() > had {
                 self.tell(link, desk);
             }
@@ -659,6 +676,10 @@
         self.conns.get(&link).is_some_and(Conn::unsent)
     }
 
+    fn spilt(&self, link: Link) -> bool {
+        self.conns.get(&link).is_some_and(Conn::spilt)
+    }
+
     fn revisit(&mut self, link: Link) {
         self.revisits.push(link);
     }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -533,6 +533,7 @@
     let client = node.invoke("plan", "i1");
     node.up(3);
     node.feed(3, TAKEN);
+    node.pass(20);
     node.end(client, End::PeerClosed);
     node.feed(3, DELETED);
     // Before the 202 its connection is closed as well.
@@ -541,10 +542,10 @@
     node.shows(expect![[r#"
         0     #3 dials 127.0.0.1:3001
         0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-        0     #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
-        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-        0     #3 ends: given_up
-        0     #5 dials 127.0.0.1:3001
+        20    #3 < DELETE /jobs/i1; Host: 127.0.0.1:3001; Content-Length: 0
+        20    #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        20    #3 ends: given_up
+        20    #5 dials 127.0.0.1:3001
     "#]]);
 }
 
@@ -911,6 +912,77 @@
     "#]]);
 }
 
+/// A client that has left is not served, whatever its invocation waits for, also where no cancel may be sent.
+#[test]
+fn what_has_not_left_when_its_client_does_never_leaves() {
+    let text = configuration(&RUNNERS[..1]).replace("\"cancel\":true", "\"cancel\":false");
+    let mut node = Node::told(&text);
+    node.stage.trace.clear();
+    let dials = node.invoke("book", "i1");
+    node.end(dials, End::PeerClosed);
+    node.up(3);
+    // Behind a full socket only part of it has gone, which no runner begins on.
+    node.stage.stuck.insert(3);
+    let half = node.invoke("book", "i2");
+    node.end(half, End::Reset);
+    // After a forward that came back, and before the next.
+    let again = node.invoke("book", "i3");
+    node.up(6);
+    node.feed(6, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    node.end(again, End::PeerClosed);
+    node.pass(900);
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3001
+        0     #3 < POST /book/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        0     #3 ends: given_up
+        0     #6 dials 127.0.0.1:3001
+        0     #6 < POST /book/7?x=1; Host: o; X-Request-Id: i3; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+    "#]]);
+}
+
+/// Against dials that come up after the grace, with a forward for a runner that drains or is gone.
+#[test]
+fn what_waits_for_a_dial_to_a_runner_that_drains_goes_elsewhere() {
+    for left in
+        [r#"{"instanceId":"s-a","lifecycle":"draining"}"#, r#"{"instanceId":"s-a","lifecycle":"removed"}"#]
+    {
+        let mut node = Node::followed(&RUNNERS[..1]);
+        node.invoke("book", "i1");
+        let list = format!(r#"{{"generation":43,"instances":[{left}]}}"#);
+        node.feed(1, &chunk(&format!("{list}\n")));
+        let other = r#"{"instanceId":"s-b","lifecycle":"up","hostPort":"127.0.0.1:3002"}"#;
+        node.feed(1, &chunk(&format!("{{\"generation\":44,\"instances\":[{other}]}}\n")));
+        node.pass(100);
+        let lines = node.stage.trace.lines().filter(|line| line.contains("dials"));
+        assert_eq!(lines.map(|line| &line[line.len() - 4..]).collect::<Vec<_>>(), ["3001", "3002"]);
+        assert!(!node.stage.trace.contains("POST"), "{}", node.stage.trace);
+    }
+}
+
+/// A second answer that comes when the connection has its next task: a job that runs is not taken for one that never
+/// did, and a cancel that nobody heard not for one that was.
+#[test]
+fn an_answer_that_may_be_anothers_never_says_that_nothing_ran() {
+    for second in ["503 Service Unavailable\r\nX-Not-Run: 1", "400 Bad Request", "500 Internal Server Error"]
+    {
+        let mut node = Node::holding("book");
+        node.invoke("book", "i2");
+        node.feed(3, &format!("HTTP/1.1 {second}\r\nContent-Length: 0\r\n\r\n"));
+        node.pass(300);
+        let of = |text: &str| node.stage.trace.matches(text).count();
+        assert_eq!((of("X-Request-Id: i2"), of("502 Bad Gateway")), (1, 1), "{}", node.stage.trace);
+        assert!(node.stage.trace.contains("#3 ends: bad_answer"), "{}", node.stage.trace);
+    }
+    let mut node = Node::holding("plan");
+    node.end(2, End::PeerClosed);
+    node.feed(3, DELETED);
+    node.pass(260);
+    let deletes = |node: &Node| node.stage.trace.matches("DELETE /jobs/i1").count();
+    assert_eq!(deletes(&node), 1);
+    node.up(4);
+    assert_eq!(deletes(&node), 2, "{}", node.stage.trace);
+}
+
 /// Who asks nothing goes first, then who has only asked whether we are ready, then whoever was idle longest.
 #[test]
 fn a_newcomer_takes_the_place_of_one_that_asks_nothing() {
@@ -1048,15 +1120,16 @@
             node.up(3);
         }
         node.feed(3, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+        node.pass(20);
     }
     node.shows(expect![[r#"
         0     #3 dials 127.0.0.1:3001
         0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
         0     #2 < 400 Bad Request; Content-Length: 0
-        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-        0     #4 < 400 Bad Request; Content-Length: 0
-        0     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i3; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
-        0     #5 < 400 Bad Request; Content-Length: 0
+        20    #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i2; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        20    #4 < 400 Bad Request; Content-Length: 0
+        40    #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i3; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        40    #5 < 400 Bad Request; Content-Length: 0
     "#]]);
 }
 
