Tests over loopback: clients that leave, dials that outlive a drain, short client timeouts

Seven crossings, each made by a peer's own step: a dial that is not accepted, a signal between two steps, a client that ends or resets. Two were ruled out by trial: a client that leaves while its invocation waits for a runner, or after a forward came back.

--- /dev/null
+++ b/node/tests/ends.rs
@@ -0,0 +1,321 @@
+//! The program over loopback sockets at the instant of an end, with something still owed: the instant is made by a
+//! peer's own step (a dial that is not accepted, a byte held back, a signal between two steps), and what is waited
+//! for is what the program itself says of it.
+
+mod helper;
+
+use std::env;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{ChildStderr, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use helper::*;
+use socket2::{Domain, SockAddr, Socket, Type};
+
+struct Node {
+    program: Program,
+    listen: SocketAddr,
+    path: PathBuf,
+    log: BufReader<ChildStderr>,
+    discovery: TcpListener,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.path);
+    }
+}
+
+impl Node {
+    /// A program of a test's own, by a configuration that is changed as it says.
+    fn new(own: u8, change: impl Fn(String) -> String) -> Node {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = free_address(own);
+        let path = env::temp_dir().join(format!("topazsail-ends-{own}-{}.json", std::process::id()));
+        fs::write(&path, change(configuration(listen, discovery.local_addr().unwrap()))).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).env("TMPDIR", "");
+        let mut program = Program(command.spawn().unwrap());
+        let log = BufReader::new(program.0.stderr.take().unwrap());
+        Node { program, listen, path, log, discovery }
+    }
+
+    /// Waits until the program has said this.
+    fn logged(&mut self, holds: &str) {
+        let mut line = String::new();
+        while !line.contains(holds) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "ended before it said {holds}");
+        }
+    }
+
+    fn client(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.listen).unwrap())
+    }
+
+    /// A client that has asked for this.
+    fn asks(&self, id: &str) -> Peer {
+        let mut client = self.client();
+        client.say(&request(id, 25_000));
+        client
+    }
+}
+
+fn request(id: &str, ms: u32) -> String {
+    format!("POST /plan HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {ms}\r\n\r\n")
+}
+
+const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Closing,
+    Resetting,
+}
+
+fn leaves(client: Peer, how: Leaves) {
+    let stream = client.0.into_inner();
+    if matches!(how, Leaves::Resetting) {
+        Socket::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
+/// A runner whose dials do not come up before it lets them: its queue of connections is full.
+struct Shut {
+    listener: Socket,
+    address: SocketAddr,
+    before: Vec<Socket>,
+}
+
+impl Shut {
+    fn new() -> Shut {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SockAddr::from(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut before = Vec::new();
+        // The queue holds one or two more than it was told.
+        loop {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            let up = socket.connect_timeout(&SockAddr::from(address), Duration::from_millis(100));
+            before.push(socket);
+            if up.is_err() {
+                return Shut { listener, address, before };
+            }
+        }
+    }
+
+    /// Lets those in that wait; the first to come up after that is the program's.
+    fn opens(mut self) -> TcpListener {
+        for _ in 1..self.before.len() {
+            self.listener.accept().unwrap();
+        }
+        self.before.clear();
+        self.listener.into()
+    }
+}
+
+fn lists(watch: &mut Peer, generation: u32, runner: SocketAddr, state: &str) {
+    let line = format!(
+        "{{\"generation\":{generation},\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\
+         \"lifecycle\":\"{state}\",\"weight\":1,\"hostPort\":\"{runner}\"}}]}}\n"
+    );
+    watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+}
+
+fn no_cancel(text: String) -> String {
+    text.replace(r#""cancel":true"#, r#""cancel":false"#)
+}
+
+/// All that a runner is given, on whichever connections, by the time that the one named has come and a dial has had
+/// time to be tried twice more.
+fn given(runner: &TcpListener, named: &str) -> Vec<String> {
+    runner.set_nonblocking(true).unwrap();
+    let (mut peers, mut heard): (Vec<Peer>, Vec<String>) = Default::default();
+    let (mut until, last) = (None, Instant::now() + PATIENCE);
+    while until.is_none_or(|until| Instant::now() < until) {
+        assert!(Instant::now() < last, "{named} never came: {heard:?}");
+        while let Ok((stream, _)) = runner.accept() {
+            peers.push(Peer::new(stream));
+        }
+        for peer in &mut peers {
+            peer.0.get_ref().set_read_timeout(Some(Duration::from_millis(2))).unwrap();
+            if peer.0.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+                peer.0.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+                heard.push(peer.hear().split(' ').nth(3).unwrap_or_default().to_owned());
+            }
+        }
+        if until.is_none() && heard.iter().any(|id| id == named) {
+            until = Some(Instant::now() + Duration::from_millis(1500));
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    heard
+}
+
+#[test]
+fn a_client_that_leaves_while_its_forward_is_dialled_is_not_served() {
+    for (own, how) in [(101, Leaves::Closing), (102, Leaves::Resetting)] {
+        let mut node = Node::new(own, no_cancel);
+        let shut = Shut::new();
+        let mut watch = watched(&node.discovery);
+        lists(&mut watch, 1, shut.address, "up");
+        let client = node.asks("left");
+        // Its forward is out: the next one waits for a dial of its own.
+        let _waits = node.asks("stays");
+        leaves(client, how);
+        node.logged("side=client");
+        let runner = shut.opens();
+        assert_eq!(given(&runner, "stays"), ["stays"], "{how:?}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_invocation_waits_for_a_runner_is_not_served() {
+    for (own, how) in [(103, Leaves::Closing), (104, Leaves::Resetting)] {
+        let mut node = Node::new(own, |text| text);
+        let mut watch = watched(&node.discovery);
+        leaves(node.asks("left"), how);
+        node.logged("side=client");
+        let _waits = node.asks("stays");
+        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        assert_eq!(given(&runner, "stays"), ["stays"], "{how:?}");
+    }
+}
+
+/// More than is kept of it is read on, or its end would never be seen.
+#[test]
+fn a_client_that_sent_much_more_behind_its_request_and_left_is_not_served() {
+    let mut node = Node::new(105, |text| text);
+    let mut watch = watched(&node.discovery);
+    let mut client = node.asks("left");
+    client.say(&"x".repeat(600 << 10));
+    leaves(client, Leaves::Closing);
+    node.logged("side=client");
+    let _waits = node.asks("stays");
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    assert_eq!(given(&runner, "stays"), ["stays"]);
+}
+
+#[test]
+fn a_client_that_leaves_after_a_forward_came_back_is_not_served_by_the_next() {
+    let mut node = Node::new(106, |text| text);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let client = node.asks("left");
+    let mut forward = Peer::from(&runner);
+    assert_eq!(forward.hear(), "POST /plan HTTP/1.1 left ");
+    // Full: it waits for a slot there, which takes about as long as a job.
+    forward.say(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+    );
+    node.logged("side=runner");
+    leaves(client, Leaves::Closing);
+    node.logged("side=client");
+    let _waits = node.asks("stays");
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let line = format!(
+        "{{\"generation\":2,\"instances\":[{{\"instanceId\":\"s-b\",\"lifecycle\":\"up\",\"weight\":1,\
+         \"hostPort\":\"{}\"}}]}}\n",
+        other.local_addr().unwrap()
+    );
+    watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    assert_eq!(given(&other, "stays"), ["stays"]);
+}
+
+/// All of it came while the process was not let run: a request with its client's end, and the end of a client whose
+/// forward's dial came up meanwhile.
+#[test]
+fn clients_that_left_while_the_process_stood_still_are_not_served() {
+    let mut node = Node::new(107, no_cancel);
+    let shut = Shut::new();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, shut.address, "up");
+    let dialled = node.asks("dialled");
+    let kept = node.asks("kept");
+    // Both are known: a look at readiness on a third connection comes after them.
+    let mut third = node.client();
+    third.say("GET /healthz HTTP/1.1\r\n\r\n");
+    assert_eq!(third.hear(), "HTTP/1.1 200 OK ");
+    signal(&node.program, "STOP");
+    leaves(dialled, Leaves::Closing);
+    third.say(&request("read", 25_000));
+    leaves(third, Leaves::Closing);
+    leaves(node.asks("new"), Leaves::Closing);
+    let runner = shut.opens();
+    std::thread::sleep(Duration::from_millis(400));
+    signal(&node.program, "CONT");
+    node.logged("stood-still");
+    assert_eq!(given(&runner, "kept"), ["kept"]);
+    drop(kept);
+}
+
+#[test]
+fn a_dial_that_comes_up_after_its_runner_drains_carries_nothing() {
+    let mut node = Node::new(108, no_cancel);
+    let shut = Shut::new();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, shut.address, "up");
+    let _waits = node.asks("waits");
+    let mut client = node.client();
+    client.say("GET /healthz HTTP/1.1\r\n\r\n");
+    client.hear();
+    lists(&mut watch, 2, shut.address, "draining");
+    node.logged("reason=unlisted");
+    let drains = shut.opens();
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    lists(&mut watch, 3, other.local_addr().unwrap(), "up");
+    assert_eq!(given(&other, "waits"), ["waits"]);
+    drains.set_nonblocking(true).unwrap();
+    while let Ok((stream, _)) = drains.accept() {
+        let mut carried = Peer::new(stream);
+        carried.0.get_ref().set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        assert!(
+            carried.0.fill_buf().is_ok_and(<[u8]>::is_empty),
+            "the runner that drains was given something"
+        );
+    }
+}
+
+/// Clients of a second: the platform kills 0.7 s after that. Whoever sends on for as long as its connection stays is
+/// answered each time, and the process ends by itself.
+#[test]
+fn going_down_with_short_client_timeouts_owes_nothing_when_it_ends() {
+    let short = |text: String| text.replace("\"clientTimeout\":30000000", "\"clientTimeout\":1000000");
+    let mut node = Node::new(109, |text| short(text).replace("20000000", "900000"));
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    // Taken, and never ended by its runner.
+    let mut hangs = node.client();
+    hangs.say(&request("hangs", 1000));
+    let mut forward = Peer::from(&runner);
+    assert_eq!(forward.hear(), "POST /plan HTTP/1.1 hangs ");
+    forward.say(TAKEN);
+    let mut busy = node.client();
+    busy.say("GET /healthz HTTP/1.1\r\n\r\n");
+    assert_eq!(busy.hear(), "HTTP/1.1 200 OK ");
+    signal(&node.program, "TERM");
+    let told = Instant::now();
+    node.logged("going-down");
+    // A client's last request meets the time at which everything is given up, with its runner silent.
+    let mut answers = 0;
+    let mut last = None;
+    while last.is_none() {
+        busy.say(&request(&format!("i{answers}"), 1000));
+        let answer = busy.hear();
+        assert!(answer.starts_with("HTTP/1.1 "), "request {answers} got no answer");
+        answers += 1;
+        last = answer.contains("close").then_some(answer);
+    }
+    assert!(busy.is_ended());
+    assert!(hangs.hear().starts_with("HTTP/1.1 502 Bad Gateway"));
+    assert_eq!(node.program.0.wait().unwrap().code(), Some(0));
+    assert!(told.elapsed() < Duration::from_millis(1700), "killed before it had ended: {:?}", told.elapsed());
+}
--- /dev/null
+++ b/node/tests/helper/mod.rs
@@ -0,0 +1,124 @@
+//! Stand-ins for discovery, runners and clients on loopback, a step at a time, and the program under them.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command};
+use std::time::Duration;
+
+/// Far more than any step takes; only a step that never comes gets there.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub struct Peer(pub BufReader<TcpStream>);
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Peer(BufReader::new(stream))
+    }
+
+    pub fn from(listener: &TcpListener) -> Peer {
+        Peer::new(listener.accept().unwrap().0)
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// A whole message: first line, the value of `X-Request-Id` and the body.
+    pub fn hear(&mut self) -> String {
+        let (mut said, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            self.0.read_line(&mut line).unwrap();
+            let line = line.trim_end();
+            match line.split_once(": ") {
+                Some(("Content-Length", value)) => length = value.parse().unwrap(),
+                Some(("X-Request-Id" | "Connection", value)) => said += &format!(" {value}"),
+                Some(_) => {}
+                None if line.is_empty() => break,
+                None => said += line,
+            }
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).unwrap();
+        format!("{said} {}", String::from_utf8(body).unwrap())
+    }
+
+    /// A line of the watch: one runner, of this size.
+    pub fn lists(&mut self, runner: &TcpListener, weight: f64) {
+        let line = format!(
+            "{{\"generation\":1,\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\"lifecycle\":\"up\",\
+             \"weight\":{weight},\"hostPort\":\"{}\"}}]}}\n",
+            runner.local_addr().unwrap()
+        );
+        self.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+
+    pub fn is_ended(&mut self) -> bool {
+        self.0.read(&mut [0]).is_ok_and(|read| read == 0)
+    }
+}
+
+/// The watch that a program has opened, answered.
+pub fn watched(discovery: &TcpListener) -> Peer {
+    watched_since(discovery, 0)
+}
+
+pub fn watched_since(discovery: &TcpListener, since: u64) -> Peer {
+    let mut watch = Peer::from(discovery);
+    assert_eq!(watch.hear(), format!("GET /v1/servers?follow=1&since={since} HTTP/1.1 "));
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    watch
+}
+
+/// An address of one test's own: nobody else is given the port that was free a moment ago.
+pub fn free_address(own: u8) -> SocketAddr {
+    let [_, .., high, low] = std::process::id().to_be_bytes();
+    TcpListener::bind((Ipv4Addr::new(127, own, high, low | 1), 0)).unwrap().local_addr().unwrap()
+}
+
+/// Ended with the test, whatever becomes of it.
+pub struct Program(pub Child);
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+pub fn signal(program: &Program, name: &str) {
+    let kill = format!("kill -{name} {}", program.0.id());
+    assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
+}
+
+/// What an operator is answered.
+pub fn called(admin: SocketAddr, line: &str) -> String {
+    let mut caller = TcpStream::connect(admin).unwrap();
+    caller.set_read_timeout(Some(PATIENCE)).unwrap();
+    caller.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+pub fn configuration(listen: SocketAddr, discovery: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":256}},
+        "known":{{"generation":0,"reset":true,"instances":[]}},
+        "settings":{{"balancers":1,"registryMode":"subscribe","invariants":{{"askWithin":10000000,
+        "coldFrom":0.2,"warmWithin":1000000,"overloadFactor":3.0,"tipAfter":2000000}},
+        "limits":{{"mostForwards":3,"cancel":true,"dialTimeout":20000000}},
+        "operations":[{{"name":"plan","effect":"at_most_once","latencyObjective":20000000,
+        "clientTimeout":30000000,"billedValue":1.0}}]}}}}"#
+    )
+}
+
+/// A call-back, taken; the connection that it came on.
+pub fn calls_back(listen: SocketAddr, told: &str) -> Peer {
+    let mut call = Peer::new(TcpStream::connect(listen).unwrap());
+    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
+    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+    call
+}
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -1,125 +1,20 @@
 //! The program itself over loopback sockets, from its start to a clean exit: this test stands in for
 //! discovery, one runner and one client, a step at a time.
 
+mod helper;
+
 use std::env;
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-/// Far more than any step takes; only a step that never comes gets there.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-struct Peer(BufReader<TcpStream>);
-
-impl Peer {
-    fn new(stream: TcpStream) -> Peer {
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Peer(BufReader::new(stream))
-    }
-
-    fn from(listener: &TcpListener) -> Peer {
-        Peer::new(listener.accept().unwrap().0)
-    }
-
-    fn say(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).unwrap();
-    }
-
-    /// A whole message: first line, the value of `X-Request-Id` and the body.
-    fn hear(&mut self) -> String {
-        let (mut said, mut length) = (String::new(), 0);
-        loop {
-            let mut line = String::new();
-            self.0.read_line(&mut line).unwrap();
-            let line = line.trim_end();
-            match line.split_once(": ") {
-                Some(("Content-Length", value)) => length = value.parse().unwrap(),
-                Some(("X-Request-Id" | "Connection", value)) => said += &format!(" {value}"),
-                Some(_) => {}
-                None if line.is_empty() => break,
-                None => said += line,
-            }
-        }
-        let mut body = vec![0; length];
-        self.0.read_exact(&mut body).unwrap();
-        format!("{said} {}", String::from_utf8(body).unwrap())
-    }
-
-    /// A line of the watch: one runner, of this size.
-    fn lists(&mut self, runner: &TcpListener, weight: f64) {
-        let line = format!(
-            "{{\"generation\":1,\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\"lifecycle\":\"up\",\
-             \"weight\":{weight},\"hostPort\":\"{}\"}}]}}\n",
-            runner.local_addr().unwrap()
-        );
-        self.say(&format!("{:x}\r\n{line}\r\n", line.len()));
-    }
-
-    fn is_ended(&mut self) -> bool {
-        self.0.read(&mut [0]).is_ok_and(|read| read == 0)
-    }
-}
-
-/// The watch that a program has opened, answered.
-fn watched(discovery: &TcpListener) -> Peer {
-    watched_since(discovery, 0)
-}
-
-fn watched_since(discovery: &TcpListener, since: u64) -> Peer {
-    let mut watch = Peer::from(discovery);
-    assert_eq!(watch.hear(), format!("GET /v1/servers?follow=1&since={since} HTTP/1.1 "));
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    watch
-}
-
-/// An address of one test's own: nobody else is given the port that was free a moment ago.
-fn free_address(own: u8) -> SocketAddr {
-    let [_, .., high, low] = std::process::id().to_be_bytes();
-    TcpListener::bind((Ipv4Addr::new(127, own, high, low | 1), 0)).unwrap().local_addr().unwrap()
-}
-
-/// Ended with the test, whatever becomes of it.
-struct Program(Child);
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn signal(program: &Program, name: &str) {
-    let kill = format!("kill -{name} {}", program.0.id());
-    assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
-}
-
-/// What an operator is answered.
-fn called(admin: SocketAddr, line: &str) -> String {
-    let mut caller = TcpStream::connect(admin).unwrap();
-    caller.set_read_timeout(Some(PATIENCE)).unwrap();
-    caller.write_all(format!("{line}\n").as_bytes()).unwrap();
-    let mut answer = String::new();
-    caller.read_to_string(&mut answer).unwrap();
-    answer
-}
-
-fn configuration(listen: SocketAddr, discovery: SocketAddr) -> String {
-    format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1","limits":{{"sockets":256}},
-        "known":{{"generation":0,"reset":true,"instances":[]}},
-        "settings":{{"balancers":1,"registryMode":"subscribe","invariants":{{"askWithin":10000000,
-        "coldFrom":0.2,"warmWithin":1000000,"overloadFactor":3.0,"tipAfter":2000000}},
-        "limits":{{"mostForwards":3,"cancel":true,"dialTimeout":20000000}},
-        "operations":[{{"name":"plan","effect":"at_most_once","latencyObjective":20000000,
-        "clientTimeout":30000000,"billedValue":1.0}}]}}}}"#
-    )
-}
+use helper::*;
 
 #[test]
 fn from_start_to_a_clean_exit() {
@@ -183,14 +78,6 @@
     Program(command.spawn().unwrap())
 }
 
-/// A call-back, taken; the connection that it came on.
-fn calls_back(listen: SocketAddr, told: &str) -> Peer {
-    let mut call = Peer::new(TcpStream::connect(listen).unwrap());
-    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
-    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
-    call
-}
-
 /// A second process takes the listener over: who waits at the door is served by it, what the first has taken is
 /// answered by that one, and calls on runners hold in both.
 #[test]
