--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -22,7 +22,7 @@
 const LATE_MOST: Micros = 2_000_000;
 /// A second answer may follow some milliseconds after the first. What comes within this is not believed to be the next
 /// task's where it would say that a job never ran, or has ended, that may be running.
-const SECOND_WITHIN: Micros = 15_000;
+const SECOND_WITHIN: Micros = 10_000;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Task {
@@ -276,7 +276,13 @@
     }
 
     fn ask(&mut self, tgt: &Id, task: Task, message: Vec<u8>, due: Micros, wires: &mut dyn Wires) {
-        while let Some(link) = self.by_id.get_mut(tgt).and_then(|runner| runner.idle.pop()) {
+        // One that has rested, if there is one: what is answered on it cannot be another's.
+        let rested = wires.now() - SECOND_WITHIN;
+        while let Some(runner) = self.by_id.get_mut(tgt)
+            && let Some(last) = runner.idle.len().checked_sub(1)
+        {
+            let rests = |link: &Link| self.lines.get(link).is_none_or(|line| line.since <= rested);
+            let link = runner.idle.remove(runner.idle.iter().rposition(rests).unwrap_or(last));
             if wires.fresh(link) {
                 return self.start(link, task, &message, due, wires);
             }
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -643,13 +643,17 @@
     }
 
     /// Ends the forward that is out, if one is.
-    fn time_out(&mut self, inv: &Id, wires: &mut dyn Wires) -> bool {
-        let Some(open) = self.invs.get(inv) else { return false };
-        let Some(number) = open.out() else { return false };
+    fn time_out(&mut self, inv: &Id, wires: &mut dyn Wires) {
+        let Some(open) = self.invs.get(inv) else { return };
+        let Some(number) = open.out() else { return };
         let tgt = open.forwards[number as usize].tgt.clone();
-        self.end(inv, number, Ending::TimedOut, Vec::new(), wires.now());
-        self.runners.give_up(&tgt, inv, number, wires);
-        true
+        // What has not left cannot have run, and need not be errored.
+        let held_back = self.runners.hold_back(&tgt, inv, number, wires);
+        let ending = if held_back { Ending::Void } else { Ending::TimedOut };
+        self.end(inv, number, ending, Vec::new(), wires.now());
+        if !held_back {
+            self.runners.give_up(&tgt, inv, number, wires);
+        }
     }
 
     /// Answers without waiting for the brain, which hears that nothing more is owed.
