--- a/node/tests/ends.rs
+++ b/node/tests/ends.rs
@@ -123,7 +123,7 @@
         "{{\"generation\":{generation},\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\
          \"lifecycle\":\"{state}\",\"weight\":1,\"hostPort\":\"{runner}\"}}]}}\n"
     );
-    watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    watch.tells(&line);
 }
 
 fn no_cancel(text: String) -> String {
@@ -225,7 +225,7 @@
          \"hostPort\":\"{}\"}}]}}\n",
         other.local_addr().unwrap()
     );
-    watch.say(&format!("{:x}\r\n{line}\r\n", line.len()));
+    watch.tells(&line);
     assert_eq!(given(&other, "stays"), ["stays"]);
 }
 
--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -52,6 +52,11 @@
              \"weight\":{weight},\"hostPort\":\"{}\"}}]}}\n",
             runner.local_addr().unwrap()
         );
+        self.tells(&line);
+    }
+
+    /// One line of a watch, in a chunk of its own.
+    pub fn tells(&mut self, line: &str) {
         self.say(&format!("{:x}\r\n{line}\r\n", line.len()));
     }
 
