--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -97,6 +97,8 @@
     open: u64,
     bad_rate: f64,
     ticks: (u64, u64, Micros),
+    /// When this loop last looked round, and how late it was by then.
+    looked: (Micros, Micros),
     void: Vec<String>,
     notes: Vec<String>,
     crashes: u64,
@@ -114,6 +116,15 @@
     spoils: Pcg32,
 }
 
+impl Stage {
+    /// For how long what is seen now may have been there: this loop has not looked round since, or has just come round
+    /// and is still at what came meanwhile, as everybody on the machine is.
+    fn behind(&self, now: Micros) -> Micros {
+        let (at, late) = self.looked;
+        (now - at - TICK).max(late - (now - at)).max(0)
+    }
+}
+
 #[derive(Clone)]
 struct Lab {
     stage: Rc<RefCell<Stage>>,
@@ -138,7 +149,9 @@
 
     fn see(&self, seen: Seen) {
         let now = self.now();
-        self.stage.borrow_mut().judge.see(now, seen);
+        let stage = &mut *self.stage.borrow_mut();
+        stage.judge.behind = stage.behind(now);
+        stage.judge.see(now, seen);
     }
 
     async fn until(&self, at: Micros) {
@@ -290,6 +303,7 @@
         open: 0,
         bad_rate: 0.0,
         ticks: (0, 0, 0),
+        looked: (0, 0),
         void: Vec::new(),
         notes: Vec::new(),
         crashes: 0,
@@ -930,6 +944,7 @@
     let cold = (runner.warmth(now) < 1.0).then(|| runner.capacity(now));
     let work = stage.judge.work(inv);
     let far = runner.zone != d as usize % stage.world.zones;
+    stage.judge.behind = stage.behind(now);
     stage.judge.see(now, Seen::Forwarded { inv, dispatcher: d, runner: r as u32, work, cold });
     stage.tally.traffic.forwards += 1;
     stage.tally.traffic.crossings += u64::from(far);
@@ -1296,7 +1311,9 @@
         let at = lab.now() + TICK;
         lab.until(at).await;
         let late = lab.now() - at;
-        let ticks = &mut lab.stage.borrow_mut().ticks;
+        let stage = &mut *lab.stage.borrow_mut();
+        stage.looked = (at + late, stage.behind(at + late));
+        let ticks = &mut stage.ticks;
         ticks.0 += 1;
         ticks.1 += u64::from(late > LATE);
         ticks.2 = ticks.2.max(late);
