A call to discovery that is never answered is given up in 2.8 s the first time

Ruled out: discovery in a crowd (no 503 in that stretch), lost calls afterwards (no further watch was lost).

Cause: HEAD_WITHIN, 5 s for a head, in node/src/back/roster.rs (due). The first such call is given up as soon as a silent watch; the one after it may wait its 5 s, since in a crowd of callers whoever never waits longer is never heard. Test: a_call_that_is_never_answered_is_made_again_in_time (before: 5.0 s).

--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -16,7 +16,9 @@
 /// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets
 /// through.
 const DIAL_WITHIN: Micros = 1_000_000;
-/// A call that waits its turn for longer is as good as lost.
+/// A call that waits its turn for longer is as good as lost, after one that fell silent before it was answered: many
+/// callers make discovery slow, and who never waited longer would never be heard. The first such call is given up as
+/// soon as a silent watch, for what it does not tell counts as told as early.
 const HEAD_WITHIN: Micros = 5_000_000;
 /// An empty line comes every 2 s; one that is late by this much is missing. What a dead watch has not told counts as
 /// told 6 s after it fell silent, and by then a dial may have failed as well, with a wait before the next.
@@ -163,12 +165,15 @@
     /// Whether the watch is wanted at all.
     follows: bool,
     watch: Option<Watch>,
+    /// The call before this one was never answered, though its connection was up.
+    unanswered: bool,
     pub heard: Vec<Heard>,
 }
 
 impl Roster {
     pub fn new(discovery: SocketAddr, generation: u64) -> Roster {
-        Roster { discovery, generation: Some(generation), follows: false, watch: None, heard: Vec::new() }
+        let (generation, heard) = (Some(generation), Vec::new());
+        Roster { discovery, generation, follows: false, watch: None, unanswered: false, heard }
     }
 
     /// Where the list comes from, and how far it has been heard.
@@ -227,6 +232,7 @@
             Some(framing) => framing,
             None => match http::answer_head(input).map_err(|_| "bad_answer")? {
                 None => return Ok(()),
+                Some(_) if std::mem::take(&mut self.unanswered) => return self.read(input, wires),
                 Some((answer, _, _)) if answer.status != 200 => return Err("bad_status"),
                 Some((answer, framing, head)) => {
                     watch.keep = answer.keep;
@@ -329,14 +335,16 @@
     }
 
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
+        let unanswered = self.unanswered;
         let Some(watch) = self.on(link) else { return };
         let most = match watch.framing {
             None if !watch.up => DIAL_WITHIN,
-            None => HEAD_WITHIN,
-            Some(_) => SILENT_MOST,
+            None if unanswered => HEAD_WITHIN,
+            _ => SILENT_MOST,
         };
         let at = watch.heard_at + most;
         if wires.now() >= at {
+            self.unanswered = watch.up && watch.framing.is_none();
             wires.cut(link, End::WatchSilent);
             self.lost("silent");
         } else {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -649,6 +649,36 @@
     "#]]);
 }
 
+/// Against a call that fell silent before it was answered and took 5 s to be known as such, of the 6 s after which what
+/// it does not tell counts as told; the next one may wait longer, in a crowd of callers.
+#[test]
+fn a_call_that_is_never_answered_is_made_again_in_time() {
+    let mut node = Node::new(&RUNNERS[..1]);
+    node.up(1);
+    node.pass(3300);
+    node.up(2);
+    node.pass(6000);
+    node.up(3);
+    node.feed(3, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    node.pass(4600);
+    node.up(4);
+    node.pass(2900);
+    node.shows(expect![[r#"
+        0     #1 dials 127.0.0.1:8500
+        0     #1 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
+        2800  #1 ends: watch_silent
+        3293  #2 dials 127.0.0.1:8500
+        3293  #2 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
+        8293  #2 ends: watch_silent
+        8879  #3 dials 127.0.0.1:8500
+        8879  #3 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
+        12100 #3 ends: watch_silent
+        13490 #4 dials 127.0.0.1:8500
+        13490 #4 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
+        16290 #4 ends: watch_silent
+    "#]]);
+}
+
 /// Where lists are pushed a change counts though nobody listens: waits that grow would outlast the drain's grace.
 #[test]
 fn a_discovery_that_refuses_is_asked_again_within_the_grace_where_lists_are_pushed() {
