Cold runners by proven reports; shortage and silence where no load is told; late dials lapse

Every one went by holds_little with a report of 0.0 held: its reports are up to two seconds old, and a process that has just begun takes reports for prompt until it has seen otherwise. Change: a cold runner's word counts once five reports in a row counted own forwards.

Progress is owed by what has begun; where no load is told work waits unseen in a runner's queue, and silence_allowed took 1.5 s of that for a hang; each move left a job behind that ran on. Change: there only what has begun can fall silent so soon.

Change: what begins within an objective has found a slot, as a shortage's measure; half of low work at least is let in.

By reading: a further forward of deduplicated work that waits for its dial was written when the dial came up, though runners had forgotten the first one by then. Change: Action::Forward says by when it must have left (actions.rs), and Runners ends what has not.

SIGHUP between arrival, forward, return and answer, twice in a row, is forced over loopback now, with effect, group, span, timeout and forwards changed: ruled out.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -339,7 +339,7 @@
 pub fn write(out: &mut String, inst: u64, action: &Action) {
     // Writing to a String cannot fail.
     let _ = match action {
-        Action::Forward { inv, tgt } => writeln!(out, "SUBMIT_TO {inst} {inv} {tgt} -"),
+        Action::Forward { inv, tgt, .. } => writeln!(out, "SUBMIT_TO {inst} {inv} {tgt} -"),
         Action::Cancel { inv, forward } => writeln!(out, "CANCEL {inst} {inv} {forward}"),
         Action::Throttle { inv, come_back: Some(after) } => writeln!(out, "DENY {inst} {inv} {after}"),
         Action::Throttle { inv, come_back: None } => writeln!(out, "DENY {inst} {inv} -"),
--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -144,7 +144,7 @@
         match tgt {
             Some(tgt) if held.forwards < self.orders.most_forwards => {
                 held.forwards += 1;
-                vec![Action::Forward { inv, tgt }]
+                vec![Action::Forward { inv, tgt, by: None }]
             }
             _ => self.give_up(inv),
         }
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -682,7 +682,7 @@
         let life = self.life(d);
         for action in actions {
             match action {
-                Action::Forward { inv, tgt } => self.forward(life, &inv, &tgt),
+                Action::Forward { inv, tgt, .. } => self.forward(life, &inv, &tgt),
                 Action::Cancel { inv, forward } => {
                     let inv = key(&inv);
                     let sent = self.dispatchers[d as usize].invs.get(&inv);
--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -81,8 +81,9 @@
     task: Option<Task>,
     /// When it was answered on last, if it was: its runner may have let go of it since, or answer once more.
     answered_at: Option<Micros>,
-    /// The message of a task that waits for the dial.
+    /// The message of a task that waits for the dial, and when it must have left.
     message: Vec<u8>,
+    leaves_by: Micros,
     /// When what it is at must have come to an end.
     due: Micros,
     /// The task's end has been told as not answered; the answer may still come.
@@ -92,9 +93,9 @@
 }
 
 impl Line {
-    /// The task that waits for the dial, with its message and when it is due.
-    fn take_waiting(&mut self) -> Option<(Task, Vec<u8>, Micros)> {
-        let task = self.task.take_if(|_| self.phase == Phase::Dialling)?;
+    /// The task that waits for the dial, with its message and when it is due, if it may still leave.
+    fn take_waiting(&mut self, now: Micros) -> Option<(Task, Vec<u8>, Micros)> {
+        let task = self.task.take_if(|_| self.phase == Phase::Dialling && now < self.leaves_by)?;
         Some((task, std::mem::take(&mut self.message), self.due))
     }
 }
@@ -194,7 +195,8 @@
         let lines = self.by_id.get(tgt).map(|runner| runner.lines.clone()).unwrap_or_default();
         for link in lines {
             let waits = |line: &&mut Line| matches!(line.task, Some(Task::Forward { .. }));
-            let waiting = self.lines.get_mut(&link).filter(waits).and_then(Line::take_waiting);
+            let waiting = self.lines.get_mut(&link).filter(waits);
+            let waiting = waiting.and_then(|line| line.take_waiting(Micros::MIN));
             if let Some((task, _, _)) = waiting {
                 self.end_line(link, End::Unlisted, wires);
                 self.unanswered(tgt, task, Ending::Void, false);
@@ -202,13 +204,14 @@
         }
     }
 
-    /// `head` and `body` as they came, and when nobody waits for the outcome any more.
+    /// `head` and `body` as they came, when nobody waits for the outcome any more, and when it must have left, if it
+    /// waits for a dial: runners remember an earlier one only for so long.
     pub fn forward(
         &mut self,
         tgt: &Id,
         (inv, number): (&Id, u32),
         (head, body): (&[u8], &[u8]),
-        expires_at: Micros,
+        (expires_at, by): (Micros, Option<Micros>),
         wires: &mut dyn Wires,
     ) {
         let left = (expires_at - wires.now()).max(0) / 1000;
@@ -218,6 +221,13 @@
         message.extend_from_slice(body);
         let task = Task::Forward { inv: inv.clone(), number };
         self.ask(tgt, task, message, expires_at + LATE_MOST, wires);
+        let link = self.carrying(tgt, inv, number).filter(|_| by.is_some());
+        if let Some((by, link)) = by.zip(link)
+            && let Some(line) = self.lines.get_mut(&link)
+        {
+            line.leaves_by = by;
+            wires.wake(Due::Link(link), by);
+        }
     }
 
     fn probe_message(&self, tgt: &Id) -> Vec<u8> {
@@ -302,12 +312,24 @@
         runner.lines.push(link);
         let since = wires.now();
         let (phase, task, tgt) = (Phase::Dialling, Some(task), tgt.clone());
+        let (answered_at, leaves_by, overdue, rest_check) = (None, Micros::MAX, false, 0);
         let line =
-            Line { tgt, phase, since, task, answered_at: None, message, due, overdue: false, rest_check: 0 };
+            Line { tgt, phase, since, task, answered_at, message, leaves_by, due, overdue, rest_check };
         self.lines.insert(link, line);
         wires.wake(Due::Link(link), since + self.dial_timeout);
     }
 
+    /// What had to leave by now, and still waits for its dial, never leaves.
+    fn lapse(&mut self, link: Link, wires: &mut dyn Wires) {
+        let late = |line: &&mut Line| line.phase == Phase::Dialling && wires.now() >= line.leaves_by;
+        let Some(line) = self.lines.get_mut(&link).filter(late) else { return };
+        line.leaves_by = Micros::MAX;
+        if let Some((task, _, _)) = line.take_waiting(Micros::MIN) {
+            let tgt = line.tgt.clone();
+            self.unanswered(&tgt, task, Ending::Void, false);
+        }
+    }
+
     /// Writes a task's message to a connection that is up.
     fn start(&mut self, link: Link, task: Task, message: &[u8], due: Micros, wires: &mut dyn Wires) {
         let Some(line) = self.lines.get_mut(&link) else { return };
@@ -322,7 +344,8 @@
     fn rest(&mut self, link: Link, wires: &mut dyn Wires) {
         let Some(tgt) = self.lines.get(&link).map(|line| line.tgt.clone()) else { return };
         let Some(runner) = self.by_id.get_mut(&tgt) else { return };
-        let mut waiting = |other: &Link| self.lines.get_mut(other).and_then(Line::take_waiting);
+        let now = wires.now();
+        let mut waiting = |other: &Link| self.lines.get_mut(other).and_then(|line| line.take_waiting(now));
         if let Some((task, message, due)) = runner.lines.iter().find_map(&mut waiting) {
             return self.start(link, task, &message, due, wires);
         }
@@ -450,8 +473,9 @@
 
 impl Callbacks for Runners {
     fn up(&mut self, link: Link, wires: &mut dyn Wires) {
+        self.lapse(link, wires);
         let Some(line) = self.lines.get_mut(&link) else { return };
-        match line.take_waiting() {
+        match line.take_waiting(wires.now()) {
             Some((task, message, due)) => self.start(link, task, &message, due, wires),
             None => self.rest(link, wires),
         }
@@ -519,6 +543,7 @@
 
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
         let now = wires.now();
+        self.lapse(link, wires);
         let Some(line) = self.lines.get_mut(&link) else { return };
         match line.phase {
             Phase::Dialling if now >= line.since + self.dial_timeout => {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -531,7 +531,7 @@
 
     fn act(&mut self, action: Action, wires: &mut dyn Wires) {
         match action {
-            Action::Forward { inv, tgt } => self.forward(&inv, tgt, wires),
+            Action::Forward { inv, tgt, by } => self.forward(&inv, tgt, by, wires),
             Action::Cancel { inv, forward } => self.cancel(&inv, forward, wires),
             Action::Throttle { inv, come_back } => {
                 self.was_short(wires.now());
@@ -545,7 +545,7 @@
         }
     }
 
-    fn forward(&mut self, inv: &Id, tgt: Id, wires: &mut dyn Wires) {
+    fn forward(&mut self, inv: &Id, tgt: Id, by: Option<Micros>, wires: &mut dyn Wires) {
         let Some(open) = self.invs.get_mut(inv) else { return };
         let number = open.forwards.len() as u32;
         let sendable = !open.answered && open.out().is_none();
@@ -553,7 +553,7 @@
         open.forwards.push(Forward { tgt: tgt.clone(), at, out: true, taken: false, cancels: 0, told: None });
         if sendable {
             let message = (open.head.as_slice(), open.body.as_slice());
-            self.runners.forward(&tgt, (inv, number), message, open.expires_at, wires);
+            self.runners.forward(&tgt, (inv, number), message, (open.expires_at, by), wires);
         } else {
             self.end(inv, number, Ending::Void, Vec::new(), at);
         }
--- a/node/tests/ends.rs
+++ b/node/tests/ends.rs
@@ -319,3 +319,86 @@
     assert_eq!(node.program.0.wait().unwrap().code(), Some(0));
     assert!(told.elapsed() < Duration::from_millis(1700), "killed before it had ended: {:?}", told.elapsed());
 }
+
+/// An operation whose repeats runners drop for a second and a half.
+fn remembered(text: String) -> String {
+    text.replace(
+        r#""effect":"at_most_once""#,
+        r#""effect":"deduplicated","group":"all","memorySpan":1500000"#,
+    )
+}
+
+/// The first forward may have run; the second waits for its dial until the runners have forgotten the first.
+#[test]
+fn a_dial_that_outlives_the_memory_of_the_runners_carries_nothing() {
+    let mut node = Node::new(110, remembered);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let mut client = node.asks("once");
+    let mut forward = Peer::from(&runner);
+    assert_eq!(forward.hear(), "POST /plan HTTP/1.1 once ");
+    let sent = Instant::now();
+    forward.say(TAKEN);
+    let shut = Shut::new();
+    // The same runner, elsewhere: its next forward has to be dialled.
+    lists(&mut watch, 2, shut.address, "up");
+    node.logged("reason=unlisted");
+    calls_back(node.listen, r#"{"id":"once","from":"s-a","state":"failed"}"#);
+    // It may have run, but to ask again is harmless where all runners drop the repeat.
+    assert!(client.hear().starts_with("HTTP/1.1 429"));
+    assert!(sent.elapsed() < Duration::from_millis(1500), "given up late: {:?}", sent.elapsed());
+    let _stays = node.asks("stays");
+    let runner = shut.opens();
+    assert_eq!(given(&runner, "stays"), ["stays"]);
+}
+
+/// New settings between arrival, forward, return and answer, and twice in a row: what is under way is what it was when
+/// it was taken, whatever its operation has become and been since.
+#[test]
+fn new_settings_at_each_step_change_nothing_for_what_is_under_way() {
+    let kind = |effect: &str| format!(r#""effect":"{effect}","group":"zone","memorySpan":1000"#);
+    let loose = kind("idempotent");
+    let mut node = Node::new(111, |text| text.replace(r#""effect":"at_most_once""#, &loose));
+    let was = fs::read_to_string(&node.path).unwrap();
+    let strict = was.replace(&loose, &kind("at_most_once")).replace(":30000000", ":900000");
+    let between = was.replace(&loose, &kind("deduplicated"));
+    let reload = |node: &mut Node, text: &str| {
+        fs::write(&node.path, text).unwrap();
+        signal(&node.program, "HUP");
+    };
+    let mut watch = watched(&node.discovery);
+    // Known before the settings change: a look at readiness on the same connection comes after the request.
+    let mut early = node.asks("early");
+    let mut look = node.client();
+    look.say("GET /healthz HTTP/1.1\r\n\r\n");
+    look.hear();
+    reload(&mut node, &between);
+    node.logged("retuned");
+    reload(&mut node, &strict);
+    node.logged("retuned");
+    let mut late = node.asks("late");
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let mut forwards = [Peer::from(&runner), Peer::from(&runner)];
+    let mut heard = forwards.each_mut().map(Peer::hear);
+    heard.sort();
+    assert_eq!(heard, ["POST /plan HTTP/1.1 early ", "POST /plan HTTP/1.1 late "]);
+    // What follows is on connections of its own.
+    let last = TAKEN.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+    forwards.iter_mut().for_each(|forward| forward.say(&last));
+    // Between forward and return: loose again, with fewer forwards, then as at first.
+    reload(&mut node, &was.replace("\"mostForwards\":3", "\"mostForwards\":1"));
+    node.logged("retuned");
+    reload(&mut node, &was);
+    node.logged("retuned");
+    calls_back(node.listen, r#"{"id":"late","from":"s-a","state":"failed"}"#);
+    assert!(late.hear().starts_with("HTTP/1.1 502"), "it must run once, as when it was taken");
+    calls_back(node.listen, r#"{"id":"early","from":"s-a","state":"failed"}"#);
+    let again = given(&runner, "early");
+    assert_eq!(again, ["early"]);
+    reload(&mut node, &strict);
+    node.logged("retuned");
+    calls_back(node.listen, r#"{"id":"early","from":"s-a","state":"done","result":"r"}"#);
+    assert_eq!(early.hear(), "HTTP/1.1 200 OK r");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,8 +46,8 @@
 const SPARE: (f64, f64) = (0.03, 0.2);
 /// The same by shares of forwards that runners take, where these tell instead of draws.
 const TAKEN: (f64, f64) = (0.1, 0.6);
-/// Some low work is always let in: without it nothing would tell that slots are free again.
-const ADMITTED_LEAST: f64 = 0.05;
+/// Some low work is always let in, or nothing would tell that slots are free again; more where only its starts do.
+const ADMITTED_LEAST: (f64, f64) = (0.05, 0.5);
 /// In mean times of a forward: how long a runner's usual load is believed with no word from it.
 const FADES: f64 = 60.0;
 /// In tightest objectives: from how much longer a wait for those that dial connections are worth keeping to.
@@ -67,6 +67,8 @@
 const PORTIONED: (f64, f64) = (0.3, 0.1);
 /// Jobs that other dispatchers may be sending to a runner whose report is fresh.
 const MEANWHILE: f64 = 2.0;
+/// Reports in a row that counted own forwards, before a cold runner's is believed: late ones show all of them nothing.
+const PROVEN: u32 = 5;
 /// How far above the fleet's median share of failures a runner may lie.
 const FAILURES_OVER_MEDIAN: f64 = 0.3;
 /// Failures and successes count half after this.
@@ -119,8 +121,9 @@
     dial_excess: Recent,
     /// The share of probes that found a slot free, or of forwards that were taken.
     free_share: Recent,
-    /// Log-odds that reports come late.
+    /// Log-odds that reports come late; how many since the last that seemed so did not.
     doubt: f64,
+    proven: u32,
     /// Time of a successful forward, by operation and over all.
     pace: Vec<Recent>,
     mean_pace: f64,
@@ -214,8 +217,7 @@
         if let Some(&(at, _)) = self.dues.keys().next()
             && self.armed.first().is_none_or(|armed| *armed > at)
         {
-            // Armed for the next due only: hundreds of idle dispatchers that wake many times a second cost
-            // more than all decisions.
+            // Armed for the next due only: hundreds of idle dispatchers that wake cost more than all decisions.
             self.armed.insert(at);
             self.todo.push(Action::Tick { after: (at - now).max(1) });
         }
@@ -272,9 +274,8 @@
     fn roster(&mut self, roster: Roster) {
         match roster.listing {
             Listing::Refused => {
-                // Every dispatcher of a restarted fleet asks at once, and the registry fails those that
-                // wait too long: asking again is spread out and slows down, but stays well inside the
-                // span after which unheard changes count as told.
+                // A restarted fleet asks at once, and the registry fails whoever waits too long: asking again is
+                // spread out and slows down, well inside the span after which changes count as told.
                 self.following = false;
                 self.refusals += 1;
                 let most = (200_000 << self.refusals.min(4)).min(self.orders.ask_within / 4).max(1);
@@ -355,8 +356,7 @@
         // A client's repeat comes with less time left than a first try; its objective runs from the first.
         let fullest = &mut self.fullest[arrival.operation];
         *fullest = arrival.expires_in.max(*fullest);
-        // The objective grows by the stretch, less what the running itself takes on a slow machine: half as
-        // long again as a hint says; much of that is in the pace already.
+        // The objective grows by the stretch, less what running takes on a slow machine: half as long again as hinted.
         let (service, own) =
             arrival.hint.map_or((self.pace[arrival.operation].value, 1.25), |hint| (hint as f64, 1.5));
         let slack = ((op.stretch - own).max(0.0) * service) as Micros;
@@ -390,13 +390,14 @@
             return true;
         }
         let (none, all) = self.let_in();
-        let share = ((self.free_share.value - none) / (all - none)).clamp(ADMITTED_LEAST, 1.0);
+        let least = if self.orders.blind() { ADMITTED_LEAST.1 } else { ADMITTED_LEAST.0 };
+        let share = ((self.free_share.value - none) / (all - none)).clamp(least, 1.0);
         if late { share >= 1.0 } else { self.chance.happens(share) }
     }
 
     /// Whether it is forwards, taken or turned away, that tell of free slots: draws are not probed, or in vain.
     fn forwards_tell(&self) -> bool {
-        self.orders.lists_load() || self.orders.probes() && self.doubt > 0.0
+        self.orders.lists_load() || self.orders.blind() || self.orders.probes() && self.doubt > 0.0
     }
 
     /// The shares at which no low work, and at which all, is let in.
@@ -497,7 +498,7 @@
 
     fn forward(&mut self, id: &Id, tgt: usize) {
         let work = self.work(&self.invs[id]);
-        let stall = self.silence_allowed();
+        let stall = self.silence_allowed(false);
         let Some(inv) = self.invs.get_mut(id) else { return };
         if let Some(place) = inv.place.take() {
             self.queue.remove(&place);
@@ -522,7 +523,10 @@
             self.linked.push(tgt);
         }
         runner.spent.push_back((self.now, work));
-        self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone() });
+        let op = &self.orders.operations[inv.operation];
+        let remembered = inv.bond.as_ref().filter(|_| matches!(op.effect, Effect::Deduplicated(_)));
+        let by = remembered.map(|bond| bond.since + op.memory_span - MARGIN);
+        self.todo.push(Action::Forward { inv: id.clone(), tgt: runner.id.clone(), by });
         if self.orders.lists_load() && self.orders.probes() && runner.slots.is_none() {
             // The list tells of load in shares of slots, but not how many these are.
             self.probe(tgt);
@@ -560,12 +564,14 @@
     }
 
     fn started(&mut self, id: &Id, forward: u32) {
-        let stall = self.silence_allowed();
+        let stall = self.silence_allowed(true);
         let Some(out) = self.sign(id, forward).filter(|out| !out.started) else { return };
         out.started = true;
         let (sent, dialled) = (out.sent, out.dialled);
-        if self.orders.lists_load() {
-            self.free_share.note(1.0, 0.2, self.now);
+        if self.orders.lists_load() || self.orders.blind() {
+            // Where nothing tells of loads, what begins within an objective has found a slot soon enough.
+            let soon = !self.orders.blind() || self.now - sent <= self.tightest;
+            self.free_share.note(f64::from(u8::from(soon)), 0.2, self.now);
         }
         self.watch(id, Some(self.now + stall));
         // One slowed runner's waits are to say nothing of the others'.
@@ -600,7 +606,7 @@
         self.report(out.tgt, &outcome.report);
         // Where runners tell of starts these have been counted.
         let taken = outcome.ending == Ending::Succeeded && !self.orders.tells_start;
-        if self.forwards_tell() && (taken || outcome.ending == Ending::Overloaded) {
+        if self.forwards_tell() && !self.orders.blind() && (taken || outcome.ending == Ending::Overloaded) {
             self.free_share.note(f64::from(u8::from(taken)), 0.2, self.now);
         }
         if outcome.ending == Ending::Overloaded
@@ -756,8 +762,7 @@
         }
     }
 
-    /// Where sizes move with load, draws go by them: all hear the same late list, and who drew evenly and then
-    /// took the least would meet all others there.
+    /// Where sizes move with load, draws go by them: whoever took the least of the late list would meet all others.
     fn pick(&mut self, from: &[usize]) -> usize {
         if !self.orders.lists_load() && !self.orders.blind() {
             return self.chance.below(from.len() as u64) as usize;
@@ -816,10 +821,9 @@
         best.map(|(_, _, r)| r)
     }
 
-    /// A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every
-    /// dispatcher finds the same homes for a key by hashing, with no word between them, and as many as the
-    /// key's share of the work asks for: a popular key would swamp a single home unseen, as each of many
-    /// dispatchers has next to nothing out there. The last one returned is the next home by hash.
+    /// A runner must fetch what a key needs unless it has it, and one store serves all fetches. Every dispatcher finds
+    /// the same homes for a key by hashing, and as many as the key's share of the work asks for: a popular key would
+    /// swamp a single home unseen. The last one returned is the next home by hash.
     fn homes(&mut self, key: u64, inv: &Inv) -> Vec<usize> {
         let mut length = 8;
         loop {
@@ -873,7 +877,7 @@
             };
         fits && self.now >= runner.bench_until.max(runner.full_until)
             && !(runner.on_trial && runner.out > 0)
-            && !self.silent(r)
+            && !self.silent(r, false)
             && (self.within_cold_budget(r, self.work(inv)) || self.holds_little(r, self.work(inv)))
     }
 
@@ -888,8 +892,7 @@
             // Own forwards tell here when they end, so a job may as well wait here for their slots; where
             // others hold the slots, none would tell, and it waits in the runner.
             let others = 1.0 - f64::from(self.runners[r].out) / count.max(1.0);
-            // Counts in doubt are averages: what seems just full may as well have a slot free, the likelier
-            // the more of what reports show are jobs of this dispatcher that have since ended.
+            // Counts in doubt are averages: what seems just full may have a slot free, the likelier the more of it is own.
             let own = 1.0 / f64::from(self.orders.dispatchers.max(1));
             let guess = if self.probes_tell() { 0.0 } else { 0.5 + 0.5 * own.powi(4) };
             (slots * (self.warmth(r) + others * PLACES)).round().max(1.0) + guess
@@ -899,9 +902,9 @@
         count + inv.slots <= room.max(inv.slots)
     }
 
-    /// All-class count: own forwards out and what the latest report leaves for others. As a report ages, the
-    /// jobs that it counted end: after about one job's time only the usual figure of that runner says more,
-    /// and in the long run the fleet's mean: a runner once full would else be shunned for good.
+    /// All-class count: own forwards out and what the latest report leaves for others. As it ages, the jobs counted end:
+    /// then only that runner's usual figure says more, and in the long run the fleet's mean, or one once full would be
+    /// shunned for good.
     fn count(&self, r: usize) -> f64 {
         let runner = &self.runners[r];
         let mean = self.others_mean.at(self.now, 8.0 * self.mean_pace) * self.capacity(r);
@@ -974,9 +977,8 @@
         most * self.orders.tip_after as f64 * COLD_CAUTION
     }
 
-    /// An even share of it, or the portion that was agreed on. Among hundreds of dispatchers a share is less than one
-    /// job and would never be used: there they take turns by their own numbers, a time slice each, at whole jobs. Two
-    /// slices touch any span that the rule looks at, so each has half the budget.
+    /// An even share of it, or the portion agreed on. Where a share is less than one job, dispatchers take turns by
+    /// their own numbers, a time slice each, at whole jobs. Two slices touch any span, so each has half the budget.
     fn within_cold_budget(&self, r: usize, work: f64) -> bool {
         if self.warmth(r) >= 1.0 {
             return true;
@@ -997,12 +999,11 @@
         turn % (turns as u64).max(1) == 0 && runner.spent_since(slice * span) + work <= most
     }
 
-    /// What a runner is sent in a span is what it does in it, which is its capacity at most, and what it holds at
-    /// its end. So it is safe at any number of dispatchers while it holds no more than the rule leaves beyond its
-    /// capacity, some jobs that others may be sending it at this moment counted in. One with no fresh word may be
-    /// drawn, to be probed.
+    /// What a runner is sent in a span is what it does in it, its capacity at most, and what it holds at its end: safe
+    /// while it holds no more than the rule leaves beyond its capacity, some jobs that others may be sending it now
+    /// counted in, and only by word known to be prompt. One with no fresh word may be drawn, to be probed.
     fn holds_little(&self, r: usize, work: f64) -> bool {
-        if !self.probes_tell() || self.age(r) > HEARING as f64 && !self.stale(r) {
+        if !self.probes_tell() || self.proven < PROVEN || self.age(r) > HEARING as f64 && !self.stale(r) {
             return false;
         }
         let held = if self.stale(r) { 0.0 } else { self.count(r) };
@@ -1045,6 +1046,7 @@
     /// Evidence on whether reports come late, in log-odds; neither belief grows too firm to turn.
     fn weigh(&mut self, evidence: f64) {
         self.doubt = (self.doubt + evidence).clamp(-FIRMEST, FIRMEST);
+        self.proven = if evidence > 0.0 { 0 } else { self.proven.saturating_add(1) };
     }
 
     fn judge(&mut self, r: usize, operation: usize, outcome: &Outcome) {
@@ -1114,18 +1116,19 @@
         self.listed.iter().filter(|r| now < self.runners[**r].bench_until).count()
     }
 
-    /// How long a runner may show no sign of life. One that is not standing still tells of progress at a
-    /// known gap, so its lack tells a hang sooner than any time-out could.
-    fn silence_allowed(&self) -> Micros {
-        if self.orders.progress > 0 {
-            return self.orders.progress * 3 / 2;
+    /// How long a runner may show no sign of life. Progress is told at a known gap, so its lack tells a hang sooner than
+    /// any time-out. What has not begun owes none: where no load is told it waits in the runner, and looks like a hang.
+    fn silence_allowed(&self, begun: bool) -> Micros {
+        let told = self.orders.progress * 3 / 2;
+        if told > 0 && (begun || !self.orders.blind()) {
+            return told;
         }
-        4 * self.pace.iter().map(|pace| pace.value).fold(0.0, f64::max) as Micros
+        told.max(4 * self.pace.iter().map(|pace| pace.value).fold(0.0, f64::max) as Micros)
     }
 
-    fn silent(&self, r: usize) -> bool {
+    fn silent(&self, r: usize, begun: bool) -> bool {
         let runner = &self.runners[r];
-        runner.out > 0 && self.now - runner.silent_since >= self.silence_allowed()
+        runner.out > 0 && self.now - runner.silent_since >= self.silence_allowed(begun)
     }
 
     fn stalled(&mut self, id: &Id) {
@@ -1148,14 +1151,14 @@
         if !(may_go && self.orders.may_cancel && inv.forwards < self.allowance[inv.operation]) {
             return self.watch_start(id);
         }
-        let (tgt, allowed) = (out.tgt, self.silence_allowed());
+        let (tgt, begun, allowed) = (out.tgt, out.started, self.silence_allowed(out.started));
         if !self.affords(inv.operation) {
             return self.watch(id, Some(self.now + allowed / 4));
         }
         if unbegun {
             return self.cancel(id);
         }
-        if self.silent(tgt) && self.now - out.sign >= allowed {
+        if self.silent(tgt, begun) && self.now - out.sign >= allowed {
             self.cancel(id);
             self.bench(tgt, "silent");
         } else {
