A call to discovery keeps its turn; nothing is sent by a list that may be out of date

Over the fleet 393 calls were given up as silent after 2.8 s and 726 turned away (503) between 8 and 24 s: discovery lets a call wait for 3 s, its queue was full, so nearly every call that got into it was given up 0 to 0.2 s before its answer, and the place was wasted for the others too.

Ruled out: a dispatcher that stood still (no stood-still line), a dial that came up late (the connections were there for seconds), the link to the runner.

Mended: a call that is late goes on beside the next one (at most two), the first to say a line is the watch; waits of the module are a quarter as long (src/brain.rs); after 6 s in which something may have been missed, everybody listed counts as draining until a line is heard, unless discovery is down or cut off. Whole lists and long lines may take 10 s while they come on.

--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -10,6 +10,9 @@
 
 /// Runners that are listed no more and that are still known as having been.
 const GONE_MOST: usize = 4096;
+/// What discovery has, and could tell, counts as told after this, whether or not it came. The grace of a drain comes
+/// after it, for the turn in which that is noticed.
+pub const TOLD_WITHIN: Micros = 6_000_000;
 
 struct Member {
     /// As last listed.
@@ -28,9 +31,9 @@
     }
 
     /// What holds of it, the list, the hand and the rest of cold ones taken together.
-    fn standing(&self, rest: &Rest, now: Micros) -> RosterEntry {
+    fn standing(&self, (rest, lapsed): (&Rest, bool), now: Micros) -> RosterEntry {
         let mut entry = self.entry.clone();
-        if entry.readiness == Readiness::On && self.out_since.is_some() {
+        if entry.readiness == Readiness::On && (self.out_since.is_some() || lapsed) {
             entry.readiness = Readiness::Fading;
         }
         // It was restarted while it was out, and the list may say so late: to take it for warm would be to
@@ -61,6 +64,10 @@
 pub struct Members {
     by_id: BTreeMap<Id, Member>,
     rest: Rest,
+    /// The lease on the list has lapsed: anybody listed may have been told to drain, and nobody is sent anything. Each
+    /// word of discovery's renews it, and so does each sign that discovery cannot be reached, as nothing counts as told
+    /// meanwhile.
+    lapsed: bool,
 }
 
 impl Members {
@@ -68,9 +75,21 @@
         Members {
             by_id: BTreeMap::new(),
             rest: Rest { until: Micros::MIN, before: Micros::MAX, warm_within },
+            lapsed: false,
         }
     }
 
+    /// Nothing that could be told before `sure_at` has been missed. Gives what holds of all listed ones where the lease
+    /// lapses now, or is renewed after that.
+    pub fn sure(&mut self, sure_at: Micros, now: Micros) -> Option<Vec<RosterEntry>> {
+        let lapsed = now >= sure_at + TOLD_WITHIN;
+        (std::mem::replace(&mut self.lapsed, lapsed) != lapsed).then(|| self.stand(now))
+    }
+
+    pub fn lapsed(&self) -> bool {
+        self.lapsed
+    }
+
     /// How long a runner is cold, from now on.
     pub fn warm_within(&mut self, span: Micros) {
         self.rest.warm_within = span;
@@ -119,14 +138,14 @@
             Readiness::On => limits::warmth(entry.launched, span, now),
             Readiness::Fading | Readiness::Off => 0.0,
         };
-        let warm = self.listed_now().map(|known| share(known.standing(&self.rest, now))).sum();
+        let warm = self.listed_now().map(|known| share(known.standing((&self.rest, self.lapsed), now))).sum();
         (warm, self.listed_now().count())
     }
 
     /// Listed ones that are cold, whatever else keeps them out of use.
     pub fn cold(&self, now: Micros) -> Vec<Id> {
         let cold = |known: &&Member| {
-            let launched = known.standing(&self.rest, now).launched;
+            let launched = known.standing((&self.rest, self.lapsed), now).launched;
             launched.is_some_and(|launched| now < launched + self.rest.warm_within)
         };
         self.listed_now().filter(cold).map(|known| known.entry.tgt.clone()).collect()
@@ -134,7 +153,7 @@
 
     /// What holds of all listed ones now.
     pub fn stand(&self, now: Micros) -> Vec<RosterEntry> {
-        self.listed_now().map(|known| known.standing(&self.rest, now)).collect()
+        self.listed_now().map(|known| known.standing((&self.rest, self.lapsed), now)).collect()
     }
 
     /// Who is out by hand, and since when.
@@ -177,7 +196,7 @@
             let known = self.by_id.entry(entry.tgt.clone());
             let known = known.or_insert_with(|| Member::new(entry.clone(), gone_since));
             (known.entry, known.gone_since) = (entry, gone_since);
-            standing.push(known.standing(&self.rest, now));
+            standing.push(known.standing((&self.rest, self.lapsed), now));
         }
         self.tidy();
         standing
@@ -206,7 +225,7 @@
             }
             _ => return Ok(None),
         }
-        Ok(Some(known.standing(&self.rest, now)).filter(|_| known.gone_since.is_none()))
+        Ok(Some(known.standing((&self.rest, self.lapsed), now)).filter(|_| known.gone_since.is_none()))
     }
 
     /// Listed runners, and those of them that are out by hand.
--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -9,20 +9,28 @@
 use serde_json::{Value, json};
 use topazsail::{Listing, Micros, Readiness, RosterEntry};
 
+use crate::back::members::TOLD_WITHIN;
 use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
 use crate::net::http::{self, Chunks, Framing, encode_bare};
 use crate::net::log::log;
 
+// What discovery has, and could tell, counts as told 6 s later at the latest. These spans and the brain's waits between
+// calls are its parts; docs/design.md has the sums for each order in which they can fail.
+
 /// Cut off from discovery a dial never comes up; the sooner it is given up, the sooner the next one gets
 /// through.
 const DIAL_WITHIN: Micros = 1_000_000;
-/// A call that waits its turn for longer is as good as lost, after one that fell silent before it was answered: many
-/// callers make discovery slow, and who never waited longer would never be heard. The first such call is given up as
-/// soon as a silent watch, for what it does not tell counts as told as early.
-const HEAD_WITHIN: Micros = 5_000_000;
-/// An empty line comes every 2 s; one that is late by this much is missing. What a dead watch has not told counts as
-/// told 6 s after it fell silent, and by then a dial may have failed as well, with a wait before the next.
+/// A call that has had no answer for so long is late: another one is made beside it. It is not ended by that: many
+/// callers make discovery slow, and whoever gives its turn up is never heard, and has the others wait for nothing.
+const ANSWER_WITHIN: Micros = TOLD_WITHIN / 2;
+/// An empty line comes every 2 s; one that is late by this much is missing.
 const SILENT_MOST: Micros = 2_800_000;
+/// So many bytes of a long list, or of a long line, are a sign of life; fewer are none, or a trickle would keep a dead
+/// call for good. From its first byte on it has so long to be whole.
+const PROGRESS: usize = 1 << 10;
+const WHOLE_WITHIN: Micros = 10_000_000;
+/// Calls that are out at a time.
+const CALLS_MOST: usize = 2;
 const LINE_MOST: usize = 4 << 20;
 
 #[derive(Debug, Default, Deserialize)]
@@ -145,8 +153,10 @@
     pub entries: Vec<(RosterEntry, Option<SocketAddr>)>,
 }
 
-struct Watch {
+/// A call to discovery, on its way to becoming the watch.
+struct Call {
     link: Link,
+    asked_at: Micros,
     up: bool,
     /// How the body is framed, once the head has come.
     framing: Option<Framing>,
@@ -155,6 +165,64 @@
     chunks: Chunks,
     text: Vec<u8>,
     heard_at: Micros,
+    /// How much of `text` had come then, and when its first byte had.
+    progress: usize,
+    began_at: Option<Micros>,
+    /// A whole line has come on it: it is the watch.
+    spoke: bool,
+    /// It has been silent for too long: another one is made, and the first of them to speak is the watch.
+    late: bool,
+}
+
+impl Call {
+    fn new(link: Link, up: bool, now: Micros) -> Call {
+        Call {
+            link,
+            asked_at: now,
+            up,
+            framing: None,
+            keep: false,
+            chunks: Chunks::default(),
+            text: Vec::new(),
+            heard_at: now,
+            progress: 0,
+            began_at: None,
+            spoke: false,
+            late: false,
+        }
+    }
+
+    /// When it counts as late, or as dead where it is that already.
+    fn due(&self) -> Micros {
+        let most = match self.spoke {
+            _ if !self.up => DIAL_WITHIN,
+            false => ANSWER_WITHIN,
+            true => SILENT_MOST,
+        };
+        let silent = self.heard_at + if self.late { 3 * most } else { most };
+        self.began_at.map_or(silent, |began| silent.min(began + WHOLE_WITHIN))
+    }
+
+    /// Takes what has come of the body, and sees whether it comes on.
+    fn take(&mut self, framing: Framing, input: &mut Vec<u8>, now: Micros) -> Result<(), &'static str> {
+        if self.text.is_empty() {
+            self.began_at = None;
+        }
+        match framing {
+            Framing::Chunked => {
+                let used = self.chunks.feed(input, &mut self.text).map_err(|_| "bad_chunk")?;
+                drop(input.drain(..used));
+            }
+            Framing::Length(_) | Framing::UntilEnd => self.text.append(input),
+        }
+        if !self.text.is_empty() {
+            self.began_at.get_or_insert(now);
+        }
+        if self.text.len() >= self.progress + PROGRESS {
+            (self.progress, self.heard_at) = (self.text.len(), now);
+        }
+        Ok(())
+    }
 }
 
 pub struct Roster {
@@ -164,16 +232,20 @@
     generation: Option<u64>,
     /// Whether the watch is wanted at all.
     follows: bool,
-    watch: Option<Watch>,
-    /// The call before this one was never answered, though its connection was up.
-    unanswered: bool,
+    /// The calls that are out, the newest last; all but that one are late.
+    calls: Vec<Call>,
+    /// Since when discovery may have had something to tell, and could be reached, that has not been heard.
+    sure_at: Micros,
+    /// It has ended the watch itself, and nothing has been heard since: it is down.
+    down: bool,
     pub heard: Vec<Heard>,
 }
 
 impl Roster {
-    pub fn new(discovery: SocketAddr, generation: u64) -> Roster {
+    /// With what was known at `sure_at`.
+    pub fn new(discovery: SocketAddr, generation: u64, sure_at: Micros) -> Roster {
         let (generation, heard) = (Some(generation), Vec::new());
-        Roster { discovery, generation, follows: false, watch: None, unanswered: false, heard }
+        Roster { discovery, generation, follows: false, calls: Vec::new(), sure_at, down: false, heard }
     }
 
     /// Where the list comes from, and how far it has been heard.
@@ -181,15 +253,23 @@
         (self.discovery, self.generation)
     }
 
-    /// Asks for what has changed since, and for all changes to come; a watch that is under way is kept.
+    /// Until when nothing can have been missed that could be told: what came up since may not have been heard.
+    pub fn sure_at(&self) -> Micros {
+        self.sure_at
+    }
+
+    /// Asks for what has changed since, and for all changes to come; a watch that is under way is kept, and a call that
+    /// is late goes on beside the new one.
     pub fn follow(&mut self, wires: &mut dyn Wires) {
         self.follows = true;
-        if self.watch.is_some() {
+        if self.calls.iter().any(|call| !call.late) {
             return;
         }
+        if self.calls.len() >= CALLS_MOST {
+            wires.cut(self.calls.remove(0).link, End::WatchSilent);
+        }
         let Some(link) = wires.dial(self.discovery, Side::Roster) else { return self.lost("no_socket") };
         self.ask(link, false, wires);
-        wires.wake(Due::Link(link), wires.now() + DIAL_WITHIN);
     }
 
     fn ask(&mut self, link: Link, up: bool, wires: &mut dyn Wires) {
@@ -198,8 +278,9 @@
             None => "/v1/servers".to_owned(),
         };
         wires.send(link, &encode_bare("GET", &target, self.discovery));
-        let (chunks, heard_at) = (Chunks::default(), wires.now());
-        self.watch = Some(Watch { link, up, framing: None, keep: false, chunks, text: Vec::new(), heard_at });
+        let call = Call::new(link, up, wires.now());
+        wires.wake(Due::Link(link), call.due());
+        self.calls.push(call);
     }
 
     /// Discovery is elsewhere from now on. Versions are its own: what the old one counted says nothing there.
@@ -207,9 +288,9 @@
         if discovery == self.discovery {
             return;
         }
-        (self.discovery, self.generation) = (discovery, None);
-        if let Some(watch) = self.watch.take() {
-            wires.cut(watch.link, End::WatchReplaced);
+        (self.discovery, self.generation, self.down) = (discovery, None, false);
+        for call in std::mem::take(&mut self.calls) {
+            wires.cut(call.link, End::WatchReplaced);
         }
         if self.follows {
             self.follow(wires);
@@ -220,138 +301,191 @@
         let generation =
             self.generation.map_or_else(|| "none".to_owned(), |generation| generation.to_string());
         log!("watch-lost", "generation={generation} reason={why}");
-        self.watch = None;
         self.heard.push(Heard { listing: Listing::Refused, entries: Vec::new() });
     }
 
-    /// All that `input` holds, or why the watch is of no more use.
-    fn read(&mut self, input: &mut Vec<u8>, wires: &mut dyn Wires) -> Result<(), &'static str> {
+    /// A call is out no more. Nothing is told of one for which another has been made.
+    fn drop_call(&mut self, at: usize, why: &str) {
+        let call = self.calls.remove(at);
+        // Whoever gets no connection could not have been told anything then. That a call fails says nothing by itself:
+        // one that has too many callers turns them away as one that is down does.
+        if !call.up || self.down && !call.spoke {
+            self.sure_at = self.sure_at.max(call.asked_at);
+        }
+        if !call.late {
+            self.lost(why);
+        }
+    }
+
+    /// The first call to say something is the watch; what the others would say is the same.
+    fn speaks(&mut self, link: Link, sure_at: Micros, wires: &mut dyn Wires) {
+        let (now, before) = (wires.now(), self.sure_at);
+        self.sure_at = self.sure_at.max(sure_at);
+        for call in self.calls.extract_if(.., |call| call.link != link) {
+            wires.cut(call.link, End::WatchReplaced);
+        }
+        self.down = false;
+        if let Some(call) = self.calls.first_mut() {
+            if !call.spoke {
+                let (generation, asked) = (self.generation.unwrap_or(0), (now - call.asked_at) / 1000);
+                log!(
+                    "watch-up",
+                    "generation={generation} asked_ms={asked} unsure_ms={}",
+                    (now - before) / 1000
+                );
+            }
+            // It is looked at by other terms from here on.
+            let anew = call.late || !call.spoke;
+            (call.late, call.spoke, call.heard_at) = (false, true, now);
+            if anew {
+                wires.wake(Due::Link(link), call.due());
+            }
+        }
+    }
+
+    /// All that `input` holds, or why the call is of no more use.
+    fn read(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) -> Result<(), &'static str> {
         let now = wires.now();
-        let Some(watch) = &mut self.watch else { return Ok(()) };
-        let framing = match watch.framing {
+        let Some(call) = self.on(link) else { return Ok(()) };
+        let framing = match call.framing {
             Some(framing) => framing,
             None => {
                 let Some((answer, framing, head)) = http::answer_head(input).map_err(|_| "bad_answer")?
                 else {
                     return Ok(());
                 };
-                self.unanswered = false;
                 if answer.status != 200 {
                     return Err("bad_status");
                 }
-                watch.keep = answer.keep;
-                watch.heard_at = now;
+                (call.keep, call.framing) = (answer.keep, Some(framing));
                 drop(input.drain(..head));
-                watch.framing = Some(framing);
                 framing
             }
         };
-        match framing {
-            Framing::Chunked => {
-                let used = watch.chunks.feed(input, &mut watch.text).map_err(|_| "bad_chunk")?;
-                drop(input.drain(..used));
-            }
-            Framing::Length(_) | Framing::UntilEnd => watch.text.append(input),
-        }
+        let Some(call) = self.on(link) else { return Ok(()) };
+        call.take(framing, input, now)?;
         if self.generation.is_none() {
+            let Some(call) = self.on(link) else { return Ok(()) };
             let done = match framing {
-                Framing::Length(length) => watch.text.len() >= length,
-                Framing::Chunked => watch.chunks.done(),
+                Framing::Length(length) => call.text.len() >= length,
+                Framing::Chunked => call.chunks.done(),
                 Framing::UntilEnd => false,
             };
             return match done {
-                true => self.whole(wires),
-                false if watch.text.len() > LINE_MOST => Err("line_too_long"),
+                true => self.whole(link, wires),
+                false if call.text.len() > LINE_MOST => Err("line_too_long"),
                 false => Ok(()),
             };
         }
-        // A line is the sign of life; single bytes are none, or a trickle would keep a dead watch for good. An object
-        // may be indented, over several lines.
-        if let Some(end) = watch.text.iter().rposition(|byte| *byte == b'\n') {
-            watch.heard_at = now;
-            let mut lists = serde_json::Deserializer::from_slice(&watch.text[..=end]).into_iter::<Listed>();
-            let mut read = 0;
-            while let Some(listed) = lists.next() {
-                let listed = match listed {
-                    Ok(listed) => listed,
-                    Err(error) if error.is_eof() => break,
-                    Err(_) => return Err("bad_line"),
-                };
-                read = lists.byte_offset();
-                let listing = if listed.reset { Listing::All } else { Listing::Changes };
-                self.generation = Some(listed.generation);
-                self.heard.push(Heard { listing, entries: listed.entries() });
-            }
-            let rest = watch.text[read..=end].iter().position(|byte| !byte.is_ascii_whitespace());
-            drop(watch.text.drain(..rest.map_or(end + 1, |at| read + at)));
+        self.lines(link, wires)?;
+        match self.on(link) {
+            Some(call) if call.text.len() > LINE_MOST => Err("line_too_long"),
+            Some(call) if call.chunks.done() => Err("watch_done"),
+            _ => Ok(()),
+        }
+    }
+
+    /// What a watch has said. A line is a sign of life, and a sign that nothing before it was missed. An object may be
+    /// indented, over several lines.
+    fn lines(&mut self, link: Link, wires: &mut dyn Wires) -> Result<(), &'static str> {
+        let Some(call) = self.calls.iter_mut().find(|call| call.link == link) else { return Ok(()) };
+        let Some(end) = call.text.iter().rposition(|byte| *byte == b'\n') else { return Ok(()) };
+        let mut lists = serde_json::Deserializer::from_slice(&call.text[..=end]).into_iter::<Listed>();
+        let mut read = 0;
+        while let Some(listed) = lists.next() {
+            let listed = match listed {
+                Ok(listed) => listed,
+                Err(error) if error.is_eof() => break,
+                Err(_) => return Err("bad_line"),
+            };
+            read = lists.byte_offset();
+            let listing = if listed.reset { Listing::All } else { Listing::Changes };
+            self.generation = Some(listed.generation);
+            self.heard.push(Heard { listing, entries: listed.entries() });
         }
-        if watch.text.len() > LINE_MOST {
-            return Err("line_too_long");
+        let rest = call.text[read..=end].iter().position(|byte| !byte.is_ascii_whitespace());
+        drop(call.text.drain(..rest.map_or(end + 1, |at| read + at)));
+        call.progress = call.text.len();
+        // What came with it may be as old as its first byte.
+        let sure_at = call.began_at.filter(|_| rest.is_none()).unwrap_or(self.sure_at);
+        if rest.is_none() {
+            call.began_at = Some(wires.now()).filter(|_| !call.text.is_empty());
         }
-        if watch.chunks.done() { Err("watch_done") } else { Ok(()) }
+        self.speaks(link, sure_at, wires);
+        Ok(())
     }
 
     /// The whole list has come: what changes from here on is asked for, on the same connection if it is kept.
-    fn whole(&mut self, wires: &mut dyn Wires) -> Result<(), &'static str> {
-        let Some(watch) = self.watch.take() else { return Ok(()) };
-        let listed: Listed = serde_json::from_slice(&watch.text).map_err(|_| "bad_line")?;
+    fn whole(&mut self, link: Link, wires: &mut dyn Wires) -> Result<(), &'static str> {
+        let Some(call) = self.on(link) else { return Ok(()) };
+        let listed: Listed = serde_json::from_slice(&call.text).map_err(|_| "bad_line")?;
+        let asked_at = call.asked_at;
         self.generation = Some(listed.generation);
+        self.speaks(link, asked_at, wires);
+        let Some(call) = self.calls.pop() else { return Ok(()) };
         self.heard.push(Heard { listing: Listing::All, entries: listed.entries() });
-        if watch.keep {
-            self.ask(watch.link, true, wires);
+        if call.keep {
+            self.ask(call.link, true, wires);
         } else {
-            wires.cut(watch.link, End::AnsweredLast);
+            wires.cut(call.link, End::AnsweredLast);
             self.follow(wires);
         }
         Ok(())
     }
 
-    fn on(&mut self, link: Link) -> Option<&mut Watch> {
-        self.watch.as_mut().filter(|watch| watch.link == link)
+    fn on(&mut self, link: Link) -> Option<&mut Call> {
+        self.calls.iter_mut().find(|call| call.link == link)
+    }
+
+    fn nth(&self, link: Link) -> Option<usize> {
+        self.calls.iter().position(|call| call.link == link)
     }
 }
 
 impl Callbacks for Roster {
     fn up(&mut self, link: Link, _: &mut dyn Wires) {
-        if let Some(watch) = self.on(link) {
-            watch.up = true;
+        if let Some(call) = self.on(link) {
+            call.up = true;
         }
     }
 
     fn bytes(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) {
-        if self.on(link).is_none() {
-            return;
-        }
-        if let Err(why) = self.read(input, wires) {
+        let read = self.read(link, input, wires);
+        if let Some((why, at)) = read.err().zip(self.nth(link)) {
             wires.cut(link, End::BadAnswer);
-            self.lost(why);
+            self.drop_call(at, why);
         }
     }
 
     fn ended(&mut self, link: Link, end: End, _: bool, _: &[u8], wires: &mut dyn Wires) {
-        let Some(watch) = self.on(link) else { return };
+        let Some(call) = self.on(link) else { return };
         // A whole list may be ended by the connection's end.
-        let until_end = watch.framing == Some(Framing::UntilEnd) && end == End::PeerClosed;
-        if !until_end || self.generation.is_some() || self.whole(wires).is_err() {
-            self.lost(end.code());
+        let until_end = call.framing == Some(Framing::UntilEnd) && end == End::PeerClosed;
+        if until_end && self.generation.is_none() && self.whole(link, wires).is_ok() {
+            return;
+        }
+        if let Some(at) = self.nth(link) {
+            self.down |= self.calls[at].spoke && !self.calls[at].late;
+            self.drop_call(at, end.code());
         }
     }
 
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
-        let unanswered = self.unanswered;
-        let Some(watch) = self.on(link) else { return };
-        let most = match watch.framing {
-            None if !watch.up => DIAL_WITHIN,
-            None if unanswered => HEAD_WITHIN,
-            _ => SILENT_MOST,
-        };
-        let at = watch.heard_at + most;
-        if wires.now() >= at {
-            self.unanswered = watch.up && watch.framing.is_none();
-            wires.cut(link, End::WatchSilent);
-            self.lost("silent");
-        } else {
-            wires.wake(Due::Link(link), at.min(wires.now() + SILENT_MOST));
+        let now = wires.now();
+        let Some(at) = self.nth(link) else { return };
+        let call = &mut self.calls[at];
+        if now < call.due() {
+            return wires.wake(Due::Link(link), call.due());
+        }
+        // One that comes in too slowly is of no use, whatever it still brings.
+        let too_slow = call.began_at.is_some_and(|began| now >= began + WHOLE_WITHIN);
+        if call.up && !call.late && !too_slow {
+            call.late = true;
+            self.down &= !call.spoke;
+            wires.wake(Due::Link(link), call.due());
+            return self.lost("silent");
         }
+        wires.cut(link, End::WatchSilent);
+        self.drop_call(at, "silent");
     }
 }
--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// The same for all runners.
+    pub fn recall_all_waiting(&mut self, wires: &mut dyn Wires) {
+        let all: Vec<Id> = self.by_id.keys().cloned().collect();
+        all.iter().for_each(|tgt| self.recall_waiting(tgt, wires));
+    }
+
     /// `head` and `body` as they came, when nobody waits for the outcome any more, and when it must have left, if it
     /// waits for a dial: runners remember an earlier one only for so long.
     pub fn forward(
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -18,7 +18,7 @@
 use topazsail_recovery::Stage;
 use topazsail_recovery::limits::Worth;
 
-use crate::back::members::Members;
+use crate::back::members::{Members, TOLD_WITHIN};
 use crate::back::roster::{self, Listed, Roster};
 use crate::back::runners::{self, Runners};
 use crate::config::{self, Dispatcher};
@@ -53,6 +53,8 @@
 /// Whatever is not answered so long after the longest client timeout is given up, well before we are killed.
 const DOWN_GRACE: Micros = 300_000;
 const DOWN_STEP: Micros = 50_000;
+/// How often a lease that has lapsed is looked at.
+const LEASE_AGAIN: Micros = 1_000_000;
 
 struct Forward {
     tgt: Id,
@@ -201,7 +203,7 @@
             figures,
             runners: Runners::new(&decoded),
             members: Members::new(warm_within),
-            roster: Roster::new(told.discovery, told.known.generation),
+            roster: Roster::new(told.discovery, told.known.generation, wires.now()),
             brain: Brain::new(decoded.standing, told.seed),
             name: told.name,
             listen: told.listen,
@@ -228,6 +230,7 @@
             meeting,
         };
         desk.limit();
+        wires.wake(Due::Lease, began + TOLD_WITHIN);
         let keeping = |keeper, file| Keeping::new(keeper, (require, peers), file, began);
         if handed.is_none()
             && let Some(keeper) = keeper
@@ -267,7 +270,8 @@
         let listed = (handed.discovery == discovery.to_string()).then(|| Listed::from_value(handed.list));
         match listed {
             Some(Ok(listed)) => {
-                self.roster = Roster::new(discovery, listed.generation);
+                let sure_at = if handed.sure_at > 0 { handed.sure_at } else { self.roster.sure_at() };
+                self.roster = Roster::new(discovery, listed.generation, sure_at);
                 (listed, spent)
             }
             _ => (known, spent),
@@ -295,6 +299,7 @@
         let state = Handed {
             discovery: discovery.to_string(),
             list: self.as_listed().map(|(_, list)| list).unwrap_or_default(),
+            sure_at: self.roster.sure_at(),
             connections: wires.connections(),
             gone: self.members.gone(),
             out: self.members.out(),
@@ -488,6 +493,11 @@
             Due::Down => self.step_down(wires),
             Due::Rested if self.overlap != Some(Overlap::Successor) => self.rest(Micros::MIN, wires),
             Due::Rested => {}
+            Due::Lease => {
+                self.renew(wires);
+                let at = (self.roster.sure_at() + TOLD_WITHIN).max(wires.now() + LEASE_AGAIN);
+                wires.wake(Due::Lease, at);
+            }
             Due::Recovery => self.recovery_due(wires),
             Due::Keep => self.keep_list(),
             Due::Peers => self.round(wires),
@@ -668,6 +678,7 @@
         for heard in std::mem::take(&mut self.roster.heard) {
             self.list(heard, wires);
         }
+        self.renew(wires);
         for (link, call) in std::mem::take(&mut self.operators.heard) {
             self.called(link, call, wires);
         }
@@ -788,6 +799,23 @@
         Ok(())
     }
 
+    /// Whether the list may still be acted upon. Against sending to a runner whose drain counts as told, though it was
+    /// never heard: discovery could be reached, and did not get through for as long as that takes.
+    fn renew(&mut self, wires: &mut dyn Wires) {
+        let (sure_at, now) = (self.roster.sure_at(), wires.now());
+        let Some(entries) = self.members.sure(sure_at, now) else { return };
+        log!(
+            "lease",
+            "state={} unsure_ms={}",
+            if self.members.lapsed() { "lapsed" } else { "renewed" },
+            (now - sure_at) / 1000
+        );
+        if self.members.lapsed() {
+            self.runners.recall_all_waiting(wires);
+        }
+        self.happened.push(Event::Roster(List { listing: Listing::Own, entries }));
+    }
+
     fn list(&mut self, heard: roster::Heard, wires: &mut dyn Wires) {
         let whole = matches!(heard.listing, Listing::All | Listing::Remembered);
         if whole {
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -265,7 +265,7 @@
             Some((_, listed)) if source == Source::Store => listed,
             _ => file,
         };
-        self.roster = Roster::new(self.roster.heard_to().0, chosen.generation);
+        self.roster = Roster::new(self.roster.heard_to().0, chosen.generation, self.roster.sure_at());
         (keeping.began_with, keeping.limits) = (chosen.len(), Limits::new(self.worth.iter().copied(), now));
         let mut rest = 0;
         if let Some(left) = &left {
--- a/node/src/life/handover.rs
+++ b/node/src/life/handover.rs
@@ -39,6 +39,9 @@
     /// Where the list comes from, and the list in discovery's own form.
     pub discovery: String,
     pub list: Value,
+    /// Until when nothing that discovery could tell can have been missed; 0 where the other process does not say.
+    #[serde(default)]
+    pub sure_at: Micros,
     /// Connections that are open.
     #[serde(default)]
     pub connections: usize,
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -115,6 +115,8 @@
     Down,
     /// Cold runners may have rested for long enough.
     Rested,
+    /// The lease on the list may have lapsed.
+    Lease,
     /// A stage of recovery has had its time.
     Recovery,
     /// A round of the other dispatchers.
--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -3,8 +3,11 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command};
-use std::time::Duration;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::time::{Duration, Instant};
+use std::{env, fs};
 
 /// Far more than any step takes; only a step that never comes gets there.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -127,3 +130,70 @@
     assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
     call
 }
+
+/// A program of a test's own, with the discovery that it asks.
+pub struct Node {
+    pub program: Program,
+    pub listen: SocketAddr,
+    pub path: PathBuf,
+    log: Receiver<String>,
+    pub discovery: TcpListener,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.path);
+    }
+}
+
+impl Node {
+    /// A program of a test's own, by a configuration that is changed as it says.
+    pub fn new(own: u8, change: impl Fn(String) -> String) -> Node {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = free_address(own);
+        let path = env::temp_dir().join(format!("topazsail-ends-{own}-{}.json", std::process::id()));
+        fs::write(&path, change(configuration(listen, discovery.local_addr().unwrap()))).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).env("TMPDIR", "");
+        let mut program = Program(command.spawn().unwrap());
+        let lines = BufReader::new(program.0.stderr.take().unwrap()).lines();
+        let (says, log) = mpsc::channel();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| says.send(line)));
+        Node { program, listen, path, log, discovery }
+    }
+
+    /// Waits until the program has said this.
+    pub fn logged(&mut self, holds: &str) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let line = self.log.recv_timeout(until.saturating_duration_since(Instant::now()));
+            let line = line.unwrap_or_else(|error| panic!("it never said {holds}: {error}"));
+            if line.contains(holds) {
+                return;
+            }
+        }
+    }
+
+    pub fn client(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.listen).unwrap())
+    }
+
+    /// A client that has asked for this.
+    pub fn asks(&self, id: &str) -> Peer {
+        let mut client = self.client();
+        client.say(&request(id, 25_000));
+        client
+    }
+}
+
+pub fn request(id: &str, ms: u32) -> String {
+    format!("POST /plan HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {ms}\r\n\r\n")
+}
+
+pub fn lists(watch: &mut Peer, generation: u32, runner: SocketAddr, state: &str) {
+    let line = format!(
+        "{{\"generation\":{generation},\"reset\":true,\"instances\":[{{\"instanceId\":\"s-a\",\
+         \"lifecycle\":\"{state}\",\"weight\":1,\"hostPort\":\"{runner}\"}}]}}\n"
+    );
+    watch.tells(&line);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -275,10 +275,10 @@
         match roster.listing {
             Listing::Refused => {
                 // A restarted fleet asks at once, and the registry fails whoever waits too long: asking again is
-                // spread out and slows down, well inside the span after which changes count as told.
+                // spread out and slows down, by a part of the span after which changes count as told (docs/design.md).
                 self.following = false;
                 self.refusals += 1;
-                let most = (200_000 << self.refusals.min(4)).min(self.orders.ask_within / 4).max(1);
+                let most = (100_000 << self.refusals.min(3)).min(self.orders.ask_within / 4).max(1);
                 let after = most / 2 + self.chance.below(most as u64) as Micros;
                 self.due(self.now + after, Due::Ask);
                 return;
