A client that has left is looked for once more when its forward leaves

And a client that sent over 1 MB behind its request was read no further (node/src/net/conn.rs, SPILT_MOST): its end was never seen.

Ruled out over loopback: a client that reads nothing and leaves behind a full socket; the same id asked for again by one that stays. STOOD_STILL is half of the 0.1 s; CATCHES_UP says no more whether a client is there.

--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -44,6 +44,11 @@
         ending: Ending,
         report: Vec<f64>,
     },
+    /// A forward's client had left when it was to leave.
+    Unwanted {
+        inv: Id,
+        number: u32,
+    },
     /// The runner will not take a forward as it was sent, and has not run it.
     Unusable {
         inv: Id,
@@ -73,6 +78,15 @@
     Busy,
 }
 
+/// A task, with its message and when it must have come to an end.
+struct Asked {
+    task: Task,
+    message: Vec<u8>,
+    due: Micros,
+    /// The connection of the client that waits for it, where it is a forward.
+    client: Option<Link>,
+}
+
 /// One connection.
 struct Line {
     tgt: Id,
@@ -84,6 +98,8 @@
     /// The message of a task that waits for the dial, and when it must have left.
     message: Vec<u8>,
     leaves_by: Micros,
+    /// The connection of the client that waits for it, where it is a forward.
+    client: Option<Link>,
     /// When what it is at must have come to an end.
     due: Micros,
     /// The task's end has been told as not answered; the answer may still come.
@@ -94,9 +110,9 @@
 
 impl Line {
     /// The task that waits for the dial, with its message and when it is due, if it may still leave.
-    fn take_waiting(&mut self, now: Micros) -> Option<(Task, Vec<u8>, Micros)> {
+    fn take_waiting(&mut self, now: Micros) -> Option<Asked> {
         let task = self.task.take_if(|_| self.phase == Phase::Dialling && now < self.leaves_by)?;
-        Some((task, std::mem::take(&mut self.message), self.due))
+        Some(Asked { task, message: std::mem::take(&mut self.message), due: self.due, client: self.client })
     }
 }
 
@@ -197,9 +213,9 @@
             let waits = |line: &&mut Line| matches!(line.task, Some(Task::Forward { .. }));
             let waiting = self.lines.get_mut(&link).filter(waits);
             let waiting = waiting.and_then(|line| line.take_waiting(Micros::MIN));
-            if let Some((task, _, _)) = waiting {
+            if let Some(asked) = waiting {
                 self.end_line(link, End::Unlisted, wires);
-                self.unanswered(tgt, task, Ending::Void, false);
+                self.unanswered(tgt, asked.task, Ending::Void, false);
             }
         }
     }
@@ -218,6 +234,7 @@
         (inv, number): (&Id, u32),
         (head, body): (&[u8], &[u8]),
         (expires_at, by): (Micros, Option<Micros>),
+        client: Link,
         wires: &mut dyn Wires,
     ) {
         let left = (expires_at - wires.now()).max(0) / 1000;
@@ -226,7 +243,7 @@
         message.extend_from_slice(more.as_bytes());
         message.extend_from_slice(body);
         let task = Task::Forward { inv: inv.clone(), number };
-        self.ask(tgt, task, message, expires_at + LATE_MOST, wires);
+        self.ask(tgt, Asked { task, message, due: expires_at + LATE_MOST, client: Some(client) }, wires);
         let link = self.carrying(tgt, inv, number).filter(|_| by.is_some());
         if let Some((by, link)) = by.zip(link)
             && let Some(line) = self.lines.get_mut(&link)
@@ -243,7 +260,8 @@
 
     pub fn probe(&mut self, tgt: &Id, wires: &mut dyn Wires) {
         let message = self.probe_message(tgt);
-        self.ask(tgt, Task::Probe, message, wires.now() + self.probe_within, wires);
+        let due = wires.now() + self.probe_within;
+        self.ask(tgt, Asked { task: Task::Probe, message, due, client: None }, wires);
     }
 
     /// Nobody waits for this forward any more: what of it has not left does not leave. That is no cancel, and needs no
@@ -288,10 +306,11 @@
         };
         let message = encode_bare("DELETE", &format!("/jobs/{inv}"), runner.address);
         let due = wires.now() + CANCEL_WITHIN;
-        self.ask(tgt, Task::Cancel { inv: inv.clone(), number }, message, due, wires);
+        let task = Task::Cancel { inv: inv.clone(), number };
+        self.ask(tgt, Asked { task, message, due, client: None }, wires);
     }
 
-    fn ask(&mut self, tgt: &Id, task: Task, message: Vec<u8>, due: Micros, wires: &mut dyn Wires) {
+    fn ask(&mut self, tgt: &Id, asked: Asked, wires: &mut dyn Wires) {
         // One that has rested, if there is one: what is answered on it cannot be another's.
         let rested = wires.now() - SECOND_WITHIN;
         while let Some(runner) = self.by_id.get_mut(tgt)
@@ -300,15 +319,16 @@
             let rests = |link: &Link| self.lines.get(link).is_none_or(|line| line.since <= rested);
             let link = runner.idle.remove(runner.idle.iter().rposition(rests).unwrap_or(last));
             if wires.fresh(link) {
-                return self.start(link, task, &message, due, wires);
+                return self.start(link, asked, wires);
             }
             self.end_line(link, End::Stale, wires);
         }
-        self.ask_anew(tgt, task, message, due, wires);
+        self.ask_anew(tgt, asked, wires);
     }
 
     /// On a connection of its own, however many are idle.
-    fn ask_anew(&mut self, tgt: &Id, task: Task, message: Vec<u8>, due: Micros, wires: &mut dyn Wires) {
+    fn ask_anew(&mut self, tgt: &Id, asked: Asked, wires: &mut dyn Wires) {
+        let Asked { task, message, due, client } = asked;
         let Some(runner) = self.by_id.get_mut(tgt) else {
             return self.unanswered(tgt, task, Ending::Void, false);
         };
@@ -319,8 +339,19 @@
         let since = wires.now();
         let (phase, task, tgt) = (Phase::Dialling, Some(task), tgt.clone());
         let (answered_at, leaves_by, overdue, rest_check) = (None, Micros::MAX, false, 0);
-        let line =
-            Line { tgt, phase, since, task, answered_at, message, leaves_by, due, overdue, rest_check };
+        let line = Line {
+            tgt,
+            phase,
+            since,
+            task,
+            answered_at,
+            message,
+            leaves_by,
+            client,
+            due,
+            overdue,
+            rest_check,
+        };
         self.lines.insert(link, line);
         wires.wake(Due::Link(link), since + self.dial_timeout);
     }
@@ -330,19 +361,27 @@
         let late = |line: &&mut Line| line.phase == Phase::Dialling && wires.now() >= line.leaves_by;
         let Some(line) = self.lines.get_mut(&link).filter(late) else { return };
         line.leaves_by = Micros::MAX;
-        if let Some((task, _, _)) = line.take_waiting(Micros::MIN) {
+        if let Some(asked) = line.take_waiting(Micros::MIN) {
             let tgt = line.tgt.clone();
-            self.unanswered(&tgt, task, Ending::Void, false);
+            self.unanswered(&tgt, asked.task, Ending::Void, false);
         }
     }
 
-    /// Writes a task's message to a connection that is up.
-    fn start(&mut self, link: Link, task: Task, message: &[u8], due: Micros, wires: &mut dyn Wires) {
+    /// Writes a task's message to a connection that is up. A client that has left meanwhile is looked for once more:
+    /// against a forward for nobody, written at the end of a long turn or by a dial that comes up before its end is read.
+    fn start(&mut self, link: Link, asked: Asked, wires: &mut dyn Wires) {
+        let Asked { task, message, due, client } = asked;
+        if let Task::Forward { inv, number } = &task
+            && client.is_some_and(|client| wires.left(client))
+        {
+            self.heard.push(Heard::Unwanted { inv: inv.clone(), number: *number });
+            return self.rest(link, wires);
+        }
         let Some(line) = self.lines.get_mut(&link) else { return };
         (line.phase, line.since, line.due, line.overdue) = (Phase::Busy, wires.now(), due, false);
         self.written += u64::from(matches!(task, Task::Forward { .. }));
         line.task = Some(task);
-        wires.send(link, message);
+        wires.send(link, &message);
         wires.wake(Due::Link(link), due);
     }
 
@@ -352,8 +391,8 @@
         let Some(runner) = self.by_id.get_mut(&tgt) else { return };
         let now = wires.now();
         let mut waiting = |other: &Link| self.lines.get_mut(other).and_then(|line| line.take_waiting(now));
-        if let Some((task, message, due)) = runner.lines.iter().find_map(&mut waiting) {
-            return self.start(link, task, &message, due, wires);
+        if let Some(asked) = runner.lines.iter().find_map(&mut waiting) {
+            return self.start(link, asked, wires);
         }
         if runner.gone_since.is_some() {
             return self.end_line(link, End::Unlisted, wires);
@@ -482,7 +521,7 @@
         self.lapse(link, wires);
         let Some(line) = self.lines.get_mut(&link) else { return };
         match line.take_waiting(wires.now()) {
-            Some((task, message, due)) => self.start(link, task, &message, due, wires),
+            Some(asked) => self.start(link, asked, wires),
             None => self.rest(link, wires),
         }
     }
@@ -533,7 +572,7 @@
         // probe is asked once more. Anything else sent again might be a second copy.
         if line.answered_at.is_some() && input.is_empty() && task == Task::Probe {
             let message = self.probe_message(&line.tgt);
-            return self.ask_anew(&line.tgt, task, message, line.due, wires);
+            return self.ask_anew(&line.tgt, Asked { task, message, due: line.due, client: None }, wires);
         }
         if line.phase == Phase::Dialling || unsent {
             // It was counted when its writing began.
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -563,7 +563,7 @@
         open.forwards.push(Forward { tgt: tgt.clone(), at, out: true, taken: false, cancels: 0, told: None });
         if sendable {
             let message = (open.head.as_slice(), open.body.as_slice());
-            self.runners.forward(&tgt, (inv, number), message, (open.expires_at, by), wires);
+            self.runners.forward(&tgt, (inv, number), message, (open.expires_at, by), open.link, wires);
         } else {
             self.end(inv, number, Ending::Void, Vec::new(), at);
         }
@@ -714,6 +714,12 @@
                 runners::Heard::Ended { inv, number, ending, report } => {
                     self.end(&inv, number, ending, report, wires.now());
                 }
+                runners::Heard::Unwanted { inv, number } => {
+                    if let Some(link) = self.invs.get(&inv).map(|open| open.link) {
+                        self.gone(link, inv.clone(), wires);
+                    }
+                    self.end(&inv, number, Ending::Void, Vec::new(), wires.now());
+                }
                 runners::Heard::Unusable { inv, number } => {
                     // No runner will take it, and it says nothing against this one.
                     self.answer(&inv, UNUSABLE, None, b"", wires);
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -156,6 +156,10 @@
     fn send(&mut self, link: Link, bytes: &[u8]);
     /// Whether a connection at rest can be used: not ended, and with nothing to read.
     fn fresh(&mut self, link: Link) -> bool;
+    /// Whether the other side has ended it, though that has not been read yet.
+    fn left(&self, _link: Link) -> bool {
+        false
+    }
     /// Whether something sent has not yet been written.
     fn unsent(&self, link: Link) -> bool;
     /// Whether so much has come that some of it was thrown away: what follows makes no sense.
@@ -181,9 +185,6 @@
     }
 }
 
-/// What a client may send beyond what is kept, and have it thrown away: it is read on only to see whether it leaves.
-const SPILT_MOST: usize = 1 << 20;
-
 pub struct Conn {
     pub stream: Socket,
     pub side: Side,
@@ -197,8 +198,8 @@
     pub input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
-    /// Bytes thrown away, as nobody took those before them.
-    spilt: usize,
+    /// Bytes were thrown away, as nobody took those before them.
+    spilt: bool,
     /// What the poller watches it for: reading, writing.
     pub watched: (bool, bool),
 }
@@ -216,18 +217,19 @@
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
-            spilt: 0,
+            spilt: false,
             watched: (false, false),
         }
     }
 
     pub fn wants(&self) -> (bool, bool) {
-        let room = self.input.len() < MESSAGE_MOST || self.side == Side::Client && self.spilt < SPILT_MOST;
+        // A client is read on whatever it sends, or its end would not be seen: what is beyond the bound is thrown away.
+        let room = self.input.len() < MESSAGE_MOST || self.side == Side::Client;
         (!self.dialling && (self.lingering || room), self.dialling || self.unsent())
     }
 
     pub fn spilt(&self) -> bool {
-        self.spilt > 0
+        self.spilt
     }
 
     pub fn unsent(&self) -> bool {
@@ -257,20 +259,20 @@
         Ok(())
     }
 
-    /// Reads what there is, up to one buffer's worth; the poller tells if there is more. Says whether there was any.
-    pub fn read(&mut self, scratch: &mut [u8]) -> Result<bool, End> {
+    /// Reads what there is, up to one buffer's worth; the poller tells if there is more. Says how much there was.
+    pub fn read(&mut self, scratch: &mut [u8]) -> Result<usize, End> {
         match self.stream.read(scratch) {
             Ok(0) => Err(End::PeerClosed),
-            Ok(_) if self.lingering => Ok(true),
+            Ok(read) if self.lingering => Ok(read),
             Ok(read) if self.input.len() >= MESSAGE_MOST => {
-                self.spilt += read;
-                Ok(true)
+                self.spilt = true;
+                Ok(read)
             }
             Ok(read) => {
                 self.input.extend_from_slice(&scratch[..read]);
-                Ok(true)
+                Ok(read)
             }
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(false),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(0),
             Err(_) => Err(End::Reset),
         }
     }
@@ -288,6 +290,14 @@
         self.input.is_empty() && nothing(self.stream.peek(&mut [MaybeUninit::uninit()]))
     }
 
+    /// Whether the other side has ended it. Behind bytes that have not been read its end does not show.
+    pub fn left(&self) -> bool {
+        match self.stream.peek(&mut [MaybeUninit::uninit()]) {
+            Ok(read) => read == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     pub fn linger(&mut self) {
         self.lingering = true;
         self.input = Vec::new();
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -34,8 +34,8 @@
 /// The keys of the doors, in their order.
 const DOORS: usize = 4;
 const FIRST_LINK: Link = 6;
-/// Buffers read from one client in a turn that comes after a standstill.
-const READS_ON: usize = 4;
+/// Buffers read from one client in a turn, while they come full: its end may be behind them.
+const READS_ON: usize = 16;
 /// Datagrams read in one turn: clients come first.
 const DATAGRAMS: usize = 256;
 const BACKLOG: i32 = 1024;
@@ -45,9 +45,11 @@
 const ACCEPT_AGAIN: Micros = 50_000;
 /// The loop looks up at least so often, so that it can tell having been idle from not having been let run.
 const LOOKS_UP: Duration = Duration::from_millis(250);
-/// Later than it was to look up by this much, the process stood still: frozen, starved, or swapped out.
+/// Later than it was to look up by this much, the process stood still: frozen, starved, or swapped out. Half of the 0.1 s
+/// after which nothing may begin for a client that has left, and of what each time limit is longer on sockets.
 const STOOD_STILL: Micros = 50_000;
-/// How long it may then take to read what had come meanwhile.
+/// How long it may then take to read what had come meanwhile. That a client has left is not left to this: it is looked
+/// at when its forward leaves.
 const CATCHES_UP: Micros = 100_000;
 /// How long a process that ends waits for its disk.
 const CLOSED_WITHIN: Duration = Duration::from_millis(500);
@@ -546,10 +548,11 @@
         if event.readable {
             let had = conn.input.len();
             let mut read = conn.read(&mut self.scratch);
-            // After a standstill a client may have asked and left again: both are to be known before it is served.
-            let on = self.behind.is_some() && side == Side::Client;
-            for _ in 0..READS_ON {
-                if !on || read != Ok(true) {
+            // A client may have asked and left again: both are to be known before it is served.
+            let full = Ok(self.scratch.len());
+            for _ in 1..READS_ON {
+                let on = read == full || self.behind.is_some() && read != Ok(0);
+                if side != Side::Client || read.is_err() || !on {
                     break;
                 }
                 read = conn.read(&mut self.scratch);
@@ -672,6 +675,10 @@
         !broken && self.conns.get(&link).is_some_and(Conn::fresh)
     }
 
+    fn left(&self, link: Link) -> bool {
+        self.conns.get(&link).is_none_or(Conn::left)
+    }
+
     fn unsent(&self, link: Link) -> bool {
         self.conns.get(&link).is_some_and(Conn::unsent)
     }
--- a/node/tests/ends.rs
+++ b/node/tests/ends.rs
@@ -5,7 +5,7 @@
 mod helper;
 
 use std::fs;
-use std::io::BufRead;
+use std::io::{BufRead, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -123,13 +123,13 @@
     }
 }
 
-/// More than is kept of it is read on, or its end would never be seen.
+/// More than is kept of it is read on, however much, or its end would never be seen.
 #[test]
 fn a_client_that_sent_much_more_behind_its_request_and_left_is_not_served() {
     let mut node = Node::new(105, |text| text);
     let mut watch = watched(&node.discovery);
     let mut client = node.asks("left");
-    client.say(&"x".repeat(600 << 10));
+    client.say(&"x".repeat(8 << 20));
     leaves(client, Leaves::Closing);
     node.logged("side=client");
     let _waits = node.asks("stays");
@@ -138,6 +138,45 @@
     assert_eq!(given(&runner, "stays"), ["stays"]);
 }
 
+/// One that reads nothing leaves its next requests unread behind a full socket, and then itself.
+#[test]
+fn a_client_that_reads_nothing_and_left_is_not_served() {
+    let mut node = Node::new(115, |text| text);
+    let mut watch = watched(&node.discovery);
+    let mut client = node.client();
+    // Answers that nobody reads fill both sockets' buffers; the request stands behind the looks.
+    let looks = "GET /healthz HTTP/1.1\r\n\r\n".repeat(1 << 16);
+    client.0.get_ref().set_nonblocking(true).unwrap();
+    let _ = client.0.get_mut().write_all(looks.as_bytes());
+    client.0.get_ref().set_nonblocking(false).unwrap();
+    leaves(client, Leaves::Resetting);
+    node.logged("side=client");
+    leaves(node.asks("left"), Leaves::Closing);
+    let _waits = node.asks("stays");
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    assert_eq!(given(&runner, "stays"), ["stays"]);
+}
+
+/// The same id is asked for once more, by one that stays: what the first had asked for is not begun for it.
+#[test]
+fn a_client_that_left_is_not_served_for_one_that_asks_with_its_id() {
+    let mut node = Node::new(116, no_cancel);
+    let shut = Shut::new();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, shut.address, "up");
+    let client = node.asks("twice");
+    let _waits = node.asks("stays");
+    let mut again = node.asks("twice");
+    assert!(again.hear().starts_with("HTTP/1.1 400"));
+    leaves(client, Leaves::Closing);
+    node.logged("reason=peer_closed");
+    let mut again = node.asks("twice");
+    assert!(again.hear().starts_with("HTTP/1.1 400"));
+    let runner = shut.opens();
+    assert_eq!(given(&runner, "stays"), ["stays"]);
+}
+
 #[test]
 fn a_client_that_leaves_after_a_forward_came_back_is_not_served_by_the_next() {
     let mut node = Node::new(106, |text| text);
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -31,6 +31,7 @@
     inputs: BTreeMap<Link, Vec<u8>>,
     /// Connections whose other side has ended unnoticed, and those that take no bytes.
     stale: BTreeSet<Link>,
+    left: BTreeSet<Link>,
     stuck: BTreeSet<Link>,
     lingering: Vec<Link>,
     dues: BTreeMap<(Micros, u64), Due>,
@@ -91,6 +92,10 @@
         !self.stale.contains(&link)
     }
 
+    fn left(&self, link: Link) -> bool {
+        self.left.contains(&link)
+    }
+
     fn unsent(&self, link: Link) -> bool {
         self.stuck.contains(&link)
     }
@@ -1176,6 +1181,39 @@
 }
 
 /// Against dials that come up after the grace, with a forward for a runner that drains or is gone.
+/// Its end has come and has not been read, as the turn was long, or the dial came up first: first and further forward,
+/// over a connection at rest, a dial and one that comes free.
+#[test]
+fn a_client_whose_end_has_not_been_read_yet_is_not_served() {
+    let mut node = Node::holding("plan");
+    node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    node.stage.trace.clear();
+    // Over the connection at rest.
+    let client = node.accept();
+    node.stage.left.insert(client);
+    node.feed(client, "POST /plan HTTP/1.1\r\nX-Request-Id: i2\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    // Its end, when it is read, is no more news; the next one has the connection.
+    node.end(client, End::PeerClosed);
+    let third = node.invoke("plan", "i3");
+    // Over a dial, and over connections that come free.
+    let dialling = |node: &mut Node, id: &str| {
+        let client = node.invoke("plan", id);
+        node.stage.left.insert(client);
+        *node.stage.sides.iter().rfind(|(_, side)| **side == Side::Runner).unwrap().0
+    };
+    let dialled = dialling(&mut node, "i4");
+    dialling(&mut node, "i5");
+    node.up(dialled);
+    node.feed(3, TAKEN);
+    // A further forward.
+    node.stage.left.insert(third);
+    node.call_back(r#"{"id":"i3","from":"s-a","state":"returned"}"#);
+    node.pass(400);
+    let trace = &node.stage.trace;
+    assert_eq!(trace.matches("< POST").count(), 1, "{trace}");
+    assert!(trace.contains("X-Request-Id: i3"), "{trace}");
+}
+
 #[test]
 fn what_waits_for_a_dial_to_a_runner_that_drains_goes_elsewhere() {
     for left in
