A process that starts sends nothing before discovery has been heard

Ruled out: no call of theirs failed, no lease lapsed, no dial was late.

Cause: Desk::new listed what the file remembers as fit to be sent to, and said that it was ready at once.

Mended: a process has no lease on its list before the first word from discovery, or a sign that it cannot be reached (a dial refused or never up), and says that it is ready then, after 9 s at the latest. Where every call is turned away it sends nothing for 25 s (a start may take 30 s).

Tests: a_start_sends_nothing_..., a_discovery_that_turns_every_call_away_for_long_...; traces that began unheard hear discovery first now. Without the mend the first fails.

--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -66,7 +66,7 @@
     rest: Rest,
     /// The lease on the list has lapsed: anybody listed may have been told to drain, and nobody is sent anything. Each
     /// word of discovery's renews it, and so does each sign that discovery cannot be reached, as nothing counts as told
-    /// meanwhile.
+    /// meanwhile. A process begins without one: what it remembers may be of any age.
     lapsed: bool,
 }
 
@@ -75,7 +75,7 @@
         Members {
             by_id: BTreeMap::new(),
             rest: Rest { until: Micros::MIN, before: Micros::MAX, warm_within },
-            lapsed: false,
+            lapsed: true,
         }
     }
 
--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -29,6 +29,9 @@
 /// call for good. From its first byte on it has so long to be whole.
 const PROGRESS: usize = 1 << 10;
 const WHOLE_WITHIN: Micros = 10_000_000;
+/// Discovery that has turned every call away for so long is taken for down, whatever it said before: a start may take 30 s,
+/// and service has to begin before that.
+const DOWN_AFTER: Micros = 25_000_000;
 /// Calls that are out at a time.
 const CALLS_MOST: usize = 2;
 const LINE_MOST: usize = 4 << 20;
@@ -238,14 +241,24 @@
     sure_at: Micros,
     /// It has ended the watch itself, and nothing has been heard since: it is down.
     down: bool,
+    /// When the first call was made since something was heard.
+    unheard_since: Option<Micros>,
     pub heard: Vec<Heard>,
 }
 
 impl Roster {
-    /// With what was known at `sure_at`.
+    /// With what was known at `sure_at`; 0 where what is remembered may be of any age.
     pub fn new(discovery: SocketAddr, generation: u64, sure_at: Micros) -> Roster {
-        let (generation, heard) = (Some(generation), Vec::new());
-        Roster { discovery, generation, follows: false, calls: Vec::new(), sure_at, down: false, heard }
+        Roster {
+            discovery,
+            generation: Some(generation),
+            follows: false,
+            calls: Vec::new(),
+            sure_at,
+            down: false,
+            unheard_since: None,
+            heard: Vec::new(),
+        }
     }
 
     /// Where the list comes from, and how far it has been heard.
@@ -279,6 +292,7 @@
         };
         wires.send(link, &encode_bare("GET", &target, self.discovery));
         let call = Call::new(link, up, wires.now());
+        self.unheard_since.get_or_insert(call.asked_at);
         wires.wake(Due::Link(link), call.due());
         self.calls.push(call);
     }
@@ -288,7 +302,8 @@
         if discovery == self.discovery {
             return;
         }
-        (self.discovery, self.generation, self.down) = (discovery, None, false);
+        (self.discovery, self.generation) = (discovery, None);
+        (self.down, self.unheard_since) = (false, None);
         for call in std::mem::take(&mut self.calls) {
             wires.cut(call.link, End::WatchReplaced);
         }
@@ -309,7 +324,8 @@
         let call = self.calls.remove(at);
         // Whoever gets no connection could not have been told anything then. That a call fails says nothing by itself:
         // one that has too many callers turns them away as one that is down does.
-        if !call.up || self.down && !call.spoke {
+        let long = self.unheard_since.is_some_and(|since| call.asked_at >= since + DOWN_AFTER);
+        if !call.up || (self.down || long) && !call.spoke {
             self.sure_at = self.sure_at.max(call.asked_at);
         }
         if !call.late {
@@ -324,10 +340,11 @@
         for call in self.calls.extract_if(.., |call| call.link != link) {
             wires.cut(call.link, End::WatchReplaced);
         }
-        self.down = false;
+        (self.down, self.unheard_since) = (false, None);
         if let Some(call) = self.calls.first_mut() {
             if !call.spoke {
                 let (generation, asked) = (self.generation.unwrap_or(0), (now - call.asked_at) / 1000);
+                let before = if before > 0 { before } else { call.asked_at };
                 log!(
                     "watch-up",
                     "generation={generation} asked_ms={asked} unsure_ms={}",
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -53,6 +53,9 @@
 /// Whatever is not answered so long after the longest client timeout is given up, well before we are killed.
 const DOWN_GRACE: Micros = 300_000;
 const DOWN_STEP: Micros = 50_000;
+/// A start says that it is ready once it has a list that it may act upon, or after this: nine in ten must be ready within
+/// 10 s, however long discovery keeps them waiting.
+const READY_BY: Micros = 9_000_000;
 /// How often a lease that has lapsed is looked at.
 const LEASE_AGAIN: Micros = 1_000_000;
 
@@ -159,6 +162,8 @@
     /// The longest advice that clients follow, if any.
     come_back_most: Option<Micros>,
     down_since: Option<Micros>,
+    /// Nobody has been told yet that this process is ready.
+    starting: bool,
     /// The longest client timeout of the settings in force.
     longest_timeout: Micros,
     peer: Peer,
@@ -203,7 +208,7 @@
             figures,
             runners: Runners::new(&decoded),
             members: Members::new(warm_within),
-            roster: Roster::new(told.discovery, told.known.generation, wires.now()),
+            roster: Roster::new(told.discovery, told.known.generation, 0),
             brain: Brain::new(decoded.standing, told.seed),
             name: told.name,
             listen: told.listen,
@@ -217,6 +222,7 @@
             come_back,
             come_back_most,
             down_since: None,
+            starting: false,
             longest_timeout: decoded.longest_timeout,
             peer: Peer::default(),
             overlap: None,
@@ -231,6 +237,11 @@
         };
         desk.limit();
         wires.wake(Due::Lease, began + TOLD_WITHIN);
+        if handed.is_none() && keeper.is_none() {
+            desk.starting = true;
+            desk.clients.ready(false);
+            wires.wake(Due::Ready, began + READY_BY);
+        }
         let keeping = |keeper, file| Keeping::new(keeper, (require, peers), file, began);
         if handed.is_none()
             && let Some(keeper) = keeper
@@ -242,7 +253,7 @@
         // What another process hands over is nearer than what it has left on the disk.
         desk.keeping = keeper.map(|keeper| keeping(keeper, None).in_service());
         let (known, spent) = match handed {
-            Some(handed) => desk.inherit(handed, told.known),
+            Some(handed) => desk.inherit(handed, told.known, began),
             None => (told.known, Vec::new()),
         };
         desk.list(roster::Heard { listing: Listing::Remembered, entries: known.entries() }, wires);
@@ -255,7 +266,7 @@
 
     /// What the process that served until now knows. Gives the list to begin with, the other's where it
     /// comes from the same discovery, and what the other has sent to cold runners.
-    fn inherit(&mut self, handed: Handed, known: Listed) -> (Listed, Vec<Spent>) {
+    fn inherit(&mut self, handed: Handed, known: Listed, now: Micros) -> (Listed, Vec<Spent>) {
         self.theirs = handed.connections;
         handed.gone.iter().for_each(|id| self.members.inherit(id, None, None));
         for (id, since) in &handed.out {
@@ -270,7 +281,8 @@
         let listed = (handed.discovery == discovery.to_string()).then(|| Listed::from_value(handed.list));
         match listed {
             Some(Ok(listed)) => {
-                let sure_at = if handed.sure_at > 0 { handed.sure_at } else { self.roster.sure_at() };
+                // One that does not say has its list from the watch all the same.
+                let sure_at = if handed.sure_at > 0 { handed.sure_at } else { now };
                 self.roster = Roster::new(discovery, listed.generation, sure_at);
                 (listed, spent)
             }
@@ -493,6 +505,7 @@
             Due::Down => self.step_down(wires),
             Due::Rested if self.overlap != Some(Overlap::Successor) => self.rest(Micros::MIN, wires),
             Due::Rested => {}
+            Due::Ready => self.is_ready(),
             Due::Lease => {
                 self.renew(wires);
                 let at = (self.roster.sure_at() + TOLD_WITHIN).max(wires.now() + LEASE_AGAIN);
@@ -810,6 +823,10 @@
     fn renew(&mut self, wires: &mut dyn Wires) {
         let (sure_at, now) = (self.roster.sure_at(), wires.now());
         let Some(entries) = self.members.sure(sure_at, now) else { return };
+        if self.starting {
+            // The list to begin with may be acted upon, or discovery cannot be reached.
+            self.is_ready();
+        }
         log!(
             "lease",
             "state={} unsure_ms={}",
@@ -822,6 +839,14 @@
         self.happened.push(Event::Roster(List { listing: Listing::Own, entries }));
     }
 
+    /// A start has come to its end.
+    fn is_ready(&mut self) {
+        if std::mem::take(&mut self.starting) {
+            log!("ready", "lease={}", if self.members.lapsed() { "none" } else { "held" });
+            self.clients.ready(self.down_since.is_none());
+        }
+    }
+
     fn list(&mut self, heard: roster::Heard, wires: &mut dyn Wires) {
         let whole = matches!(heard.listing, Listing::All | Listing::Remembered);
         if whole {
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -117,6 +117,8 @@
     Rested,
     /// The lease on the list may have lapsed.
     Lease,
+    /// A start has waited for discovery for long enough.
+    Ready,
     /// A stage of recovery has had its time.
     Recovery,
     /// A round of the other dispatchers.
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -200,12 +200,17 @@
 
     /// One that has its list from the watch, told from here on.
     fn followed(runners: &[(&str, &str)]) -> Node {
-        let mut node = Node::new(runners);
-        node.up(1);
-        node.feed(1, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        node.feed(1, &chunk("{\"generation\":42,\"reset\":false,\"instances\":[]}\n"));
-        node.stage.trace.clear();
-        node
+        Node::new(runners).hears()
+    }
+
+    /// Its first call is answered: nothing has changed.
+    fn hears(mut self) -> Node {
+        let link = *self.stage.sides.iter().find(|(_, side)| **side == Side::Roster).unwrap().0;
+        self.up(link);
+        self.feed(link, WATCH);
+        self.feed(link, &chunk("{\"generation\":42,\"reset\":false,\"instances\":[]}\n"));
+        self.stage.trace.clear();
+        self
     }
 
     /// One whose only runner has taken `i1`, from the client on connection 2, over connection 3.
@@ -821,6 +826,72 @@
     }
 }
 
+/// Against a process that starts and sends by what its file remembers, while discovery has long told all others of a
+/// drain. Whoever turns it away at once may be down or have too many callers; a dial that fails says that it cannot be
+/// reached.
+#[test]
+fn a_start_sends_nothing_before_discovery_has_been_heard_or_cannot_be_reached() {
+    const READY: &str = "GET /healthz HTTP/1.1\r\n\r\n";
+    let starts = |how: Fails, heard: bool| {
+        let mut node = Node::new(&RUNNERS[..1]);
+        node.fails(1, how);
+        node.invoke("plan", "i1");
+        let look = node.accept();
+        node.feed(look, READY);
+        if heard {
+            node.feed(1, &chunk(LISTED));
+        }
+        node.feed(look, READY);
+        let mut link = 1;
+        let mut ready_at = None;
+        for _ in 0..910 {
+            let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
+            if let Some(next) = next.map(|(next, _)| *next) {
+                node.fails(next, how);
+                link = next;
+            }
+            node.pass(10);
+            if ready_at.is_none() && node.stage.trace.contains("200 OK") {
+                ready_at = Some((node.stage.now - START) / 1000);
+            }
+            if ready_at.is_none() {
+                node.feed(look, READY);
+            }
+        }
+        (node.stage.trace.contains("dials 127.0.0.1:3001"), ready_at)
+    };
+    assert_eq!(starts(Fails::SilentBeforeLine, true), (true, Some(10)));
+    assert_eq!(starts(Fails::Refused, false), (true, Some(10)));
+    assert_eq!(starts(Fails::NeverUp, false), (false, Some(1010)));
+    assert_eq!(starts(Fails::Unavailable, false), (false, Some(9010)));
+    assert_eq!(starts(Fails::SilentBeforeHead, false), (false, Some(9010)));
+}
+
+/// One that turns every call away for as long as a start may take is taken for down: service has to begin.
+#[test]
+fn a_discovery_that_turns_every_call_away_for_long_is_down() {
+    let mut node = Node::new(&RUNNERS[..1]);
+    let (mut link, mut sent_at, mut next_ask) = (0, None, START);
+    let client = node.accept();
+    while node.stage.now < START + 30_000_000 && sent_at.is_none() {
+        let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
+        if let Some(next) = next.map(|(next, _)| *next) {
+            node.fails(next, Fails::Unavailable);
+            link = next;
+        }
+        node.pass(50);
+        if node.stage.now >= next_ask {
+            next_ask += 1_000_000;
+            let asks =
+                format!("POST /plan HTTP/1.1\r\nX-Request-Id: i{next_ask}\r\nX-Deadline-Ms: 900\r\n\r\n");
+            node.feed(client, &asks);
+        }
+        sent_at =
+            node.stage.trace.contains("dials 127.0.0.1:3001").then_some((node.stage.now - START) / 1_000_000);
+    }
+    assert!(sent_at.is_some_and(|sent_at| (25..=26).contains(&sent_at)), "{sent_at:?}");
+}
+
 /// Where discovery is down or cut off nothing can be told, and service goes on by the list that there is.
 #[test]
 fn a_discovery_that_cannot_be_reached_stops_no_service() {
@@ -1114,7 +1185,7 @@
 #[test]
 fn told_to_end_it_goes_by_the_longest_client_timeout_of_its_settings() {
     let text = configuration(&RUNNERS[..1]);
-    let mut node = Node::told(&text.replace("8000000", "900000").replace("5000000", "600000"));
+    let mut node = Node::told(&text.replace("8000000", "900000").replace("5000000", "600000")).hears();
     let kept: Vec<Link> = (0..3).map(|_| node.accept()).collect();
     let asks = |id: &str| format!("POST /book HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 900\r\n\r\n");
     node.desk.go_down(&mut node.stage);
@@ -1131,16 +1202,11 @@
     node.pass(30);
     node.stage.say(&format!("down: {}", node.desk.is_down(node.stage.now)));
     node.shows(expect![[r#"
-        0     #1 dials 127.0.0.1:8500
-        0     #1 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
         800   #5 dials 127.0.0.1:3001
         800   #5 < POST /book; X-Request-Id: i1; X-Deadline-Ms: 880; Content-Length: 0
-        1000  #1 ends: watch_silent
         1100  #6 dials 127.0.0.1:3001
-        1146  #7 dials 127.0.0.1:8500
-        1146  #7 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
         1200  #5 ends: given_up
-        1200  #8 dials 127.0.0.1:3001
+        1200  #7 dials 127.0.0.1:3001
         1200  #2 < 502 Bad Gateway; Connection: close; Content-Length: 0
         1200  #2 ends: terminated
         1200  #3 < 429 Too Many Requests; Retry-After: 0.500; Connection: close; Content-Length: 0
@@ -1156,8 +1222,7 @@
 #[test]
 fn what_has_not_left_when_its_client_does_never_leaves() {
     let text = configuration(&RUNNERS[..1]).replace("\"cancel\":true", "\"cancel\":false");
-    let mut node = Node::told(&text);
-    node.stage.trace.clear();
+    let mut node = Node::told(&text).hears();
     let dials = node.invoke("book", "i1");
     node.end(dials, End::PeerClosed);
     node.up(3);
@@ -1180,7 +1245,6 @@
     "#]]);
 }
 
-/// Against dials that come up after the grace, with a forward for a runner that drains or is gone.
 /// Its end has come and has not been read, as the turn was long, or the dial came up first: first and further forward,
 /// over a connection at rest, a dial and one that comes free.
 #[test]
@@ -1214,6 +1278,7 @@
     assert!(trace.contains("X-Request-Id: i3"), "{trace}");
 }
 
+/// Against dials that come up after the grace, with a forward for a runner that drains or is gone.
 #[test]
 fn what_waits_for_a_dial_to_a_runner_that_drains_goes_elsewhere() {
     for left in
@@ -1410,11 +1475,11 @@
     let mut stage = Stage { now: START, ..Stage::default() };
     let desk = Desk::new(config::decode(&text).unwrap(), None, None, &mut stage);
     let mut node = Node { desk, stage };
+    node.settle();
+    node = node.hears();
     node.invoke("plan", "i1");
     node.invoke("plan", "i2");
     node.shows(expect![[r#"
-        0     #2 dials 127.0.0.1:8500
-        0     #2 < GET /v1/servers?follow=1&since=41; Host: 127.0.0.1:8500
         0     #3 dials 127.0.0.1:3001
         0     #4 < 503 Service Unavailable; Retry-After: 1.000; Content-Length: 0
     "#]]);
@@ -1856,6 +1921,7 @@
         launched,
     };
     let mut members = Members::new(0);
+    assert!(members.sure(0, 0).is_some());
     assert!(members.by_hand("s-a", true, 0).is_err());
     members.listed(Listing::All, vec![entry(Some(5))], 10);
     assert_eq!(members.by_hand("s-a", true, 20).unwrap().unwrap().readiness, Readiness::Fading);
