The lab counts what all dispatchers together send a cold runner, in calls

The module stays as it is. Not forced: the configured count of dispatchers against those alive; probes counted as calls.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -170,6 +170,8 @@
     pub ask_within: Micros,
     pub overload_factor: f64,
     pub tip_after: Micros,
+    /// The mean work of an invocation.
+    pub mean_work: f64,
     /// How much later than its order says something may be seen: what the lab cannot tell from the wire's way.
     pub slack: Micros,
     /// The same for a final answer against the client timeout.
@@ -185,6 +187,10 @@
             ask_within: scenario.limits.ask_within.0,
             overload_factor: scenario.limits.overload_factor,
             tip_after: scenario.limits.tip_after.0,
+            mean_work: {
+                let shares: f64 = scenario.operation.iter().map(|op| op.share).sum();
+                scenario.operation.iter().map(|op| op.share * op.work.0 as f64).sum::<f64>() / shares
+            },
             slack,
             answer_slack,
         }
@@ -241,7 +247,8 @@
 const KEPT_FOR: Micros = 5_000_000;
 /// What a process may take to come round after it stood still.
 const GOES_ON: Micros = 100_000;
-/// How much a cold budget may be overdrawn by chance: a job's length is not known when it is sent.
+/// How much a cold budget may be overdrawn by chance: a job's length is not known when it is sent. By number what chance
+/// explains is stated: 2 x root of N and 2 beyond N calls of mean work.
 const BY_CHANCE: f64 = 1.15;
 
 pub struct Judge {
@@ -268,6 +275,16 @@
     /// Work sent to cold runners, and the largest share of a budget that was used by all together.
     pub cold_sent: f64,
     pub cold_most: f64,
+    pub cold_calls: ColdCalls,
+}
+
+/// What cold runners were sent in each span that ends with a call, against what may be put down to chance: N calls of mean
+/// work that the rule allows, 2 x root of N and 2 more.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdCalls {
+    pub spans: u64,
+    pub over: u64,
+    pub most: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -308,6 +325,7 @@
             behind: 0,
             cold_sent: 0.0,
             cold_most: 0.0,
+            cold_calls: ColdCalls::default(),
         }
     }
 
@@ -595,6 +613,18 @@
             let budget = self.terms.overload_factor * capacity * span as f64;
             self.cold_sent += work;
             self.cold_most = self.cold_most.max(all / budget);
+            let allowed = budget / self.terms.mean_work;
+            let (calls, by_chance) = (cold.spent.len() as f64, allowed + 2.0 * allowed.sqrt() + 2.0);
+            let counted = &mut self.cold_calls;
+            counted.spans += 1;
+            counted.over += u64::from(calls > by_chance);
+            counted.most = counted.most.max(calls / by_chance);
+            if calls > by_chance && knowing * 3.0 >= all * 2.0 && !cold.broken {
+                cold.broken = true;
+                let what =
+                    format!("r{runner} was sent {calls} calls in a span in which it bears {allowed:.1}");
+                wrong.push((Rule::ColdBudget, what));
+            }
             let budget = budget * BY_CHANCE;
             if all > budget && knowing * 3.0 >= all * 2.0 && cold.spent.len() > 3 && !cold.broken {
                 cold.broken = true;
@@ -812,6 +842,25 @@
         assert_eq!(broken(&[sent(300, 0), (350, Seen::Began { dispatcher: 0 }), unlisted(400)]), []);
     }
 
+    /// 3 x 0.2 x 2 s is twelve calls of the mean 100 ms: 20 are put down to chance, 21 are not, however short they are.
+    #[test]
+    fn cold_runners_are_sent_no_more_calls_than_chance_explains() {
+        let sent = |count: i64, told: bool| {
+            let mut seen = vec![(5, Seen::Listed { runner: 0, wanted: true, launched: Some(5) })];
+            seen.extend(told.then_some((6, Seen::Told { dispatcher: 0, runner: 0, wanted: true })));
+            for nth in 0..count {
+                let (inv, at, work) = (1, 10 + 2 * nth, 1000.0);
+                let forwarded = Seen::Forwarded { inv, dispatcher: 0, runner: 0, work, cold: Some(0.2) };
+                seen.extend([(at, forwarded), (at + 1, ended(11, 0, Back::NeverRan).1)]);
+            }
+            seen.push(answered(900, Final::Throttled));
+            rules(&verdict("", &seen))
+        };
+        assert_eq!(sent(20, true), []);
+        assert_eq!(sent(21, true), [Rule::ColdBudget]);
+        assert_eq!(sent(21, false), []);
+    }
+
     #[test]
     fn cold_runners_keep_their_budget() {
         let began = (5, Seen::Listed { runner: 0, wanted: true, launched: Some(5) });
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -343,6 +343,10 @@
     if let Some(cold) = &outcome.cold {
         let (used, most) = (cold.used, cold.most);
         text += &format!("  cold runners were sent {used:.3} of their budgets, {most:.3} of one at most\n");
+        let (spans, over, most) = (cold.spans, cold.over, cold.most_by_chance);
+        text += &format!(
+            "  and in {over} of {spans} spans more than chance explains, {most:.3} of that at most\n"
+        );
     }
     let traffic = &outcome.traffic;
     if traffic.calls > 0 {
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -386,6 +386,7 @@
         runners: of_runners(scenario, &stage.world, &stage.tally.forwards),
         faults: std::mem::take(&mut stage.world.bands),
         cold: (stage.judge.cold_sent, stage.judge.cold_most),
+        cold_calls: stage.judge.cold_calls,
         verdict: std::mem::take(&mut stage.judge.verdict),
         void: std::mem::take(&mut stage.void),
         processes,
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -134,6 +134,13 @@
 pub struct OfCold {
     pub used: f64,
     pub most: f64,
+    /// Spans that ended with a call, those of them with more calls than chance explains, and the most of that in any.
+    #[serde(default)]
+    pub spans: u64,
+    #[serde(default)]
+    pub over: u64,
+    #[serde(default)]
+    pub most_by_chance: f64,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -308,8 +315,13 @@
             traffic: self.traffic,
             windows: self.stretches.into_iter().enumerate().map(window).collect(),
             runners: about.runners,
-            cold: (budget > 0.0)
-                .then(|| OfCold { used: round(about.cold.0 / budget), most: round(about.cold.1) }),
+            cold: (budget > 0.0).then(|| OfCold {
+                used: round(about.cold.0 / budget),
+                most: round(about.cold.1),
+                spans: about.cold_calls.spans,
+                over: about.cold_calls.over,
+                most_by_chance: round(about.cold_calls.most),
+            }),
             faults: about.faults,
             broken: verdict.violations.iter().map(|(rule, count)| (rule.to_string(), *count)).collect(),
             verdict: serde_json::to_value(verdict).unwrap_or_default(),
@@ -330,6 +342,7 @@
     pub verdict: crate::judge::Verdict,
     /// Work that was sent to cold runners, and the largest share of a budget that was used.
     pub cold: (f64, f64),
+    pub cold_calls: crate::judge::ColdCalls,
     pub void: Vec<String>,
     pub processes: Vec<Process>,
     pub notes: Vec<String>,
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -1311,6 +1311,7 @@
             runners,
             faults: std::mem::take(&mut self.world.bands),
             cold: (self.judge.cold_sent, self.judge.cold_most),
+            cold_calls: self.judge.cold_calls,
             verdict: self.judge.verdict,
             void: Vec::new(),
             processes: Vec::new(),
