Descriptors go by the process's real limit, and the last eighth is kept free

Forced over loopback with 80 descriptors and limits.sockets 256, by clients that have asked once and stay: the loop was told 'too many open files' at each accept and each dial, and nobody was ended, as by its own count there was room (node/src/front/clients.rs, room; node/src/config.rs, sockets). The watch's dial got none ('no_socket').

Mended: RLIMIT_NOFILE is looked at, what the system does not give is learnt, and over seven eighths idle clients and connections at rest make room at each turn.

Newcomers that ask nothing were no such case: they are let go after 2.5 s.

--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -191,6 +191,13 @@
         self.by_id.retain(|_, runner| !runner.gone_since.is_some_and(long_gone) || !runner.lines.is_empty());
     }
 
+    /// Ends the connection that has been at rest for longest, if there is any.
+    pub fn make_room(&mut self, wires: &mut dyn Wires) -> bool {
+        let idle = self.by_id.values().flat_map(|runner| &runner.idle);
+        let oldest = idle.min_by_key(|link| self.lines.get(link).map(|line| line.since)).copied();
+        oldest.inspect(|link| self.end_line(*link, End::MadeRoom, wires)).is_some()
+    }
+
     pub fn cut_idle(&mut self, tgt: &Id, end: End, wires: &mut dyn Wires) {
         let idle = self.by_id.get_mut(tgt).map(|runner| std::mem::take(&mut runner.idle));
         for link in idle.unwrap_or_default() {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -66,6 +66,17 @@
     env::var("RELAY_LISTEN").ok()?.parse().ok()
 }
 
+/// What a dispatcher cannot do without.
+pub const SOCKETS_LEAST: usize = 16;
+/// Descriptors that are no connections: standard ones, the poller's, signals, doors, a store.
+const OTHERS: usize = 24;
+
+/// Connections that this process may have, by the limit that it was started with.
+fn descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX).saturating_sub(OTHERS))
+}
+
 pub fn load(path: &str) -> Result<Dispatcher, String> {
     with_admin(read(path, decode)?)
 }
@@ -123,7 +134,7 @@
         store: store_at(json.get("store"))?,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed has the bad value '{seed}'"))?,
         memory: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
-        sockets: limit("sockets", 1024)?.max(64) as usize,
+        sockets: (limit("sockets", 1024)? as usize).max(64).min(descriptors().max(SOCKETS_LEAST)),
         decoded,
         known: match json.get("known") {
             None | Some(Value::Null) => Listed::default(),
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -170,6 +170,8 @@
     overlap: Option<Overlap>,
     /// Descriptors and memory, the other process's among them.
     limits: (usize, usize),
+    /// Beyond so many connections those go that nothing is owed on: the rest is for the watch, dials and operators.
+    room_for: usize,
     /// Connections that the other process had when it handed over.
     theirs: usize,
     dispatchers: usize,
@@ -227,6 +229,7 @@
             peer: Peer::default(),
             overlap: None,
             limits: (told.sockets, told.memory),
+            room_for: 0,
             theirs: 0,
             dispatchers,
             tip_after,
@@ -372,6 +375,7 @@
                 ((sockets / 2).max(sockets.saturating_sub(self.theirs + sockets / 8)), memory / 2)
             }
         };
+        self.room_for = sockets - sockets / 8;
         self.clients.limit(sockets);
         self.operators.limit(sockets);
         self.held_most = memory / 6;
@@ -539,9 +543,27 @@
         !self.happened.is_empty()
     }
 
+    /// The system gave no descriptor, whatever the configuration says: there are no more than are in use now.
+    pub fn out_of_descriptors(&mut self, wires: &mut dyn Wires) {
+        let most = wires.connections().max(config::SOCKETS_LEAST);
+        if most < self.limits.0 {
+            log!("descriptors", "configured={} found={most}", self.limits.0);
+            self.limits.0 = most;
+            self.limit();
+        }
+    }
+
+    /// Against idle connections that leave none for the watch, for dials and for operators.
+    fn keep_room(&mut self, wires: &mut dyn Wires) {
+        while wires.connections() > self.room_for
+            && (self.clients.make_room(wires) || self.runners.make_room(wires))
+        {}
+    }
+
     /// Hands the brain all that happened in this turn and does what it decides.
     pub fn settle(&mut self, wires: &mut dyn Wires) {
         self.collect(wires);
+        self.keep_room(wires);
         if self.happened.is_empty() {
             return;
         }
--- a/node/src/front/clients.rs
+++ b/node/src/front/clients.rs
@@ -124,7 +124,12 @@
     /// ask anything yet, or the one that has been idle longest; those that have brought invocations go last,
     /// as they will bring more.
     pub fn room(&mut self, wires: &mut dyn Wires) -> bool {
-        if wires.connections() < self.most.0 || wires.end_lingering() {
+        wires.connections() < self.most.0 || self.make_room(wires) || wires.connections() < self.most.1
+    }
+
+    /// Ends one connection that nothing is owed on, if there is any.
+    pub fn make_room(&mut self, wires: &mut dyn Wires) -> bool {
+        if wires.end_lingering() {
             return true;
         }
         let now = wires.now();
@@ -135,8 +140,7 @@
         };
         let mut idle: Vec<(u8, Micros, Link)> = self.conns.iter().filter_map(rank).collect();
         idle.sort_unstable();
-        let made = idle.iter().any(|(_, _, link)| self.end_idle(*link, End::MadeRoom, wires));
-        made || wires.connections() < self.most.1
+        idle.iter().any(|(_, _, link)| self.end_idle(*link, End::MadeRoom, wires))
     }
 
     pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -104,6 +104,8 @@
     scratch: Vec<u8>,
     /// Whether newcomers are being let in.
     accepting: bool,
+    /// The system has given no descriptor since the last turn.
+    short: bool,
 }
 
 /// The end of a pipe that gets a byte whenever the signal is raised.
@@ -277,6 +279,7 @@
             revisits: Vec::new(),
             scratch: vec![0; 64 << 10],
             accepting: true,
+            short: false,
         })
     }
 
@@ -327,6 +330,9 @@
                 let due = entry.remove();
                 self.fall_due(due, desk, doors)?;
             }
+            if std::mem::take(&mut self.short) {
+                desk.out_of_descriptors(self);
+            }
             desk.settle(self);
             if desk.accepts() != self.accepting {
                 self.accepting = desk.accepts();
@@ -459,6 +465,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
+                    self.short = true;
                     return self.pause(door);
                 }
                 // The newcomer has left again, or was interrupted: the next one may be well.
@@ -648,6 +655,7 @@
             Ok(socket) => socket,
             Err(error) => {
                 log!("dial-failed", "side={} peer={to} reason={error}", side.code());
+                self.short |= error.raw_os_error().is_some_and(out_of_descriptors);
                 return None;
             }
         };
--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -20,8 +20,20 @@
         Peer(BufReader::new(stream))
     }
 
+    /// The next to come; nobody is waited for without a bound.
     pub fn from(listener: &TcpListener) -> Peer {
-        Peer::new(listener.accept().unwrap().0)
+        listener.set_nonblocking(true).unwrap();
+        let until = Instant::now() + PATIENCE;
+        let stream = loop {
+            match listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(error) => assert!(Instant::now() < until, "nobody came: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        };
+        listener.set_nonblocking(false).unwrap();
+        stream.set_nonblocking(false).unwrap();
+        Peer::new(stream)
     }
 
     pub fn say(&mut self, text: &str) {
@@ -149,11 +161,18 @@
 impl Node {
     /// A program of a test's own, by a configuration that is changed as it says.
     pub fn new(own: u8, change: impl Fn(String) -> String) -> Node {
+        Node::limited(own, 0, change)
+    }
+
+    /// The same with so many descriptors; as many as this test has, for 0.
+    pub fn limited(own: u8, descriptors: usize, change: impl Fn(String) -> String) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let listen = free_address(own);
         let path = env::temp_dir().join(format!("topazsail-ends-{own}-{}.json", std::process::id()));
         fs::write(&path, change(configuration(listen, discovery.local_addr().unwrap()))).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+        let mut command = Command::new("sh");
+        let limit = if descriptors > 0 { format!("ulimit -n {descriptors}; ") } else { String::new() };
+        command.args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_topazsail")]);
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).env("TMPDIR", "");
         let mut program = Program(command.spawn().unwrap());
         let lines = BufReader::new(program.0.stderr.take().unwrap()).lines();
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -3,7 +3,8 @@
 
 mod helper;
 
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use helper::*;
@@ -83,3 +84,108 @@
     let _client = node.asks("i2");
     assert_eq!(Peer::from(&runner).hear(), "POST /plan HTTP/1.1 i2 ");
 }
+
+/// Discovery goes down, and idle clients take all descriptors that the process was started with, fewer than its
+/// configuration says. When it is back it is heard, and a runner, an operator and a call-back get theirs.
+#[test]
+fn idle_clients_leave_descriptors_for_all_others() {
+    let admin = free_address(118);
+    let operated = |text: String| text.replace("\"seed\"", &format!("\"admin_addr\":\"{admin}\",\"seed\""));
+    let mut node = Node::limited(117, 80, operated);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let _before = node.asks("i0");
+    assert_eq!(Peer::from(&runner).hear(), "POST /plan HTTP/1.1 i0 ");
+    let at = node.discovery.local_addr().unwrap();
+    let listen = node.listen;
+    drop((std::mem::replace(&mut node.discovery, TcpListener::bind("127.0.0.1:0").unwrap()), watch));
+    // Each has asked once, and keeps its connection for as long as it may.
+    let asks_once = |_| {
+        let mut client = TcpStream::connect(listen).unwrap();
+        client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        client
+    };
+    let idle: Vec<TcpStream> = (0..100).map(asks_once).collect();
+    std::thread::sleep(Duration::from_millis(500));
+    let discovery = TcpListener::bind(at).unwrap();
+    let mut watch = watched_since(&discovery, 1);
+    let moved = TcpListener::bind("127.0.0.1:0").unwrap();
+    lists(&mut watch, 2, moved.local_addr().unwrap(), "up");
+    let mut client = Peer::new(TcpStream::connect(listen).unwrap());
+    client.say(&request("i1", 25_000));
+    let mut forward = Peer::from(&moved);
+    assert_eq!(forward.hear(), "POST /plan HTTP/1.1 i1 ");
+    forward.say("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(called(admin, "status"), "YES\n");
+    calls_back(listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    assert_eq!(client.hear(), "HTTP/1.1 200 OK r");
+    drop(idle);
+}
+
+/// A list of 1,024 runners, told to one of 1,024 dispatchers: all are reached.
+#[test]
+fn a_list_of_a_thousand_runners_is_used_whole() {
+    const RUNNERS: usize = 1024;
+    let large = |text: String| {
+        text.replace("\"sockets\":256", "\"sockets\":4096").replace("\"balancers\":1", "\"balancers\":1024")
+    };
+    let node = Node::new(119, large);
+    let bind = |_| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        listener
+    };
+    let runners: Vec<TcpListener> = (0..RUNNERS).map(bind).collect();
+    let entry = |(nth, runner): (usize, &TcpListener)| {
+        let address = runner.local_addr().unwrap();
+        format!("{{\"instanceId\":\"s-{nth}\",\"lifecycle\":\"up\",\"weight\":1,\"hostPort\":\"{address}\"}}")
+    };
+    let entries: Vec<String> = runners.iter().enumerate().map(entry).collect();
+    let mut watch = watched(&node.discovery);
+    let told = Instant::now();
+    watch.tells(&format!("{{\"generation\":1,\"reset\":true,\"instances\":[{}]}}\n", entries.join(",")));
+    let mut clients: Vec<Peer> = (0..32).map(|_| node.client()).collect();
+    let mut lines: Vec<(usize, TcpStream)> = Vec::new();
+    let mut tells = node.client();
+    let (mut reached, mut asked, mut listed_in) = (vec![false; RUNNERS], 0, None);
+    while reached.contains(&false) {
+        assert!(told.elapsed() < PATIENCE, "{} were never reached", reached.iter().filter(|r| !**r).count());
+        for client in &mut clients {
+            client.say(&request(&format!("i{asked}"), 25_000));
+            asked += 1;
+        }
+        watch.tells("\n");
+        let mut served = 0;
+        while served < clients.len() {
+            for (nth, runner) in runners.iter().enumerate() {
+                while let Ok((stream, _)) = runner.accept() {
+                    stream.set_nonblocking(true).unwrap();
+                    lines.push((nth, stream));
+                }
+            }
+            for (nth, line) in &mut lines {
+                let mut bytes = [0; 4096];
+                let Ok(read) = line.read(&mut bytes) else { continue };
+                let text = String::from_utf8_lossy(&bytes[..read]);
+                let Some((_, id)) = text.split_once("X-Request-Id: ") else { continue };
+                let id = id.split("\r\n").next().unwrap();
+                listed_in.get_or_insert(told.elapsed());
+                line.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").unwrap();
+                let told =
+                    format!("{{\"id\":\"{id}\",\"from\":\"s-{nth}\",\"state\":\"done\",\"result\":\"r\"}}");
+                tells.say(&format!(
+                    "POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}",
+                    told.len()
+                ));
+                assert_eq!(tells.hear(), "HTTP/1.1 200 OK ");
+                reached[*nth] = true;
+                served += 1;
+            }
+        }
+        clients.iter_mut().for_each(|client| assert_eq!(client.hear(), "HTTP/1.1 200 OK r"));
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.program.0.id())).unwrap();
+    let memory = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or_default();
+    println!("{asked} asked, the first forward {listed_in:?} after the list, {memory}");
+}
