--- /dev/null
+++ b/node/src/life/shown/tests.rs
@@ -0,0 +1,53 @@
+use expect_test::expect;
+use topazsail_store::Store;
+
+use super::*;
+
+fn folder() -> tempfile::TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    let open = || Store::open(Box::new(Folder::new(folder.path())), "d0", 7, 1_700_000_000_000_000).unwrap();
+    let (mut store, _) = open();
+    let list =
+        List { discovery: "127.0.0.1:8500".into(), generation: 4, json: r#"{"instances":[{}]}"#.into() };
+    store.keep("", Some(&list), 1_700_000_000_000_000);
+    let hand = Hand { out_since: Some(1_700_000_000_500_000), ..Hand::default() };
+    store.keep("s-a", Some(&hand), 1_700_000_001_000_000);
+    store.put(topazsail_store::Table(40), "x", 1, Some(vec![1, 2]), 1_700_000_001_000_000);
+    store.close(1_700_000_002_000_000).unwrap();
+    folder
+}
+
+#[test]
+fn a_folder_is_told_whole_and_spoilt() {
+    let folder = folder();
+    let whole = shown(folder.path(), true, false).unwrap();
+    assert!(whole.well);
+    expect![[r#"
+            owner     d0
+            boot      1
+            state     the last life ended as it should
+            written   1700000002.000
+            file      log-0000000000000001, 249 bytes
+            records   3
+            table     key                   boot           written value
+            list                               1    1700000000.000 1 runners, generation 4, from 127.0.0.1:8500
+            hand      s-a                      1    1700000001.000 out since 1700000000.500
+            table-40  x                        1    1700000001.000 {"bytes":2}
+        "#]].assert_eq(&whole.text);
+    let json: Value = serde_json::from_str(&shown(folder.path(), true, true).unwrap().text).unwrap();
+    assert_eq!((&json["clean"], &json["records"][1]["key"]), (&json!(true), &json!("s-a")));
+    let log = folder.path().join("log-0000000000000001");
+    let mut bytes = std::fs::read(&log).unwrap();
+    bytes[30] ^= 1;
+    std::fs::write(&log, &bytes).unwrap();
+    let spoilt = shown(folder.path(), false, false).unwrap();
+    assert!(!spoilt.well && spoilt.text.contains("doubt     spoilt in 1 places"), "{}", spoilt.text);
+    assert_eq!(std::fs::read(&log).unwrap(), bytes, "nothing was changed");
+}
+
+#[test]
+fn no_folder_and_an_empty_one() {
+    assert!(shown(Path::new("/nowhere/at/all"), true, false).is_err());
+    let folder = tempfile::tempdir().unwrap();
+    assert!(shown(folder.path(), true, false).unwrap().text.starts_with("state     empty"));
+}
--- /dev/null
+++ b/recovery/src/tests.rs
@@ -0,0 +1,93 @@
+use super::*;
+
+fn found() -> Found {
+    Found { boot: 4, ..Found::default() }
+}
+
+fn stages(actions: &[Action]) -> Vec<&'static str> {
+    let stage = |action: &Action| match action {
+        Action::Enter(stage, _) => Some(stage.code()),
+        _ => None,
+    };
+    actions.iter().filter_map(stage).collect()
+}
+
+#[test]
+fn nothing_is_forwarded_before_there_is_a_list_and_nothing_is_waited_for_without_end() {
+    let mut recovery = Recovery::new(true, 100);
+    assert!(!recovery.may_forward() && recovery.due() == Some(100 + FOUND_WITHIN));
+    assert_eq!(recovery.left(100), FOUND_WITHIN + ASKED_WITHIN + LISTED_WITHIN);
+    assert_eq!(recovery.tick(99 + FOUND_WITHIN), []);
+    assert_eq!(stages(&recovery.tick(100 + FOUND_WITHIN)), ["numbered"]);
+    assert!(!recovery.may_forward());
+    let asked = 100 + FOUND_WITHIN + ASKED_WITHIN;
+    assert_eq!(stages(&recovery.tick(asked)), ["asked"]);
+    assert!(!recovery.may_forward() && recovery.left(asked) == LISTED_WITHIN);
+    assert_eq!(stages(&recovery.tick(asked + LISTED_WITHIN)), ["listed", "limited"]);
+    assert!(recovery.may_forward());
+    assert_eq!(recovery.handle(asked + 600_000, Event::Warmth(0.5)), []);
+    assert_eq!(stages(&recovery.handle(asked + 700_000, Event::Warmth(0.96))), ["serving"]);
+    assert!(recovery.due().is_none());
+    // The store comes at last: it has no say any more in what is under way.
+    assert_eq!(recovery.handle(9_000_000, Event::Opened { found: &found(), boot: Some(5) }), []);
+}
+
+#[test]
+fn the_list_may_come_before_the_store_but_holds_only_after_it() {
+    let mut recovery = Recovery::new(false, 0);
+    assert_eq!(recovery.handle(10, Event::Heard), []);
+    let actions = recovery.handle(20, Event::Opened { found: &found(), boot: Some(5) });
+    assert_eq!(stages(&actions), ["numbered", "asked", "listed", "limited"]);
+    assert!(actions.contains(&Action::Serve));
+    assert_eq!(recovery.handle(30, Event::Refused), []);
+}
+
+#[test]
+fn a_discovery_that_refuses_is_not_waited_for() {
+    let mut recovery = Recovery::new(false, 0);
+    recovery.handle(10, Event::Unopened { why: "no space" });
+    let actions = recovery.handle(20, Event::Refused);
+    assert_eq!(stages(&actions), ["listed", "limited"]);
+}
+
+#[test]
+fn half_of_the_others_are_waited_for_and_not_for_long() {
+    let begin = || {
+        let mut recovery = Recovery::new(true, 0);
+        recovery.handle(20, Event::Opened { found: &found(), boot: Some(5) });
+        recovery.handle(30, Event::Heard);
+        recovery
+    };
+    let mut recovery = begin();
+    assert_eq!(recovery.handle(40, Event::Agree { all: 5, agree: 2 }), []);
+    assert_eq!(
+        stages(&recovery.handle(50, Event::Agree { all: 5, agree: 3 })),
+        ["asked", "listed", "limited"]
+    );
+    let mut alone = begin();
+    assert_eq!(stages(&alone.tick(20 + ASKED_WITHIN)), ["asked", "listed", "limited"]);
+}
+
+#[test]
+fn which_list_comes_first() {
+    let known = |discovery, generation, runners| Known { discovery, generation, runners };
+    let file = known("a", 5, 3);
+    assert_eq!(list(None, file).0, Source::File);
+    assert_eq!(list(Some(known("b", 9, 3)), file).0, Source::File);
+    assert_eq!(list(Some(known("a", 9, 3)), file).0, Source::Store);
+    assert_eq!(list(Some(known("a", 5, 3)), file).0, Source::File);
+    assert_eq!(list(Some(known("a", 9, 0)), file).0, Source::File);
+    assert_eq!(list(Some(known("a", 0, 2)), known("a", 0, 0)).0, Source::Store);
+}
+
+#[test]
+fn a_life_that_was_cut_short_may_have_spent_until_its_end() {
+    let cut = Found { away: 500_000, ..found() };
+    assert_eq!(rest(&cut, 2_000_000), 1_500_000);
+    assert_eq!(rest(&Found { away: 3_000_000, ..found() }, 2_000_000), 0);
+    assert_eq!(rest(&Found { clean: true, ..found() }, 2_000_000), 0);
+    assert_eq!(rest(&Found { fresh: true, ..found() }, 2_000_000), 0);
+    assert_eq!(spent(&cut).0, Belief::Dropped);
+    assert_eq!(hands(&Found { doubts: vec![Doubt::Holes(1)], ..found() }).0, Belief::Doubted);
+    assert_eq!(hands(&Found { doubts: vec![Doubt::Clock { behind: 1 }], ..found() }).0, Belief::Trusted);
+}
