--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	cargo build --release
 
 test:
-	cargo test --workspace --locked
+	cargo test --workspace --locked $(TEST_ARGS)
 
 lint:
 	cargo fmt --all --check
