Renames: readiness up, draining, removed; failed calls; the roster's discovery and generation

Readiness::On, Fading, Off are Up, Draining, Removed, the words of discovery's own lifecycle; refusals are failed_calls; Roster::heard_to is discovery() and generation(). Renames only; words on the simulator's wire, in files and in stored forms stay.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -311,9 +311,9 @@
     let size = parts.real("powerHint", 1.0)?.max(0.0);
     let kind = parts.optional("kind")?.unwrap_or_default().into();
     let readiness = match parts.text("readiness")? {
-        "on" => Readiness::On,
-        "fading" => Readiness::Fading,
-        "off" => Readiness::Off,
+        "on" => Readiness::Up,
+        "fading" => Readiness::Draining,
+        "off" => Readiness::Removed,
         other => return Err(parts.fault("readiness", format!("unknown state '{other}'"))),
     };
     let zone = parts.optional("dc")?.unwrap_or_default().into();
--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -203,7 +203,7 @@
                     if !whole {
                         self.listed.retain(|(known, _)| *known != r);
                     }
-                    if entry.readiness == Readiness::On {
+                    if entry.readiness == Readiness::Up {
                         self.listed.push((r, entry.tgt));
                     }
                 }
--- a/lab/src/virtual_clock.rs
+++ b/lab/src/virtual_clock.rs
@@ -1195,9 +1195,9 @@
             kind: Id::from(self.scenario.pool[runner.kind].kind.as_str()),
             zone: Id::from(self.scenario.zones.names[runner.zone].as_str()),
             readiness: match state {
-                State::Up => Readiness::On,
-                State::Draining => Readiness::Fading,
-                State::Gone => Readiness::Off,
+                State::Up => Readiness::Up,
+                State::Draining => Readiness::Draining,
+                State::Gone => Readiness::Removed,
             },
             launched: runner.launched.filter(|_| state == State::Up),
         }
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -33,8 +33,8 @@
     /// What holds of it, the list, the hand and the rest of cold ones taken together.
     fn standing(&self, (rest, lapsed): (&Rest, bool), now: Micros) -> RosterEntry {
         let mut entry = self.entry.clone();
-        if entry.readiness == Readiness::On && (self.out_since.is_some() || lapsed) {
-            entry.readiness = Readiness::Fading;
+        if entry.readiness == Readiness::Up && (self.out_since.is_some() || lapsed) {
+            entry.readiness = Readiness::Draining;
         }
         // It was restarted while it was out, and the list may say so late: to take it for warm would be to
         // push it over.
@@ -46,8 +46,8 @@
         let cold = entry
             .launched
             .is_some_and(|launched| now < launched + rest.warm_within && launched < rest.before);
-        if entry.readiness == Readiness::On && cold && now < rest.until {
-            entry.readiness = Readiness::Fading;
+        if entry.readiness == Readiness::Up && cold && now < rest.until {
+            entry.readiness = Readiness::Draining;
         }
         entry
     }
@@ -135,8 +135,8 @@
     pub fn warmth(&self, cold_from: f64, now: Micros) -> (f64, usize) {
         let span = (cold_from, self.rest.warm_within);
         let share = |entry: RosterEntry| match entry.readiness {
-            Readiness::On => limits::warmth(entry.launched, span, now),
-            Readiness::Fading | Readiness::Off => 0.0,
+            Readiness::Up => limits::warmth(entry.launched, span, now),
+            Readiness::Draining | Readiness::Removed => 0.0,
         };
         let warm = self.listed_now().map(|known| share(known.standing((&self.rest, self.lapsed), now))).sum();
         (warm, self.listed_now().count())
@@ -176,7 +176,7 @@
                 size: 0.0,
                 kind: "".into(),
                 zone: "".into(),
-                readiness: Readiness::Off,
+                readiness: Readiness::Removed,
                 launched: None,
             };
             Member::new(entry, Some(0))
@@ -192,7 +192,7 @@
         }
         let mut standing = Vec::new();
         for entry in told {
-            let gone_since = Some(now).filter(|_| entry.readiness == Readiness::Off);
+            let gone_since = Some(now).filter(|_| entry.readiness == Readiness::Removed);
             let known = self.by_id.entry(entry.tgt.clone());
             let known = known.or_insert_with(|| Member::new(entry.clone(), gone_since));
             (known.entry, known.gone_since) = (entry, gone_since);
--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -62,7 +62,7 @@
                 "zone": &*entry.zone,
                 "machineType": &*entry.kind,
                 "cell": entry.cell,
-                "lifecycle": if entry.readiness == Readiness::On { "up" } else { "draining" },
+                "lifecycle": if entry.readiness == Readiness::Up { "up" } else { "draining" },
                 "weight": entry.size,
                 "startedAtMs": entry.launched.unwrap_or(0) / 1000,
             })
@@ -125,14 +125,14 @@
             return Err(format!("bad id {:?}", self.instance_id));
         }
         let readiness = match self.lifecycle.as_str() {
-            "up" => Readiness::On,
-            "draining" => Readiness::Fading,
-            "removed" => Readiness::Off,
+            "up" => Readiness::Up,
+            "draining" => Readiness::Draining,
+            "removed" => Readiness::Removed,
             other => return Err(format!("{} has the unknown lifecycle {other}", self.instance_id)),
         };
         let address = match self.host_port.as_deref().filter(|text| !text.is_empty()) {
             Some(text) => Some(text.parse().map_err(|_| format!("{} has a bad address", self.instance_id))?),
-            None if readiness == Readiness::On => return Err(format!("{} has no address", self.instance_id)),
+            None if readiness == Readiness::Up => return Err(format!("{} has no address", self.instance_id)),
             None => None,
         };
         let weight = self.weight.filter(|weight| weight.is_finite()).unwrap_or(1.0);
@@ -261,9 +261,14 @@
         }
     }
 
-    /// Where the list comes from, and how far it has been heard.
-    pub fn heard_to(&self) -> (SocketAddr, Option<u64>) {
-        (self.discovery, self.generation)
+    /// Where the list comes from.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery
+    }
+
+    /// How far it has been heard there.
+    pub fn generation(&self) -> Option<u64> {
+        self.generation
     }
 
     /// Until when nothing can have been missed that could be told: what came up since may not have been heard.
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -280,7 +280,7 @@
         }
         handed.ids.into_iter().for_each(|id| self.remember(id.into()));
         let spent = handed.spent.into_iter().map(|(id, work)| (id.into(), work)).collect();
-        let discovery = self.roster.heard_to().0;
+        let discovery = self.roster.discovery();
         let listed = (handed.discovery == discovery.to_string()).then(|| Listed::from_value(handed.list));
         match listed {
             Some(Ok(listed)) => {
@@ -309,7 +309,7 @@
     /// Another process takes over: newcomers are its own from now on, and it is told what it must know.
     pub fn hand_over(&mut self, link: Link, wires: &mut dyn Wires) {
         self.collect(wires);
-        let discovery = self.roster.heard_to().0;
+        let discovery = self.roster.discovery();
         let spent = self.brain.spent(wires.now());
         let state = Handed {
             discovery: discovery.to_string(),
@@ -335,7 +335,7 @@
 
     /// The list as discovery would tell it, and how far that has been heard.
     fn as_listed(&self) -> Option<(u64, serde_json::Value)> {
-        let generation = self.roster.heard_to().1?;
+        let generation = self.roster.generation()?;
         let listed = self.members.as_listed();
         let listed = listed.filter_map(|entry| Some((entry, self.runners.address(&entry.tgt)?)));
         Some((generation, Listed::of(generation, listed)))
@@ -876,9 +876,9 @@
         }
         let mut entries = Vec::new();
         for (entry, address) in heard.entries {
-            let listed = entry.readiness != Readiness::Off;
+            let listed = entry.readiness != Readiness::Removed;
             self.runners.note(&entry.tgt, listed, address, wires);
-            if entry.readiness != Readiness::On {
+            if entry.readiness != Readiness::Up {
                 self.runners.recall_waiting(&entry.tgt, wires);
             }
             entries.push(entry);
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -250,7 +250,7 @@
         self.meet(boot, left.as_deref(), wires);
         let Some(keeping) = &mut self.keeping else { return };
         let (file, began) = (keeping.file.take().unwrap_or_default(), keeping.began);
-        let discovery = self.roster.heard_to().0.to_string();
+        let discovery = self.roster.discovery().to_string();
         let stored = left.as_ref().and_then(|left| left.list.as_ref());
         let listed = stored.and_then(|list| Some((list, serde_json::from_str::<Listed>(&list.json).ok()?)));
         let known = |discovery, listed: &Listed| Known {
@@ -265,7 +265,7 @@
             Some((_, listed)) if source == Source::Store => listed,
             _ => file,
         };
-        self.roster = Roster::new(self.roster.heard_to().0, chosen.generation, self.roster.sure_at());
+        self.roster = Roster::new(self.roster.discovery(), chosen.generation, self.roster.sure_at());
         (keeping.began_with, keeping.limits) = (chosen.len(), Limits::new(self.worth.iter().copied(), now));
         let mut rest = 0;
         if let Some(left) = &left {
@@ -376,7 +376,7 @@
     /// The list as it is now, for the next life.
     pub(super) fn keep_list(&mut self) {
         let list = self.as_listed();
-        let discovery = self.roster.heard_to().0.to_string();
+        let discovery = self.roster.discovery().to_string();
         let Some(keeping) = &mut self.keeping else { return };
         keeping.list_due = false;
         let Some((generation, json)) = list else { return };
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1917,22 +1917,22 @@
         size: 1.0,
         kind: "m".into(),
         zone: "z".into(),
-        readiness: Readiness::On,
+        readiness: Readiness::Up,
         launched,
     };
     let mut members = Members::new(0);
     assert!(members.sure(0, 0).is_some());
     assert!(members.by_hand("s-a", true, 0).is_err());
     members.listed(Listing::All, vec![entry(Some(5))], 10);
-    assert_eq!(members.by_hand("s-a", true, 20).unwrap().unwrap().readiness, Readiness::Fading);
+    assert_eq!(members.by_hand("s-a", true, 20).unwrap().unwrap().readiness, Readiness::Draining);
     assert!(members.by_hand("s-a", true, 25).unwrap().is_none());
     // What discovery says in between changes nothing, not even that it is gone.
-    assert_eq!(members.listed(Listing::Changes, vec![entry(Some(5))], 30)[0].readiness, Readiness::Fading);
+    assert_eq!(members.listed(Listing::Changes, vec![entry(Some(5))], 30)[0].readiness, Readiness::Draining);
     members.listed(Listing::All, vec![], 35);
     assert_eq!(members.count(), (0, 0));
-    assert_eq!(members.listed(Listing::All, vec![entry(Some(5))], 40)[0].readiness, Readiness::Fading);
+    assert_eq!(members.listed(Listing::All, vec![entry(Some(5))], 40)[0].readiness, Readiness::Draining);
     let back = members.by_hand("s-a", false, 50).unwrap().unwrap();
-    assert_eq!((back.readiness, back.launched), (Readiness::On, Some(50)));
+    assert_eq!((back.readiness, back.launched), (Readiness::Up, Some(50)));
     assert!(members.by_hand("s-a", false, 55).unwrap().is_none());
     assert_eq!(members.listed(Listing::Changes, vec![entry(Some(5))], 60)[0].launched, Some(50));
     assert_eq!(members.listed(Listing::Changes, vec![entry(Some(33))], 70)[0].launched, Some(33));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -89,7 +89,7 @@
     now: Micros,
     todo: Vec<Action>,
     following: bool,
-    refusals: u32,
+    failed_calls: u32,
     runners: Vec<Runner>,
     by_id: HashMap<Id, usize>,
     /// Those that the roster lists as on, those of them that may still be cold, and those with a connection
@@ -277,8 +277,8 @@
                 // A restarted fleet asks at once, and the registry fails whoever waits too long: asking again is
                 // spread out and slows down, by a part of the span after which changes count as told (docs/design.md).
                 self.following = false;
-                self.refusals += 1;
-                let most = (100_000 << self.refusals.min(3)).min(self.orders.ask_within / 4).max(1);
+                self.failed_calls += 1;
+                let most = (100_000 << self.failed_calls.min(3)).min(self.orders.ask_within / 4).max(1);
                 let after = most / 2 + self.chance.below(most as u64) as Micros;
                 self.due(self.now + after, Due::Ask);
                 return;
@@ -288,7 +288,7 @@
         }
         if matches!(roster.listing, Listing::All | Listing::Changes) {
             self.following = true;
-            self.refusals = 0;
+            self.failed_calls = 0;
         }
         roster.entries.into_iter().for_each(|entry| self.enter(entry));
         let before = std::mem::take(&mut self.listed);
@@ -314,7 +314,7 @@
             self.runners.push(Runner { id, hash, launched: entry.launched, ..Runner::default() });
         }
         let runner = &mut self.runners[index];
-        runner.listed = entry.readiness == Readiness::On;
+        runner.listed = entry.readiness == Readiness::Up;
         runner.near = entry.zone == self.orders.my_zone;
         (runner.kind, runner.zone, runner.cell) = (entry.kind, entry.zone, entry.cell);
         runner.size_listed = entry.size;
--- a/src/events.rs
+++ b/src/events.rs
@@ -112,7 +112,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
-    On,
-    Fading,
-    Off,
+    Up,
+    Draining,
+    Removed,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -60,7 +60,7 @@
         let brain = Brain::new(orders, 7);
         let (armed, loads, out) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
         let mut desk = Desk { brain, now: 1_000_000, armed, loads, out, trace: String::new() };
-        desk.roster(Listing::Remembered, runners, Readiness::On, None);
+        desk.roster(Listing::Remembered, runners, Readiness::Up, None);
         desk
     }
 
@@ -110,7 +110,7 @@
 
     /// A renewed list in which these runners have this size.
     pub fn sizes(&mut self, runners: &str, size: f64) -> &mut Desk {
-        self.list(Listing::Changes, runners, size, Readiness::On, None)
+        self.list(Listing::Changes, runners, size, Readiness::Up, None)
     }
 
     pub fn roster(
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -107,11 +107,11 @@
 #[test]
 fn nothing_new_goes_to_a_runner_that_drains_or_is_missing() {
     let mut desk = desk(Effect::Idempotent, "abc");
-    desk.roster(Listing::Changes, "a", Readiness::Fading, None);
+    desk.roster(Listing::Changes, "a", Readiness::Draining, None);
     desk.arrives("1", 0).arrives("2", 0);
-    desk.roster(Listing::All, "b", Readiness::On, None);
+    desk.roster(Listing::All, "b", Readiness::Up, None);
     desk.arrives("3", 0).arrives("4", 0).arrives("5", 0);
-    desk.roster(Listing::Refused, "", Readiness::On, None);
+    desk.roster(Listing::Refused, "", Readiness::Up, None);
     desk.passes(600);
     desk.shows(expect![[r#"
         1000 follow
@@ -135,8 +135,8 @@
 #[test]
 fn a_cold_runner_gets_no_more_than_this_dispatchers_share() {
     let mut desk = desk(Effect::Idempotent, "ab");
-    desk.roster(Listing::Changes, "a", Readiness::Off, None);
-    desk.roster(Listing::Changes, "b", Readiness::On, Some(1_000_000));
+    desk.roster(Listing::Changes, "a", Readiness::Removed, None);
+    desk.roster(Listing::Changes, "b", Readiness::Up, Some(1_000_000));
     desk.arrives("1", 0).arrives("2", 0).passes(400);
     desk.after(2000).ends("1", 0, Ending::Succeeded, &IDLE);
     desk.after(5000).arrives("3", 0).arrives("4", 0);
@@ -320,7 +320,7 @@
     let mut shown = String::new();
     for word in [IDLE, FULL] {
         let mut desk = Desk::new(two_tiers(), "abc");
-        desk.roster(Listing::Changes, "d", Readiness::On, Some(0));
+        desk.roster(Listing::Changes, "d", Readiness::Up, Some(0));
         (0..40).for_each(|_| _ = desk.reports("b", &word).reports("c", &word));
         desk.reports("a", &IDLE).reports("d", &IDLE).counts();
         shown += &format!("{}\n", desk.arrives("high", 1).counts());
@@ -412,7 +412,7 @@
         // Nobody tells what the runner holds.
         (orders.dispatchers, orders.number, orders.may_probe) = (40, number, false);
         let mut desk = Desk::new(orders, "a");
-        desk.roster(Listing::Changes, "a", Readiness::On, Some(1_000_000));
+        desk.roster(Listing::Changes, "a", Readiness::Up, Some(1_000_000));
         desk.reports("a", &IDLE).passes(3_000);
         for nth in ["1", "2", "3", "4"] {
             desk.arrives_with(nth, 0, Some(nth));
@@ -440,7 +440,7 @@
             (orders.dispatchers, orders.number, orders.may_probe) = (40, number, false);
             orders.portioned = true;
             let mut desk = Desk::new(orders, "a");
-            desk.roster(Listing::Changes, "a", Readiness::On, Some(1_000_000));
+            desk.roster(Listing::Changes, "a", Readiness::Up, Some(1_000_000));
             desk.reports("a", &IDLE).passes(3_000);
             if let Some(share) = told {
                 desk.portion("a", share, 500);
@@ -467,11 +467,11 @@
 
 /// A warm runner's word counts a forward of ours so many times in a row, then it is gone.
 fn proves(desk: &mut Desk, times: u32) {
-    desk.roster(Listing::Changes, "z", Readiness::On, None);
+    desk.roster(Listing::Changes, "z", Readiness::Up, None);
     desk.reports("z", &IDLE).arrives("p", 0).after(200);
     (0..times).for_each(|_| _ = desk.reports("z", &[1.0, 0.0, 1.0]));
     desk.gone("p");
-    desk.roster(Listing::Changes, "z", Readiness::Off, None);
+    desk.roster(Listing::Changes, "z", Readiness::Removed, None);
     desk.counts();
 }
 
@@ -492,7 +492,7 @@
         (orders.dispatchers, orders.number) = (40, 0);
         let mut desk = Desk::new(orders, "");
         proves(&mut desk, proofs);
-        desk.roster(Listing::Changes, "a", Readiness::On, Some(launched));
+        desk.roster(Listing::Changes, "a", Readiness::Up, Some(launched));
         desk.reports("a", &word).after(200).arrives("1", 0).arrives("2", 0);
         shown += &format!("{}\n", desk.counts());
     }
@@ -691,7 +691,7 @@
 #[test]
 fn a_heavy_job_counts_by_its_hint_at_a_cold_runner() {
     let mut desk = idle(orders(vec![operation(Effect::Idempotent)]), "a");
-    desk.after(1).roster(Listing::Changes, "a", Readiness::On, Some(0));
+    desk.after(1).roster(Listing::Changes, "a", Readiness::Up, Some(0));
     desk.hinted("light", 0, 100_000).hinted("heavy", 0, 20_000_000);
     desk.passes(100);
     desk.shows(expect![[r#"
@@ -829,8 +829,8 @@
 #[test]
 fn own_changes_of_standing_leave_a_lost_watch_to_be_asked_for_again() {
     let mut desk = desk(Effect::Idempotent, "ab");
-    desk.roster(Listing::Refused, "", Readiness::On, None);
-    desk.roster(Listing::Own, "a", Readiness::Fading, None);
+    desk.roster(Listing::Refused, "", Readiness::Up, None);
+    desk.roster(Listing::Own, "a", Readiness::Draining, None);
     desk.after(700).arrives("1", 0);
     desk.shows(expect![[r#"
         1000 follow
