A forward tells its runner what is left when it leaves, not when it was decided on

The line is put into the message when that is written. Two traces tell 1 and 10 ms less; a_forward_tells_what_is_left_when_it_leaves is new.

--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -78,13 +78,21 @@
     Busy,
 }
 
+/// Who waits for a forward, and for how long: its runner is told what is left when it leaves, and not when it was decided
+/// on, in a line at this place of its message.
+#[derive(Clone, Copy)]
+struct Waits {
+    client: Link,
+    until: Micros,
+    line_at: usize,
+}
+
 /// A task, with its message and when it must have come to an end.
 struct Asked {
     task: Task,
     message: Vec<u8>,
     due: Micros,
-    /// The connection of the client that waits for it, where it is a forward.
-    client: Option<Link>,
+    waits: Option<Waits>,
 }
 
 /// One connection.
@@ -98,8 +106,7 @@
     /// The message of a task that waits for the dial, and when it must have left.
     message: Vec<u8>,
     leaves_by: Micros,
-    /// The connection of the client that waits for it, where it is a forward.
-    client: Option<Link>,
+    waits: Option<Waits>,
     /// When what it is at must have come to an end.
     due: Micros,
     /// The task's end has been told as not answered; the answer may still come.
@@ -112,7 +119,7 @@
     /// The task that waits for the dial, with its message and when it is due, if it may still leave.
     fn take_waiting(&mut self, now: Micros) -> Option<Asked> {
         let task = self.task.take_if(|_| self.phase == Phase::Dialling && now < self.leaves_by)?;
-        Some(Asked { task, message: std::mem::take(&mut self.message), due: self.due, client: self.client })
+        Some(Asked { task, message: std::mem::take(&mut self.message), due: self.due, waits: self.waits })
     }
 }
 
@@ -244,13 +251,12 @@
         client: Link,
         wires: &mut dyn Wires,
     ) {
-        let left = (expires_at - wires.now()).max(0) / 1000;
         let mut message = head.to_vec();
-        let more = format!("X-Deadline-Ms: {left}\r\nContent-Length: {}\r\n\r\n", body.len());
-        message.extend_from_slice(more.as_bytes());
+        message.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
         message.extend_from_slice(body);
         let task = Task::Forward { inv: inv.clone(), number };
-        self.ask(tgt, Asked { task, message, due: expires_at + LATE_MOST, client: Some(client) }, wires);
+        let waits = Some(Waits { client, until: expires_at, line_at: head.len() });
+        self.ask(tgt, Asked { task, message, due: expires_at + LATE_MOST, waits }, wires);
         let link = self.carrying(tgt, inv, number).filter(|_| by.is_some());
         if let Some((by, link)) = by.zip(link)
             && let Some(line) = self.lines.get_mut(&link)
@@ -268,7 +274,7 @@
     pub fn probe(&mut self, tgt: &Id, wires: &mut dyn Wires) {
         let message = self.probe_message(tgt);
         let due = wires.now() + self.probe_within;
-        self.ask(tgt, Asked { task: Task::Probe, message, due, client: None }, wires);
+        self.ask(tgt, Asked { task: Task::Probe, message, due, waits: None }, wires);
     }
 
     /// Nobody waits for this forward any more: what of it has not left does not leave. That is no cancel, and needs no
@@ -314,7 +320,7 @@
         let message = encode_bare("DELETE", &format!("/jobs/{inv}"), runner.address);
         let due = wires.now() + CANCEL_WITHIN;
         let task = Task::Cancel { inv: inv.clone(), number };
-        self.ask(tgt, Asked { task, message, due, client: None }, wires);
+        self.ask(tgt, Asked { task, message, due, waits: None }, wires);
     }
 
     fn ask(&mut self, tgt: &Id, asked: Asked, wires: &mut dyn Wires) {
@@ -335,7 +341,7 @@
 
     /// On a connection of its own, however many are idle.
     fn ask_anew(&mut self, tgt: &Id, asked: Asked, wires: &mut dyn Wires) {
-        let Asked { task, message, due, client } = asked;
+        let Asked { task, message, due, waits } = asked;
         let Some(runner) = self.by_id.get_mut(tgt) else {
             return self.unanswered(tgt, task, Ending::Void, false);
         };
@@ -354,7 +360,7 @@
             answered_at,
             message,
             leaves_by,
-            client,
+            waits,
             due,
             overdue,
             rest_check,
@@ -377,13 +383,17 @@
     /// Writes a task's message to a connection that is up. A client that has left meanwhile is looked for once more:
     /// against a forward for nobody, written at the end of a long turn or by a dial that comes up before its end is read.
     fn start(&mut self, link: Link, asked: Asked, wires: &mut dyn Wires) {
-        let Asked { task, message, due, client } = asked;
+        let Asked { task, mut message, due, waits } = asked;
         if let Task::Forward { inv, number } = &task
-            && client.is_some_and(|client| wires.left(client))
+            && waits.is_some_and(|waits| wires.left(waits.client))
         {
             self.heard.push(Heard::Unwanted { inv: inv.clone(), number: *number });
             return self.rest(link, wires);
         }
+        if let Some(Waits { until, line_at, .. }) = waits {
+            let left = (until - wires.now()).max(0) / 1000;
+            message.splice(line_at..line_at, format!("X-Deadline-Ms: {left}\r\n").into_bytes());
+        }
         let Some(line) = self.lines.get_mut(&link) else { return };
         (line.phase, line.since, line.due, line.overdue) = (Phase::Busy, wires.now(), due, false);
         self.written += u64::from(matches!(task, Task::Forward { .. }));
@@ -579,7 +589,7 @@
         // probe is asked once more. Anything else sent again might be a second copy.
         if line.answered_at.is_some() && input.is_empty() && task == Task::Probe {
             let message = self.probe_message(&line.tgt);
-            return self.ask_anew(&line.tgt, Asked { task, message, due: line.due, client: None }, wires);
+            return self.ask_anew(&line.tgt, Asked { task, message, due: line.due, waits: None }, wires);
         }
         if line.phase == Phase::Dialling || unsent {
             // It was counted when its writing began.
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -343,7 +343,7 @@
     node.call_back(r#"{"id":"i1","from":"s-a","state":"done","result":"a \"b\""}"#);
     node.shows(expect![[r#"
         0     #3 dials 127.0.0.1:3001
-        1     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4980; Content-Length: 2 = hi
+        1     #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4979; Content-Length: 2 = hi
         301   #4 < 200 OK; Content-Length: 0
         301   #5 < 200 OK; Content-Length: 0
         301   #2 < 200 OK; Content-Length: 5 = a "b"
@@ -446,7 +446,7 @@
         0     #3 dials 127.0.0.1:3002
         250   #3 ends: dial_timeout
         250   #4 dials 127.0.0.1:3001
-        260   #4 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4730; Content-Length: 2 = hi
+        260   #4 < POST /book/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4720; Content-Length: 2 = hi
         750   #2 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
     "#]]);
 }
@@ -1245,6 +1245,19 @@
     "#]]);
 }
 
+/// A runner that is told of time that the dial has used up works for nobody.
+#[test]
+fn a_forward_tells_what_is_left_when_it_leaves() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    node.pass(200);
+    node.up(3);
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3001
+        200   #3 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4780; Content-Length: 2 = hi
+    "#]]);
+}
+
 /// Its end has come and has not been read, as the turn was long, or the dial came up first: first and further forward,
 /// over a connection at rest, a dial and one that comes free.
 #[test]
