Where lists are pushed, an agent that does not answer stops no service

Cause: the lease took a call without an answer for one that waits among many callers.

Mended: where lists are pushed a call that fails, or has no answer within 1 s, shows that discovery cannot be reached.

Test: an_agent_that_is_silent_stops_no_ service fails without the mend.

--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -23,6 +23,8 @@
 /// A call that has had no answer for so long is late: another one is made beside it. It is not ended by that: many
 /// callers make discovery slow, and whoever gives its turn up is never heard, and has the others wait for nothing.
 const ANSWER_WITHIN: Micros = TOLD_WITHIN / 2;
+/// The same where lists are pushed: an agent of one's own has no crowd of callers, and answers at once or not at all.
+const AGENT_WITHIN: Micros = 1_000_000;
 /// An empty line comes every 2 s; one that is late by this much is missing.
 const SILENT_MOST: Micros = 2_800_000;
 /// So many bytes of a long list, or of a long line, are a sign of life; fewer are none, or a trickle would keep a dead
@@ -196,9 +198,10 @@
     }
 
     /// When it counts as late, or as dead where it is that already.
-    fn due(&self) -> Micros {
+    fn due(&self, pushed: bool) -> Micros {
         let most = match self.spoke {
             _ if !self.up => DIAL_WITHIN,
+            false if pushed => AGENT_WITHIN,
             false => ANSWER_WITHIN,
             true => SILENT_MOST,
         };
@@ -233,6 +236,9 @@
     /// How far discovery has been heard; none where it has not been heard at this address: then the whole
     /// list is asked for first, as versions are its own there.
     generation: Option<u64>,
+    /// An agent of this dispatcher's own tells the list: it has learnt nothing where it does not answer, as discovery is
+    /// down then.
+    pushed: bool,
     /// Whether the watch is wanted at all.
     follows: bool,
     /// The calls that are out, the newest last; all but that one are late.
@@ -252,6 +258,7 @@
         Roster {
             discovery,
             generation: Some(generation),
+            pushed: false,
             follows: false,
             calls: Vec::new(),
             sure_at,
@@ -271,6 +278,11 @@
         self.generation
     }
 
+    /// Whether lists are pushed, from now on.
+    pub fn pushed(&mut self, pushed: bool) {
+        self.pushed = pushed;
+    }
+
     /// Until when nothing can have been missed that could be told: what came up since may not have been heard.
     pub fn sure_at(&self) -> Micros {
         self.sure_at
@@ -298,7 +310,7 @@
         wires.send(link, &encode_bare("GET", &target, self.discovery));
         let call = Call::new(link, up, wires.now());
         self.unheard_since.get_or_insert(call.asked_at);
-        wires.wake(Due::Link(link), call.due());
+        wires.wake(Due::Link(link), call.due(self.pushed));
         self.calls.push(call);
     }
 
@@ -330,7 +342,7 @@
         // Whoever gets no connection could not have been told anything then. That a call fails says nothing by itself:
         // one that has too many callers turns them away as one that is down does.
         let long = self.unheard_since.is_some_and(|since| call.asked_at >= since + DOWN_AFTER);
-        if !call.up || (self.down || long) && !call.spoke {
+        if !call.up || (self.pushed || self.down || long) && !call.spoke {
             self.sure_at = self.sure_at.max(call.asked_at);
         }
         if !call.late {
@@ -360,7 +372,7 @@
             let anew = call.late || !call.spoke;
             (call.late, call.spoke, call.heard_at) = (false, true, now);
             if anew {
-                wires.wake(Due::Link(link), call.due());
+                wires.wake(Due::Link(link), call.due(self.pushed));
             }
         }
     }
@@ -496,15 +508,19 @@
         let now = wires.now();
         let Some(at) = self.nth(link) else { return };
         let call = &mut self.calls[at];
-        if now < call.due() {
-            return wires.wake(Due::Link(link), call.due());
+        let due = call.due(self.pushed);
+        if now < due {
+            return wires.wake(Due::Link(link), due);
         }
         // One that comes in too slowly is of no use, whatever it still brings.
         let too_slow = call.began_at.is_some_and(|began| now >= began + WHOLE_WITHIN);
         if call.up && !call.late && !too_slow {
             call.late = true;
             self.down &= !call.spoke;
-            wires.wake(Due::Link(link), call.due());
+            if self.pushed && !call.spoke {
+                self.sure_at = self.sure_at.max(call.asked_at);
+            }
+            wires.wake(Due::Link(link), call.due(self.pushed));
             return self.lost("silent");
         }
         wires.cut(link, End::WatchSilent);
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -149,6 +149,7 @@
     runners: Runners,
     members: Members,
     roster: Roster,
+    pushed: bool,
     invs: BTreeMap<Id, Open>,
     /// The latest ids that have had their final answer, in order and by id.
     closed: (VecDeque<Id>, BTreeSet<Id>),
@@ -197,6 +198,7 @@
         let peers = meeting.is_some();
         let (require, began) = (told.store.as_ref().is_some_and(|store| store.require), wires.now());
         let mut decoded = told.decoded;
+        let pushed = !decoded.standing.must_subscribe;
         let (mut clients, mut figures) = (Clients::new(), Figures::default());
         on_sockets(&mut decoded, peers, &mut clients, &mut figures, wires.now());
         let come_back = come_back(&decoded);
@@ -211,6 +213,7 @@
             runners: Runners::new(&decoded),
             members: Members::new(warm_within),
             roster: Roster::new(told.discovery, told.known.generation, 0),
+            pushed,
             brain: Brain::new(decoded.standing, told.seed),
             name: told.name,
             listen: told.listen,
@@ -245,6 +248,7 @@
             desk.clients.ready(false);
             wires.wake(Due::Ready, began + READY_BY);
         }
+        desk.pushed(pushed);
         let keeping = |keeper, file| Keeping::new(keeper, (require, peers), file, began);
         if handed.is_none()
             && let Some(keeper) = keeper
@@ -287,6 +291,7 @@
                 // One that does not say has its list from the watch all the same.
                 let sure_at = if handed.sure_at > 0 { handed.sure_at } else { now };
                 self.roster = Roster::new(discovery, listed.generation, sure_at);
+                self.pushed(self.pushed);
                 (listed, spent)
             }
             _ => (known, spent),
@@ -413,7 +418,14 @@
         self.collect(wires);
     }
 
+    /// Whether lists are pushed.
+    fn pushed(&mut self, pushed: bool) {
+        self.pushed = pushed;
+        self.roster.pushed(pushed);
+    }
+
     fn retune(&mut self, mut decoded: Decoded, wires: &mut dyn Wires) {
+        self.pushed(!decoded.standing.must_subscribe);
         let portioned = self.meeting.is_some();
         on_sockets(&mut decoded, portioned, &mut self.clients, &mut self.figures, wires.now());
         let names: Vec<&str> = self.clients.operations.names().collect();
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -266,6 +266,7 @@
             _ => file,
         };
         self.roster = Roster::new(self.roster.discovery(), chosen.generation, self.roster.sure_at());
+        self.roster.pushed(self.pushed);
         (keeping.began_with, keeping.limits) = (chosen.len(), Limits::new(self.worth.iter().copied(), now));
         let mut rest = 0;
         if let Some(left) = &left {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -867,6 +867,31 @@
     assert_eq!(starts(Fails::SilentBeforeHead, false), (false, Some(9010)));
 }
 
+/// Where lists are pushed an agent that does not answer has learnt nothing, as discovery is down: against an end of all
+/// service 6 s after its watch fell silent.
+#[test]
+fn an_agent_that_is_silent_stops_no_service() {
+    for how in [Fails::SilentBeforeHead, Fails::SilentBeforeLine, Fails::Unavailable] {
+        let pushed = configuration(&RUNNERS[..1]).replace("subscribe", "automatic");
+        let mut node = Node::told(&pushed.replace("\"askWithin\":10000000", "\"drainGrace\":500000")).hears();
+        let mut link = 1;
+        while node.stage.now < START + 20_000_000 {
+            let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
+            if let Some(next) = next.map(|(next, _)| *next) {
+                node.fails(next, how);
+                link = next;
+            }
+            node.pass(10);
+            let ms = (node.stage.now - START) / 1000;
+            if [6_500, 13_000, 19_500].contains(&ms) {
+                node.stage.trace.clear();
+                node.invoke("plan", &format!("i{ms}"));
+                assert!(node.stage.trace.contains(":3001"), "{how:?} at {ms}: {}", node.stage.trace);
+            }
+        }
+    }
+}
+
 /// One that turns every call away for as long as a start may take is taken for down: service has to begin.
 #[test]
 fn a_discovery_that_turns_every_call_away_for_long_is_down() {
