A generation that goes back brings the whole list; waiting dials follow a runner that moves

By reading, of the ways between hearing and sending: discovery that begins to count anew at its address told changes since its own low version, and a drain between the two counts was told by neither (node/src/back/roster.rs, lines). Each has a trace; the second seen to fail without its mend.

--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -434,8 +434,13 @@
             };
             read = lists.byte_offset();
             let listing = if listed.reset { Listing::All } else { Listing::Changes };
-            self.generation = Some(listed.generation);
+            let back = !listed.reset && self.generation.is_some_and(|known| listed.generation < known);
+            self.generation = Some(listed.generation).filter(|_| !back);
             self.heard.push(Heard { listing, entries: listed.entries() });
+            if back {
+                // It counts anew, and what changed between is told by neither count: the whole list is asked for.
+                return Err("generation_back");
+            }
         }
         let rest = call.text[read..=end].iter().position(|byte| !byte.is_ascii_whitespace());
         drop(call.text.drain(..rest.map_or(end + 1, |at| read + at)));
--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -172,7 +172,7 @@
             runner.gone_since = Some(since).filter(|_| !listed);
             runner.address = address.unwrap_or(runner.address);
             if moved || !listed {
-                self.cut_idle(tgt, End::Unlisted, wires);
+                self.recall(tgt, wires);
             }
         } else if let Some(address) = address.filter(|_| listed) {
             let runner = Runner { address, gone_since: None, lines: Vec::new(), idle: Vec::new() };
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1040,6 +1040,44 @@
     "#]]);
 }
 
+/// Discovery has begun to count anew at the same address: a drain between its counts would be told by neither.
+#[test]
+fn a_generation_that_goes_back_brings_the_whole_list() {
+    let mut node = Node::followed(&RUNNERS);
+    let gone = r#"{"generation":7,"reset":false,"instances":[{"instanceId":"s-b","lifecycle":"removed"}]}"#;
+    node.feed(1, &chunk(&format!("{gone}\n")));
+    node.pass(400);
+    node.up(2);
+    let list = r#"{"generation":9,"reset":true,"instances":[{"instanceId":"s-a","lifecycle":"draining"}]}"#;
+    node.feed(2, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+    node.invoke("plan", "i1");
+    node.pass(800);
+    node.shows(expect![[r#"
+        0     #1 ends: bad_answer
+        246   #2 dials 127.0.0.1:8500
+        246   #2 < GET /v1/servers; Host: 127.0.0.1:8500
+        400   #2 < GET /v1/servers?follow=1&since=9; Host: 127.0.0.1:8500
+        1150  #3 < 429 Too Many Requests; Retry-After: 0.500; Content-Length: 0
+    "#]]);
+}
+
+/// What waits for a dial to the address that a runner had before goes to the one that it has.
+#[test]
+fn what_waits_for_a_dial_to_an_address_of_before_goes_to_the_new_one() {
+    let mut node = Node::followed(&RUNNERS[..1]);
+    node.invoke("plan", "i1");
+    let moved = r#"{"generation":43,"instances":[{"instanceId":"s-a","lifecycle":"up","hostPort":"127.0.0.1:3009"}]}"#;
+    node.feed(1, &chunk(&format!("{moved}\n")));
+    node.pass(100);
+    node.up(4);
+    node.shows(expect![[r#"
+        0     #3 dials 127.0.0.1:3001
+        0     #3 ends: unlisted
+        0     #4 dials 127.0.0.1:3009
+        100   #4 < POST /plan/7?x=1; Host: o; X-Request-Id: i1; Idempotency-Key: k; X-Deadline-Ms: 4880; Content-Length: 2 = hi
+    "#]]);
+}
+
 #[test]
 fn a_new_discovery_is_asked_for_its_whole_list_at_once() {
     let mut node = Node::followed(&RUNNERS);
