--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -292,6 +292,8 @@
                 let sure_at = if handed.sure_at > 0 { handed.sure_at } else { now };
                 self.roster = Roster::new(discovery, listed.generation, sure_at);
                 self.pushed(self.pushed);
+                // It holds the lease from the first moment: nobody is listed yet whose standing that could change.
+                let _ = self.members.sure(sure_at, now);
                 (listed, spent)
             }
             _ => (known, spent),
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -4,10 +4,11 @@
 mod helper;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use helper::*;
+use socket2::{Domain, SockAddr, Socket, Type};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CALL: &str = "GET /v1/servers?follow=1&since=0 HTTP/1.1 ";
@@ -189,3 +190,138 @@
     let memory = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or_default();
     println!("{asked} asked, the first forward {listed_in:?} after the list, {memory}");
 }
+
+/// What becomes of a call to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fails {
+    NeverUp,
+    Unavailable,
+    Reset,
+    SilentBeforeHead,
+    SilentWithinHead,
+    SilentAfterLine,
+    SilentWithinLine,
+}
+
+const FAILS: [Fails; 7] = [
+    Fails::NeverUp,
+    Fails::Unavailable,
+    Fails::Reset,
+    Fails::SilentBeforeHead,
+    Fails::SilentWithinHead,
+    Fails::SilentAfterLine,
+    Fails::SilentWithinLine,
+];
+
+/// A discovery that fails on purpose: its queue of connections holds one, so that it can be full.
+struct Failing {
+    listener: TcpListener,
+    fills: Vec<Socket>,
+    /// Calls that are left as they are.
+    held: Vec<Peer>,
+}
+
+impl Failing {
+    fn new() -> Failing {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SockAddr::from(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))).unwrap();
+        listener.listen(0).unwrap();
+        Failing { listener: listener.into(), fills: Vec::new(), held: Vec::new() }
+    }
+
+    /// From now on no dial comes up.
+    fn fill(&mut self) {
+        let address = SockAddr::from(self.listener.local_addr().unwrap());
+        loop {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            let up = socket.connect_timeout(&address, Duration::from_millis(30));
+            self.fills.push(socket);
+            if up.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn drain(&mut self) {
+        self.fills.clear();
+        self.listener.set_nonblocking(true).unwrap();
+        while self.listener.accept().is_ok() {}
+        self.listener.set_nonblocking(false).unwrap();
+    }
+
+    /// Does this to the next call. Gives the moment from which on discovery is well.
+    fn fails(&mut self, how: Fails, node: &mut Node) -> Instant {
+        if how == Fails::NeverUp {
+            // It dialled a second before it gave that up.
+            node.logged("reason=watch_silent");
+            let dialled = Instant::now() - Duration::from_secs(1);
+            self.drain();
+            return dialled;
+        }
+        let mut call = Peer::from(&self.listener);
+        assert!(call.hear().starts_with("GET /v1/servers?follow=1"));
+        let line = "{\"generation\":1,\"instances\":[]}\n";
+        match how {
+            Fails::Unavailable => call.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
+            Fails::SilentWithinHead => call.say(&HEAD[..20]),
+            Fails::SilentAfterLine | Fails::SilentWithinLine => {
+                call.say(HEAD);
+                call.tells(line);
+                if how == Fails::SilentWithinLine {
+                    call.tells("{\"gener");
+                }
+            }
+            Fails::Reset => {
+                let socket = Socket::from(call.0.into_inner());
+                socket.set_linger(Some(Duration::ZERO)).unwrap();
+                return Instant::now();
+            }
+            Fails::NeverUp | Fails::SilentBeforeHead => {}
+        }
+        self.held.push(call);
+        Instant::now()
+    }
+}
+
+/// Discovery fails twice, in each of 49 ways, and is well again: the list is in force within 6 s.
+#[test]
+fn whatever_fails_twice_the_list_is_in_force_within_6_s() {
+    let play = |own: u8, first: Fails, then: Fails| {
+        let mut discovery = Failing::new();
+        if first == Fails::NeverUp {
+            discovery.fill();
+        }
+        let at = discovery.listener.local_addr().unwrap();
+        let mut node = Node::new(own, |text| {
+            let (before, rest) = text.split_once("\"discovery\":\"").unwrap();
+            let (_, after) = rest.split_once('"').unwrap();
+            format!("{before}\"discovery\":\"{at}\"{after}")
+        });
+        node.logged("serving");
+        let _waits = node.asks("i1");
+        discovery.fails(first, &mut node);
+        if then == Fails::NeverUp {
+            discovery.fill();
+        }
+        let well = discovery.fails(then, &mut node);
+        let mut call = Peer::from(&discovery.listener);
+        call.hear();
+        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+        call.say(HEAD);
+        lists(&mut call, 2, runner.local_addr().unwrap(), "up");
+        assert_eq!(Peer::from(&runner).hear(), "POST /plan HTTP/1.1 i1 ");
+        (well.elapsed(), first, then)
+    };
+    let pairs = FAILS.iter().flat_map(|first| FAILS.iter().map(move |then| (*first, *then)));
+    std::thread::scope(|scope| {
+        let plays: Vec<_> = pairs
+            .zip(130..)
+            .map(|((first, then), own)| scope.spawn(move || play(own, first, then)))
+            .collect();
+        for played in plays {
+            let (took, first, then) = played.join().unwrap();
+            // A second and a half is left for the answer.
+            assert!(took < Duration::from_millis(4500), "{first:?}, {then:?}: {took:?}");
+        }
+    });
+}
