Read again: one roster for a process's life, one standing of terms, one set of stand-ins

The roster was made anew for each list to begin with, and the desk kept what it had to be told again then; it begins with another list now (Roster::begin). What keeps listed runners out of use is in one place (Members' Terms). The mean work of a scenario was worked out twice in the lab. In tests: the step of a discovery that fails stood five times in the traces; full queues, resets, call-backs and two heads stood in both loopback files. No behaviour, bound or assertion changes.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -187,10 +187,7 @@
             ask_within: scenario.limits.ask_within.0,
             overload_factor: scenario.limits.overload_factor,
             tip_after: scenario.limits.tip_after.0,
-            mean_work: {
-                let shares: f64 = scenario.operation.iter().map(|op| op.share).sum();
-                scenario.operation.iter().map(|op| op.share * op.work.0 as f64).sum::<f64>() / shares
-            },
+            mean_work: scenario.mean_work(),
             slack,
             answer_slack,
         }
@@ -619,14 +616,15 @@
             counted.spans += 1;
             counted.over += u64::from(calls > by_chance);
             counted.most = counted.most.max(calls / by_chance);
-            if calls > by_chance && knowing * 3.0 >= all * 2.0 && !cold.broken {
+            let blamed = knowing * 3.0 >= all * 2.0;
+            if calls > by_chance && blamed && !cold.broken {
                 cold.broken = true;
                 let what =
                     format!("r{runner} was sent {calls} calls in a span in which it bears {allowed:.1}");
                 wrong.push((Rule::ColdBudget, what));
             }
             let budget = budget * BY_CHANCE;
-            if all > budget && knowing * 3.0 >= all * 2.0 && cold.spent.len() > 3 && !cold.broken {
+            if all > budget && blamed && cold.spent.len() > 3 && !cold.broken {
                 cold.broken = true;
                 let what = format!("r{runner} was sent {all:.0} us of work in a span worth {budget:.0}");
                 wrong.push((Rule::ColdBudget, what));
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -52,11 +52,9 @@
         let total: f64 = operations.iter().map(|op| op.share).sum();
         let mut sum = 0.0;
         let mut shares = Vec::new();
-        let mut mean_work = 0.0;
         for op in &operations {
             sum += op.share / total;
             shares.push(sum);
-            mean_work += op.share / total * op.work.0 as f64;
         }
         let lognormal = |op: &Operation| {
             let mean = op.work.0 as f64;
@@ -70,7 +68,7 @@
         Bring {
             works: operations.iter().map(lognormal).collect(),
             keys: operations.iter().map(zipf).collect(),
-            gap: mean_work / (capacity * clients.load * peak).max(1e-12),
+            gap: scenario.mean_work() / (capacity * clients.load * peak).max(1e-12),
             peak,
             operations,
             shares,
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -597,6 +597,12 @@
 }
 
 impl Scenario {
+    /// The mean work of an invocation.
+    pub fn mean_work(&self) -> f64 {
+        let total: f64 = self.operation.iter().map(|op| op.share).sum();
+        self.operation.iter().map(|op| op.share / total * op.work.0 as f64).sum()
+    }
+
     /// Reads and checks a file; a fault is one line: `FILE:LINE: what and which field`.
     pub fn load(path: &Path) -> Result<Scenario, String> {
         let name = path.display().to_string();
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -31,9 +31,9 @@
     }
 
     /// What holds of it, the list, the hand and the rest of cold ones taken together.
-    fn standing(&self, (rest, lapsed): (&Rest, bool), now: Micros) -> RosterEntry {
+    fn standing(&self, terms: &Terms, now: Micros) -> RosterEntry {
         let mut entry = self.entry.clone();
-        if entry.readiness == Readiness::Up && (self.out_since.is_some() || lapsed) {
+        if entry.readiness == Readiness::Up && (self.out_since.is_some() || terms.lapsed) {
             entry.readiness = Readiness::Draining;
         }
         // It was restarted while it was out, and the list may say so late: to take it for warm would be to
@@ -45,37 +45,37 @@
         }
         let cold = entry
             .launched
-            .is_some_and(|launched| now < launched + rest.warm_within && launched < rest.before);
-        if entry.readiness == Readiness::Up && cold && now < rest.until {
+            .is_some_and(|launched| now < launched + terms.warm_within && launched < terms.before);
+        if entry.readiness == Readiness::Up && cold && now < terms.until {
             entry.readiness = Readiness::Draining;
         }
         entry
     }
 }
 
-/// Cold runners get nothing until then: another process of this dispatcher may have sent them their share. Whoever
-/// started later than that process can have ended had nothing from it.
-struct Rest {
+/// What keeps listed ones out of use, whoever they are. Cold runners get nothing until then: another process of this
+/// dispatcher may have sent them their share. Whoever started later than that process can have ended had nothing
+/// from it.
+struct Terms {
     until: Micros,
     before: Micros,
     warm_within: Micros,
+    /// The lease on the list has lapsed: anybody listed may have been told to drain, and nobody is sent anything.
+    /// Each word of discovery's renews it, and so does each sign that discovery cannot be reached, as nothing counts
+    /// as told meanwhile. A process begins without one: what it remembers may be of any age.
+    lapsed: bool,
 }
 
 pub struct Members {
     by_id: BTreeMap<Id, Member>,
-    rest: Rest,
-    /// The lease on the list has lapsed: anybody listed may have been told to drain, and nobody is sent anything. Each
-    /// word of discovery's renews it, and so does each sign that discovery cannot be reached, as nothing counts as told
-    /// meanwhile. A process begins without one: what it remembers may be of any age.
-    lapsed: bool,
+    terms: Terms,
 }
 
 impl Members {
     pub fn new(warm_within: Micros) -> Members {
         Members {
             by_id: BTreeMap::new(),
-            rest: Rest { until: Micros::MIN, before: Micros::MAX, warm_within },
-            lapsed: true,
+            terms: Terms { until: Micros::MIN, before: Micros::MAX, warm_within, lapsed: true },
         }
     }
 
@@ -83,21 +83,21 @@
     /// lapses now, or is renewed after that.
     pub fn sure(&mut self, sure_at: Micros, now: Micros) -> Option<Vec<RosterEntry>> {
         let lapsed = now >= sure_at + TOLD_WITHIN;
-        (std::mem::replace(&mut self.lapsed, lapsed) != lapsed).then(|| self.stand(now))
+        (std::mem::replace(&mut self.terms.lapsed, lapsed) != lapsed).then(|| self.stand(now))
     }
 
     pub fn lapsed(&self) -> bool {
-        self.lapsed
+        self.terms.lapsed
     }
 
     /// How long a runner is cold, from now on.
     pub fn warm_within(&mut self, span: Micros) {
-        self.rest.warm_within = span;
+        self.terms.warm_within = span;
     }
 
     /// Has cold runners that started before `before` rest until then. Gives what holds of all listed ones now.
     pub fn rest(&mut self, until: Micros, before: Micros, now: Micros) -> Vec<RosterEntry> {
-        (self.rest.until, self.rest.before) = (until, before);
+        (self.terms.until, self.terms.before) = (until, before);
         self.stand(now)
     }
 
@@ -133,27 +133,27 @@
 
     /// Listed ones that may be sent to, counted by how much of their full capacity they have, and all that are listed.
     pub fn warmth(&self, cold_from: f64, now: Micros) -> (f64, usize) {
-        let span = (cold_from, self.rest.warm_within);
+        let span = (cold_from, self.terms.warm_within);
         let share = |entry: RosterEntry| match entry.readiness {
             Readiness::Up => limits::warmth(entry.launched, span, now),
             Readiness::Draining | Readiness::Removed => 0.0,
         };
-        let warm = self.listed_now().map(|known| share(known.standing((&self.rest, self.lapsed), now))).sum();
+        let warm = self.listed_now().map(|known| share(known.standing(&self.terms, now))).sum();
         (warm, self.listed_now().count())
     }
 
     /// Listed ones that are cold, whatever else keeps them out of use.
     pub fn cold(&self, now: Micros) -> Vec<Id> {
         let cold = |known: &&Member| {
-            let launched = known.standing((&self.rest, self.lapsed), now).launched;
-            launched.is_some_and(|launched| now < launched + self.rest.warm_within)
+            let launched = known.standing(&self.terms, now).launched;
+            launched.is_some_and(|launched| now < launched + self.terms.warm_within)
         };
         self.listed_now().filter(cold).map(|known| known.entry.tgt.clone()).collect()
     }
 
     /// What holds of all listed ones now.
     pub fn stand(&self, now: Micros) -> Vec<RosterEntry> {
-        self.listed_now().map(|known| known.standing((&self.rest, self.lapsed), now)).collect()
+        self.listed_now().map(|known| known.standing(&self.terms, now)).collect()
     }
 
     /// Who is out by hand, and since when.
@@ -196,7 +196,7 @@
             let known = self.by_id.entry(entry.tgt.clone());
             let known = known.or_insert_with(|| Member::new(entry.clone(), gone_since));
             (known.entry, known.gone_since) = (entry, gone_since);
-            standing.push(known.standing((&self.rest, self.lapsed), now));
+            standing.push(known.standing(&self.terms, now));
         }
         self.tidy();
         standing
@@ -225,7 +225,7 @@
             }
             _ => return Ok(None),
         }
-        Ok(Some(known.standing((&self.rest, self.lapsed), now)).filter(|_| known.gone_since.is_none()))
+        Ok(Some(known.standing(&self.terms, now)).filter(|_| known.gone_since.is_none()))
     }
 
     /// Listed runners, and those of them that are out by hand.
--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -253,15 +253,15 @@
 }
 
 impl Roster {
-    /// With what was known at `sure_at`; 0 where what is remembered may be of any age.
-    pub fn new(discovery: SocketAddr, generation: u64, sure_at: Micros) -> Roster {
+    /// What is remembered up to this generation may be of any age.
+    pub fn new(discovery: SocketAddr, generation: u64, pushed: bool) -> Roster {
         Roster {
             discovery,
             generation: Some(generation),
-            pushed: false,
+            pushed,
             follows: false,
             calls: Vec::new(),
-            sure_at,
+            sure_at: 0,
             down: false,
             unheard_since: None,
             heard: Vec::new(),
@@ -278,6 +278,11 @@
         self.generation
     }
 
+    /// The list to begin with is another one, known to be right at `sure_at`. Before the first call.
+    pub fn begin(&mut self, generation: u64, sure_at: Micros) {
+        (self.generation, self.sure_at) = (Some(generation), sure_at);
+    }
+
     /// Whether lists are pushed, from now on.
     pub fn pushed(&mut self, pushed: bool) {
         self.pushed = pushed;
@@ -379,7 +384,7 @@
 
     /// All that `input` holds, or why the call is of no more use.
     fn read(&mut self, link: Link, input: &mut Vec<u8>, wires: &mut dyn Wires) -> Result<(), &'static str> {
-        let now = wires.now();
+        let (now, wants_whole) = (wires.now(), self.generation.is_none());
         let Some(call) = self.on(link) else { return Ok(()) };
         let framing = match call.framing {
             Some(framing) => framing,
@@ -396,10 +401,8 @@
                 framing
             }
         };
-        let Some(call) = self.on(link) else { return Ok(()) };
         call.take(framing, input, now)?;
-        if self.generation.is_none() {
-            let Some(call) = self.on(link) else { return Ok(()) };
+        if wants_whole {
             let done = match framing {
                 Framing::Length(length) => call.text.len() >= length,
                 Framing::Chunked => call.chunks.done(),
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -149,7 +149,6 @@
     runners: Runners,
     members: Members,
     roster: Roster,
-    pushed: bool,
     invs: BTreeMap<Id, Open>,
     /// The latest ids that have had their final answer, in order and by id.
     closed: (VecDeque<Id>, BTreeSet<Id>),
@@ -212,8 +211,7 @@
             figures,
             runners: Runners::new(&decoded),
             members: Members::new(warm_within),
-            roster: Roster::new(told.discovery, told.known.generation, 0),
-            pushed,
+            roster: Roster::new(told.discovery, told.known.generation, pushed),
             brain: Brain::new(decoded.standing, told.seed),
             name: told.name,
             listen: told.listen,
@@ -248,7 +246,6 @@
             desk.clients.ready(false);
             wires.wake(Due::Ready, began + READY_BY);
         }
-        desk.pushed(pushed);
         let keeping = |keeper, file| Keeping::new(keeper, (require, peers), file, began);
         if handed.is_none()
             && let Some(keeper) = keeper
@@ -290,8 +287,7 @@
             Some(Ok(listed)) => {
                 // One that does not say has its list from the watch all the same.
                 let sure_at = if handed.sure_at > 0 { handed.sure_at } else { now };
-                self.roster = Roster::new(discovery, listed.generation, sure_at);
-                self.pushed(self.pushed);
+                self.roster.begin(listed.generation, sure_at);
                 // It holds the lease from the first moment: nobody is listed yet whose standing that could change.
                 let _ = self.members.sure(sure_at, now);
                 (listed, spent)
@@ -420,14 +416,8 @@
         self.collect(wires);
     }
 
-    /// Whether lists are pushed.
-    fn pushed(&mut self, pushed: bool) {
-        self.pushed = pushed;
-        self.roster.pushed(pushed);
-    }
-
     fn retune(&mut self, mut decoded: Decoded, wires: &mut dyn Wires) {
-        self.pushed(!decoded.standing.must_subscribe);
+        self.roster.pushed(!decoded.standing.must_subscribe);
         let portioned = self.meeting.is_some();
         on_sockets(&mut decoded, portioned, &mut self.clients, &mut self.figures, wires.now());
         let names: Vec<&str> = self.clients.operations.names().collect();
@@ -859,10 +849,8 @@
     fn renew(&mut self, wires: &mut dyn Wires) {
         let (sure_at, now) = (self.roster.sure_at(), wires.now());
         let Some(entries) = self.members.sure(sure_at, now) else { return };
-        if self.starting {
-            // The list to begin with may be acted upon, or discovery cannot be reached.
-            self.is_ready();
-        }
+        // The list to begin with may be acted upon, or discovery cannot be reached.
+        self.is_ready();
         log!(
             "lease",
             "state={} unsure_ms={}",
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -11,7 +11,7 @@
 use topazsail_store::kept::{Hand, List, Settings, Spent};
 
 use super::Desk;
-use crate::back::roster::{self, Listed, Roster};
+use crate::back::roster::{self, Listed};
 use crate::front::operator::Call;
 use crate::life::keeper::{Keeper, Left, Told};
 use crate::net::conn::{Due, Link, Wires};
@@ -265,8 +265,7 @@
             Some((_, listed)) if source == Source::Store => listed,
             _ => file,
         };
-        self.roster = Roster::new(self.roster.discovery(), chosen.generation, self.roster.sure_at());
-        self.roster.pushed(self.pushed);
+        self.roster.begin(chosen.generation, self.roster.sure_at());
         (keeping.began_with, keeping.limits) = (chosen.len(), Limits::new(self.worth.iter().copied(), now));
         let mut rest = 0;
         if let Some(left) = &left {
--- a/node/tests/ends.rs
+++ b/node/tests/ends.rs
@@ -6,13 +6,11 @@
 
 use std::fs;
 use std::io::{BufRead, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use helper::*;
-use socket2::{Domain, SockAddr, Socket, Type};
-
-const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+use socket2::Socket;
 
 #[derive(Clone, Copy, Debug)]
 enum Leaves {
@@ -21,9 +19,9 @@
 }
 
 fn leaves(client: Peer, how: Leaves) {
-    let stream = client.0.into_inner();
-    if matches!(how, Leaves::Resetting) {
-        Socket::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+    match how {
+        Leaves::Closing => drop(client),
+        Leaves::Resetting => client.resets(),
     }
 }
 
@@ -36,20 +34,10 @@
 
 impl Shut {
     fn new() -> Shut {
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        listener.bind(&SockAddr::from(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))).unwrap();
-        listener.listen(0).unwrap();
+        let listener = narrow();
         let address = listener.local_addr().unwrap().as_socket().unwrap();
-        let mut before = Vec::new();
-        // The queue holds one or two more than it was told.
-        loop {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            let up = socket.connect_timeout(&SockAddr::from(address), Duration::from_millis(100));
-            before.push(socket);
-            if up.is_err() {
-                return Shut { listener, address, before };
-            }
-        }
+        let before = fill(address, Duration::from_millis(100));
+        Shut { listener, address, before }
     }
 
     /// Lets those in that wait; the first to come up after that is the program's.
--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -72,6 +72,17 @@
         self.tells(&line);
     }
 
+    /// A call-back, taken.
+    pub fn calls_back(&mut self, told: &str) {
+        self.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
+        assert_eq!(self.hear(), "HTTP/1.1 200 OK ");
+    }
+
+    /// Ends it with a reset.
+    pub fn resets(self) {
+        Socket::from(self.0.into_inner()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     /// One line of a watch, in a chunk of its own.
     pub fn tells(&mut self, line: &str) {
         self.say(&format!("{:x}\r\n{line}\r\n", line.len()));
@@ -82,6 +93,10 @@
     }
 }
 
+/// The head of a watch's answer.
+pub const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+pub const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
 /// The watch that a program has opened, answered.
 pub fn watched(discovery: &TcpListener) -> Peer {
     watched_since(discovery, 0)
@@ -90,7 +105,7 @@
 pub fn watched_since(discovery: &TcpListener, since: u64) -> Peer {
     let mut watch = Peer::from(discovery);
     assert_eq!(watch.hear(), format!("GET /v1/servers?follow=1&since={since} HTTP/1.1 "));
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    watch.say(WATCH);
     watch
 }
 
@@ -147,11 +162,31 @@
 /// A call-back, taken; the connection that it came on.
 pub fn calls_back(listen: SocketAddr, told: &str) -> Peer {
     let mut call = Peer::new(TcpStream::connect(listen).unwrap());
-    call.say(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}", told.len()));
-    assert_eq!(call.hear(), "HTTP/1.1 200 OK ");
+    call.calls_back(told);
     call
 }
 
+/// A listener whose queue of connections can be filled.
+pub fn narrow() -> Socket {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    listener.listen(0).unwrap();
+    listener
+}
+
+/// Fills that queue, which holds one or two more than it was told, until nobody has come up for so long.
+pub fn fill(address: SocketAddr, within: Duration) -> Vec<Socket> {
+    let mut before = Vec::new();
+    loop {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let up = socket.connect_timeout(&address.into(), within);
+        before.push(socket);
+        if up.is_err() {
+            return before;
+        }
+    }
+}
+
 /// A program of a test's own, with the discovery that it asks.
 pub struct Node {
     pub program: Program,
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -4,13 +4,12 @@
 mod helper;
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use helper::*;
-use socket2::{Domain, SockAddr, Socket, Type};
+use socket2::Socket;
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CALL: &str = "GET /v1/servers?follow=1&since=0 HTTP/1.1 ";
 
 fn brief(text: String) -> String {
@@ -27,7 +26,7 @@
     assert_eq!(first.hear(), CALL);
     let mut second = Peer::from(&node.discovery);
     assert_eq!(second.hear(), CALL);
-    first.say(HEAD);
+    first.say(WATCH);
     lists(&mut first, 1, runner.local_addr().unwrap(), "up");
     assert!(second.is_ended(), "both were kept");
     let _client = node.asks("i1");
@@ -57,7 +56,7 @@
         calls.push(Peer::new(stream));
     }
     let last = calls.last_mut().unwrap();
-    last.say(HEAD);
+    last.say(WATCH);
     lists(last, 2, runner.local_addr().unwrap(), "up");
     node.logged("lease state=renewed");
     runner.set_nonblocking(false).unwrap();
@@ -117,7 +116,7 @@
     client.say(&request("i1", 25_000));
     let mut forward = Peer::from(&moved);
     assert_eq!(forward.hear(), "POST /plan HTTP/1.1 i1 ");
-    forward.say("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    forward.say(TAKEN);
     assert_eq!(called(admin, "status"), "YES\n");
     calls_back(listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
     assert_eq!(client.hear(), "HTTP/1.1 200 OK r");
@@ -174,14 +173,10 @@
                 let Some((_, id)) = text.split_once("X-Request-Id: ") else { continue };
                 let id = id.split("\r\n").next().unwrap();
                 listed_in.get_or_insert(told.elapsed());
-                line.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").unwrap();
+                line.write_all(TAKEN.as_bytes()).unwrap();
                 let told =
                     format!("{{\"id\":\"{id}\",\"from\":\"s-{nth}\",\"state\":\"done\",\"result\":\"r\"}}");
-                tells.say(&format!(
-                    "POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{told}",
-                    told.len()
-                ));
-                assert_eq!(tells.hear(), "HTTP/1.1 200 OK ");
+                tells.calls_back(&told);
                 reached[*nth] = true;
                 served += 1;
             }
@@ -225,23 +220,12 @@
 
 impl Failing {
     fn new() -> Failing {
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        listener.bind(&SockAddr::from(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))).unwrap();
-        listener.listen(0).unwrap();
-        Failing { listener: listener.into(), fills: Vec::new(), held: Vec::new() }
+        Failing { listener: narrow().into(), fills: Vec::new(), held: Vec::new() }
     }
 
     /// From now on no dial comes up.
     fn fill(&mut self) {
-        let address = SockAddr::from(self.listener.local_addr().unwrap());
-        loop {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            let up = socket.connect_timeout(&address, Duration::from_millis(30));
-            self.fills.push(socket);
-            if up.is_err() {
-                return;
-            }
-        }
+        self.fills = fill(self.listener.local_addr().unwrap(), Duration::from_millis(30));
     }
 
     fn drain(&mut self) {
@@ -265,17 +249,16 @@
         let line = "{\"generation\":1,\"instances\":[]}\n";
         match how {
             Fails::Unavailable => call.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
-            Fails::SilentWithinHead => call.say(&HEAD[..20]),
+            Fails::SilentWithinHead => call.say(&WATCH[..20]),
             Fails::SilentAfterLine | Fails::SilentWithinLine => {
-                call.say(HEAD);
+                call.say(WATCH);
                 call.tells(line);
                 if how == Fails::SilentWithinLine {
                     call.tells("{\"gener");
                 }
             }
             Fails::Reset => {
-                let socket = Socket::from(call.0.into_inner());
-                socket.set_linger(Some(Duration::ZERO)).unwrap();
+                call.resets();
                 return Instant::now();
             }
             Fails::NeverUp | Fails::SilentBeforeHead => {}
@@ -309,7 +292,7 @@
         let mut call = Peer::from(&discovery.listener);
         call.hear();
         let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-        call.say(HEAD);
+        call.say(WATCH);
         lists(&mut call, 2, runner.local_addr().unwrap(), "up");
         node.logged("watch-up generation=2");
         let took = well.elapsed();
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -744,12 +744,23 @@
         }
     }
 
-    /// The connection of the next call to discovery, as soon as there is one.
+    /// The connection of the call to discovery that came after the one on this, if there is one.
+    fn called_after(&self, before: Link) -> Option<Link> {
+        let calls = self.stage.sides.iter().filter(|(_, side)| **side == Side::Roster);
+        calls.map(|(link, _)| *link).find(|link| *link > before)
+    }
+
+    /// The next call fails like this, if it has come. Gives the connection of the last one.
+    fn fails_on(&mut self, before: Link, how: Fails) -> Link {
+        let Some(link) = self.called_after(before) else { return before };
+        self.fails(link, how);
+        link
+    }
+
+    /// The connection of the next call, as soon as there is one.
     fn asks_again(&mut self, before: Link) -> Link {
         for _ in 0..1000 {
-            let known =
-                |(link, side): (&Link, &Side)| (*side == Side::Roster && *link > before).then_some(*link);
-            if let Some(link) = self.stage.sides.iter().find_map(known) {
+            if let Some(link) = self.called_after(before) {
                 return link;
             }
             self.pass(10);
@@ -801,11 +812,7 @@
         node.invoke("plan", "i1");
         let mut link = 1;
         while node.stage.now < START + 5_990_000 {
-            let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
-            if let Some(next) = next.map(|(next, _)| *next) {
-                node.fails(next, how);
-                link = next;
-            }
+            link = node.fails_on(link, how);
             node.pass(10);
         }
         node.stage.trace.clear();
@@ -845,11 +852,7 @@
         let mut link = 1;
         let mut ready_at = None;
         for _ in 0..910 {
-            let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
-            if let Some(next) = next.map(|(next, _)| *next) {
-                node.fails(next, how);
-                link = next;
-            }
+            link = node.fails_on(link, how);
             node.pass(10);
             if ready_at.is_none() && node.stage.trace.contains("200 OK") {
                 ready_at = Some((node.stage.now - START) / 1000);
@@ -876,11 +879,7 @@
         let mut node = Node::told(&pushed.replace("\"askWithin\":10000000", "\"drainGrace\":500000")).hears();
         let mut link = 1;
         while node.stage.now < START + 20_000_000 {
-            let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
-            if let Some(next) = next.map(|(next, _)| *next) {
-                node.fails(next, how);
-                link = next;
-            }
+            link = node.fails_on(link, how);
             node.pass(10);
             let ms = (node.stage.now - START) / 1000;
             if [6_500, 13_000, 19_500].contains(&ms) {
@@ -899,11 +898,7 @@
     let (mut link, mut sent_at, mut next_ask) = (0, None, START);
     let client = node.accept();
     while node.stage.now < START + 30_000_000 && sent_at.is_none() {
-        let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
-        if let Some(next) = next.map(|(next, _)| *next) {
-            node.fails(next, Fails::Unavailable);
-            link = next;
-        }
+        link = node.fails_on(link, Fails::Unavailable);
         node.pass(50);
         if node.stage.now >= next_ask {
             next_ask += 1_000_000;
@@ -927,11 +922,7 @@
         node.end(1, End::Reset);
         let mut link = 1;
         while node.stage.now < START + 20_000_000 {
-            let next = node.stage.sides.iter().find(|(at, side)| **side == Side::Roster && **at > link);
-            if let Some(next) = next.map(|(next, _)| *next) {
-                node.fails(next, how);
-                link = next;
-            }
+            link = node.fails_on(link, how);
             node.pass(10);
         }
         node.stage.trace.clear();
@@ -1797,7 +1788,7 @@
         4\r\n{\"ge\r\n2a\r\nneration\":8,\"instances\":[{},{\"a\":1}]}\n\n\n\n\n\r\n";
     for cut in 1..watch.len() {
         let mut stage = Stage { now: START, ..Stage::default() };
-        let mut roster = Roster::new("127.0.0.1:1".parse().unwrap(), 0, 0);
+        let mut roster = Roster::new("127.0.0.1:1".parse().unwrap(), 0, false);
         roster.follow(&mut stage);
         let mut input = watch.as_bytes()[..cut].to_vec();
         roster.bytes(1, &mut input, &mut stage);
