--- /dev/null
+++ b/faults/src/errno.rs
@@ -0,0 +1,61 @@
+//! The errors that Linux documents for the calls in a plan, by their symbolic names.
+
+use serde::{Deserialize, Serialize};
+
+/// An error number that a plan may use; written by its symbolic name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Errno(i32);
+
+const KNOWN: [(&str, i32); 19] = [
+    ("EADDRNOTAVAIL", libc::EADDRNOTAVAIL),
+    ("EAGAIN", libc::EAGAIN),
+    ("ECONNABORTED", libc::ECONNABORTED),
+    ("ECONNREFUSED", libc::ECONNREFUSED),
+    ("ECONNRESET", libc::ECONNRESET),
+    ("EDQUOT", libc::EDQUOT),
+    ("EHOSTUNREACH", libc::EHOSTUNREACH),
+    ("EINTR", libc::EINTR),
+    ("EIO", libc::EIO),
+    ("EMFILE", libc::EMFILE),
+    ("ENETDOWN", libc::ENETDOWN),
+    ("ENETUNREACH", libc::ENETUNREACH),
+    ("ENFILE", libc::ENFILE),
+    ("ENOBUFS", libc::ENOBUFS),
+    ("ENOMEM", libc::ENOMEM),
+    ("ENOSPC", libc::ENOSPC),
+    ("EPROTO", libc::EPROTO),
+    ("EROFS", libc::EROFS),
+    ("ETIMEDOUT", libc::ETIMEDOUT),
+];
+
+impl Errno {
+    /// The error of this symbolic name, if it is one that a plan may use.
+    pub fn named(name: &str) -> Option<Errno> {
+        KNOWN.iter().find(|(known, _)| *known == name).map(|(_, code)| Errno(*code))
+    }
+
+    /// The number that the kernel uses.
+    pub fn code(self) -> i32 {
+        self.0
+    }
+
+    /// The symbolic name, such as `ENFILE`.
+    pub fn name(self) -> &'static str {
+        KNOWN.iter().find(|(_, code)| *code == self.0).map_or("?", |(name, _)| name)
+    }
+}
+
+impl TryFrom<String> for Errno {
+    type Error = String;
+
+    fn try_from(name: String) -> Result<Errno, String> {
+        Errno::named(&name).ok_or_else(|| format!("unknown errno `{name}`"))
+    }
+}
+
+impl From<Errno> for String {
+    fn from(errno: Errno) -> String {
+        errno.name().to_owned()
+    }
+}
