--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -10,6 +10,7 @@
 use std::{env, fs};
 
 use socket2::{Domain, Socket, Type};
+use topazsail_faults::{Plan, shim};
 
 /// Far more than any step takes; only a step that never comes gets there.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -190,6 +191,7 @@
 /// A program of a test's own, with the discovery that it asks.
 pub struct Node {
     pub program: Program,
+    pub started: Instant,
     pub listen: SocketAddr,
     pub path: PathBuf,
     log: Receiver<String>,
@@ -210,19 +212,39 @@
 
     /// The same with so many descriptors; as many as this test has, for 0.
     pub fn limited(own: u8, descriptors: usize, change: impl Fn(String) -> String) -> Node {
+        let limit = if descriptors > 0 { format!("ulimit -n {descriptors}; ") } else { String::new() };
+        Node::started(own, &limit, |_| {}, change)
+    }
+
+    /// The same under the fault shim with this plan.
+    pub fn failing(own: u8, plan: &Plan, change: impl Fn(String) -> String) -> Node {
+        let library = shim::library().unwrap();
+        Node::started(own, "", |command| shim::inject(command, library, plan), change)
+    }
+
+    /// The same by a shell that does this before, with a command that is prepared by this.
+    pub fn started(
+        own: u8,
+        before: &str,
+        prepare: impl Fn(&mut Command),
+        change: impl Fn(String) -> String,
+    ) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let listen = free_address(own);
         let path = env::temp_dir().join(format!("topazsail-ends-{own}-{}.json", std::process::id()));
         fs::write(&path, change(configuration(listen, discovery.local_addr().unwrap()))).unwrap();
         let mut command = Command::new("sh");
-        let limit = if descriptors > 0 { format!("ulimit -n {descriptors}; ") } else { String::new() };
-        command.args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_topazsail")]);
+        command.args(["-c", &format!("{before}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_topazsail")]);
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).env("TMPDIR", "");
+        prepare(&mut command);
+        let started = Instant::now();
         let mut program = Program(command.spawn().unwrap());
-        let lines = BufReader::new(program.0.stderr.take().unwrap()).lines();
         let (says, log) = mpsc::channel();
-        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| says.send(line)));
-        Node { program, listen, path, log, discovery }
+        if let Some(stderr) = program.0.stderr.take() {
+            let lines = BufReader::new(stderr).lines();
+            std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| says.send(line)));
+        }
+        Node { program, started, listen, path, log, discovery }
     }
 
     /// Waits until the program has said this.
--- /dev/null
+++ b/node/tests/momentary_failures.rs
@@ -0,0 +1,282 @@
+//! The program over loopback sockets while its own system calls fail for a moment, as Linux documents them.
+
+mod helper;
+
+use std::fs::File;
+use std::io::{BufRead, Read, Write};
+use std::net::TcpListener;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use helper::*;
+use topazsail_faults::{Call, ClockStep, Effect, Endpoint, Errno, Plan, Rule};
+
+/// What the deadline passed on may exceed the time that the client has left.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// A request that nothing keeps from being answered is answered within this.
+const PROMPT: Duration = Duration::from_secs(3);
+
+fn fails(call: Call, errno: &str, span: std::ops::Range<u64>) -> Rule {
+    let effect = Effect::Errno(Errno::named(errno).unwrap());
+    Rule { call, endpoint: Endpoint::Any, effect, rate: 1.0, from_ms: span.start, until_ms: span.end }
+}
+
+fn plan(rules: impl Into<Vec<Rule>>) -> Plan {
+    Plan { seed: 1, rules: rules.into(), clock_steps: Vec::new() }
+}
+
+/// Waits until so long after the start of the program.
+fn until(node: &Node, ms: u64) {
+    sleep((node.started + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+}
+
+/// The status of the next answer, or none if the connection ends or nothing comes within this.
+fn status(client: &mut Peer, within: Duration) -> Option<u16> {
+    client.0.get_ref().set_read_timeout(Some(within)).unwrap();
+    let mut line = String::new();
+    client.0.read_line(&mut line).ok()?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+/// The head of the next message.
+fn head(peer: &mut Peer) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(peer.0.read_line(&mut head).unwrap() > 0, "ended after {head:?}");
+    }
+    head
+}
+
+fn told_deadline(head: &str) -> Duration {
+    let value = head.lines().find_map(|line| line.strip_prefix("X-Deadline-Ms: ")).unwrap();
+    Duration::from_millis(value.parse().unwrap())
+}
+
+/// Connections with a request out on each, so that none of them may be ended to make room.
+fn busy(node: &Node, count: usize) -> Vec<Peer> {
+    (0..count).map(|nth| node.asks(&format!("busy{nth}"))).collect()
+}
+
+fn healthy(node: &Node) -> Option<u16> {
+    let mut client = node.client();
+    client.say("GET /healthz HTTP/1.1\r\n\r\n");
+    status(&mut client, PROMPT)
+}
+
+#[test]
+fn accept_failing_once_does_not_stop_new_connections_for_good() {
+    for (own, call, errno) in
+        [(201, Call::Accept, "ENFILE"), (202, Call::Accept, "ENOBUFS"), (203, Call::Socket, "EMFILE")]
+    {
+        let node = Node::failing(own, &plan([fails(call, errno, 1_000..1_200)]), |text| text);
+        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut watch = watched(&node.discovery);
+        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        let _busy = busy(&node, 20);
+        until(&node, 1_050);
+        // One that needs a connection to its server, and one that has to be accepted.
+        let _during = node.asks("during");
+        until(&node, 1_500);
+        let answers: Vec<Option<u16>> = (0..4).map(|_| healthy(&node)).collect();
+        assert_eq!(answers, [Some(200); 4], "{errno} from {call:?}");
+    }
+}
+
+#[test]
+fn a_request_on_a_queued_connection_is_answered_before_the_process_ends() {
+    let mut node = Node::new(204, |text| text.replace("\"sockets\":256", "\"sockets\":64"));
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let _busy = busy(&node, 60);
+    node.logged("accept-paused");
+    signal(&node.program, "TERM");
+    node.logged("going-down");
+    let mut queued: Vec<Peer> = (0..5).map(|nth| node.asks(&format!("queued{nth}"))).collect();
+    let answers: Vec<Option<u16>> = queued.iter_mut().map(|client| status(client, PATIENCE)).collect();
+    assert_eq!(answers.iter().filter(|status| status.is_some()).count(), 5, "{answers:?}");
+}
+
+#[test]
+fn the_deadline_passed_on_leaves_out_the_wait_before_accept() {
+    let node = Node::failing(205, &plan([fails(Call::Accept, "ENFILE", 1_000..1_600)]), |text| text);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    until(&node, 1_050);
+    let gives_up = Instant::now() + Duration::from_secs(3);
+    let mut client = node.client();
+    client.say(&request("waited", 3_000));
+    let mut forward = Peer::from(&runner);
+    let told = told_deadline(&head(&mut forward));
+    let left = gives_up.saturating_duration_since(Instant::now());
+    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+}
+
+#[test]
+fn the_deadline_passed_on_leaves_out_the_wait_behind_an_earlier_request() {
+    let node = Node::new(206, |text| text);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let mut client = node.client();
+    client.say(&(request("first", 20_000) + &request("second", 3_000)));
+    let gives_up = Instant::now() + Duration::from_secs(3);
+    let mut forward = Peer::from(&runner);
+    head(&mut forward);
+    forward.say(TAKEN);
+    sleep(Duration::from_millis(600));
+    calls_back(node.listen, r#"{"id":"first","from":"s-a","state":"done","result":"r"}"#);
+    let told = told_deadline(&head(&mut forward));
+    let left = gives_up.saturating_duration_since(Instant::now());
+    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+}
+
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    let full = |command: &mut std::process::Command| {
+        command.stderr(File::options().write(true).open("/dev/full").unwrap());
+    };
+    let mut node = Node::started(207, "", full, |text| text);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let mut client = node.asks("i1");
+    let mut forward = Peer::from(&runner);
+    head(&mut forward);
+    forward.say(TAKEN);
+    calls_back(node.listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    assert_eq!(status(&mut client, PROMPT), Some(200));
+    assert_eq!(node.program.0.try_wait().unwrap(), None);
+}
+
+#[test]
+fn new_settings_are_read_again_when_their_file_cannot_be_opened_for_a_moment() {
+    let mut node = Node::failing(208, &plan([fails(Call::Open, "ENFILE", 1_000..1_400)]), |text| text);
+    let _watch = watched(&node.discovery);
+    let moved = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = std::fs::read_to_string(&node.path).unwrap();
+    let before = node.discovery.local_addr().unwrap().to_string();
+    std::fs::write(&node.path, text.replace(&before, &moved.local_addr().unwrap().to_string())).unwrap();
+    until(&node, 1_100);
+    signal(&node.program, "HUP");
+    node.logged("reloaded");
+    assert!(Peer::from(&moved).hear().starts_with("GET /v1/servers"));
+}
+
+#[test]
+fn a_start_tries_again_what_fails_for_a_moment() {
+    for (own, call, errno) in [
+        (209, Call::Socket, "ENOBUFS"),
+        (210, Call::Open, "ENFILE"),
+        (211, Call::Connect, "EADDRNOTAVAIL"),
+        (212, Call::Accept, "ECONNABORTED"),
+    ] {
+        let node = Node::failing(own, &plan([fails(call, errno, 0..500)]), |text| text);
+        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut watch = watched(&node.discovery);
+        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        let mut client = node.asks("i1");
+        let mut forward = Peer::from(&runner);
+        head(&mut forward);
+        forward.say(TAKEN);
+        calls_back(node.listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+        assert_eq!(status(&mut client, PROMPT), Some(200), "{errno} from {call:?}");
+    }
+}
+
+#[test]
+fn a_connection_that_cannot_be_made_for_a_moment_is_not_the_servers_fault() {
+    for (own, call, errno) in [
+        (213, Call::Socket, "ENOBUFS"),
+        (214, Call::Connect, "EADDRNOTAVAIL"),
+        (215, Call::Connect, "ENETUNREACH"),
+        (216, Call::Connect, "EINTR"),
+    ] {
+        let node = Node::failing(own, &plan([fails(call, errno, 1_000..1_300)]), |text| text);
+        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut watch = watched(&node.discovery);
+        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        until(&node, 1_050);
+        let mut client = node.asks("i1");
+        let mut forward = Peer::from(&runner);
+        head(&mut forward);
+        let took = node.started.elapsed();
+        // As soon as it can be made, and not after the wait of a server that is set aside.
+        assert!(took < Duration::from_millis(1_500), "{errno} from {call:?}: {took:?}");
+        forward.say(TAKEN);
+        calls_back(node.listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+        assert_eq!(status(&mut client, PROMPT), Some(200), "{errno} from {call:?}");
+    }
+}
+
+#[test]
+fn transfers_that_are_short_interrupted_or_refused_for_a_moment_lose_nothing() {
+    let short = |call| Rule { effect: Effect::Short, rate: 0.7, ..fails(call, "EINTR", 0..u64::MAX) };
+    let some = |call, errno| Rule { rate: 0.2, ..fails(call, errno, 0..u64::MAX) };
+    let rules = [Call::Receive, Call::Send]
+        .iter()
+        .flat_map(|call| [some(*call, "EINTR"), some(*call, "ENOBUFS"), some(*call, "ENOMEM"), short(*call)]);
+    let node = Node::failing(217, &plan(rules.collect::<Vec<Rule>>()), |text| text);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let mut forward: Option<Peer> = None;
+    for nth in 0..20 {
+        let mut client = node.asks(&format!("i{nth}"));
+        let forward = forward.get_or_insert_with(|| Peer::from(&runner));
+        assert!(head(forward).contains(&format!("X-Request-Id: i{nth}\r\n")));
+        forward.say(TAKEN);
+        calls_back(node.listen, &format!(r#"{{"id":"i{nth}","from":"s-a","state":"done","result":"r"}}"#));
+        assert_eq!(status(&mut client, PROMPT), Some(200), "i{nth}");
+    }
+}
+
+#[test]
+fn steps_of_the_wall_clock_move_no_deadline() {
+    let steps = [(900, 3_600_000), (1_300, -7_200_000), (1_700, 1_000)];
+    let clock_steps = steps.map(|(at_ms, by_ms)| ClockStep { at_ms, by_ms }).to_vec();
+    let node = Node::failing(218, &Plan { clock_steps, ..plan([]) }, |text| text);
+    let _watch = watched(&node.discovery);
+    until(&node, 800);
+    // Nobody is listed: each waits until its time is over.
+    let mut client = node.client();
+    client.say(&request("i1", 1_500));
+    let sent = Instant::now();
+    assert!(status(&mut client, PATIENCE).is_some());
+    let took = sent.elapsed();
+    assert!(took < Duration::from_millis(1_550), "{took:?}");
+    let mut rest = Vec::new();
+    client.0.get_ref().set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    let _ = client.0.read_to_end(&mut rest);
+    assert_eq!(String::from_utf8_lossy(&rest).matches("HTTP/1.1").count(), 0, "answered twice");
+}
+
+#[test]
+fn signals_in_series_lose_nothing_at_the_end() {
+    let mut node = Node::new(219, |text| text);
+    let _watch = watched(&node.discovery);
+    let mut clients: Vec<Peer> = (0..10).map(|_| node.client()).collect();
+    signal(&node.program, "TERM");
+    node.logged("going-down");
+    let going_down = Instant::now();
+    let mut refused = 0;
+    while going_down.elapsed() < Duration::from_millis(3_700) {
+        for name in ["XFSZ", "HUP", "TERM"] {
+            let _ = std::process::Command::new("sh")
+                .arg("-c")
+                .arg(format!("kill -{name} {} 2>&-", node.program.0.id()))
+                .status();
+        }
+        for (nth, client) in clients.iter_mut().enumerate() {
+            let asked = request(&format!("i{refused}-{nth}"), 3_000);
+            // Ended between two requests, or not: what has been written whole is answered.
+            if client.0.get_mut().write_all(asked.as_bytes()).is_err() {
+                continue;
+            }
+            refused += u32::from(status(client, Duration::from_millis(1)).is_some());
+        }
+        sleep(Duration::from_millis(5));
+    }
+    assert_eq!(node.program.0.try_wait().unwrap().and_then(|status| status.code()), Some(0));
+}
