A descriptor that is not to be had for a moment is no lasting limit

One ENFILE, EMFILE, ENOBUFS or ENOMEM from accept or socket made Desk::out_of_descriptors take the connections of that moment for the limit of the process, for good. Three quarters of that many and nobody was let in; what came waited in the kernel's queue, unread.

Now one idle connection is ended to make room, and the call is made again. The errors that are the host's stand in net/errno.rs.

accept_failing_once_does_not_stop_new_connections_for_good failed before (0 of 4 answered, log 'descriptors configured=256 found=16') and passes, on ENFILE, ENOBUFS and EMFILE; idle_clients_leave_descriptors_for_all_others, for which the limit was learnt, passes.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -67,7 +67,7 @@
 }
 
 /// What a dispatcher cannot do without.
-pub const SOCKETS_LEAST: usize = 16;
+const SOCKETS_LEAST: usize = 16;
 /// Descriptors that are no connections: standard ones, the poller's, signals, doors, a store.
 const OTHERS: usize = 24;
 
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -547,14 +547,11 @@
         !self.happened.is_empty()
     }
 
-    /// The system gave no descriptor, whatever the configuration says: there are no more than are in use now.
+    /// The host gave no descriptor or no memory for one. That passes, and says nothing of how many there may be later:
+    /// one idle connection makes room for the next try.
     pub fn out_of_descriptors(&mut self, wires: &mut dyn Wires) {
-        let most = wires.connections().max(config::SOCKETS_LEAST);
-        if most < self.limits.0 {
-            log!("descriptors", "configured={} found={most}", self.limits.0);
-            self.limits.0 = most;
-            self.limit();
-        }
+        let made_room = self.clients.make_room(wires) || self.runners.make_room(wires);
+        log!("descriptors-short", "connections={} made_room={made_room}", wires.connections());
     }
 
     /// Against idle connections that leave none for the watch, for dials and for operators.
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The one loop, its connections and what goes over them as HTTP.
 
 pub mod conn;
+pub mod errno;
 pub mod http;
 pub mod log;
 pub mod reactor;
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -23,6 +23,7 @@
 use crate::life::handover;
 use crate::life::keeper::Keeper;
 use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
+use crate::net::errno::{self, Scope};
 use crate::net::log::log;
 
 const SIGNAL: usize = 0;
@@ -463,7 +464,7 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
+                Err(error) if errno::accept(&error) == Scope::Host => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
                     self.short = true;
                     return self.pause(door);
@@ -621,10 +622,6 @@
     }
 }
 
-fn out_of_descriptors(error: i32) -> bool {
-    matches!(error, libc::EMFILE | libc::ENFILE | libc::ENOMEM | libc::ENOBUFS)
-}
-
 impl Wires for Reactor {
     fn now(&self) -> Micros {
         self.now
@@ -655,7 +652,7 @@
             Ok(socket) => socket,
             Err(error) => {
                 log!("dial-failed", "side={} peer={to} reason={error}", side.code());
-                self.short |= error.raw_os_error().is_some_and(out_of_descriptors);
+                self.short |= errno::open(&error) == Scope::Host;
                 return None;
             }
         };
