A log that cannot be written ends nothing

Where standard error is a file on a full disk, eprintln! panics, and the process ended with all that it owed. Each line is now one write whose failure is counted (edge_relay.log_lines_lost) and passed over; before, a line was several writes.

--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
+use crate::net::log;
+
 const PREFIX: &str = "edge_relay";
 
 /// How an invocation ended, as operators know it.
@@ -82,6 +84,7 @@
             ("skipped_runners", now.skipped_runners as u64),
             ("loads", self.loads),
             ("load_errors", self.load_errors),
+            ("log_lines_lost", log::lost()),
         ];
         for (name, value) in plain {
             let _ = writeln!(text, "{PREFIX}.{name}={value}");
--- a/node/src/net/log.rs
+++ b/node/src/net/log.rs
@@ -5,6 +5,9 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Lines of one code in a second: a flood of bad input is not to fill the disk of whoever keeps the log.
@@ -34,14 +37,30 @@
     })
 }
 
+/// Lines that could not be written since the start.
+static LOST: AtomicU64 = AtomicU64::new(0);
+
+/// Writes one line to standard error, in one piece. A log that cannot be written is counted and stops nothing.
+pub fn write(line: fmt::Arguments) {
+    let line = format!("{line}\n");
+    if io::stderr().write_all(line.as_bytes()).is_err() {
+        LOST.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// How many lines could not be written since the start.
+pub fn lost() -> u64 {
+    LOST.load(Ordering::Relaxed)
+}
+
 macro_rules! log {
     ($code:expr, $($about:tt)*) => {{
         let (may, held_back) = $crate::net::log::may($code);
         if held_back > 0 {
-            eprintln!("held-back code={} lines={held_back}", $code);
+            $crate::net::log::write(format_args!("held-back code={} lines={held_back}", $code));
         }
         if may {
-            eprintln!("{} {}", $code, format_args!($($about)*));
+            $crate::net::log::write(format_args!("{} {}", $code, format_args!($($about)*)));
         }
     }};
 }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1749,6 +1749,7 @@
         edge_relay.skipped_runners=1
         edge_relay.loads=1
         edge_relay.load_errors=1
+        edge_relay.log_lines_lost=0
         END
         0     #8 ends: answered_last
     "#]]
@@ -1970,6 +1971,7 @@
         edge_relay.skipped_runners=1
         edge_relay.loads=0
         edge_relay.load_errors=0
+        edge_relay.log_lines_lost=0
         END
         0     #13 ends: answered_last
     "#]]);
@@ -2191,6 +2193,7 @@
         edge_relay.skipped_runners=0
         edge_relay.loads=2
         edge_relay.load_errors=5
+        edge_relay.log_lines_lost=0
         END
         1000  #12 ends: answered_last
     "#]]);
