ENOBUFS, ENOMEM and EINTR on a connection say nothing of it; its call is made again

Callers saw connections reset with requests on them, the watch among them: every error but EAGAIN and EINTR counted as the connection's end, and a look at what waits to be read (whether a client has left, whether a kept connection is fresh) took EINTR for bytes. What an error is about is asked of net/errno.rs now.

transfers_that_are_short_interrupted_or_refused_for_a_moment_lose_nothing failed before (the watch was reset, nothing was forwarded) and passes, six plays. The test itself waited at its server's first connection only; after a 202 that is read late the next request comes on another one, so it looks at all of them now, and begins once the list is heard.

--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -10,6 +10,7 @@
 use socket2::Socket;
 use topazsail::{Id, Micros};
 
+use crate::net::errno::{self, Scope};
 use crate::net::http::MESSAGE_MOST;
 
 /// A connection's number; none is used twice.
@@ -187,6 +188,18 @@
     }
 }
 
+/// Tries to see what the next read would find, while the host fails them.
+const PEEKS: usize = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peeked {
+    Nothing,
+    Bytes,
+    Ended,
+    /// The host has failed every try.
+    Unknown,
+}
+
 pub struct Conn {
     pub stream: Socket,
     pub side: Side,
@@ -249,7 +262,8 @@
                 Ok(0) => return Err(End::Reset),
                 Ok(written) => self.written += written,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                // The poller tells when it may be tried again.
+                Err(error) if errno::transfer(&error) != Scope::Connection => return Ok(()),
                 Err(_) => return Err(End::Reset),
             }
         }
@@ -274,7 +288,7 @@
                 self.input.extend_from_slice(&scratch[..read]);
                 Ok(read)
             }
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(0),
+            Err(error) if errno::transfer(&error) != Scope::Connection => Ok(0),
             Err(_) => Err(End::Reset),
         }
     }
@@ -287,17 +301,28 @@
         }
     }
 
+    /// Whether nothing has been read or waits to be read, and the other side has not ended it.
     pub fn fresh(&self) -> bool {
-        let nothing = |read: io::Result<usize>| read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-        self.input.is_empty() && nothing(self.stream.peek(&mut [MaybeUninit::uninit()]))
+        self.input.is_empty() && self.peek() == Peeked::Nothing
     }
 
     /// Whether the other side has ended it. Behind bytes that have not been read its end does not show.
     pub fn left(&self) -> bool {
-        match self.stream.peek(&mut [MaybeUninit::uninit()]) {
-            Ok(read) => read == 0,
-            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        self.peek() == Peeked::Ended
+    }
+
+    /// What the next read would find.
+    fn peek(&self) -> Peeked {
+        for _ in 0..PEEKS {
+            match self.stream.peek(&mut [MaybeUninit::uninit()]) {
+                Ok(0) => return Peeked::Ended,
+                Ok(_) => return Peeked::Bytes,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Peeked::Nothing,
+                Err(error) if errno::transfer(&error) == Scope::Connection => return Peeked::Ended,
+                Err(_) => {}
+            }
         }
+        Peeked::Unknown
     }
 
     pub fn linger(&mut self) {
--- a/node/src/net/errno.rs
+++ b/node/src/net/errno.rs
@@ -38,3 +38,8 @@
 pub fn open(error: &io::Error) -> Scope {
     scope(error, &[libc::EINTR], &[libc::EAGAIN, libc::ENOSPC])
 }
+
+/// `recv` and `send` on a connection that is up.
+pub fn transfer(error: &io::Error) -> Scope {
+    scope(error, &[libc::EAGAIN, libc::EINTR], &[])
+}
--- a/node/tests/momentary_failures.rs
+++ b/node/tests/momentary_failures.rs
@@ -47,6 +47,28 @@
     head
 }
 
+/// The first connection, old or new, on which something is said.
+fn speaking<'a>(runner: &TcpListener, connections: &'a mut Vec<Peer>) -> &'a mut Peer {
+    let patience = Instant::now() + PATIENCE;
+    runner.set_nonblocking(true).unwrap();
+    loop {
+        assert!(Instant::now() < patience, "nothing was said");
+        if let Ok((stream, _)) = runner.accept() {
+            stream.set_nonblocking(false).unwrap();
+            connections.push(Peer::new(stream));
+        }
+        let speaks = |peer: &mut Peer| {
+            peer.0.get_ref().set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+            let speaks = peer.0.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+            peer.0.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+            speaks
+        };
+        if let Some(at) = connections.iter_mut().position(speaks) {
+            return &mut connections[at];
+        }
+    }
+}
+
 fn told_deadline(head: &str) -> Duration {
     let value = head.lines().find_map(|line| line.strip_prefix("X-Deadline-Ms: ")).unwrap();
     Duration::from_millis(value.parse().unwrap())
@@ -217,14 +239,15 @@
     let rules = [Call::Receive, Call::Send]
         .iter()
         .flat_map(|call| [some(*call, "EINTR"), some(*call, "ENOBUFS"), some(*call, "ENOMEM"), short(*call)]);
-    let node = Node::failing(217, &plan(rules.collect::<Vec<Rule>>()), |text| text);
+    let mut node = Node::failing(217, &plan(rules.collect::<Vec<Rule>>()), |text| text);
     let runner = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut watch = watched(&node.discovery);
     lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
-    let mut forward: Option<Peer> = None;
+    node.logged("watch-up");
+    let mut connections = Vec::new();
     for nth in 0..20 {
         let mut client = node.asks(&format!("i{nth}"));
-        let forward = forward.get_or_insert_with(|| Peer::from(&runner));
+        let forward = speaking(&runner, &mut connections);
         assert!(head(forward).contains(&format!("X-Request-Id: i{nth}\r\n")));
         forward.say(TAKEN);
         calls_back(node.listen, &format!(r#"{{"id":"i{nth}","from":"s-a","state":"done","result":"r"}}"#));
