A request's time runs from when it came, also while it waited to be accepted or read

One that had waited in the kernel's queue while accept was paused, or behind an earlier request on its connection, was given its whole time from then on. Reading an answer pushed back by 0.6 s was enough.

Connections note when their unread bytes came (net/arrivals.rs); while a door may have a queue, since the pause began, a newcomer is read at once with that time.

--- a/node/src/front/clients.rs
+++ b/node/src/front/clients.rs
@@ -346,8 +346,8 @@
             if matches!(client.phase, Phase::Idle) {
                 client.phase = Phase::Reading;
                 client.since = wires.now();
-                // Its time runs from when it came, and who stood still cannot tell when that was.
-                client.began = wires.came_since();
+                // Its time runs from when it came, however long it has waited to be read or looked at.
+                client.began = wires.arrived(link);
             }
             let used = match http::request(input) {
                 Ok(None) if input.len() >= MESSAGE_MOST => Err(Fault(413, "message_too_long")),
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -10,6 +10,7 @@
 use socket2::Socket;
 use topazsail::{Id, Micros};
 
+use crate::net::arrivals::Arrivals;
 use crate::net::errno::{self, Scope};
 use crate::net::http::MESSAGE_MOST;
 
@@ -150,6 +151,10 @@
     fn came_since(&self) -> Micros {
         self.now()
     }
+    /// Since when the first byte that the owner of this connection has not taken may have been there.
+    fn arrived(&self, _link: Link) -> Micros {
+        self.came_since()
+    }
     /// How many connections there are, of all sides.
     fn connections(&self) -> usize;
     /// Ends the oldest client's connection that only waits for the other side's end, its last answer written.
@@ -211,6 +216,8 @@
     pub lingering: bool,
     pub since: Micros,
     pub input: Vec<u8>,
+    /// When what is in `input` came.
+    pub arrivals: Arrivals,
     output: Vec<u8>,
     written: usize,
     /// Bytes were thrown away, as nobody took those before them.
@@ -230,6 +237,7 @@
             lingering: false,
             since,
             input: Vec::new(),
+            arrivals: Arrivals::default(),
             output: Vec::new(),
             written: 0,
             spilt: false,
@@ -275,8 +283,9 @@
         Ok(())
     }
 
-    /// Reads what there is, up to one buffer's worth; the poller tells if there is more. Says how much there was.
-    pub fn read(&mut self, scratch: &mut [u8]) -> Result<usize, End> {
+    /// Reads what there is, up to one buffer's worth, which may have been there since then; the poller tells if there is
+    /// more. Says how much there was.
+    pub fn read(&mut self, scratch: &mut [u8], since: Micros) -> Result<usize, End> {
         match self.stream.read(scratch) {
             Ok(0) => Err(End::PeerClosed),
             Ok(read) if self.lingering => Ok(read),
@@ -286,6 +295,7 @@
             }
             Ok(read) => {
                 self.input.extend_from_slice(&scratch[..read]);
+                self.arrivals.note(read, since);
                 Ok(read)
             }
             Err(error) if errno::transfer(&error) != Scope::Connection => Ok(0),
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The one loop, its connections and what goes over them as HTTP.
 
+pub mod arrivals;
 pub mod conn;
 pub mod errno;
 pub mod http;
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -95,6 +95,10 @@
     now: Micros,
     /// While it catches up after having stood still: since when, and until when.
     behind: Option<(Micros, Micros)>,
+    /// Doors at which newcomers may be waiting to be accepted, by their keys, and since when.
+    queued: BTreeMap<usize, Micros>,
+    /// While a newcomer that has waited at its door is read: since when it may have.
+    queued_since: Option<Micros>,
     conns: HashMap<Link, Conn>,
     next: Link,
     dues: BTreeMap<(Micros, u64), Due>,
@@ -272,6 +276,8 @@
             now: clock.now(),
             clock,
             behind: None,
+            queued: BTreeMap::new(),
+            queued_since: None,
             conns: HashMap::new(),
             next: FIRST_LINK,
             dues: BTreeMap::new(),
@@ -461,9 +467,13 @@
                     let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
                     if let Some(link) = self.add(Conn::new(stream.into(), door.side, peer, false, self.now)) {
                         desk.accepted(door.side, link, self);
+                        self.read_queued(link, door, desk);
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.queued.remove(&door.key);
+                    return Ok(());
+                }
                 Err(error) if errno::accept(&error) == Scope::Host => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
                     self.short = true;
@@ -473,10 +483,21 @@
                 Err(error) => log!("accept-failed", "reason={error}"),
             }
         }
+        self.queued.entry(door.key).or_insert(self.now);
         Ok(())
     }
 
+    /// Reads at once what a newcomer has brought that had to wait to be accepted: its time runs from then on. What comes
+    /// later has not waited.
+    fn read_queued(&mut self, link: Link, door: &Door, desk: &mut Desk) {
+        let Some(since) = self.queued.get(&door.key).copied() else { return };
+        self.queued_since = Some(since);
+        self.ready(link, Event::readable(link as usize), desk);
+        self.queued_since = None;
+    }
+
     fn pause(&mut self, door: &Door) -> io::Result<()> {
+        self.queued.entry(door.key).or_insert(self.now);
         self.wake(Due::Accept(door.side), self.now + ACCEPT_AGAIN);
         self.open(Some(door), false)
     }
@@ -526,6 +547,7 @@
     }
 
     fn ready(&mut self, link: Link, event: Event, desk: &mut Desk) {
+        let since = self.came_since();
         let Some(conn) = self.conns.get_mut(&link) else { return };
         let side = conn.side;
         if conn.dialling {
@@ -555,7 +577,7 @@
         let mut end = None;
         if event.readable {
             let had = conn.input.len();
-            let mut read = conn.read(&mut self.scratch);
+            let mut read = conn.read(&mut self.scratch, since);
             // A client may have asked and left again: both are to be known before it is served.
             let full = Ok(self.scratch.len());
             for _ in 1..READS_ON {
@@ -563,7 +585,7 @@
                 if side != Side::Client || read.is_err() || !on {
                     break;
                 }
-                read = conn.read(&mut self.scratch);
+                read = conn.read(&mut self.scratch, since);
             }
             end = read.err();
             if conn.input.len() > had {
@@ -581,9 +603,11 @@
     fn tell(&mut self, link: Link, desk: &mut Desk) {
         let Some(conn) = self.conns.get_mut(&link).filter(|conn| conn.finishing.is_none()) else { return };
         let (side, mut input) = (conn.side, std::mem::take(&mut conn.input));
+        let had = input.len();
         desk.callbacks(side).bytes(link, &mut input, self);
         desk.collect(self);
         if let Some(conn) = self.conns.get_mut(&link).filter(|conn| !conn.lingering) {
+            conn.arrivals.take(had - input.len());
             input.shrink_to(if input.is_empty() { 4 << 10 } else { usize::MAX });
             conn.input = input;
         }
@@ -628,7 +652,13 @@
     }
 
     fn came_since(&self) -> Micros {
-        self.behind.map_or(self.now, |(since, _)| since)
+        let behind = self.behind.map_or(self.now, |(since, _)| since);
+        self.queued_since.map_or(behind, |since| since.min(behind))
+    }
+
+    fn arrived(&self, link: Link) -> Micros {
+        let first = self.conns.get(&link).and_then(|conn| conn.arrivals.first());
+        first.unwrap_or_else(|| self.came_since())
     }
 
     fn connections(&self) -> usize {
