A request that leaves its process too slowly is not told an old deadline

What is left was worked out when a request's first byte was to leave, by the clock of the loop's turn; its last byte could leave any time later. It is worked out by the clock of the moment now, and a request whose last byte has not left 0.1 s after its first is cut off before it (it never runs) and sent anew. The slack of the terms is 0.15 s.

--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -24,6 +24,9 @@
 /// task's where it would say that a job never ran, or has ended, that may be running.
 const SECOND_WITHIN: Micros = 10_000;
 
+/// From the first byte of a forward to its last: well within the slack of 0.15 s on the time that it tells its runner.
+const LEAVES_WITHIN: Micros = 100_000;
+
 #[derive(Clone, Debug, PartialEq)]
 enum Task {
     Forward { inv: Id, number: u32 },
@@ -391,15 +394,35 @@
             return self.rest(link, wires);
         }
         if let Some(Waits { until, line_at, .. }) = waits {
-            let left = (until - wires.now()).max(0) / 1000;
+            let left = (until - wires.clock()).max(0) / 1000;
             message.splice(line_at..line_at, format!("X-Deadline-Ms: {left}\r\n").into_bytes());
         }
         let Some(line) = self.lines.get_mut(&link) else { return };
         (line.phase, line.since, line.due, line.overdue) = (Phase::Busy, wires.now(), due, false);
         self.written += u64::from(matches!(task, Task::Forward { .. }));
+        let forward = matches!(task, Task::Forward { .. });
         line.task = Some(task);
         wires.send(link, &message);
         wires.wake(Due::Link(link), due);
+        if forward && wires.unsent(link) {
+            wires.wake(Due::Link(link), wires.now() + LEAVES_WITHIN);
+        }
+    }
+
+    /// A forward that is not written whole in time: what it tells its runner of the time left is no longer true. Without
+    /// its last byte it does not run.
+    fn give_up_unsent(&mut self, link: Link, wires: &mut dyn Wires) {
+        let late = |line: &Line| {
+            let forward = matches!(line.task, Some(Task::Forward { .. }));
+            forward && line.phase == Phase::Busy && wires.now() >= line.since + LEAVES_WITHIN
+        };
+        if !self.lines.get(&link).is_some_and(late) || !wires.unsent(link) {
+            return;
+        }
+        let Some(Line { tgt, task: Some(task), .. }) = self.drop_line(link) else { return };
+        wires.cut(link, End::SlowReader);
+        self.written -= 1;
+        self.unanswered(&tgt, task, Ending::Unreachable, false);
     }
 
     /// A connection has come free: it takes over a task that waits for a dial, or is kept for the next one.
@@ -606,6 +629,7 @@
     fn due(&mut self, link: Link, wires: &mut dyn Wires) {
         let now = wires.now();
         self.lapse(link, wires);
+        self.give_up_unsent(link, wires);
         let Some(line) = self.lines.get_mut(&link) else { return };
         match line.phase {
             Phase::Dialling if now >= line.since + self.dial_timeout => {
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -147,6 +147,10 @@
 /// What owners of connections may do.
 pub trait Wires {
     fn now(&self) -> Micros;
+    /// The time at this very moment, where [`Wires::now`] is the time at which this turn of the loop began.
+    fn clock(&self) -> Micros {
+        self.now()
+    }
     /// Since when what is read now may have been there: long, where this process was not let run meanwhile.
     fn came_since(&self) -> Micros {
         self.now()
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -651,6 +651,10 @@
         self.now
     }
 
+    fn clock(&self) -> Micros {
+        self.clock.now()
+    }
+
     fn came_since(&self) -> Micros {
         let behind = self.behind.map_or(self.now, |(since, _)| since);
         self.queued_since.map_or(behind, |since| since.min(behind))
--- a/node/tests/momentary_failures.rs
+++ b/node/tests/momentary_failures.rs
@@ -154,6 +154,39 @@
     assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
 }
 
+/// A body that no socket buffer holds, to a server that does not read it for a second.
+#[test]
+fn a_request_that_leaves_too_slowly_is_not_told_an_old_deadline() {
+    let slow =
+        |call| Rule { rate: 0.98, endpoint: Endpoint::Dialled, ..fails(call, "ENOBUFS", 1_000..2_000) };
+    let short = Rule { effect: Effect::Short, rate: 1.0, ..slow(Call::Send) };
+    let mut node = Node::failing(220, &plan([slow(Call::Send), short]), |text| text);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    node.logged("watch-up");
+    until(&node, 1_050);
+    let gives_up = Instant::now() + Duration::from_secs(6);
+    let mut client = node.client();
+    let body = "x".repeat(60_000);
+    client.say(&format!("POST /plan HTTP/1.1\r\nX-Request-Id: i1\r\nX-Deadline-Ms: 6000\r\nContent-Length: 60000\r\n\r\n{body}"));
+    let mut connections = Vec::new();
+    loop {
+        let forward = speaking(&runner, &mut connections);
+        // Ended in its middle it does not run, and is sent again.
+        let mut whole = Vec::new();
+        while !whole.ends_with(body.as_bytes())
+            && forward.0.read_until(b'x', &mut whole).is_ok_and(|read| read > 0)
+        {}
+        if whole.ends_with(body.as_bytes()) {
+            let left = gives_up.saturating_duration_since(Instant::now());
+            let told = told_deadline(&String::from_utf8_lossy(&whole));
+            return assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+        }
+        connections.retain_mut(|peer| !peer.is_ended());
+    }
+}
+
 #[test]
 fn a_log_that_cannot_be_written_ends_nothing() {
     let full = |command: &mut std::process::Command| {
