A connection that this host cannot begin for a moment is not its server's fault

With ENFILE, ENOBUFS, EADDRNOTAVAIL or ENETUNREACH of a moment from socket or connect an attempt counted as 'no connection': its server was set aside for seconds, with one server nothing was sent for 2.15 s after the fault was over. A call to discovery that this host had kept from leaving renewed the lease on the list, as if discovery were down.

EINTR from connect means that it goes on.

--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -303,7 +303,7 @@
         if self.calls.len() >= CALLS_MOST {
             wires.cut(self.calls.remove(0).link, End::WatchSilent);
         }
-        let Some(link) = wires.dial(self.discovery, Side::Roster) else { return self.lost("no_socket") };
+        let link = wires.dial(self.discovery, Side::Roster);
         self.ask(link, false, wires);
     }
 
@@ -531,6 +531,12 @@
             wires.wake(Due::Link(link), call.due(self.pushed));
             return self.lost("silent");
         }
+        if wires.postponed(link) {
+            // That it never left is no fault of discovery's: something may have been missed all the same.
+            wires.cut(link, End::WatchSilent);
+            self.calls.remove(at);
+            return self.lost("not_dialled");
+        }
         wires.cut(link, End::WatchSilent);
         self.drop_call(at, "silent");
     }
--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -348,9 +348,7 @@
         let Some(runner) = self.by_id.get_mut(tgt) else {
             return self.unanswered(tgt, task, Ending::Void, false);
         };
-        let Some(link) = wires.dial(runner.address, Side::Runner) else {
-            return self.unanswered(tgt, task, Ending::Unreachable, false);
-        };
+        let link = wires.dial(runner.address, Side::Runner);
         runner.lines.push(link);
         let since = wires.now();
         let (phase, task, tgt) = (Phase::Dialling, Some(task), tgt.clone());
@@ -634,9 +632,11 @@
         match line.phase {
             Phase::Dialling if now >= line.since + self.dial_timeout => {
                 let (tgt, task) = (line.tgt.clone(), line.task.take());
+                // One that never began says nothing of its runner.
+                let ending = if wires.postponed(link) { Ending::Void } else { Ending::Unreachable };
                 self.end_line(link, End::DialTimeout, wires);
                 if let Some(task) = task {
-                    self.unanswered(&tgt, task, Ending::Unreachable, false);
+                    self.unanswered(&tgt, task, ending, false);
                 }
             }
             Phase::Idle if now >= line.since + self.idle_most => {
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -111,6 +111,8 @@
     Cancel(Id, u32),
     /// The brain's one timer.
     Tick,
+    /// A dial that the host kept from beginning is made again.
+    Dial(Link),
     /// Accepting, after it could not go on, those who come to this side.
     Accept(Side),
     /// A step of going down.
@@ -163,8 +165,12 @@
     fn connections(&self) -> usize;
     /// Ends the oldest client's connection that only waits for the other side's end, its last answer written.
     fn end_lingering(&mut self) -> bool;
-    /// A new connection, not yet up; none where no descriptor is left.
-    fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link>;
+    /// A new connection, not yet up.
+    fn dial(&mut self, to: SocketAddr, side: Side) -> Link;
+    /// Whether the host has kept a dial from beginning so far: nothing is known of the other end.
+    fn postponed(&self, _link: Link) -> bool {
+        false
+    }
     fn send(&mut self, link: Link, bytes: &[u8]);
     /// Whether a connection at rest can be used: not ended, and with nothing to read.
     fn fresh(&mut self, link: Link) -> bool;
--- a/node/src/net/errno.rs
+++ b/node/src/net/errno.rs
@@ -17,14 +17,17 @@
 }
 
 /// A shortage that every call which opens or grows something may meet.
-fn is_shortage(code: i32) -> bool {
-    matches!(code, libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM)
+const SHORTAGES: [i32; 4] = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+
+/// Whether descriptors or memory were short, so that ending a connection may help.
+pub fn is_shortage(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| SHORTAGES.contains(&code))
 }
 
 fn scope(error: &io::Error, of_call: &[i32], of_host: &[i32]) -> Scope {
     match error.raw_os_error() {
         Some(code) if of_call.contains(&code) => Scope::Call,
-        Some(code) if is_shortage(code) || of_host.contains(&code) => Scope::Host,
+        Some(code) if SHORTAGES.contains(&code) || of_host.contains(&code) => Scope::Host,
         _ => Scope::Connection,
     }
 }
@@ -34,9 +37,14 @@
     scope(error, &[libc::EAGAIN, libc::EINTR], &[])
 }
 
-/// `socket`, `bind`, `listen`, the poller's calls, threads: there is no other end yet.
-pub fn open(error: &io::Error) -> Scope {
-    scope(error, &[libc::EINTR], &[libc::EAGAIN, libc::ENOSPC])
+/// `connect`. Without a port or a route of our own nothing has been heard of the other end; an interrupted call goes on
+/// by itself.
+pub fn connect(error: &io::Error) -> Scope {
+    scope(
+        error,
+        &[libc::EINPROGRESS, libc::EINTR],
+        &[libc::EAGAIN, libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENETDOWN],
+    )
 }
 
 /// `recv` and `send` on a connection that is up.
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod arrivals;
 pub mod conn;
+pub mod dials;
 pub mod errno;
 pub mod http;
 pub mod log;
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -23,6 +23,7 @@
 use crate::life::handover;
 use crate::life::keeper::Keeper;
 use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
+use crate::net::dials::{self, DIAL_AGAIN, Dial, Dialled, Dials};
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
 
@@ -107,6 +108,9 @@
     broken: Vec<(Link, End)>,
     revisits: Vec<Link>,
     scratch: Vec<u8>,
+    dials: Dials,
+    /// What is to be sent on connections whose dials have not begun.
+    unsent: HashMap<Link, Vec<u8>>,
     /// Whether newcomers are being let in.
     accepting: bool,
     /// The system has given no descriptor since the last turn.
@@ -285,6 +289,8 @@
             broken: Vec::new(),
             revisits: Vec::new(),
             scratch: vec![0; 64 << 10],
+            dials: Dials::default(),
+            unsent: HashMap::new(),
             accepting: true,
             short: false,
         })
@@ -413,6 +419,12 @@
                     self.remove(link, end);
                 }
             }
+            Due::Dial(link) => {
+                if let Some(dial) = self.dials.take(link) {
+                    // Why was told the first time.
+                    let _ = self.begin_dial(link, dial);
+                }
+            }
             Due::Accept(side) => {
                 self.open(door_of(doors, side), side != Side::Client || self.accepting)?;
             }
@@ -431,7 +443,7 @@
 
     /// A connection to another process of this dispatcher.
     fn meet(&mut self, stream: UnixStream, listen: SocketAddr) -> Option<Link> {
-        self.add(Conn::new(stream.into(), Side::Peer, listen, false, self.now))
+        self.add_new(Conn::new(stream.into(), Side::Peer, listen, false, self.now))
     }
 
     fn hand_over(&mut self, desk: &mut Desk, successor: Option<&UnixListener>, doors: &[Door]) {
@@ -465,7 +477,9 @@
                 Ok((stream, peer)) => {
                     // Where this fails the stream is not usable, which reading will tell.
                     let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-                    if let Some(link) = self.add(Conn::new(stream.into(), door.side, peer, false, self.now)) {
+                    if let Some(link) =
+                        self.add_new(Conn::new(stream.into(), door.side, peer, false, self.now))
+                    {
                         desk.accepted(door.side, link, self);
                         self.read_queued(link, door, desk);
                     }
@@ -502,9 +516,39 @@
         self.open(Some(door), false)
     }
 
-    fn add(&mut self, mut conn: Conn) -> Option<Link> {
-        let link = self.next;
+    fn next_link(&mut self) -> Link {
         self.next += 1;
+        self.next - 1
+    }
+
+    /// Makes a dial, or has it made again soon where the host keeps it from beginning, and says why it does.
+    fn begin_dial(&mut self, link: Link, dial: Dial) -> io::Result<()> {
+        let Dial { to, side } = dial;
+        let (socket, failed) = match dials::dial(to) {
+            Dialled::Begun(socket) => (socket, None),
+            Dialled::Failed(socket, error) => (socket, Some(error)),
+            Dialled::Postponed(error) => return Err(self.postpone(link, dial, error)),
+        };
+        if !self.add(link, Conn::new(socket, side, to, true, self.now)) {
+            return Err(self.postpone(link, dial, io::Error::other("not watched")));
+        }
+        if let Some(bytes) = self.unsent.remove(&link) {
+            self.send(link, &bytes);
+        }
+        if let Some(error) = failed {
+            self.broken.push((link, never_up(&error)));
+        }
+        Ok(())
+    }
+
+    fn postpone(&mut self, link: Link, dial: Dial, error: io::Error) -> io::Error {
+        self.short |= errno::is_shortage(&error);
+        self.dials.postpone(link, dial);
+        self.wake(Due::Dial(link), self.now + DIAL_AGAIN);
+        error
+    }
+
+    fn add(&mut self, link: Link, mut conn: Conn) -> bool {
         let (reads, writes) = conn.wants();
         // SAFETY: `remove` takes the socket out of the poller before it is closed.
         let added = unsafe {
@@ -513,14 +557,23 @@
         };
         if let Err(error) = added {
             log!("connection-refused", "side={} reason={error}", conn.side.code());
-            return None;
+            return false;
         }
         conn.watched = (reads, writes);
         self.conns.insert(link, conn);
-        Some(link)
+        true
+    }
+
+    fn add_new(&mut self, conn: Conn) -> Option<Link> {
+        let link = self.next_link();
+        self.add(link, conn).then_some(link)
     }
 
     fn remove(&mut self, link: Link, end: End) {
+        if let Some(Dial { to, side }) = self.dials.take(link) {
+            self.unsent.remove(&link);
+            log!("dial-given-up", "link={link} side={} peer={to} reason={}", side.code(), end.code());
+        }
         let Some(conn) = self.conns.remove(&link) else { return };
         let _ = self.poller.delete(&conn.stream);
         let (side, peer, ms) = (conn.side.code(), conn.peer, (self.now - conn.since) / 1000);
@@ -676,31 +729,22 @@
         oldest.inspect(|(link, end)| self.remove(*link, *end)).is_some()
     }
 
-    fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
-        let dialled = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).and_then(|s| {
-            s.set_nonblocking(true)?;
-            s.set_tcp_nodelay(true)?;
-            Ok(s)
-        });
-        let socket = match dialled {
-            Ok(socket) => socket,
-            Err(error) => {
-                log!("dial-failed", "side={} peer={to} reason={error}", side.code());
-                self.short |= errno::open(&error) == Scope::Host;
-                return None;
-            }
-        };
-        // Whatever else this says, such as that it is under way, is told again when it has come to its end.
-        let failed =
-            socket.connect(&to.into()).err().filter(|error| error.raw_os_error() != Some(libc::EINPROGRESS));
-        let link = self.add(Conn::new(socket, side, to, true, self.now))?;
-        if let Some(error) = failed {
-            self.broken.push((link, never_up(&error)));
+    fn dial(&mut self, to: SocketAddr, side: Side) -> Link {
+        let link = self.next_link();
+        if let Err(error) = self.begin_dial(link, Dial { to, side }) {
+            log!("dial-postponed", "link={link} side={} peer={to} reason={error}", side.code());
         }
-        Some(link)
+        link
+    }
+
+    fn postponed(&self, link: Link) -> bool {
+        self.dials.is_postponed(link)
     }
 
     fn send(&mut self, link: Link, bytes: &[u8]) {
+        if self.dials.is_postponed(link) {
+            return self.unsent.entry(link).or_default().extend_from_slice(bytes);
+        }
         let Some(conn) = self.conns.get_mut(&link) else { return };
         conn.queue(bytes);
         match conn.flush() {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -73,10 +73,10 @@
         ended.is_some()
     }
 
-    fn dial(&mut self, to: SocketAddr, side: Side) -> Option<Link> {
+    fn dial(&mut self, to: SocketAddr, side: Side) -> Link {
         let link = self.open(side);
         self.say(&format!("#{link} dials {to}"));
-        Some(link)
+        link
     }
 
     fn send(&mut self, link: Link, bytes: &[u8]) {
