--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -8,8 +8,8 @@
 use crate::config;
 use crate::life::migrate::{self, Place};
 use crate::life::shown::shown;
+use crate::life::start::{self, DiskAt};
 use crate::net::log::log;
-use crate::net::reactor::{self, DiskAt};
 use topazsail_store::Folder;
 
 const HELP: &str = "\
@@ -48,7 +48,7 @@
         return Err(format!("unexpected {more:?}; see --help"));
     }
     match command.as_deref() {
-        Some("serve") => reactor::serve(&config::path(path)?, disk_at),
+        Some("serve") => start::serve(&config::path(path)?, disk_at),
         Some("check") => {
             let told = config::load(&config::path(path)?)?;
             let operations = told.decoded.operations.join(", ");
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,6 +1,7 @@
-//! What one process of a dispatcher leaves to the next.
+//! The life of a process: its start, what it keeps, and what it leaves to the next.
 
 pub mod handover;
 pub mod keeper;
 pub mod migrate;
 pub mod shown;
+pub mod start;
--- /dev/null
+++ b/node/src/life/start.rs
@@ -0,0 +1,158 @@
+//! The start of a process that serves: its configuration, what another process hands over, its sockets and its store;
+//! then the loop, until it ends.
+
+use std::io;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use polling::{Event, PollMode};
+use topazsail_store::Disk;
+
+use crate::config;
+use crate::desk::Desk;
+use crate::life::handover;
+use crate::life::keeper::Keeper;
+use crate::net::conn::{Side, Wires};
+use crate::net::log::log;
+use crate::net::reactor::{DOORS, Door, PEERS, RELOAD, Reactor, SIGNAL, SUCCESSOR};
+use crate::net::sockets::{listen, talk};
+
+/// How long a process that ends waits for its disk.
+const CLOSED_WITHIN: Duration = Duration::from_millis(500);
+
+/// The end of a pipe that gets a byte whenever the signal is raised.
+fn raised(signal: i32) -> io::Result<UnixStream> {
+    let (read, raised) = UnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    signal_hook::low_level::pipe::register(signal, raised)?;
+    Ok(read)
+}
+
+/// Makes the disk below a store's folder: the real one, or one that fails on purpose.
+pub type DiskAt = fn(&Path) -> io::Result<Box<dyn Disk>>;
+
+/// Nobody else has the folder of the store: known before anything listens. A disk on which nothing can be written
+/// now is no fault of the configuration.
+fn locked(told: &config::Dispatcher, disk_at: DiskAt) -> Result<Option<Box<dyn Disk>>, String> {
+    let Some(store) = &told.store else { return Ok(None) };
+    let fault = |error: io::Error| format!("store.folder {}: {error}", store.folder.display());
+    if !store.folder.is_dir() {
+        return Err(fault(io::Error::new(io::ErrorKind::NotADirectory, "no such folder")));
+    }
+    let mut disk = disk_at(&store.folder).map_err(fault)?;
+    match disk.lock() {
+        Ok(()) => Ok(Some(disk)),
+        Err(error)
+            if !store.require
+                && matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::ReadOnlyFilesystem) =>
+        {
+            Ok(None)
+        }
+        Err(error) => Err(fault(error)),
+    }
+}
+
+/// Serves by the configuration in `path`, which is read again at each SIGHUP.
+pub fn serve(path: &str, disk_at: DiskAt) -> Result<(), String> {
+    let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
+    let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
+    let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
+    // A file that may not grow is an error of the write, and no signal.
+    let ignored = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(libc::SIGXFSZ, ignored).map_err(fault("signal"))?;
+    let (told, given) = begin(path)?;
+    let locked = if given.is_none() { locked(&told, disk_at)? } else { None };
+    let addresses = [(Side::Client, Some(told.listen)), (Side::Operator, told.admin)];
+    let mut doors = Vec::new();
+    for (side, address) in addresses {
+        let Some(address) = address else { continue };
+        let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
+        let listener =
+            given.unwrap_or_else(|| listen(address)).map_err(|error| format!("listen {address}: {error}"))?;
+        doors.push(Door { listener, side, key: DOORS + doors.len() });
+    }
+    let mut reactor = Reactor::new().map_err(fault("poller"))?;
+    // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
+    unsafe {
+        let mut added = reactor
+            .poller
+            .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot)
+            .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level));
+        for door in &doors {
+            let event = Event::readable(door.key);
+            added = added.and_then(|()| reactor.poller.add_with_mode(&door.listener, event, PollMode::Level));
+        }
+        added.map_err(fault("poller"))?;
+    }
+    if let Some(peers) = &told.peers {
+        let socket = talk(peers.listen).map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
+        // SAFETY: it is kept beside the poller and never closed before it.
+        unsafe {
+            let added = reactor.poller.add_with_mode(&socket, Event::readable(PEERS), PollMode::Level);
+            added.map_err(fault("poller"))?;
+        }
+        reactor.datagrams = Some(socket);
+    }
+    let admin = told.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
+    let (listen, discovery) = (told.listen, told.discovery);
+    log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", told.name);
+    // Only now: whoever served until now has been asked.
+    let successor = handover::place(listen).and_then(|place| {
+        let offered = handover::offer(&place);
+        offered.inspect_err(|error| log!("handover-failed", "reason={:?}", error.to_string())).ok()
+    });
+    if let Some(successor) = &successor {
+        // SAFETY: as above.
+        unsafe {
+            let added = reactor.poller.add_with_mode(successor, Event::readable(SUCCESSOR), PollMode::Level);
+            added.map_err(fault("poller"))?;
+        }
+    }
+    let keeper = match &told.store {
+        None => None,
+        Some(store) => {
+            let (folder, poller) = (store.folder.clone(), reactor.poller.clone());
+            let id = topazsail::hash(format!("{} {} {}", told.name, told.seed, reactor.now()).as_bytes());
+            let disks = Box::new(move || disk_at(&folder));
+            let wake = move || drop(poller.notify());
+            let kept = Keeper::start(locked, disks, told.name.clone(), id, wake);
+            Some(kept.map_err(fault("store"))?)
+        }
+    };
+    let (other, state) = given.map(|given| ((given.stream, given.since), given.state)).unzip();
+    let mut desk = Desk::new(told, state, keeper, &mut reactor);
+    if let Some((stream, since)) = other
+        && let Some(link) = reactor.meet(stream, listen)
+    {
+        desk.takes_over(link, since, &mut reactor);
+    }
+    let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&reload, path));
+    run.map_err(fault("poller"))?;
+    let fatal = desk.fatal();
+    desk.leave(reactor.clock(), CLOSED_WITHIN);
+    if let Some(why) = fatal {
+        return Err(why);
+    }
+    log!("ended", "connections={}", reactor.connections());
+    Ok(())
+}
+
+/// The configuration, and what a process that serves at this address hands over. A file that is no good now
+/// does not keep a new process from going on with the one in force.
+fn begin(path: &str) -> Result<(config::Dispatcher, Option<handover::Given>), String> {
+    let told = config::load(path);
+    let listen = told.as_ref().map_or_else(|_| config::listen(), |told| Some(told.listen));
+    let given = listen.and_then(handover::place).and_then(|place| handover::ask(&place));
+    let given = given.filter(|given| given.listener.local_addr().ok() == listen);
+    let told = match (told, &given) {
+        (Err(fault), Some(given)) => {
+            log!("configuration-refused", "reason={fault:?}");
+            config::in_force(&given.state.configuration)?
+        }
+        (told, _) => told?,
+    };
+    Ok((told, given))
+}
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod log;
 pub mod reactor;
+pub mod sockets;
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -7,40 +7,34 @@
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use polling::{Event, Events, PollMode, Poller};
-use socket2::{Domain, Protocol, Socket, Type};
 use topazsail::Micros;
 use topazsail_peers::PACKET_MOST;
-use topazsail_store::Disk;
 
 use crate::config;
 use crate::desk::Desk;
 use crate::life::handover;
-use crate::life::keeper::Keeper;
 use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::net::dials::{self, DIAL_AGAIN, Dial, Dialled, Dials};
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
 
-const SIGNAL: usize = 0;
-const RELOAD: usize = 1;
+pub const SIGNAL: usize = 0;
+pub const RELOAD: usize = 1;
 /// A successor asks for what this process has.
-const SUCCESSOR: usize = 2;
+pub const SUCCESSOR: usize = 2;
 /// A datagram has come from another dispatcher.
-const PEERS: usize = 3;
+pub const PEERS: usize = 3;
 /// The keys of the doors, in their order.
-const DOORS: usize = 4;
+pub const DOORS: usize = 4;
 const FIRST_LINK: Link = 6;
 /// Buffers read from one client in a turn, while they come full: its end may be behind them.
 const READS_ON: usize = 16;
 /// Datagrams read in one turn: clients come first.
 const DATAGRAMS: usize = 256;
-const BACKLOG: i32 = 1024;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
 /// Accepting rests for so long where no descriptor is left.
@@ -53,8 +47,6 @@
 /// How long it may then take to read what had come meanwhile. That a client has left is not left to this: it is looked
 /// at when its forward leaves.
 const CATCHES_UP: Micros = 100_000;
-/// How long a process that ends waits for its disk.
-const CLOSED_WITHIN: Duration = Duration::from_millis(500);
 /// How long the other side may take to read a last answer and to end.
 const FINISH_WITHIN: Micros = 2_000_000;
 
@@ -77,11 +69,11 @@
 }
 
 /// Where connections come in, and whose they are.
-struct Door {
-    listener: TcpListener,
-    side: Side,
+pub struct Door {
+    pub listener: TcpListener,
+    pub side: Side,
     /// What the poller knows it by.
-    key: usize,
+    pub key: usize,
 }
 
 fn door_of(doors: &[Door], side: Side) -> Option<&Door> {
@@ -89,9 +81,9 @@
 }
 
 pub struct Reactor {
-    poller: Arc<Poller>,
+    pub poller: Arc<Poller>,
     /// Where other dispatchers are heard, if anywhere.
-    datagrams: Option<UdpSocket>,
+    pub datagrams: Option<UdpSocket>,
     clock: Clock,
     now: Micros,
     /// While it catches up after having stood still: since when, and until when.
@@ -117,162 +109,8 @@
     short: bool,
 }
 
-/// The end of a pipe that gets a byte whenever the signal is raised.
-fn raised(signal: i32) -> io::Result<UnixStream> {
-    let (read, raised) = UnixStream::pair()?;
-    read.set_nonblocking(true)?;
-    signal_hook::low_level::pipe::register(signal, raised)?;
-    Ok(read)
-}
-
-/// Makes the disk below a store's folder: the real one, or one that fails on purpose.
-pub type DiskAt = fn(&Path) -> io::Result<Box<dyn Disk>>;
-
-/// Nobody else has the folder of the store: known before anything listens. A disk on which nothing can be written
-/// now is no fault of the configuration.
-fn locked(told: &config::Dispatcher, disk_at: DiskAt) -> Result<Option<Box<dyn Disk>>, String> {
-    let Some(store) = &told.store else { return Ok(None) };
-    let fault = |error: io::Error| format!("store.folder {}: {error}", store.folder.display());
-    if !store.folder.is_dir() {
-        return Err(fault(io::Error::new(io::ErrorKind::NotADirectory, "no such folder")));
-    }
-    let mut disk = disk_at(&store.folder).map_err(fault)?;
-    match disk.lock() {
-        Ok(()) => Ok(Some(disk)),
-        Err(error)
-            if !store.require
-                && matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::ReadOnlyFilesystem) =>
-        {
-            Ok(None)
-        }
-        Err(error) => Err(fault(error)),
-    }
-}
-
-/// Serves by the configuration in `path`, which is read again at each SIGHUP.
-pub fn serve(path: &str, disk_at: DiskAt) -> Result<(), String> {
-    let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
-    let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
-    let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
-    // A file that may not grow is an error of the write, and no signal.
-    let ignored = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(libc::SIGXFSZ, ignored).map_err(fault("signal"))?;
-    let (told, given) = begin(path)?;
-    let locked = if given.is_none() { locked(&told, disk_at)? } else { None };
-    let addresses = [(Side::Client, Some(told.listen)), (Side::Operator, told.admin)];
-    let mut doors = Vec::new();
-    for (side, address) in addresses {
-        let Some(address) = address else { continue };
-        let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
-        let listener =
-            given.unwrap_or_else(|| listen(address)).map_err(|error| format!("listen {address}: {error}"))?;
-        doors.push(Door { listener, side, key: DOORS + doors.len() });
-    }
-    let mut reactor = Reactor::new().map_err(fault("poller"))?;
-    // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
-    unsafe {
-        let mut added = reactor
-            .poller
-            .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot)
-            .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level));
-        for door in &doors {
-            let event = Event::readable(door.key);
-            added = added.and_then(|()| reactor.poller.add_with_mode(&door.listener, event, PollMode::Level));
-        }
-        added.map_err(fault("poller"))?;
-    }
-    if let Some(peers) = &told.peers {
-        let socket = talk(peers.listen).map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
-        // SAFETY: it is kept beside the poller and never closed before it.
-        unsafe {
-            let added = reactor.poller.add_with_mode(&socket, Event::readable(PEERS), PollMode::Level);
-            added.map_err(fault("poller"))?;
-        }
-        reactor.datagrams = Some(socket);
-    }
-    let admin = told.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
-    let (listen, discovery) = (told.listen, told.discovery);
-    log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", told.name);
-    // Only now: whoever served until now has been asked.
-    let successor = handover::place(listen).and_then(|place| {
-        let offered = handover::offer(&place);
-        offered.inspect_err(|error| log!("handover-failed", "reason={:?}", error.to_string())).ok()
-    });
-    if let Some(successor) = &successor {
-        // SAFETY: as above.
-        unsafe {
-            let added = reactor.poller.add_with_mode(successor, Event::readable(SUCCESSOR), PollMode::Level);
-            added.map_err(fault("poller"))?;
-        }
-    }
-    let keeper = match &told.store {
-        None => None,
-        Some(store) => {
-            let (folder, poller) = (store.folder.clone(), reactor.poller.clone());
-            let id = topazsail::hash(format!("{} {} {}", told.name, told.seed, reactor.now).as_bytes());
-            let disks = Box::new(move || disk_at(&folder));
-            let wake = move || drop(poller.notify());
-            let kept = Keeper::start(locked, disks, told.name.clone(), id, wake);
-            Some(kept.map_err(fault("store"))?)
-        }
-    };
-    let (other, state) = given.map(|given| ((given.stream, given.since), given.state)).unzip();
-    let mut desk = Desk::new(told, state, keeper, &mut reactor);
-    if let Some((stream, since)) = other
-        && let Some(link) = reactor.meet(stream, listen)
-    {
-        desk.takes_over(link, since, &mut reactor);
-    }
-    let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&reload, path));
-    run.map_err(fault("poller"))?;
-    let fatal = desk.fatal();
-    desk.leave(reactor.clock.now(), CLOSED_WITHIN);
-    if let Some(why) = fatal {
-        return Err(why);
-    }
-    log!("ended", "connections={}", reactor.conns.len());
-    Ok(())
-}
-
-/// The configuration, and what a process that serves at this address hands over. A file that is no good now
-/// does not keep a new process from going on with the one in force.
-fn begin(path: &str) -> Result<(config::Dispatcher, Option<handover::Given>), String> {
-    let told = config::load(path);
-    let listen = told.as_ref().map_or_else(|_| config::listen(), |told| Some(told.listen));
-    let given = listen.and_then(handover::place).and_then(|place| handover::ask(&place));
-    let given = given.filter(|given| given.listener.local_addr().ok() == listen);
-    let told = match (told, &given) {
-        (Err(fault), Some(given)) => {
-            log!("configuration-refused", "reason={fault:?}");
-            config::in_force(&given.state.configuration)?
-        }
-        (told, _) => told?,
-    };
-    Ok((told, given))
-}
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    // For an upgrade in which the other process cannot hand over its own listener.
-    socket.set_reuse_port(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
-/// The socket to other dispatchers. In an upgrade the other process may still have its own there for a moment.
-fn talk(address: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
-    socket.set_reuse_port(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    Ok(socket.into())
-}
-
 impl Reactor {
-    fn new() -> io::Result<Reactor> {
+    pub fn new() -> io::Result<Reactor> {
         let clock = Clock::new();
         Ok(Reactor {
             poller: Arc::new(Poller::new()?),
@@ -296,7 +134,7 @@
         })
     }
 
-    fn run(
+    pub fn run(
         &mut self,
         desk: &mut Desk,
         doors: &[Door],
@@ -442,7 +280,7 @@
     }
 
     /// A connection to another process of this dispatcher.
-    fn meet(&mut self, stream: UnixStream, listen: SocketAddr) -> Option<Link> {
+    pub fn meet(&mut self, stream: UnixStream, listen: SocketAddr) -> Option<Link> {
         self.add_new(Conn::new(stream.into(), Side::Peer, listen, false, self.now))
     }
 
