What the host fails for a moment at a start or at SIGHUP is made again

A process that could not open its socket, its poller, its signals' pipes, its store's lock or its configuration at the first try ended (exit code 1), and one that could not read its file at SIGHUP refused the configuration for good: it went on asking a discovery that had moved.

What does not pass (no such file, a bad field) is told at once as before. Why a configuration cannot be loaded is a type now (config::LoadError).

Not covered: EAGAIN from the store's thread.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -4,7 +4,9 @@
 //! It owns the form of that file. It must never guess at what is missing: a fault names its field.
 
 use std::env;
+use std::fmt;
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -13,6 +15,7 @@
 use topazsail_peers::Member;
 
 use crate::back::roster::Listed;
+use crate::net::errno::{self, Scope};
 
 /// Other dispatchers that there may be.
 const PEERS_MOST: usize = 4_096;
@@ -77,8 +80,44 @@
     limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX).saturating_sub(OTHERS))
 }
 
-pub fn load(path: &str) -> Result<Dispatcher, String> {
-    with_admin(read(path, decode)?)
+/// Why a configuration cannot be used; the file, and the field where one is at fault.
+#[derive(Debug)]
+pub enum LoadError {
+    /// The file cannot be read.
+    Unreadable { path: String, error: io::Error },
+    /// What it holds, or what the environment adds, is no configuration.
+    Bad(String),
+}
+
+impl LoadError {
+    /// Whether the host failed to read the file for a reason that may pass by itself.
+    pub fn passes(&self) -> bool {
+        match self {
+            LoadError::Unreadable { error, .. } => errno::file(error) != Scope::Connection,
+            LoadError::Bad(_) => false,
+        }
+    }
+}
+
+impl fmt::Display for LoadError {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            LoadError::Unreadable { path, error } => write!(to, "configuration {path}: {error}"),
+            LoadError::Bad(fault) => to.write_str(fault),
+        }
+    }
+}
+
+impl std::error::Error for LoadError {}
+
+impl From<LoadError> for String {
+    fn from(error: LoadError) -> String {
+        error.to_string()
+    }
+}
+
+pub fn load(path: &str) -> Result<Dispatcher, LoadError> {
+    with_admin(read(path, decode)?).map_err(LoadError::Bad)
 }
 
 /// The configuration that another process of this dispatcher goes by.
@@ -94,9 +133,10 @@
 }
 
 /// What is made of a file's text; a fault names the file.
-pub fn read<T>(path: &str, make: impl FnOnce(&str) -> Result<T, String>) -> Result<T, String> {
-    let text = fs::read_to_string(path).map_err(|error| error.to_string());
-    text.and_then(|text| make(&text)).map_err(|fault| format!("configuration {path}: {fault}"))
+pub fn read<T>(path: &str, make: impl FnOnce(&str) -> Result<T, String>) -> Result<T, LoadError> {
+    let unreadable = |error| LoadError::Unreadable { path: path.to_owned(), error };
+    let text = fs::read_to_string(path).map_err(unreadable)?;
+    make(&text).map_err(|fault| LoadError::Bad(format!("configuration {path}: {fault}")))
 }
 
 pub fn decode(text: &str) -> Result<Dispatcher, String> {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -523,7 +523,7 @@
             Due::Keep => self.keep_list(),
             Due::Peers => self.round(wires),
             Due::Kept(ticket) => self.not_kept_in_time(ticket, wires),
-            Due::Link(_) | Due::Finish(_) | Due::Accept(_) | Due::Dial(_) => {}
+            Due::Link(_) | Due::Finish(_) | Due::Accept(_) | Due::Dial(_) | Due::Reload => {}
         }
     }
 
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -3,5 +3,6 @@
 pub mod handover;
 pub mod keeper;
 pub mod migrate;
+pub mod patience;
 pub mod shown;
 pub mod start;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -6,16 +6,19 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 use polling::{Event, PollMode};
 use topazsail_store::Disk;
 
-use crate::config;
+use crate::config::{self, LoadError};
 use crate::desk::Desk;
 use crate::life::handover;
 use crate::life::keeper::Keeper;
+use crate::life::patience::{AGAIN, START_WITHIN, patiently};
 use crate::net::conn::{Side, Wires};
+use crate::net::errno::{self, Scope};
 use crate::net::log::log;
 use crate::net::reactor::{DOORS, Door, PEERS, RELOAD, Reactor, SIGNAL, SUCCESSOR};
 use crate::net::sockets::{listen, talk};
@@ -25,7 +28,7 @@
 
 /// The end of a pipe that gets a byte whenever the signal is raised.
 fn raised(signal: i32) -> io::Result<UnixStream> {
-    let (read, raised) = UnixStream::pair()?;
+    let (read, raised) = patiently(errno::open, UnixStream::pair)?;
     read.set_nonblocking(true)?;
     signal_hook::low_level::pipe::register(signal, raised)?;
     Ok(read)
@@ -42,15 +45,14 @@
     if !store.folder.is_dir() {
         return Err(fault(io::Error::new(io::ErrorKind::NotADirectory, "no such folder")));
     }
-    let mut disk = disk_at(&store.folder).map_err(fault)?;
-    match disk.lock() {
-        Ok(()) => Ok(Some(disk)),
-        Err(error)
-            if !store.require
-                && matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::ReadOnlyFilesystem) =>
-        {
-            Ok(None)
-        }
+    let locked = patiently(errno::file, || {
+        let mut disk = disk_at(&store.folder)?;
+        disk.lock().map(|()| disk)
+    });
+    match locked {
+        Ok(disk) => Ok(Some(disk)),
+        // The store opens it later.
+        Err(error) if !store.require && errno::file(&error) != Scope::Connection => Ok(None),
         Err(error) => Err(fault(error)),
     }
 }
@@ -70,11 +72,12 @@
     for (side, address) in addresses {
         let Some(address) = address else { continue };
         let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
-        let listener =
-            given.unwrap_or_else(|| listen(address)).map_err(|error| format!("listen {address}: {error}"))?;
+        let listener = given
+            .unwrap_or_else(|| patiently(errno::open, || listen(address)))
+            .map_err(|error| format!("listen {address}: {error}"))?;
         doors.push(Door { listener, side, key: DOORS + doors.len() });
     }
-    let mut reactor = Reactor::new().map_err(fault("poller"))?;
+    let mut reactor = patiently(errno::open, Reactor::new).map_err(fault("poller"))?;
     // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
     unsafe {
         let mut added = reactor
@@ -88,7 +91,8 @@
         added.map_err(fault("poller"))?;
     }
     if let Some(peers) = &told.peers {
-        let socket = talk(peers.listen).map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
+        let socket = patiently(errno::open, || talk(peers.listen))
+            .map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
         // SAFETY: it is kept beside the poller and never closed before it.
         unsafe {
             let added = reactor.poller.add_with_mode(&socket, Event::readable(PEERS), PollMode::Level);
@@ -140,16 +144,27 @@
     Ok(())
 }
 
+/// The configuration; a file that the host cannot read for a moment is read again.
+fn load(path: &str) -> Result<config::Dispatcher, LoadError> {
+    let until = Instant::now() + START_WITHIN;
+    loop {
+        match config::load(path) {
+            Err(error) if error.passes() && Instant::now() < until => sleep(AGAIN),
+            told => return told,
+        }
+    }
+}
+
 /// The configuration, and what a process that serves at this address hands over. A file that is no good now
 /// does not keep a new process from going on with the one in force.
 fn begin(path: &str) -> Result<(config::Dispatcher, Option<handover::Given>), String> {
-    let told = config::load(path);
+    let told = load(path);
     let listen = told.as_ref().map_or_else(|_| config::listen(), |told| Some(told.listen));
     let given = listen.and_then(handover::place).and_then(|place| handover::ask(&place));
     let given = given.filter(|given| given.listener.local_addr().ok() == listen);
     let told = match (told, &given) {
         (Err(fault), Some(given)) => {
-            log!("configuration-refused", "reason={fault:?}");
+            log!("configuration-refused", "reason={:?}", fault.to_string());
             config::in_force(&given.state.configuration)?
         }
         (told, _) => told?,
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -111,6 +111,8 @@
     Cancel(Id, u32),
     /// The brain's one timer.
     Tick,
+    /// The configuration, which the host could not read, is read again.
+    Reload,
     /// A dial that the host kept from beginning is made again.
     Dial(Link),
     /// Accepting, after it could not go on, those who come to this side.
--- a/node/src/net/errno.rs
+++ b/node/src/net/errno.rs
@@ -37,6 +37,11 @@
     scope(error, &[libc::EAGAIN, libc::EINTR], &[])
 }
 
+/// `socket`, `bind`, `listen`, the poller's calls, threads: there is no other end yet.
+pub fn open(error: &io::Error) -> Scope {
+    scope(error, &[libc::EINTR], &[libc::EAGAIN, libc::ENOSPC])
+}
+
 /// `connect`. Without a port or a route of our own nothing has been heard of the other end; an interrupted call goes on
 /// by itself.
 pub fn connect(error: &io::Error) -> Scope {
@@ -51,3 +56,8 @@
 pub fn transfer(error: &io::Error) -> Scope {
     scope(error, &[libc::EAGAIN, libc::EINTR], &[])
 }
+
+/// Reading a file that was there, and writing one: the disk may work again.
+pub fn file(error: &io::Error) -> Scope {
+    scope(error, &[libc::EINTR], &[libc::EIO, libc::ENOSPC, libc::EDQUOT, libc::EROFS, libc::EAGAIN])
+}
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -47,6 +47,9 @@
 /// How long it may then take to read what had come meanwhile. That a client has left is not left to this: it is looked
 /// at when its forward leaves.
 const CATCHES_UP: Micros = 100_000;
+/// A configuration that the host cannot read is read again after so long, for so long.
+const RELOAD_AGAIN: Micros = 50_000;
+const RELOAD_WITHIN: Micros = 30_000_000;
 /// How long the other side may take to read a last answer and to end.
 const FINISH_WITHIN: Micros = 2_000_000;
 
@@ -103,6 +106,8 @@
     dials: Dials,
     /// What is to be sent on connections whose dials have not begun.
     unsent: HashMap<Link, Vec<u8>>,
+    /// Until when a configuration that the host cannot read is read again.
+    reload_until: Micros,
     /// Whether newcomers are being let in.
     accepting: bool,
     /// The system has given no descriptor since the last turn.
@@ -129,6 +134,7 @@
             scratch: vec![0; 64 << 10],
             dials: Dials::default(),
             unsent: HashMap::new(),
+            reload_until: 0,
             accepting: true,
             short: false,
         })
@@ -139,7 +145,7 @@
         desk: &mut Desk,
         doors: &[Door],
         successor: Option<&UnixListener>,
-        (reload, path): (&UnixStream, &str),
+        reload: (&UnixStream, &str),
     ) -> io::Result<()> {
         let mut events = Events::new();
         // What the start took is no standing still.
@@ -167,7 +173,7 @@
             for event in clients.into_iter().chain(others) {
                 match event.key {
                     SIGNAL => desk.go_down(self),
-                    RELOAD => self.reload(desk, reload, path),
+                    RELOAD => self.reload(desk, reload),
                     PEERS => self.hear(desk),
                     SUCCESSOR => self.hand_over(desk, successor, doors),
                     key => match doors.iter().find(|door| door.key == key) {
@@ -179,7 +185,7 @@
             self.call_back(desk);
             while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let due = entry.remove();
-                self.fall_due(due, desk, doors)?;
+                self.fall_due(due, desk, (doors, reload.1))?;
             }
             if std::mem::take(&mut self.short) {
                 desk.out_of_descriptors(self);
@@ -207,12 +213,22 @@
     }
 
     /// SIGHUP, once or more: what is running goes on whatever the file holds.
-    fn reload(&mut self, desk: &mut Desk, mut raised: &UnixStream, path: &str) {
+    fn reload(&mut self, desk: &mut Desk, (mut raised, path): (&UnixStream, &str)) {
         // All bytes are taken before the file is read: a signal that comes after that has it read once more.
         while raised.read(&mut self.scratch).is_ok_and(|read| read > 0) {}
+        self.reload_until = self.now + RELOAD_WITHIN;
+        self.read_configuration(desk, path);
+    }
+
+    /// The configuration is read, and again while the host fails that for a moment.
+    fn read_configuration(&mut self, desk: &mut Desk, path: &str) {
         match config::load(path) {
             Ok(told) => desk.reload(told, self),
-            Err(fault) => desk.turn_down(&fault),
+            Err(error) if error.passes() && self.now < self.reload_until => {
+                log!("configuration-delayed", "reason={:?}", error.to_string());
+                self.wake(Due::Reload, self.now + RELOAD_AGAIN);
+            }
+            Err(error) => desk.turn_down(&error.to_string()),
         }
     }
 
@@ -244,7 +260,7 @@
         Some(Duration::from_micros((at - self.clock.now()).max(0) as u64).min(LOOKS_UP))
     }
 
-    fn fall_due(&mut self, due: Due, desk: &mut Desk, doors: &[Door]) -> io::Result<()> {
+    fn fall_due(&mut self, due: Due, desk: &mut Desk, (doors, path): (&[Door], &str)) -> io::Result<()> {
         match due {
             Due::Link(link) => {
                 if let Some(side) = self.conns.get(&link).map(|conn| conn.side) {
@@ -257,6 +273,7 @@
                     self.remove(link, end);
                 }
             }
+            Due::Reload => self.read_configuration(desk, path),
             Due::Dial(link) => {
                 if let Some(dial) = self.dials.take(link) {
                     // Why was told the first time.
