Before it ends a process looks at its queue of connections, and a signal is no look

The loop ended by a time of its own, though nobody watched a paused listener; a wait that EINTR had cut short counted as a look that found nothing.

The last look accepts whoever queues, is made again after EINTR, and where clients still have connections the process stays until 0.1 s before it may be killed (longest timeout + 0.6 s; before: + 0.32 s). Accept is tried again after 10 ms where the host failed it.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -52,6 +52,8 @@
 const DOWN_LONGEST: Micros = 3_000_000;
 /// Whatever is not answered so long after the longest client timeout is given up, well before we are killed.
 const DOWN_GRACE: Micros = 300_000;
+/// So long after that the process ends, whoever still has a connection; 0.1 s before it is killed at the earliest.
+const END_GRACE: Micros = 300_000;
 const DOWN_STEP: Micros = 50_000;
 /// A start says that it is ready once it has a list that it may act upon, or after this: nine in ten must be ready within
 /// 10 s, however long discovery keeps them waiting.
@@ -500,9 +502,17 @@
     pub fn is_down(&self, now: Micros) -> bool {
         let Some(since) = self.down_since else { return false };
         let owed = self.invs.values().any(|open| !open.answered);
-        let at_work = self.clients.remain() || self.runners.cancelling();
+        let clients = self.clients.remain();
         let (kept, all) = self.down_spans();
-        !owed && (now >= since + kept && !at_work || now >= since + all + 2 * OVERDUE)
+        // Cancels are waited for no longer than answers; clients may send on what they have until we are killed.
+        let cancelling = self.runners.cancelling() && now < since + all + 2 * OVERDUE;
+        !owed && !clients && !cancelling && now >= since + kept
+    }
+
+    /// Whether this process is about to be killed: whatever is still at work has had its time.
+    pub fn must_end(&self, now: Micros) -> bool {
+        let owed = self.invs.values().any(|open| !open.answered);
+        self.down_since.is_some_and(|since| !owed && now >= since + self.down_spans().1 + END_GRACE)
     }
 
     pub fn due(&mut self, due: Due, wires: &mut dyn Wires) {
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -37,10 +37,13 @@
 const DATAGRAMS: usize = 256;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
-/// Accepting rests for so long where no descriptor is left.
-const ACCEPT_AGAIN: Micros = 50_000;
+/// Accepting rests for so long where there is no room, and where the host cannot give what it takes.
+const ROOM_AGAIN: Micros = 50_000;
+const ACCEPT_AGAIN: Micros = 10_000;
 /// The loop looks up at least so often, so that it can tell having been idle from not having been let run.
 const LOOKS_UP: Duration = Duration::from_millis(250);
+/// How long the last look before the end waits for something to come.
+const LAST_LOOK: Duration = Duration::from_millis(1);
 /// Later than it was to look up by this much, the process stood still: frozen, starved, or swapped out. Half of the 0.1 s
 /// after which nothing may begin for a client that has left, and of what each time limit is longer on sockets.
 const STOOD_STILL: Micros = 50_000;
@@ -154,16 +157,21 @@
         loop {
             // The last look before the end: what has come meanwhile has been taken, and is still answered.
             let last = desk.is_down(self.now) && self.all_told();
-            let patience = if last { Some(Duration::ZERO) } else { self.patience(desk) };
+            let patience = if last { Some(LAST_LOOK) } else { self.patience(desk) };
             events.clear();
-            match self.poller.wait(&mut events, patience) {
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                waited => drop(waited?),
+            let interrupted = match self.poller.wait(&mut events, patience) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => true,
+                waited => waited.map(|_| false)?,
+            };
+            self.look_up(patience);
+            if desk.fatal().is_some() {
+                return Ok(());
             }
-            if last && events.is_empty() || desk.fatal().is_some() {
+            // A wait that a signal has cut short has not looked.
+            let quiet = last && !interrupted && events.is_empty() && self.nobody_queues(desk, doors)?;
+            if quiet || desk.must_end(self.now) {
                 return Ok(());
             }
-            self.look_up(patience);
             // Clients first: what waits for a connection to its runner is not written once its client has left, though
             // both are heard of in one turn.
             let of_client = |event: &Event| {
@@ -198,6 +206,15 @@
         }
     }
 
+    /// Whether no newcomer waits to be accepted, as the listener ends with this process; whoever does is accepted now.
+    fn nobody_queues(&mut self, desk: &mut Desk, doors: &[Door]) -> io::Result<bool> {
+        let door = door_of(doors, Side::Client).filter(|_| self.accepting);
+        let Some(door) = door else { return Ok(true) };
+        let before = self.next;
+        self.accept(desk, door)?;
+        Ok(self.next == before && !self.queued.contains_key(&door.key))
+    }
+
     /// Takes the time. Where far more has passed than the poller was to wait, whatever is read now may have come at
     /// any time since the last look: a request that is given its whole time from here on would be answered when its
     /// client has long left.
@@ -326,7 +343,7 @@
         for _ in 0..ACCEPTS {
             if !desk.room(door.side, self) {
                 log!("accept-paused", "connections={} reason=no_room", self.conns.len());
-                return self.pause(door);
+                return self.pause(door, ROOM_AGAIN);
             }
             match door.listener.accept() {
                 Ok((stream, peer)) => {
@@ -346,7 +363,7 @@
                 Err(error) if errno::accept(&error) == Scope::Host => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
                     self.short = true;
-                    return self.pause(door);
+                    return self.pause(door, ACCEPT_AGAIN);
                 }
                 // The newcomer has left again, or was interrupted: the next one may be well.
                 Err(error) => log!("accept-failed", "reason={error}"),
@@ -365,9 +382,9 @@
         self.queued_since = None;
     }
 
-    fn pause(&mut self, door: &Door) -> io::Result<()> {
+    fn pause(&mut self, door: &Door, again: Micros) -> io::Result<()> {
         self.queued.entry(door.key).or_insert(self.now);
-        self.wake(Due::Accept(door.side), self.now + ACCEPT_AGAIN);
+        self.wake(Due::Accept(door.side), self.now + again);
         self.open(Some(door), false)
     }
 
--- a/node/tests/momentary_failures.rs
+++ b/node/tests/momentary_failures.rs
@@ -119,6 +119,19 @@
     assert_eq!(answers.iter().filter(|status| status.is_some()).count(), 5, "{answers:?}");
 }
 
+#[test]
+fn a_request_queued_while_accept_fails_is_answered_before_the_process_ends() {
+    let mut node = Node::failing(221, &plan([fails(Call::Accept, "ENFILE", 1_000..4_500)]), |text| text);
+    let _watch = watched(&node.discovery);
+    let _busy = busy(&node, 3);
+    until(&node, 1_100);
+    signal(&node.program, "TERM");
+    node.logged("going-down");
+    let mut queued: Vec<Peer> = (0..5).map(|nth| node.asks(&format!("queued{nth}"))).collect();
+    let answers: Vec<Option<u16>> = queued.iter_mut().map(|client| status(client, PATIENCE)).collect();
+    assert_eq!(answers, [Some(503); 5]);
+}
+
 #[test]
 fn the_deadline_passed_on_leaves_out_the_wait_before_accept() {
     let node = Node::failing(205, &plan([fails(Call::Accept, "ENFILE", 1_000..1_600)]), |text| text);
