A signal whose pipe cannot be written is heard all the same

The handlers of SIGTERM and SIGHUP write to a pipe and cannot tell that it failed (ENOBUFS): SIGTERM was lost, and SIGKILL found requests unanswered. Each handler sets a flag first, which the loop looks at in every turn; the pipe only wakes it (life/signals.rs).

a_signal_whose_pipe_cannot_be_written_is_heard: without the change never heard, with it three plays passed.

--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -5,4 +5,5 @@
 pub mod migrate;
 pub mod patience;
 pub mod shown;
+pub mod signals;
 pub mod start;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -2,7 +2,6 @@
 //! then the loop, until it ends.
 
 use std::io;
-use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -17,6 +16,7 @@
 use crate::life::handover;
 use crate::life::keeper::Keeper;
 use crate::life::patience::{AGAIN, START_WITHIN, patiently};
+use crate::life::signals::Signal;
 use crate::net::conn::{Side, Wires};
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
@@ -26,14 +26,6 @@
 /// How long a process that ends waits for its disk.
 const CLOSED_WITHIN: Duration = Duration::from_millis(500);
 
-/// The end of a pipe that gets a byte whenever the signal is raised.
-fn raised(signal: i32) -> io::Result<UnixStream> {
-    let (read, raised) = patiently(errno::open, UnixStream::pair)?;
-    read.set_nonblocking(true)?;
-    signal_hook::low_level::pipe::register(signal, raised)?;
-    Ok(read)
-}
-
 /// Makes the disk below a store's folder: the real one, or one that fails on purpose.
 pub type DiskAt = fn(&Path) -> io::Result<Box<dyn Disk>>;
 
@@ -60,8 +52,8 @@
 /// Serves by the configuration in `path`, which is read again at each SIGHUP.
 pub fn serve(path: &str, disk_at: DiskAt) -> Result<(), String> {
     let fault = |what: &'static str| move |error: io::Error| format!("{what}: {error}");
-    let signal = raised(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
-    let reload = raised(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
+    let terminate = Signal::new(signal_hook::consts::SIGTERM).map_err(fault("signal"))?;
+    let reload = Signal::new(signal_hook::consts::SIGHUP).map_err(fault("signal"))?;
     // A file that may not grow is an error of the write, and no signal.
     let ignored = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(libc::SIGXFSZ, ignored).map_err(fault("signal"))?;
@@ -82,8 +74,10 @@
     unsafe {
         let mut added = reactor
             .poller
-            .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Oneshot)
-            .and_then(|()| reactor.poller.add_with_mode(&reload, Event::readable(RELOAD), PollMode::Level));
+            .add_with_mode(terminate.wakes(), Event::readable(SIGNAL), PollMode::Oneshot)
+            .and_then(|()| {
+                reactor.poller.add_with_mode(reload.wakes(), Event::readable(RELOAD), PollMode::Level)
+            });
         for door in &doors {
             let event = Event::readable(door.key);
             added = added.and_then(|()| reactor.poller.add_with_mode(&door.listener, event, PollMode::Level));
@@ -133,7 +127,7 @@
     {
         desk.takes_over(link, since, &mut reactor);
     }
-    let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&reload, path));
+    let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&terminate, &reload, path));
     run.map_err(fault("poller"))?;
     let fatal = desk.fatal();
     desk.leave(reactor.clock(), CLOSED_WITHIN);
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -4,7 +4,7 @@
 //! never know what a connection is for beyond whose it is, and never wait for anything but the poller.
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{self, Read};
+use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use crate::config;
 use crate::desk::Desk;
 use crate::life::handover;
+use crate::life::signals::Signal;
 use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
 use crate::net::dials::{self, DIAL_AGAIN, Dial, Dialled, Dials};
 use crate::net::errno::{self, Scope};
@@ -148,7 +149,7 @@
         desk: &mut Desk,
         doors: &[Door],
         successor: Option<&UnixListener>,
-        reload: (&UnixStream, &str),
+        (terminate, reload, path): (&Signal, &Signal, &str),
     ) -> io::Result<()> {
         let mut events = Events::new();
         // What the start took is no standing still.
@@ -164,6 +165,13 @@
                 waited => waited.map(|_| false)?,
             };
             self.look_up(patience);
+            if terminate.take() {
+                desk.go_down(self);
+            }
+            if reload.take() {
+                self.reload_until = self.now + RELOAD_WITHIN;
+                self.read_configuration(desk, path);
+            }
             if desk.fatal().is_some() {
                 return Ok(());
             }
@@ -180,8 +188,9 @@
             let (clients, others): (Vec<Event>, Vec<Event>) = events.iter().partition(of_client);
             for event in clients.into_iter().chain(others) {
                 match event.key {
-                    SIGNAL => desk.go_down(self),
-                    RELOAD => self.reload(desk, reload),
+                    // Their flags are looked at in each turn.
+                    SIGNAL => terminate.drain(),
+                    RELOAD => reload.drain(),
                     PEERS => self.hear(desk),
                     SUCCESSOR => self.hand_over(desk, successor, doors),
                     key => match doors.iter().find(|door| door.key == key) {
@@ -193,7 +202,7 @@
             self.call_back(desk);
             while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let due = entry.remove();
-                self.fall_due(due, desk, (doors, reload.1))?;
+                self.fall_due(due, desk, (doors, path))?;
             }
             if std::mem::take(&mut self.short) {
                 desk.out_of_descriptors(self);
@@ -229,15 +238,8 @@
         self.behind = self.behind.filter(|(_, until)| self.now < *until);
     }
 
-    /// SIGHUP, once or more: what is running goes on whatever the file holds.
-    fn reload(&mut self, desk: &mut Desk, (mut raised, path): (&UnixStream, &str)) {
-        // All bytes are taken before the file is read: a signal that comes after that has it read once more.
-        while raised.read(&mut self.scratch).is_ok_and(|read| read > 0) {}
-        self.reload_until = self.now + RELOAD_WITHIN;
-        self.read_configuration(desk, path);
-    }
-
-    /// The configuration is read, and again while the host fails that for a moment.
+    /// SIGHUP: the configuration is read, and again while the host fails that for a moment. What is running goes on
+    /// whatever the file holds; a signal that comes after this has it read once more.
     fn read_configuration(&mut self, desk: &mut Desk, path: &str) {
         match config::load(path) {
             Ok(told) => desk.reload(told, self),
--- a/node/tests/momentary_failures.rs
+++ b/node/tests/momentary_failures.rs
@@ -321,6 +321,18 @@
     assert_eq!(String::from_utf8_lossy(&rest).matches("HTTP/1.1").count(), 0, "answered twice");
 }
 
+#[test]
+fn a_signal_whose_pipe_cannot_be_written_is_heard() {
+    let mut node = Node::failing(222, &plan([fails(Call::Send, "ENOBUFS", 1_000..1_300)]), |text| text);
+    let _watch = watched(&node.discovery);
+    node.logged("serving");
+    until(&node, 1_100);
+    signal(&node.program, "HUP");
+    node.logged("reloaded");
+    signal(&node.program, "TERM");
+    node.logged("going-down");
+}
+
 #[test]
 fn signals_in_series_lose_nothing_at_the_end() {
     let mut node = Node::new(219, |text| text);
