--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -64,6 +64,11 @@
         work: f64,
         cold: Option<f64>,
     },
+    /// A forward has told its runner how long its client will still wait.
+    TimeTold {
+        inv: Inv,
+        told: Micros,
+    },
     Ended {
         inv: Inv,
         runner: u32,
@@ -135,6 +140,8 @@
     BootRises,
     /// Nothing forwarded while it says that it has no list.
     NotBeforeListed,
+    /// No deadline told to a runner that is later than the client's.
+    DeadlineTold,
 }
 
 impl fmt::Display for Rule {
@@ -147,6 +154,7 @@
             Rule::HandHolds => "hand-holds",
             Rule::BootRises => "boot-rises",
             Rule::NotBeforeListed => "not-before-listed",
+            Rule::DeadlineTold => "deadline-told",
         })
     }
 }
@@ -218,6 +226,8 @@
     answered: Option<(Micros, Final)>,
     /// Nothing is owed: the client has left, or the dispatcher was killed.
     excused: bool,
+    /// When the client closed its connection.
+    left_at: Option<Micros>,
     sent: Vec<Sent>,
     ran: u32,
     work: f64,
@@ -248,6 +258,11 @@
 /// explains is stated: 2 x root of N and 2 beyond N calls of mean work.
 const BY_CHANCE: f64 = 1.15;
 
+/// From a client's close on nothing may begin for it after this, by the terms.
+const LEFT_MOST: Micros = 100_000;
+/// What a runner may be told beyond the time that its client has left, by the terms.
+const TOLD_SLACK: Micros = 150_000;
+
 pub struct Judge {
     terms: Terms,
     cases: HashMap<Inv, Case>,
@@ -350,6 +365,7 @@
             | Seen::Left { inv }
             | Seen::Lost { inv }
             | Seen::Forwarded { inv, .. }
+            | Seen::TimeTold { inv, .. }
             | Seen::Ended { inv, .. }
             | Seen::Withdrawn { inv, .. }
             | Seen::Ran { inv, .. } => Some(*inv),
@@ -369,6 +385,7 @@
             Seen::Left { inv } => {
                 if let Some(case) = self.cases.get_mut(&inv) {
                     case.excused = true;
+                    case.left_at.get_or_insert(at);
                 }
             }
             Seen::Lost { inv } => {
@@ -380,6 +397,7 @@
             Seen::Forwarded { inv, dispatcher, runner, work, cold } => {
                 self.forwarded(at, inv, (dispatcher, runner), work, cold);
             }
+            Seen::TimeTold { inv, told } => self.time_told(at, inv, told),
             Seen::Ended { inv, runner, how } => self.came_back(at, inv, runner, Some(how)),
             Seen::Withdrawn { inv, runner } => self.came_back(at, inv, runner, None),
             Seen::Ran { inv, runner } => self.ran(at, inv, runner),
@@ -475,6 +493,7 @@
             expires_at,
             answered: None,
             excused: false,
+            left_at: None,
             sent: Vec::new(),
             ran: 0,
             work: 0.0,
@@ -533,6 +552,16 @@
         }
     }
 
+    /// What a runner is told of the time left, against what the client still waits.
+    fn time_told(&mut self, at: Micros, inv: Inv, told: Micros) {
+        let Some(case) = self.cases.get(&inv) else { return };
+        let left = case.expires_at - at;
+        if told > left + TOLD_SLACK + self.behind {
+            let what = format!("its runner was told {told} us with {left} us left");
+            self.violate(at, Rule::DeadlineTold, inv, what);
+        }
+    }
+
     fn forwarded(
         &mut self,
         at: Micros,
@@ -550,6 +579,9 @@
         if let Some((answered, _)) = case.answered.filter(|(answered, _)| at > answered + slack) {
             wrong.push((Rule::OneAnswer, format!("forwarded after its answer at {answered}")));
         }
+        if let Some(left) = case.left_at.filter(|left| at > left + LEFT_MOST + self.behind) {
+            wrong.push((Rule::OneAnswer, format!("forwarded {} us after its client had left", at - left)));
+        }
         if case.sent.iter().any(Sent::out) {
             wrong.push((Rule::NoEffectTwice, "two forwards out at once".into()));
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod runner;
 pub mod scenario;
+pub mod soak;
 pub mod sockets;
 mod start;
 mod talk;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -106,6 +106,23 @@
         #[arg(long)]
         json: Option<PathBuf>,
     },
+    /// Play soak days drawn by seed, on which system calls of the dispatchers fail and all are restarted, on sockets.
+    Soak {
+        /// FROM..TO, the second not played.
+        #[arg(long, default_value = "1..51")]
+        seeds: String,
+        /// How many at a time: each has up to six dispatchers.
+        #[arg(long, default_value_t = 3)]
+        at_once: usize,
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Write all results into this folder.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Write a page with plots of each day into this folder.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
     /// Read scenarios and say what they hold, or which field of which line is at fault.
     Check { scenarios: Vec<PathBuf> },
     /// Make pages of results that were written before.
@@ -186,6 +203,45 @@
     Ok(outcome)
 }
 
+/// One soak day, with a line on how it went, and all of it where a rule was broken.
+fn soak(
+    seed: u64,
+    program: Option<&Path>,
+    to: Option<&Path>,
+    folder: Option<&Path>,
+) -> Result<Outcome, String> {
+    let day = topazsail_lab::soak::day(seed)?;
+    let program = program.map_or_else(|| own_program(&day.scenario), Path::to_owned);
+    let outcome = topazsail_lab::sockets::play_failing(&day.scenario, &program, seed, &day.plans, &|_| ())?;
+    let plans: Vec<String> = day.plans.iter().map(topazsail_faults::Plan::to_json).collect();
+    if outcome.broken.is_empty() {
+        println!("{}: goodput {:.3}, no rule broken {:?}", outcome.scenario, outcome.goodput, outcome.void);
+    } else {
+        print!("{}plans {}\n", report::run_text(&outcome), plans.join("\n"));
+    }
+    write(to.map(|to| to.join(format!("{}.json", outcome.scenario))).as_deref(), || json(&outcome))?;
+    page(folder, &outcome.scenario, || report::run_page(&outcome))?;
+    Ok(outcome)
+}
+
+/// Plays each seed of FROM..TO, so many at once.
+fn play_seeds(
+    seeds: &str,
+    at_once: usize,
+    play: impl Fn(u64) -> Result<Outcome, String> + Sync,
+) -> Result<ExitCode, String> {
+    let range = seeds.split_once("..").and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
+    let (from, until): (u64, u64) = range.ok_or("--seeds wants FROM..TO")?;
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(at_once.max(1)).build();
+    let played: Result<Vec<Outcome>, String> = pool
+        .map_err(|error| error.to_string())?
+        .install(|| (from..until).into_par_iter().map(&play).collect());
+    let outcomes = played?;
+    let broken = outcomes.iter().filter(|outcome| !outcome.broken.is_empty()).count();
+    println!("{} days, rules broken on {broken}", outcomes.len());
+    Ok(code(outcomes.iter()))
+}
+
 fn run(line: Line) -> Result<ExitCode, String> {
     match line.command {
         Command::Run { scenario, clock, seed, program, policy, time, json: to, report: folder } => {
@@ -239,21 +295,12 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Ordeal { seeds, at_once, program, json: to } => {
-            let range =
-                seeds.split_once("..").and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
-            let (from, until): (u64, u64) = range.ok_or("--seeds wants FROM..TO")?;
-            let pool = rayon::ThreadPoolBuilder::new().num_threads(at_once.max(1)).build();
-            let played: Result<Vec<Outcome>, String> =
-                pool.map_err(|error| error.to_string())?.install(|| {
-                    (from..until)
-                        .into_par_iter()
-                        .map(|seed| ordeal(seed, program.as_deref(), to.as_deref()))
-                        .collect()
-                });
-            let outcomes: Vec<Outcome> = played?;
-            let broken = outcomes.iter().filter(|outcome| !outcome.broken.is_empty()).count();
-            println!("{} days, rules broken on {broken}", outcomes.len());
-            Ok(code(outcomes.iter()))
+            play_seeds(&seeds, at_once, |seed| ordeal(seed, program.as_deref(), to.as_deref()))
+        }
+        Command::Soak { seeds, at_once, program, json: to, report: folder } => {
+            play_seeds(&seeds, at_once, |seed| {
+                soak(seed, program.as_deref(), to.as_deref(), folder.as_deref())
+            })
         }
         Command::Check { scenarios } => {
             if scenarios.is_empty() {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -356,11 +356,18 @@
     /// Share of clients that come back when they were told to.
     #[serde(default, deserialize_with = "share")]
     pub honour: f64,
+    /// Share of requests whose client closes its connection before the answer; on sockets only.
+    #[serde(default, deserialize_with = "share", skip_serializing_if = "is_zero")]
+    pub leaves: f64,
     /// How long the front goes on sending to a dispatcher that has died.
     #[serde(default = "Clients::notice")]
     pub front_notice: Span,
 }
 
+fn is_zero(share: &f64) -> bool {
+    *share == 0.0
+}
+
 impl Clients {
     fn period() -> Span {
         Span(10_000_000)
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -29,6 +29,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use topazsail::Micros;
+use topazsail_faults::Plan;
 
 use self::http::{Message, Rest, Wire, answer, request};
 use self::process::Process;
@@ -86,6 +87,8 @@
     front: Vec<bool>,
     /// Dispatchers' processes that stand still.
     still: Vec<bool>,
+    /// Dispatchers that were told to end: clients go on sending on the connections that they have.
+    ending: Vec<bool>,
     listen: Vec<SocketAddr>,
     /// Addresses of runners as each dispatcher is told them.
     addresses: Vec<Vec<SocketAddr>>,
@@ -202,6 +205,17 @@
     program: &Path,
     seed: u64,
     progress: &dyn Fn(f64),
+) -> Result<Outcome, String> {
+    play_failing(scenario, program, seed, &[], progress)
+}
+
+/// The same, with system calls of the dispatchers that fail: by the plans in turn, or not at all where there are none.
+pub fn play_failing(
+    scenario: &Scenario,
+    program: &Path,
+    seed: u64,
+    plans: &[Plan],
+    progress: &dyn Fn(f64),
 ) -> Result<Outcome, String> {
     if !program.is_file() {
         return Err(format!("{}: no such program; build it or name it with --program", program.display()));
@@ -216,7 +230,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
     let local = tokio::task::LocalSet::new();
-    let played = local.block_on(&runtime, run(scenario, program, seed, folder.path(), progress));
+    let played = local.block_on(&runtime, run(scenario, program, seed, (folder.path(), plans), progress));
     drop(local);
     played
 }
@@ -232,7 +246,7 @@
     scenario: &Scenario,
     program: &Path,
     seed: u64,
-    folder: &Path,
+    (folder, plans): (&Path, &[Plan]),
     progress: &dyn Fn(f64),
 ) -> Result<Outcome, String> {
     // Addresses of this lab's own: nobody else is given a port that was free a moment ago.
@@ -298,6 +312,7 @@
         epochs: vec![0; d_all],
         front: vec![true; d_all],
         still: vec![false; d_all],
+        ending: vec![false; d_all],
         listen,
         addresses,
         discoveries: discoveries.iter().map(|(_, address)| *address).collect(),
@@ -343,7 +358,8 @@
     }
     let mut processes = Vec::new();
     for d in 0..d_all as u32 {
-        let mut process = Process::new(d, program, folder);
+        let plan = (!plans.is_empty()).then(|| plans[d as usize % plans.len()].clone());
+        let mut process = Process::new(d, program, folder).fails_by(plan);
         begin(&lab, &mut process)?;
         processes.push(process);
     }
@@ -475,6 +491,7 @@
             if let Some(code) = process.ended() {
                 let stage = &mut *lab.stage.borrow_mut();
                 stage.epochs[process.number as usize] += 1;
+                stage.ending[process.number as usize] = false;
                 // After SIGTERM it may end by itself, as long as it owes nothing.
                 if !std::mem::replace(killed, false) || code != Some(0) {
                     stage.crashes += 1;
@@ -519,6 +536,7 @@
     match *change {
         Change::Term(d) => {
             ending[d as usize] = true;
+            lab.stage.borrow_mut().ending[d as usize] = true;
             processes[d as usize].signal(libc::SIGTERM);
             front(lab, d, false, TERM_NOTICED);
         }
@@ -528,6 +546,7 @@
                 processes[d as usize].kill();
                 lab.stage.borrow_mut().epochs[d as usize] += 1;
                 lab.stage.borrow_mut().still[d as usize] = false;
+                lab.stage.borrow_mut().ending[d as usize] = false;
                 lab.stage.borrow_mut().killed[d as usize] = now;
                 let notice = lab.stage.borrow().scenario.clients.front_notice.0;
                 front(lab, d, false, notice);
@@ -889,6 +908,10 @@
             };
             *asked = Some(inv);
             sent(lab, d, r, inv);
+            let told = message.header("x-deadline-ms").and_then(|text| text.parse::<Micros>().ok());
+            if let Some(told) = told {
+                lab.stage.borrow_mut().see(lab.now(), Seen::TimeTold { inv, told: told * 1000 });
+            }
         }
         // A dispatcher that closes its connection meanwhile has given the forward up.
         let way = async {
@@ -1186,7 +1209,8 @@
         stage.tally.traffic.tries += 1;
         let all = stage.listen.len();
         let start = chance(stage.seed ^ 0x5eed, inv).random_range(0..all);
-        let order = || (0..all).map(|step| (start + step) % all).filter(|d| stage.front[*d]);
+        let sends = |d: &usize| stage.front[*d] || stage.ending[*d] && !stage.idle[0][*d].is_empty();
+        let order = || (0..all).map(|step| (start + step) % all).filter(sends);
         let near = order().find(|d| d % stage.world.zones == ask.zone);
         let Some(d) = near.or_else(|| order().next()) else { return load::Seen::Untaken };
         let op = &stage.scenario.operation[ask.operation];
@@ -1205,6 +1229,11 @@
     let body = json!({"work": ask.work}).to_string();
     let mut taken = false;
     for fresh in [false, true] {
+        if fresh && taken && !lab.stage.borrow().front[d] {
+            // It ended the connection between two requests, and nobody new is sent there: this one goes elsewhere.
+            lab.see(Seen::Left { inv });
+            return load::Seen::Untaken;
+        }
         let kept = if fresh { None } else { kept(lab, 0, d) };
         let was_kept = kept.is_some();
         let wire = match kept {
@@ -1237,7 +1266,13 @@
         };
         // Some longer than the client waits: an answer that comes too late is to be seen as such.
         let patience = Duration::from_micros((left + 2 * ANSWER_SLACK) as u64);
-        match timeout(patience, said).await {
+        let leaves = leaves_after(lab, inv, left);
+        match timeout(leaves.unwrap_or(patience), said).await {
+            Err(_) if leaves.is_some() => {
+                drop(wire);
+                lab.see(Seen::Left { inv });
+                return load::Seen::Nothing;
+            }
             Err(_) => return load::Seen::Nothing,
             Ok(Ok(Some(message))) => return answered(lab, inv, d, wire, &message),
             // Ended between two requests: it had not been read.
@@ -1258,6 +1293,14 @@
     load::Seen::Nothing
 }
 
+/// When its client closes the connection before the answer, if it does.
+fn leaves_after(lab: &Lab, inv: u64, left: Micros) -> Option<Duration> {
+    let stage = lab.stage.borrow();
+    let mut drawn = chance(stage.seed ^ 0x1ea7, inv);
+    let leaves = drawn.random::<f64>() < stage.scenario.clients.leaves;
+    leaves.then(|| Duration::from_micros((left as f64 * drawn.random_range(0.01..0.4)) as u64))
+}
+
 fn answered(lab: &Lab, inv: u64, d: usize, mut wire: Wire, message: &Message) -> load::Seen {
     let come_back = message.header("retry-after").and_then(|text| text.parse::<f64>().ok());
     let come_back = come_back.map(|seconds| (seconds.clamp(0.0, 3600.0) * 1e6) as Micros);
--- a/lab/src/sockets/process.rs
+++ b/lab/src/sockets/process.rs
@@ -9,6 +9,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use topazsail_faults::{Plan, shim};
+
 use crate::tally::Process as Used;
 
 pub struct Process {
@@ -16,6 +18,8 @@
     program: PathBuf,
     config: PathBuf,
     log: PathBuf,
+    /// Its system calls fail by this, in each life anew.
+    plan: Option<Plan>,
     child: Option<Child>,
     used: Used,
     /// CPU milliseconds of the present life.
@@ -29,12 +33,19 @@
             program: program.to_owned(),
             config: folder.join(format!("d{number}.json")),
             log: folder.join(format!("d{number}.log")),
+            plan: None,
             child: None,
             used: Used { name: format!("d{number}"), ..Used::default() },
             spent: 0.0,
         }
     }
 
+    /// Has its system calls fail by a plan from its next start on.
+    pub fn fails_by(mut self, plan: Option<Plan>) -> Process {
+        self.plan = plan;
+        self
+    }
+
     pub fn configure(&self, text: &str) -> Result<(), String> {
         // Whole or not at all: it may be read at this very moment.
         let next = self.config.with_extension("next");
@@ -47,6 +58,10 @@
         let log = log.map_err(|error| format!("{}: {error}", self.log.display()))?;
         let mut command = Command::new(&self.program);
         command.arg("serve").arg("--config").arg(&self.config);
+        if let Some(plan) = &self.plan {
+            let library = shim::library().map_err(|error| format!("the fault shim: {error}"))?;
+            shim::inject(&mut command, library, plan);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         // SAFETY: only an async-signal-safe call between fork and exec; it ends the child with the lab, however
         // the lab ends.
--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -618,9 +618,13 @@
             self.written -= u64::from(begun);
             return self.unanswered(&line.tgt, task, Ending::Unreachable, end == End::Refused);
         }
-        match http::answer(input, true) {
-            Ok(Some((answer, _))) => self.answered(&line.tgt, task, &answer),
-            _ => self.unanswered(&line.tgt, task, Ending::Broken, false),
+        match (http::answer(input, true), task) {
+            (Ok(Some((answer, _))), task) => self.answered(&line.tgt, task, &answer),
+            // Its runner knows nothing of that and may go on: another forward would be a second copy.
+            (_, Task::Forward { inv, number }) if end == End::PathLost && self.may_cancel => {
+                self.give_up(&line.tgt, &inv, number, wires);
+            }
+            (_, task) => self.unanswered(&line.tgt, task, Ending::Broken, false),
         }
     }
 
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -46,6 +46,8 @@
 pub enum End {
     PeerClosed,
     Reset,
+    /// The network has lost it: the other end may be well, and know nothing of that.
+    PathLost,
     Refused,
     DialTimeout,
     /// Has come, and asks nothing.
@@ -77,6 +79,7 @@
         match self {
             End::PeerClosed => "peer_closed",
             End::Reset => "reset",
+            End::PathLost => "path_lost",
             End::Refused => "refused",
             End::DialTimeout => "dial_timeout",
             End::Silent => "silent",
@@ -205,6 +208,11 @@
     }
 }
 
+/// How a connection that was up has broken.
+fn broken(error: &io::Error) -> End {
+    if errno::is_path_lost(error) { End::PathLost } else { End::Reset }
+}
+
 /// Tries to see what the next read would find, while the host fails them.
 const PEEKS: usize = 16;
 
@@ -284,7 +292,7 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 // The poller tells when it may be tried again.
                 Err(error) if errno::transfer(&error) != Scope::Connection => return Ok(()),
-                Err(_) => return Err(End::Reset),
+                Err(error) => return Err(broken(&error)),
             }
         }
         if !self.unsent() {
@@ -311,7 +319,7 @@
                 Ok(read)
             }
             Err(error) if errno::transfer(&error) != Scope::Connection => Ok(0),
-            Err(_) => Err(End::Reset),
+            Err(error) => Err(broken(&error)),
         }
     }
 
--- a/node/src/net/errno.rs
+++ b/node/src/net/errno.rs
@@ -57,6 +57,11 @@
     scope(error, &[libc::EAGAIN, libc::EINTR], &[])
 }
 
+/// Whether the way to the other end was lost, while that end may be well and know nothing of it.
+pub fn is_path_lost(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::ETIMEDOUT | libc::EHOSTUNREACH | libc::ENETUNREACH))
+}
+
 /// Reading a file that was there, and writing one: the disk may work again.
 pub fn file(error: &io::Error) -> Scope {
     scope(error, &[libc::EINTR], &[libc::EIO, libc::ENOSPC, libc::EDQUOT, libc::EROFS, libc::EAGAIN])
