Log why a request was closed, not served or sent again, and count what the host failed

The report left no line of ours by which its requests could be followed. New lines: attempt-failed (request, attempt, server, ending, time), not-served (status, attempts), client-left; new figures host_failed_accepts, _dials, _reads. The traces hold the figures.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -631,7 +631,11 @@
         wires: &mut dyn Wires,
     ) {
         let operation = self.invs.get(inv).map_or(0, |open| open.operation);
+        let attempts = self.attempts(inv);
         if let Some(link) = self.close(inv, wires) {
+            if status != SUCCEEDED {
+                log!("not-served", "inv={inv} link={link} status={status} attempts={attempts}");
+            }
             self.figures.ended(self.clients.operations.name(operation), Verdict::of(status));
             self.clients.answer(link, status, come_back, body, wires);
         }
@@ -656,6 +660,11 @@
         Some(link)
     }
 
+    /// How often an invocation has been forwarded so far.
+    fn attempts(&self, inv: &Id) -> usize {
+        self.invs.get(inv).map_or(0, |open| open.forwards.len())
+    }
+
     /// An id that has had its request.
     fn remember(&mut self, inv: Id) {
         let (order, known) = &mut self.closed;
@@ -678,6 +687,10 @@
         let Some(sent) = sent else { return };
         sent.out = false;
         let (tgt, elapsed, forward) = (sent.tgt.clone(), now - sent.at, number);
+        if !matches!(ending, Ending::Succeeded | Ending::Overloaded) {
+            let (code, ms) = (ending.code(), elapsed / 1000);
+            log!("attempt-failed", "inv={inv} attempt={number} runner={tgt} ending={code} ms={ms}");
+        }
         let outcome = Outcome { inv: inv.clone(), forward, tgt, ending, finished, elapsed, report };
         self.happened.push(Event::Outcome(outcome));
         if finished && open.out().is_none() {
@@ -812,7 +825,13 @@
                 let kept = self.keeping.as_ref().map(Keeping::figures).unwrap_or_default();
                 let peers = self.meeting.as_ref().map(Meeting::figures).unwrap_or_default();
                 let kept = kept.iter().chain(&peers).filter(|(name, _)| !name.is_empty());
-                format!("{}{}END\n", self.figures.text(&now), figures::more(kept))
+                let host = wires.host_failures().figures();
+                format!(
+                    "{}{}{}END\n",
+                    self.figures.text(&now),
+                    figures::more(host.iter()),
+                    figures::more(kept)
+                )
             }
             Call::Maintain { id, out } => match self.maintain(&id, out, wires) {
                 Ok(()) => {
@@ -948,6 +967,7 @@
     fn gone(&mut self, link: Link, id: Id, wires: &mut dyn Wires) {
         let owed = self.invs.get(&id).is_some_and(|open| open.link == link && !open.answered);
         if owed {
+            log!("client-left", "inv={id} link={link} attempts={}", self.attempts(&id));
             self.close(&id, wires);
             self.happened.push(Event::Gone { inv: id });
         }
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -151,6 +151,25 @@
     fn due(&mut self, link: Link, wires: &mut dyn Wires);
 }
 
+/// System calls that the host failed for a reason that passes, since the start; each was made again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostFailures {
+    pub accepts: u64,
+    pub dials: u64,
+    pub reads: u64,
+}
+
+impl HostFailures {
+    /// By their names among the figures.
+    pub fn figures(self) -> [(&'static str, u64); 3] {
+        [
+            ("host_failed_accepts", self.accepts),
+            ("host_failed_dials", self.dials),
+            ("host_failed_reads", self.reads),
+        ]
+    }
+}
+
 /// What owners of connections may do.
 pub trait Wires {
     fn now(&self) -> Micros;
@@ -158,6 +177,10 @@
     fn clock(&self) -> Micros {
         self.now()
     }
+    /// What the host has failed since the start.
+    fn host_failures(&self) -> HostFailures {
+        HostFailures::default()
+    }
     /// Since when what is read now may have been there: long, where this process was not let run meanwhile.
     fn came_since(&self) -> Micros {
         self.now()
@@ -236,6 +259,8 @@
     pub lingering: bool,
     pub since: Micros,
     pub input: Vec<u8>,
+    /// How often the host has failed to read.
+    pub failed_reads: u64,
     /// Since when reading has failed, if the last try did.
     unread_since: Option<Micros>,
     /// When what is in `input` came.
@@ -259,6 +284,7 @@
             lingering: false,
             since,
             input: Vec::new(),
+            failed_reads: 0,
             unread_since: None,
             arrivals: Arrivals::default(),
             output: Vec::new(),
@@ -310,7 +336,11 @@
     /// more. Says how much there was.
     pub fn read(&mut self, scratch: &mut [u8], since: Micros) -> Result<usize, End> {
         let read = self.stream.read(scratch);
-        let failed = read.as_ref().is_err_and(|error| error.kind() != ErrorKind::WouldBlock);
+        let passes = |error: &io::Error| {
+            error.kind() != ErrorKind::WouldBlock && errno::transfer(error) != Scope::Connection
+        };
+        let failed = read.as_ref().is_err_and(passes);
+        self.failed_reads += u64::from(failed);
         // What the host fails to read now has been there since then.
         let unread_since = if failed { Some(since) } else { None };
         let since = self.unread_since.unwrap_or(since).min(since);
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -18,7 +18,7 @@
 use crate::desk::Desk;
 use crate::life::handover;
 use crate::life::signals::Signal;
-use crate::net::conn::{Conn, Due, End, Link, Side, Wires, never_up};
+use crate::net::conn::{Conn, Due, End, HostFailures, Link, Side, Wires, never_up};
 use crate::net::dials::{self, DIAL_AGAIN, Dial, Dialled, Dials};
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
@@ -108,6 +108,7 @@
     revisits: Vec<Link>,
     scratch: Vec<u8>,
     dials: Dials,
+    failed: HostFailures,
     /// What is to be sent on connections whose dials have not begun.
     unsent: HashMap<Link, Vec<u8>>,
     /// Until when a configuration that the host cannot read is read again.
@@ -137,6 +138,7 @@
             revisits: Vec::new(),
             scratch: vec![0; 64 << 10],
             dials: Dials::default(),
+            failed: HostFailures::default(),
             unsent: HashMap::new(),
             reload_until: 0,
             accepting: true,
@@ -365,6 +367,7 @@
                 Err(error) if errno::accept(&error) == Scope::Host => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
                     self.short = true;
+                    self.failed.accepts += 1;
                     return self.pause(door, ACCEPT_AGAIN);
                 }
                 // The newcomer has left again, or was interrupted: the next one may be well.
@@ -450,6 +453,7 @@
         }
         let Some(conn) = self.conns.remove(&link) else { return };
         let _ = self.poller.delete(&conn.stream);
+        self.failed.reads += conn.failed_reads;
         let (side, peer, ms) = (conn.side.code(), conn.peer, (self.now - conn.since) / 1000);
         let unsent = u8::from(conn.unsent());
         log!(
@@ -587,6 +591,11 @@
         self.queued_since.map_or(behind, |since| since.min(behind))
     }
 
+    fn host_failures(&self) -> HostFailures {
+        let open: u64 = self.conns.values().map(|conn| conn.failed_reads).sum();
+        HostFailures { dials: self.dials.count, reads: self.failed.reads + open, ..self.failed }
+    }
+
     fn arrived(&self, link: Link) -> Micros {
         let first = self.conns.get(&link).and_then(|conn| conn.arrivals.first());
         first.unwrap_or_else(|| self.came_since())
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1750,6 +1750,9 @@
         edge_relay.loads=1
         edge_relay.load_errors=1
         edge_relay.log_lines_lost=0
+        edge_relay.host_failed_accepts=0
+        edge_relay.host_failed_dials=0
+        edge_relay.host_failed_reads=0
         END
         0     #8 ends: answered_last
     "#]]
@@ -1972,6 +1975,9 @@
         edge_relay.loads=0
         edge_relay.load_errors=0
         edge_relay.log_lines_lost=0
+        edge_relay.host_failed_accepts=0
+        edge_relay.host_failed_dials=0
+        edge_relay.host_failed_reads=0
         END
         0     #13 ends: answered_last
     "#]]);
@@ -2194,6 +2200,9 @@
         edge_relay.loads=2
         edge_relay.load_errors=5
         edge_relay.log_lines_lost=0
+        edge_relay.host_failed_accepts=0
+        edge_relay.host_failed_dials=0
+        edge_relay.host_failed_reads=0
         END
         1000  #12 ends: answered_last
     "#]]);
--- a/src/events.rs
+++ b/src/events.rs
@@ -81,6 +81,22 @@
     Void,
 }
 
+impl Ending {
+    /// The word for it in a log.
+    pub fn code(self) -> &'static str {
+        match self {
+            Ending::Succeeded => "succeeded",
+            Ending::Errored => "errored",
+            Ending::Overloaded => "overloaded",
+            Ending::TimedOut => "timed_out",
+            Ending::Unreachable => "unreachable",
+            Ending::Broken => "broken",
+            Ending::Withdrawn => "withdrawn",
+            Ending::Void => "void",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Roster {
     pub listing: Listing,
