What the poller cannot be told for a moment is told again; no connection ends by it

An epoll_ctl that failed ended the connection that it was for, a newcomer's with its request, or by way of a listener the whole process. Each is tried again after 10 ms. By reading: the shim does not reach calls that bypass the C library, so no test forces this.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -533,7 +533,7 @@
             Due::Keep => self.keep_list(),
             Due::Peers => self.round(wires),
             Due::Kept(ticket) => self.not_kept_in_time(ticket, wires),
-            Due::Link(_) | Due::Finish(_) | Due::Accept(_) | Due::Dial(_) | Due::Reload => {}
+            Due::Link(_) | Due::Finish(_) | Due::Accept(_) | Due::Dial(_) | Due::Watch(_) | Due::Reload => {}
         }
     }
 
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -122,9 +122,8 @@
     };
     let (other, state) = given.map(|given| ((given.stream, given.since), given.state)).unzip();
     let mut desk = Desk::new(told, state, keeper, &mut reactor);
-    if let Some((stream, since)) = other
-        && let Some(link) = reactor.meet(stream, listen)
-    {
+    if let Some((stream, since)) = other {
+        let link = reactor.meet(stream, listen);
         desk.takes_over(link, since, &mut reactor);
     }
     let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&terminate, &reload, path));
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -116,6 +116,8 @@
     Tick,
     /// The configuration, which the host could not read, is read again.
     Reload,
+    /// What the poller could not be told of a connection is told again.
+    Watch(Link),
     /// A dial that the host kept from beginning is made again.
     Dial(Link),
     /// Accepting, after it could not go on, those who come to this side.
@@ -269,8 +271,8 @@
     written: usize,
     /// Bytes were thrown away, as nobody took those before them.
     spilt: bool,
-    /// What the poller watches it for: reading, writing.
-    pub watched: (bool, bool),
+    /// What the poller watches it for: reading, writing; nothing yet where the host has failed that.
+    pub watched: Option<(bool, bool)>,
 }
 
 impl Conn {
@@ -290,7 +292,7 @@
             output: Vec::new(),
             written: 0,
             spilt: false,
-            watched: (false, false),
+            watched: None,
         }
     }
 
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -38,6 +38,8 @@
 const DATAGRAMS: usize = 256;
 /// Newcomers in one turn: those who are already here come first.
 const ACCEPTS: usize = 64;
+/// What the poller could not be told is told again after this.
+const WATCH_AGAIN: Micros = 10_000;
 /// Accepting rests for so long where there is no room, and where the host cannot give what it takes.
 const ROOM_AGAIN: Micros = 50_000;
 const ACCEPT_AGAIN: Micros = 10_000;
@@ -178,7 +180,7 @@
                 return Ok(());
             }
             // A wait that a signal has cut short has not looked.
-            let quiet = last && !interrupted && events.is_empty() && self.nobody_queues(desk, doors)?;
+            let quiet = last && !interrupted && events.is_empty() && self.nobody_queues(desk, doors);
             if quiet || desk.must_end(self.now) {
                 return Ok(());
             }
@@ -196,7 +198,7 @@
                     PEERS => self.hear(desk),
                     SUCCESSOR => self.hand_over(desk, successor, doors),
                     key => match doors.iter().find(|door| door.key == key) {
-                        Some(door) => self.accept(desk, door)?,
+                        Some(door) => self.accept(desk, door),
                         None => self.ready(key as Link, event, desk),
                     },
                 }
@@ -204,7 +206,7 @@
             self.call_back(desk);
             while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let due = entry.remove();
-                self.fall_due(due, desk, (doors, path))?;
+                self.fall_due(due, desk, (doors, path));
             }
             if std::mem::take(&mut self.short) {
                 desk.out_of_descriptors(self);
@@ -212,18 +214,18 @@
             desk.settle(self);
             if desk.accepts() != self.accepting {
                 self.accepting = desk.accepts();
-                self.open(door_of(doors, Side::Client), self.accepting)?;
+                self.open(door_of(doors, Side::Client), self.accepting);
             }
         }
     }
 
     /// Whether no newcomer waits to be accepted, as the listener ends with this process; whoever does is accepted now.
-    fn nobody_queues(&mut self, desk: &mut Desk, doors: &[Door]) -> io::Result<bool> {
+    fn nobody_queues(&mut self, desk: &mut Desk, doors: &[Door]) -> bool {
         let door = door_of(doors, Side::Client).filter(|_| self.accepting);
-        let Some(door) = door else { return Ok(true) };
+        let Some(door) = door else { return true };
         let before = self.next;
-        self.accept(desk, door)?;
-        Ok(self.next == before && !self.queued.contains_key(&door.key))
+        self.accept(desk, door);
+        self.next == before && !self.queued.contains_key(&door.key)
     }
 
     /// Takes the time. Where far more has passed than the poller was to wait, whatever is read now may have come at
@@ -281,7 +283,7 @@
         Some(Duration::from_micros((at - self.clock.now()).max(0) as u64).min(LOOKS_UP))
     }
 
-    fn fall_due(&mut self, due: Due, desk: &mut Desk, (doors, path): (&[Door], &str)) -> io::Result<()> {
+    fn fall_due(&mut self, due: Due, desk: &mut Desk, (doors, path): (&[Door], &str)) {
         match due {
             Due::Link(link) => {
                 if let Some(side) = self.conns.get(&link).map(|conn| conn.side) {
@@ -302,23 +304,25 @@
                 }
             }
             Due::Accept(side) => {
-                self.open(door_of(doors, side), side != Side::Client || self.accepting)?;
+                self.open(door_of(doors, side), side != Side::Client || self.accepting);
             }
+            Due::Watch(link) => self.watch(link),
             due => desk.due(due, self),
         }
-        Ok(())
     }
 
     /// Lets newcomers in at a door, or leaves them waiting.
-    fn open(&mut self, door: Option<&Door>, open: bool) -> io::Result<()> {
-        let Some(Door { listener, key, .. }) = door else { return Ok(()) };
-        let key = *key;
-        let event = if open { Event::readable(key) } else { Event::none(key) };
-        self.poller.modify_with_mode(listener, event, PollMode::Level)
+    fn open(&mut self, door: Option<&Door>, open: bool) {
+        let Some(Door { listener, key, side }) = door else { return };
+        let event = if open { Event::readable(*key) } else { Event::none(*key) };
+        if let Err(error) = self.poller.modify_with_mode(listener, event, PollMode::Level) {
+            log!("poller", "door={} reason={error}", side.code());
+            self.wake(Due::Accept(*side), self.now + WATCH_AGAIN);
+        }
     }
 
     /// A connection to another process of this dispatcher.
-    pub fn meet(&mut self, stream: UnixStream, listen: SocketAddr) -> Option<Link> {
+    pub fn meet(&mut self, stream: UnixStream, listen: SocketAddr) -> Link {
         self.add_new(Conn::new(stream.into(), Side::Peer, listen, false, self.now))
     }
 
@@ -331,9 +335,8 @@
         let given = handover::give(&stream, &door.listener).and_then(|()| door.listener.local_addr());
         match given {
             Ok(listen) => {
-                if let Some(link) = self.meet(stream, listen) {
-                    desk.hand_over(link, self);
-                }
+                let link = self.meet(stream, listen);
+                desk.hand_over(link, self);
                 // From now on the others talk to the new process.
                 if let Some(socket) = self.datagrams.take() {
                     let _ = self.poller.delete(&socket);
@@ -343,7 +346,7 @@
         }
     }
 
-    fn accept(&mut self, desk: &mut Desk, door: &Door) -> io::Result<()> {
+    fn accept(&mut self, desk: &mut Desk, door: &Door) {
         for _ in 0..ACCEPTS {
             if !desk.room(door.side, self) {
                 log!("accept-paused", "connections={} reason=no_room", self.conns.len());
@@ -351,18 +354,20 @@
             }
             match door.listener.accept() {
                 Ok((stream, peer)) => {
-                    // Where this fails the stream is not usable, which reading will tell.
-                    let _ = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-                    if let Some(link) =
-                        self.add_new(Conn::new(stream.into(), door.side, peer, false, self.now))
-                    {
-                        desk.accepted(door.side, link, self);
-                        self.read_queued(link, door, desk);
+                    // A stream that blocks would hold up all others.
+                    if let Err(error) = stream.set_nonblocking(true) {
+                        log!("accept-failed", "reason={error}");
+                        continue;
                     }
+                    // Without it answers come later, and that is all.
+                    let _ = stream.set_nodelay(true);
+                    let link = self.add_new(Conn::new(stream.into(), door.side, peer, false, self.now));
+                    desk.accepted(door.side, link, self);
+                    self.read_queued(link, door, desk);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.queued.remove(&door.key);
-                    return Ok(());
+                    return;
                 }
                 Err(error) if errno::accept(&error) == Scope::Host => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
@@ -375,7 +380,6 @@
             }
         }
         self.queued.entry(door.key).or_insert(self.now);
-        Ok(())
     }
 
     /// Reads at once what a newcomer has brought that had to wait to be accepted: its time runs from then on. What comes
@@ -387,10 +391,10 @@
         self.queued_since = None;
     }
 
-    fn pause(&mut self, door: &Door, again: Micros) -> io::Result<()> {
+    fn pause(&mut self, door: &Door, again: Micros) {
         self.queued.entry(door.key).or_insert(self.now);
         self.wake(Due::Accept(door.side), self.now + again);
-        self.open(Some(door), false)
+        self.open(Some(door), false);
     }
 
     fn next_link(&mut self) -> Link {
@@ -406,9 +410,7 @@
             Dialled::Failed(socket, error) => (socket, Some(error)),
             Dialled::Postponed(error) => return Err(self.postpone(link, dial, error)),
         };
-        if !self.add(link, Conn::new(socket, side, to, true, self.now)) {
-            return Err(self.postpone(link, dial, io::Error::other("not watched")));
-        }
+        self.add(link, Conn::new(socket, side, to, true, self.now));
         if let Some(bytes) = self.unsent.remove(&link) {
             self.send(link, &bytes);
         }
@@ -425,25 +427,15 @@
         error
     }
 
-    fn add(&mut self, link: Link, mut conn: Conn) -> bool {
-        let (reads, writes) = conn.wants();
-        // SAFETY: `remove` takes the socket out of the poller before it is closed.
-        let added = unsafe {
-            let event = Event::new(link as usize, reads, writes);
-            self.poller.add_with_mode(&conn.stream, event, PollMode::Level)
-        };
-        if let Err(error) = added {
-            log!("connection-refused", "side={} reason={error}", conn.side.code());
-            return false;
-        }
-        conn.watched = (reads, writes);
+    fn add(&mut self, link: Link, conn: Conn) {
         self.conns.insert(link, conn);
-        true
+        self.watch(link);
     }
 
-    fn add_new(&mut self, conn: Conn) -> Option<Link> {
+    fn add_new(&mut self, conn: Conn) -> Link {
         let link = self.next_link();
-        self.add(link, conn).then_some(link)
+        self.add(link, conn);
+        link
     }
 
     fn remove(&mut self, link: Link, end: End) {
@@ -463,16 +455,24 @@
         );
     }
 
-    /// Has the poller watch a connection for what it now wants.
+    /// Has the poller watch a connection for what it now wants; what the host fails is tried again.
     fn watch(&mut self, link: Link) {
         let Some(conn) = self.conns.get_mut(&link) else { return };
         let wants = conn.wants();
-        if wants != conn.watched {
-            conn.watched = wants;
-            let event = Event::new(link as usize, wants.0, wants.1);
-            if let Err(error) = self.poller.modify_with_mode(&conn.stream, event, PollMode::Level) {
+        if conn.watched == Some(wants) {
+            return;
+        }
+        let event = Event::new(link as usize, wants.0, wants.1);
+        let watched = match conn.watched {
+            // SAFETY: `remove` takes the socket out of the poller before it is closed.
+            None => unsafe { self.poller.add_with_mode(&conn.stream, event, PollMode::Level) },
+            Some(_) => self.poller.modify_with_mode(&conn.stream, event, PollMode::Level),
+        };
+        match watched {
+            Ok(()) => conn.watched = Some(wants),
+            Err(error) => {
                 log!("poller", "link={link} reason={error}");
-                self.broken.push((link, End::Reset));
+                self.wake(Due::Watch(link), self.now + WATCH_AGAIN);
             }
         }
     }
