--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,9 @@
 build:
 	cargo build --release
 
+# The fault shim first: tests load it into the processes that they start.
 test:
+	cargo build --locked -p topazsail-fault-shim
 	cargo test --workspace --locked $(TEST_ARGS)
 
 lint:
