A start told by a wall clock that has stepped counts by this process's own clock

A process keeps time by the monotonic clock from its start on, and servers' starts are told in wall time. Set back by an hour, one that had just started counted as warm and would have been overloaded; set forward, it counted as cold for an hour. A start is no later than now, and one that is new to a list is not over 12 s older than the list without it, which discovery was heard to hold (6 s to be told, twice). Told again, it is the same start.

Open: a process that itself starts with a clock apart from the servers' cannot tell.

--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -386,6 +386,7 @@
 pub fn write(path: &Path, text: &str) -> Result<(), String> {
     let fault = |error: std::io::Error| format!("{}: {error}", path.display());
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    fs::create_dir_all(folder).map_err(fault)?;
     let mut file = tempfile::NamedTempFile::new_in(folder).map_err(fault)?;
     std::io::Write::write_all(&mut file, text.as_bytes()).map_err(fault)?;
     file.as_file().sync_all().map_err(fault)?;
--- a/node/src/back/members.rs
+++ b/node/src/back/members.rs
@@ -14,9 +14,15 @@
 /// after it, for the turn in which that is noticed.
 pub const TOLD_WITHIN: Micros = 6_000_000;
 
+/// A start that is told as so much older than the last list without it is told by a clock that was set back: a list may
+/// come late by this.
+const LISTED_WITHIN: Micros = 2 * TOLD_WITHIN;
+
 struct Member {
-    /// As last listed.
+    /// As last listed, with its start by this process's clock.
     entry: RosterEntry,
+    /// Its start as it was told.
+    started: Option<Micros>,
     /// Since when it is listed no more.
     gone_since: Option<Micros>,
     /// Since when it is out by hand.
@@ -27,7 +33,8 @@
 
 impl Member {
     fn new(entry: RosterEntry, gone_since: Option<Micros>) -> Member {
-        Member { entry, gone_since, out_since: None, was_out: None }
+        let started = entry.launched;
+        Member { entry, started, gone_since, out_since: None, was_out: None }
     }
 
     /// What holds of it, the list, the hand and the rest of cold ones taken together.
@@ -68,6 +75,8 @@
 
 pub struct Members {
     by_id: BTreeMap<Id, Member>,
+    /// When discovery was heard before the list that is told next.
+    heard_before: Option<Micros>,
     terms: Terms,
 }
 
@@ -75,6 +84,7 @@
     pub fn new(warm_within: Micros) -> Members {
         Members {
             by_id: BTreeMap::new(),
+            heard_before: None,
             terms: Terms { until: Micros::MIN, before: Micros::MAX, warm_within, lapsed: true },
         }
     }
@@ -185,17 +195,36 @@
         known.was_out = was_out.or(known.was_out);
     }
 
+    /// When discovery was heard before the list that is told next, if it was.
+    pub fn heard_before(&mut self, at: Option<Micros>) {
+        self.heard_before = at;
+    }
+
+    /// When a runner counts as started, by this process's clock, which no step of the wall clock moves. It has not started
+    /// yet to come, and one that is new has not started long before the list in which it was not.
+    fn started(&self, told: &RosterEntry, now: Micros) -> Option<Micros> {
+        let launched = told.launched?;
+        let known = self.by_id.get(&told.tgt).filter(|known| known.started == told.launched);
+        if let Some(known) = known {
+            return known.entry.launched;
+        }
+        let since = self.heard_before.filter(|since| launched + LISTED_WITHIN < *since);
+        Some(since.unwrap_or(launched).min(now))
+    }
+
     /// What the list tells, as it holds.
     pub fn listed(&mut self, listing: Listing, told: Vec<RosterEntry>, now: Micros) -> Vec<RosterEntry> {
         if matches!(listing, Listing::All | Listing::Remembered) {
             self.by_id.values_mut().for_each(|known| known.gone_since = known.gone_since.or(Some(now)));
         }
         let mut standing = Vec::new();
-        for entry in told {
+        for mut entry in told {
             let gone_since = Some(now).filter(|_| entry.readiness == Readiness::Removed);
+            let started = entry.launched;
+            entry.launched = self.started(&entry, now);
             let known = self.by_id.entry(entry.tgt.clone());
             let known = known.or_insert_with(|| Member::new(entry.clone(), gone_since));
-            (known.entry, known.gone_since) = (entry, gone_since);
+            (known.entry, known.started, known.gone_since) = (entry, started, gone_since);
             standing.push(known.standing(&self.terms, now));
         }
         self.tidy();
--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -155,6 +155,8 @@
 #[derive(Debug)]
 pub struct Heard {
     pub listing: Listing,
+    /// When discovery was heard last before this, if it was: who is new in this list was not listed then.
+    pub heard_before: Option<Micros>,
     pub entries: Vec<(RosterEntry, Option<SocketAddr>)>,
 }
 
@@ -245,6 +247,8 @@
     calls: Vec<Call>,
     /// Since when discovery may have had something to tell, and could be reached, that has not been heard.
     sure_at: Micros,
+    /// When the last line came.
+    heard_at: Option<Micros>,
     /// It has ended the watch itself, and nothing has been heard since: it is down.
     down: bool,
     /// When the first call was made since something was heard.
@@ -262,6 +266,7 @@
             follows: false,
             calls: Vec::new(),
             sure_at: 0,
+            heard_at: None,
             down: false,
             unheard_since: None,
             heard: Vec::new(),
@@ -325,7 +330,7 @@
             return;
         }
         (self.discovery, self.generation) = (discovery, None);
-        (self.down, self.unheard_since) = (false, None);
+        (self.down, self.unheard_since, self.heard_at) = (false, None, None);
         for call in std::mem::take(&mut self.calls) {
             wires.cut(call.link, End::WatchReplaced);
         }
@@ -338,7 +343,7 @@
         let generation =
             self.generation.map_or_else(|| "none".to_owned(), |generation| generation.to_string());
         log!("watch-lost", "generation={generation} reason={why}");
-        self.heard.push(Heard { listing: Listing::Refused, entries: Vec::new() });
+        self.heard.push(Heard { listing: Listing::Refused, heard_before: None, entries: Vec::new() });
     }
 
     /// A call is out no more. Nothing is told of one for which another has been made.
@@ -358,6 +363,7 @@
     /// The first call to say something is the watch; what the others would say is the same.
     fn speaks(&mut self, link: Link, sure_at: Micros, wires: &mut dyn Wires) {
         let (now, before) = (wires.now(), self.sure_at);
+        self.heard_at = Some(now);
         self.sure_at = self.sure_at.max(sure_at);
         for call in self.calls.extract_if(.., |call| call.link != link) {
             wires.cut(call.link, End::WatchReplaced);
@@ -439,7 +445,7 @@
             let listing = if listed.reset { Listing::All } else { Listing::Changes };
             let back = !listed.reset && self.generation.is_some_and(|known| listed.generation < known);
             self.generation = Some(listed.generation).filter(|_| !back);
-            self.heard.push(Heard { listing, entries: listed.entries() });
+            self.heard.push(Heard { listing, heard_before: self.heard_at, entries: listed.entries() });
             if back {
                 // It counts anew, and what changed between is told by neither count: the whole list is asked for.
                 return Err("generation_back");
@@ -463,9 +469,10 @@
         let listed: Listed = serde_json::from_slice(&call.text).map_err(|_| "bad_line")?;
         let asked_at = call.asked_at;
         self.generation = Some(listed.generation);
+        let heard_before = self.heard_at;
         self.speaks(link, asked_at, wires);
         let Some(call) = self.calls.pop() else { return Ok(()) };
-        self.heard.push(Heard { listing: Listing::All, entries: listed.entries() });
+        self.heard.push(Heard { listing: Listing::All, heard_before, entries: listed.entries() });
         if call.keep {
             self.ask(call.link, true, wires);
         } else {
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -262,7 +262,10 @@
             Some(handed) => desk.inherit(handed, told.known, began),
             None => (told.known, Vec::new()),
         };
-        desk.list(roster::Heard { listing: Listing::Remembered, entries: known.entries() }, wires);
+        desk.list(
+            roster::Heard { listing: Listing::Remembered, heard_before: None, entries: known.entries() },
+            wires,
+        );
         // Once it knows the runners that this is about.
         if !spent.is_empty() {
             desk.happened.push(Event::Spent(spent));
@@ -912,6 +915,7 @@
             entries.push(entry);
         }
         self.runners.tidy(wires);
+        self.members.heard_before(heard.heard_before);
         let entries = self.members.listed(heard.listing, entries, wires.now());
         self.heard_of_list(heard.listing, wires);
         self.happened.push(Event::Roster(List { listing: heard.listing, entries }));
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -278,7 +278,10 @@
             log!("trusts", "item=spent belief=dropped rest_ms={}", rest / 1000);
             wires.wake(Due::Rested, now + rest);
         }
-        self.list(roster::Heard { listing: Listing::Remembered, entries: chosen.entries() }, wires);
+        self.list(
+            roster::Heard { listing: Listing::Remembered, heard_before: None, entries: chosen.entries() },
+            wires,
+        );
         if let Some(left) = left {
             let (belief, why) = recovery::spent(&left.found);
             if let Some(spent) = left.spent.filter(|_| belief == Belief::Trusted) {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -2271,3 +2271,37 @@
     assert!(handover::offer(&folder.join("x".repeat(120))).is_err());
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// The wall clock of all machines is set back, or forward, by an hour while this process runs by the monotonic one.
+#[test]
+fn a_runner_that_starts_after_a_step_of_the_wall_clock_counts_as_started_now() {
+    const SECOND: Micros = 1_000_000;
+    let entry = |launched| RosterEntry {
+        tgt: "s-a".into(),
+        cell: -1,
+        size: 1.0,
+        kind: "".into(),
+        zone: "".into(),
+        readiness: Readiness::Up,
+        launched: Some(launched),
+    };
+    let now = START + 100 * SECOND;
+    let told = |heard_before: Option<Micros>, launched| {
+        let mut members = Members::new(10 * SECOND);
+        members.heard_before(heard_before);
+        let first = members.listed(Listing::Changes, vec![entry(launched)], now)[0].launched;
+        // Told once more it is the same start.
+        members.heard_before(Some(now + 50 * SECOND));
+        let again = members.listed(Listing::Changes, vec![entry(launched)], now + 60 * SECOND)[0].launched;
+        assert_eq!(first, again);
+        first.map(|started| now - started)
+    };
+    let hour = 3_600 * SECOND;
+    // It was heard two seconds ago: nobody who is new has started long before that.
+    assert_eq!(told(Some(now - 2 * SECOND), now - SECOND - hour), Some(2 * SECOND));
+    assert_eq!(told(Some(now - 2 * SECOND), now - SECOND + hour), Some(0));
+    assert_eq!(told(None, now - SECOND + hour), Some(0));
+    // As it was told, where that may be.
+    assert_eq!(told(Some(now - 2 * SECOND), now - 9 * SECOND), Some(9 * SECOND));
+    assert_eq!(told(None, now - hour), Some(hour));
+}
