--- a/node/src/back/roster.rs
+++ b/node/src/back/roster.rs
@@ -10,7 +10,7 @@
 use topazsail::{Listing, Micros, Readiness, RosterEntry};
 
 use crate::back::members::TOLD_WITHIN;
-use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::net::conn::{Callbacks, End, Link, Side, Timer, Wires};
 use crate::net::http::{self, Chunks, Framing, encode_bare};
 use crate::net::log::log;
 
@@ -320,7 +320,7 @@
         wires.send(link, &encode_bare("GET", &target, self.discovery));
         let call = Call::new(link, up, wires.now());
         self.unheard_since.get_or_insert(call.asked_at);
-        wires.wake(Due::Link(link), call.due(self.pushed));
+        wires.wake(Timer::Link(link), call.due(self.pushed));
         self.calls.push(call);
     }
 
@@ -383,7 +383,7 @@
             let anew = call.late || !call.spoke;
             (call.late, call.spoke, call.heard_at) = (false, true, now);
             if anew {
-                wires.wake(Due::Link(link), call.due(self.pushed));
+                wires.wake(Timer::Link(link), call.due(self.pushed));
             }
         }
     }
@@ -525,7 +525,7 @@
         let call = &mut self.calls[at];
         let due = call.due(self.pushed);
         if now < due {
-            return wires.wake(Due::Link(link), due);
+            return wires.wake(Timer::Link(link), due);
         }
         // One that comes in too slowly is of no use, whatever it still brings.
         let too_slow = call.began_at.is_some_and(|began| now >= began + WHOLE_WITHIN);
@@ -535,7 +535,7 @@
             if self.pushed && !call.spoke {
                 self.sure_at = self.sure_at.max(call.asked_at);
             }
-            wires.wake(Due::Link(link), call.due(self.pushed));
+            wires.wake(Timer::Link(link), call.due(self.pushed));
             return self.lost("silent");
         }
         if wires.postponed(link) {
--- a/node/src/back/runners.rs
+++ b/node/src/back/runners.rs
@@ -10,7 +10,7 @@
 use topazsail::{Ending, Id, Micros};
 use topazsail_orders::Decoded;
 
-use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::net::conn::{Callbacks, End, Link, Side, Timer, Wires};
 use crate::net::http::{self, Answer, MESSAGE_MOST, encode_bare};
 use crate::net::log::log;
 
@@ -265,7 +265,7 @@
             && let Some(line) = self.lines.get_mut(&link)
         {
             line.leaves_by = by;
-            wires.wake(Due::Link(link), by);
+            wires.wake(Timer::Link(link), by);
         }
     }
 
@@ -367,7 +367,7 @@
             rest_check,
         };
         self.lines.insert(link, line);
-        wires.wake(Due::Link(link), since + self.dial_timeout);
+        wires.wake(Timer::Link(link), since + self.dial_timeout);
     }
 
     /// What had to leave by now, and still waits for its dial, never leaves.
@@ -401,9 +401,9 @@
         let forward = matches!(task, Task::Forward { .. });
         line.task = Some(task);
         wires.send(link, &message);
-        wires.wake(Due::Link(link), due);
+        wires.wake(Timer::Link(link), due);
         if forward && wires.unsent(link) {
-            wires.wake(Due::Link(link), wires.now() + LEAVES_WITHIN);
+            wires.wake(Timer::Link(link), wires.now() + LEAVES_WITHIN);
         }
     }
 
@@ -440,7 +440,7 @@
         (line.phase, line.since, line.task, line.due) = (Phase::Idle, wires.now(), None, Micros::MAX);
         if line.rest_check <= line.since {
             line.rest_check = line.since + self.idle_most;
-            wires.wake(Due::Link(link), line.rest_check);
+            wires.wake(Timer::Link(link), line.rest_check);
         }
     }
 
@@ -648,7 +648,7 @@
             }
             Phase::Idle if now >= line.rest_check => {
                 line.rest_check = line.since + self.idle_most;
-                wires.wake(Due::Link(link), line.rest_check);
+                wires.wake(Timer::Link(link), line.rest_check);
             }
             Phase::Busy if now >= line.due => {
                 // A forward is never told as not answered here: whoever waits for it has long given it up.
@@ -658,7 +658,7 @@
                 };
                 line.overdue = true;
                 line.due = now + LATE_MOST;
-                wires.wake(Due::Link(link), line.due);
+                wires.wake(Timer::Link(link), line.due);
                 let tgt = line.tgt.clone();
                 self.unanswered(&tgt, task, Ending::Broken, false);
             }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -71,7 +71,7 @@
 
 /// What a dispatcher cannot do without.
 const SOCKETS_LEAST: usize = 16;
-/// Descriptors that are no connections: standard ones, the poller's, signals, doors, a store.
+/// Descriptors that are no connections: standard ones, the poller's, signals, listeners, a store.
 const OTHERS: usize = 24;
 
 /// Connections that this process may have, by the limit that it was started with.
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -27,7 +27,7 @@
 use crate::front::operator::{Call, Operators};
 use crate::life::handover::{Peer, State as Handed, Word};
 use crate::life::keeper::Keeper;
-use crate::net::conn::{Callbacks, Due, Link, Side, Wires};
+use crate::net::conn::{Callbacks, Link, Side, Timer, Wires};
 use crate::net::http::Fault;
 use crate::net::log::log;
 
@@ -242,11 +242,11 @@
             meeting,
         };
         desk.limit();
-        wires.wake(Due::Lease, began + TOLD_WITHIN);
+        wires.wake(Timer::Lease, began + TOLD_WITHIN);
         if handed.is_none() && keeper.is_none() {
             desk.starting = true;
             desk.clients.ready(false);
-            wires.wake(Due::Ready, began + READY_BY);
+            wires.wake(Timer::Ready, began + READY_BY);
         }
         let keeping = |keeper, file| Keeping::new(keeper, (require, peers), file, began);
         if handed.is_none()
@@ -368,7 +368,7 @@
             self.release(self.down_since.is_some());
             self.clients.hand_over(self.down_since.is_some());
             self.rest(wires.now() + self.tip_after, wires);
-            wires.wake(Due::Rested, wires.now() + self.tip_after);
+            wires.wake(Timer::Rested, wires.now() + self.tip_after);
         }
     }
 
@@ -434,7 +434,7 @@
         (self.tip_after, self.open_cap) = (decoded.standing.tip_after, decoded.open_cap);
         self.longest_timeout = decoded.longest_timeout;
         if self.down_since.is_some() {
-            wires.wake(Due::Down, wires.now());
+            wires.wake(Timer::Down, wires.now());
         }
         self.dispatchers = decoded.standing.dispatchers as usize;
         self.account();
@@ -484,7 +484,7 @@
         log!("going-down", "open={} runner_connections={}", self.invs.len(), self.runners.open());
         self.down_since = Some(now);
         self.clients.ready(false);
-        wires.wake(Due::Down, now + self.down_spans().0);
+        wires.wake(Timer::Down, now + self.down_spans().0);
     }
 
     /// After being told to end: for how long clients keep their connections, as the dispatcher that was restarted
@@ -518,25 +518,30 @@
         self.down_since.is_some_and(|since| !owed && now >= since + self.down_spans().1 + END_GRACE)
     }
 
-    pub fn due(&mut self, due: Due, wires: &mut dyn Wires) {
+    pub fn due(&mut self, due: Timer, wires: &mut dyn Wires) {
         match due {
-            Due::Tick => self.happened.push(Event::Tick),
-            Due::Inv(id) => self.overdue(&id, wires),
-            Due::Cancel(id, number) => self.cancel(&id, number, wires),
-            Due::Down => self.step_down(wires),
-            Due::Rested if self.overlap != Some(Overlap::Successor) => self.rest(Micros::MIN, wires),
-            Due::Rested => {}
-            Due::Ready => self.is_ready(),
-            Due::Lease => {
+            Timer::Tick => self.happened.push(Event::Tick),
+            Timer::Inv(id) => self.overdue(&id, wires),
+            Timer::Cancel(id, number) => self.cancel(&id, number, wires),
+            Timer::Down => self.step_down(wires),
+            Timer::Rested if self.overlap != Some(Overlap::Successor) => self.rest(Micros::MIN, wires),
+            Timer::Rested => {}
+            Timer::Ready => self.is_ready(),
+            Timer::Lease => {
                 self.renew(wires);
                 let at = (self.roster.sure_at() + TOLD_WITHIN).max(wires.now() + LEASE_AGAIN);
-                wires.wake(Due::Lease, at);
+                wires.wake(Timer::Lease, at);
             }
-            Due::Recovery => self.recovery_due(wires),
-            Due::Keep => self.keep_list(),
-            Due::Peers => self.round(wires),
-            Due::Kept(ticket) => self.not_kept_in_time(ticket, wires),
-            Due::Link(_) | Due::Finish(_) | Due::Accept(_) | Due::Dial(_) | Due::Watch(_) | Due::Reload => {}
+            Timer::Recovery => self.recovery_due(wires),
+            Timer::Keep => self.keep_list(),
+            Timer::Peers => self.round(wires),
+            Timer::Kept(ticket) => self.not_kept_in_time(ticket, wires),
+            Timer::Link(_)
+            | Timer::Finish(_)
+            | Timer::Accept(_)
+            | Timer::Dial(_)
+            | Timer::Watch(_)
+            | Timer::Reload => {}
         }
     }
 
@@ -544,11 +549,11 @@
         let (Some(since), now) = (self.down_since, wires.now()) else { return };
         let (kept, all) = self.down_spans();
         if now < since + kept {
-            return wires.wake(Due::Down, since + kept);
+            return wires.wake(Timer::Down, since + kept);
         }
         self.clients.let_go(wires);
         if now < since + all {
-            return wires.wake(Due::Down, (now + DOWN_STEP).min(since + all));
+            return wires.wake(Timer::Down, (now + DOWN_STEP).min(since + all));
         }
         for id in self.invs.keys().cloned().collect::<Vec<Id>>() {
             self.overdue(&id, wires);
@@ -599,7 +604,7 @@
             Action::Error { inv } => self.answer(&inv, ERRORED, None, b"", wires),
             Action::Probe { tgt } => self.runners.probe(&tgt, wires),
             Action::Follow => self.roster.follow(wires),
-            Action::Tick { after } => wires.wake(Due::Tick, wires.now() + after),
+            Action::Tick { after } => wires.wake(Timer::Tick, wires.now() + after),
             Action::Log(text) => log!("brain", "{}", text.escape_debug()),
         }
     }
@@ -711,7 +716,7 @@
             return self.error(inv, wires);
         }
         self.happened.push(Event::Over { inv: inv.clone() });
-        wires.wake(Due::Inv(inv.clone()), wires.now() + OVERDUE);
+        wires.wake(Timer::Inv(inv.clone()), wires.now() + OVERDUE);
     }
 
     /// Ends the forward that is out, if one is.
@@ -795,7 +800,7 @@
                         log!("not-cancelled", "inv={inv} runner={}", sent.tgt);
                         sent.cancels += 1;
                         let after = (CANCEL_AGAIN << sent.cancels.min(8)).min(CANCEL_AGAIN_MOST);
-                        wires.wake(Due::Cancel(inv, number), wires.now() + after);
+                        wires.wake(Timer::Cancel(inv, number), wires.now() + after);
                     }
                 }
                 runners::Heard::Probed { tgt, alive, report } => {
@@ -957,7 +962,7 @@
         }
         self.peer.say(&Word::Taken(told.id.to_string()), wires);
         self.held += size;
-        wires.wake(Due::Inv(told.id.clone()), told.expires_at);
+        wires.wake(Timer::Inv(told.id.clone()), told.expires_at);
         let (inv, operation, slots, key) = (told.id.clone(), told.operation, told.slots, told.key);
         let (expires_in, hint) = (told.expires_at - now, told.hint);
         self.happened.push(Event::Arrival(Arrival { inv, operation, expires_in, slots, hint, key }));
--- a/node/src/desk/keeping.rs
+++ b/node/src/desk/keeping.rs
@@ -14,7 +14,7 @@
 use crate::back::roster::{self, Listed};
 use crate::front::operator::Call;
 use crate::life::keeper::{Keeper, Left, Told};
-use crate::net::conn::{Due, Link, Wires};
+use crate::net::conn::{Link, Timer, Wires};
 use crate::net::log::log;
 
 /// An operator's answer waits for the disk no longer than this.
@@ -209,7 +209,7 @@
         // One that is asked for already, and comes in time, will ask for the next.
         if keeping.armed <= now || at < keeping.armed {
             keeping.armed = at;
-            wires.wake(Due::Recovery, at);
+            wires.wake(Timer::Recovery, at);
         }
     }
 
@@ -276,7 +276,7 @@
             let entries = self.members.rest(now + rest, began, now);
             debug_assert!(entries.is_empty(), "nothing is listed yet");
             log!("trusts", "item=spent belief=dropped rest_ms={}", rest / 1000);
-            wires.wake(Due::Rested, now + rest);
+            wires.wake(Timer::Rested, now + rest);
         }
         self.list(
             roster::Heard { listing: Listing::Remembered, heard_before: None, entries: chosen.entries() },
@@ -371,7 +371,7 @@
         let actions = keeping.recovery.handle(wires.now(), event);
         if fresh && !std::mem::replace(&mut keeping.list_due, true) {
             let more = (keeping.list_length / LIST_BYTES) as Micros * LIST_AFTER;
-            wires.wake(Due::Keep, wires.now() + LIST_AFTER + more);
+            wires.wake(Timer::Keep, wires.now() + LIST_AFTER + more);
         }
         self.enter(actions, wires);
     }
@@ -418,7 +418,7 @@
             Some(call) => {
                 let ticket = keeping.keeper.keep_now(id, Some(&hand));
                 keeping.calls.insert(ticket, call);
-                wires.wake(Due::Kept(ticket), wires.now() + KEPT_WITHIN);
+                wires.wake(Timer::Kept(ticket), wires.now() + KEPT_WITHIN);
             }
         }
     }
--- a/node/src/desk/meeting.rs
+++ b/node/src/desk/meeting.rs
@@ -14,7 +14,7 @@
 use super::Desk;
 use crate::config::PeersAt;
 use crate::life::keeper::Left;
-use crate::net::conn::{Due, Wires};
+use crate::net::conn::{Timer, Wires};
 use crate::net::log::log;
 
 /// The other dispatchers: from the start as configured, and once this life has a number, or none is to be had, as met.
@@ -136,7 +136,7 @@
         let due = core.due();
         if meeting.due != Some(due) {
             meeting.due = Some(due);
-            wires.wake(Due::Peers, due);
+            wires.wake(Timer::Peers, due);
         }
         // Before anything else is decided: a promise may begin in this round.
         self.portions(now);
--- a/node/src/front/clients.rs
+++ b/node/src/front/clients.rs
@@ -9,7 +9,7 @@
 use topazsail::{Id, Micros, hash};
 
 use crate::front::operations::Operations;
-use crate::net::conn::{Callbacks, Due, End, Link, Wires};
+use crate::net::conn::{Callbacks, End, Link, Timer, Wires};
 use crate::net::http::{self, Fault, MESSAGE_MOST, Request, encode_answer};
 use crate::net::log::log;
 
@@ -149,7 +149,7 @@
         let client =
             Client { phase, since, began: since, newcomer, keep: true, invokes: false, caller: false };
         self.conns.insert(link, client);
-        wires.wake(Due::Link(link), since + REQUEST_WITHIN);
+        wires.wake(Timer::Link(link), since + REQUEST_WITHIN);
     }
 
     /// The one final answer of an invocation.
@@ -379,14 +379,14 @@
             Phase::Idle if overdue && client.newcomer.is_some() => End::Silent,
             Phase::Idle if now >= client.since + IDLE_MOST => End::Idle,
             // One look at a time is asked for: a request that has begun since the last one is in time for it.
-            Phase::Reading => return wires.wake(Due::Link(link), whole_by),
-            _ => return wires.wake(Due::Link(link), now + REQUEST_WITHIN),
+            Phase::Reading => return wires.wake(Timer::Link(link), whole_by),
+            _ => return wires.wake(Timer::Link(link), now + REQUEST_WITHIN),
         };
         if !matches!(end, End::Idle | End::Silent) {
             self.conns.remove(&link);
             wires.cut(link, end);
         } else if !self.end_idle(link, end, wires) {
-            wires.wake(Due::Link(link), now + REQUEST_WITHIN);
+            wires.wake(Timer::Link(link), now + REQUEST_WITHIN);
         }
     }
 }
--- a/node/src/front/operator.rs
+++ b/node/src/front/operator.rs
@@ -7,7 +7,7 @@
 
 use topazsail::Micros;
 
-use crate::net::conn::{Callbacks, Due, End, Link, Wires};
+use crate::net::conn::{Callbacks, End, Link, Timer, Wires};
 use crate::net::log::log;
 
 /// A call must be whole by then; some callers send half of one and stay.
@@ -64,7 +64,7 @@
 
     pub fn accepted(&mut self, link: Link, wires: &mut dyn Wires) {
         self.calling.insert(link);
-        wires.wake(Due::Link(link), wires.now() + CALL_WITHIN);
+        wires.wake(Timer::Link(link), wires.now() + CALL_WITHIN);
     }
 
     pub fn answer(&mut self, link: Link, text: &str, wires: &mut dyn Wires) {
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -20,7 +20,7 @@
 use crate::net::conn::{Side, Wires};
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
-use crate::net::reactor::{DOORS, Door, PEERS, RELOAD, Reactor, SIGNAL, SUCCESSOR};
+use crate::net::reactor::{LISTENERS, Listener, PEERS, RELOAD, Reactor, SIGNAL, SUCCESSOR};
 use crate::net::sockets::{listen, talk};
 
 /// How long a process that ends waits for its disk.
@@ -60,14 +60,14 @@
     let (told, given) = begin(path)?;
     let locked = if given.is_none() { locked(&told, disk_at)? } else { None };
     let addresses = [(Side::Client, Some(told.listen)), (Side::Operator, told.admin)];
-    let mut doors = Vec::new();
+    let mut listeners = Vec::new();
     for (side, address) in addresses {
         let Some(address) = address else { continue };
         let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
-        let listener = given
+        let socket = given
             .unwrap_or_else(|| patiently(errno::open, || listen(address)))
             .map_err(|error| format!("listen {address}: {error}"))?;
-        doors.push(Door { listener, side, key: DOORS + doors.len() });
+        listeners.push(Listener { socket, side, key: LISTENERS + listeners.len() });
     }
     let mut reactor = patiently(errno::open, Reactor::new).map_err(fault("poller"))?;
     // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
@@ -78,9 +78,10 @@
             .and_then(|()| {
                 reactor.poller.add_with_mode(reload.wakes(), Event::readable(RELOAD), PollMode::Level)
             });
-        for door in &doors {
-            let event = Event::readable(door.key);
-            added = added.and_then(|()| reactor.poller.add_with_mode(&door.listener, event, PollMode::Level));
+        for listener in &listeners {
+            let event = Event::readable(listener.key);
+            added =
+                added.and_then(|()| reactor.poller.add_with_mode(&listener.socket, event, PollMode::Level));
         }
         added.map_err(fault("poller"))?;
     }
@@ -126,7 +127,7 @@
         let link = reactor.meet(stream, listen);
         desk.takes_over(link, since, &mut reactor);
     }
-    let run = reactor.run(&mut desk, &doors, successor.as_ref(), (&terminate, &reload, path));
+    let run = reactor.run(&mut desk, &listeners, successor.as_ref(), (&terminate, &reload, path));
     run.map_err(fault("poller"))?;
     let fatal = desk.fatal();
     desk.leave(reactor.clock(), CLOSED_WITHIN);
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -103,7 +103,7 @@
 
 /// What a due time is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Due {
+pub enum Timer {
     /// The owner of a connection wants to look at it.
     Link(Link),
     /// A connection that is being finished has had its time.
@@ -219,7 +219,7 @@
     /// Ends it as soon as all is written.
     fn finish(&mut self, link: Link, end: End);
     fn cut(&mut self, link: Link, end: End);
-    fn wake(&mut self, due: Due, at: Micros);
+    fn wake(&mut self, due: Timer, at: Micros);
     /// To another dispatcher; it may get lost.
     fn datagram(&mut self, _to: SocketAddr, _bytes: &[u8]) {}
 }
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -18,7 +18,7 @@
 use crate::desk::Desk;
 use crate::life::handover;
 use crate::life::signals::Signal;
-use crate::net::conn::{Conn, Due, End, HostFailures, Link, Side, Wires, never_up};
+use crate::net::conn::{Conn, End, HostFailures, Link, Side, Timer, Wires, never_up};
 use crate::net::dials::{self, DIAL_AGAIN, Dial, Dialled, Dials};
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
@@ -29,8 +29,8 @@
 pub const SUCCESSOR: usize = 2;
 /// A datagram has come from another dispatcher.
 pub const PEERS: usize = 3;
-/// The keys of the doors, in their order.
-pub const DOORS: usize = 4;
+/// The keys of the listeners, in their order.
+pub const LISTENERS: usize = 4;
 const FIRST_LINK: Link = 6;
 /// Buffers read from one client in a turn, while they come full: its end may be behind them.
 const READS_ON: usize = 16;
@@ -78,15 +78,15 @@
 }
 
 /// Where connections come in, and whose they are.
-pub struct Door {
-    pub listener: TcpListener,
+pub struct Listener {
+    pub socket: TcpListener,
     pub side: Side,
     /// What the poller knows it by.
     pub key: usize,
 }
 
-fn door_of(doors: &[Door], side: Side) -> Option<&Door> {
-    doors.iter().find(|door| door.side == side)
+fn listener_of(listeners: &[Listener], side: Side) -> Option<&Listener> {
+    listeners.iter().find(|listener| listener.side == side)
 }
 
 pub struct Reactor {
@@ -97,13 +97,13 @@
     now: Micros,
     /// While it catches up after having stood still: since when, and until when.
     behind: Option<(Micros, Micros)>,
-    /// Doors at which newcomers may be waiting to be accepted, by their keys, and since when.
+    /// Listeners at which newcomers may be waiting to be accepted, by their keys, and since when.
     queued: BTreeMap<usize, Micros>,
-    /// While a newcomer that has waited at its door is read: since when it may have.
+    /// While a newcomer that has waited at its listener is read: since when it may have.
     queued_since: Option<Micros>,
     conns: HashMap<Link, Conn>,
     next: Link,
-    dues: BTreeMap<(Micros, u64), Due>,
+    dues: BTreeMap<(Micros, u64), Timer>,
     serial: u64,
     /// Connections that broke under a write: their owners are called back in the next turn.
     broken: Vec<(Link, End)>,
@@ -151,7 +151,7 @@
     pub fn run(
         &mut self,
         desk: &mut Desk,
-        doors: &[Door],
+        listeners: &[Listener],
         successor: Option<&UnixListener>,
         (terminate, reload, path): (&Signal, &Signal, &str),
     ) -> io::Result<()> {
@@ -180,7 +180,7 @@
                 return Ok(());
             }
             // A wait that a signal has cut short has not looked.
-            let quiet = last && !interrupted && events.is_empty() && self.nobody_queues(desk, doors);
+            let quiet = last && !interrupted && events.is_empty() && self.nobody_queues(desk, listeners);
             if quiet || desk.must_end(self.now) {
                 return Ok(());
             }
@@ -196,9 +196,9 @@
                     SIGNAL => terminate.drain(),
                     RELOAD => reload.drain(),
                     PEERS => self.hear(desk),
-                    SUCCESSOR => self.hand_over(desk, successor, doors),
-                    key => match doors.iter().find(|door| door.key == key) {
-                        Some(door) => self.accept(desk, door),
+                    SUCCESSOR => self.hand_over(desk, successor, listeners),
+                    key => match listeners.iter().find(|listener| listener.key == key) {
+                        Some(listener) => self.accept(desk, listener),
                         None => self.ready(key as Link, event, desk),
                     },
                 }
@@ -206,7 +206,7 @@
             self.call_back(desk);
             while let Some(entry) = self.dues.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let due = entry.remove();
-                self.fall_due(due, desk, (doors, path));
+                self.fall_due(due, desk, (listeners, path));
             }
             if std::mem::take(&mut self.short) {
                 desk.out_of_descriptors(self);
@@ -214,18 +214,18 @@
             desk.settle(self);
             if desk.accepts() != self.accepting {
                 self.accepting = desk.accepts();
-                self.open(door_of(doors, Side::Client), self.accepting);
+                self.open(listener_of(listeners, Side::Client), self.accepting);
             }
         }
     }
 
     /// Whether no newcomer waits to be accepted, as the listener ends with this process; whoever does is accepted now.
-    fn nobody_queues(&mut self, desk: &mut Desk, doors: &[Door]) -> bool {
-        let door = door_of(doors, Side::Client).filter(|_| self.accepting);
-        let Some(door) = door else { return true };
+    fn nobody_queues(&mut self, desk: &mut Desk, listeners: &[Listener]) -> bool {
+        let listener = listener_of(listeners, Side::Client).filter(|_| self.accepting);
+        let Some(listener) = listener else { return true };
         let before = self.next;
-        self.accept(desk, door);
-        self.next == before && !self.queued.contains_key(&door.key)
+        self.accept(desk, listener);
+        self.next == before && !self.queued.contains_key(&listener.key)
     }
 
     /// Takes the time. Where far more has passed than the poller was to wait, whatever is read now may have come at
@@ -249,7 +249,7 @@
             Ok(told) => desk.reload(told, self),
             Err(error) if error.passes() && self.now < self.reload_until => {
                 log!("configuration-delayed", "reason={:?}", error.to_string());
-                self.wake(Due::Reload, self.now + RELOAD_AGAIN);
+                self.wake(Timer::Reload, self.now + RELOAD_AGAIN);
             }
             Err(error) => desk.turn_down(&error.to_string()),
         }
@@ -283,41 +283,41 @@
         Some(Duration::from_micros((at - self.clock.now()).max(0) as u64).min(LOOKS_UP))
     }
 
-    fn fall_due(&mut self, due: Due, desk: &mut Desk, (doors, path): (&[Door], &str)) {
+    fn fall_due(&mut self, due: Timer, desk: &mut Desk, (listeners, path): (&[Listener], &str)) {
         match due {
-            Due::Link(link) => {
+            Timer::Link(link) => {
                 if let Some(side) = self.conns.get(&link).map(|conn| conn.side) {
                     desk.callbacks(side).due(link, self);
                     desk.collect(self);
                 }
             }
-            Due::Finish(link) => {
+            Timer::Finish(link) => {
                 if let Some(end) = self.conns.get(&link).and_then(|conn| conn.finishing) {
                     self.remove(link, end);
                 }
             }
-            Due::Reload => self.read_configuration(desk, path),
-            Due::Dial(link) => {
+            Timer::Reload => self.read_configuration(desk, path),
+            Timer::Dial(link) => {
                 if let Some(dial) = self.dials.take(link) {
                     // Why was told the first time.
                     let _ = self.begin_dial(link, dial);
                 }
             }
-            Due::Accept(side) => {
-                self.open(door_of(doors, side), side != Side::Client || self.accepting);
+            Timer::Accept(side) => {
+                self.open(listener_of(listeners, side), side != Side::Client || self.accepting);
             }
-            Due::Watch(link) => self.watch(link),
+            Timer::Watch(link) => self.watch(link),
             due => desk.due(due, self),
         }
     }
 
-    /// Lets newcomers in at a door, or leaves them waiting.
-    fn open(&mut self, door: Option<&Door>, open: bool) {
-        let Some(Door { listener, key, side }) = door else { return };
+    /// Lets newcomers in at a listener, or leaves them waiting.
+    fn open(&mut self, listener: Option<&Listener>, open: bool) {
+        let Some(Listener { socket, key, side }) = listener else { return };
         let event = if open { Event::readable(*key) } else { Event::none(*key) };
-        if let Err(error) = self.poller.modify_with_mode(listener, event, PollMode::Level) {
-            log!("poller", "door={} reason={error}", side.code());
-            self.wake(Due::Accept(*side), self.now + WATCH_AGAIN);
+        if let Err(error) = self.poller.modify_with_mode(socket, event, PollMode::Level) {
+            log!("poller", "listener={} reason={error}", side.code());
+            self.wake(Timer::Accept(*side), self.now + WATCH_AGAIN);
         }
     }
 
@@ -326,13 +326,13 @@
         self.add_new(Conn::new(stream.into(), Side::Peer, listen, false, self.now))
     }
 
-    fn hand_over(&mut self, desk: &mut Desk, successor: Option<&UnixListener>, doors: &[Door]) {
+    fn hand_over(&mut self, desk: &mut Desk, successor: Option<&UnixListener>, listeners: &[Listener]) {
         let Some(Ok((stream, _))) = successor.map(UnixListener::accept) else { return };
-        let Some(door) = door_of(doors, Side::Client) else { return };
+        let Some(listener) = listener_of(listeners, Side::Client) else { return };
         if !desk.may_hand_over() {
             return log!("handover-failed", "reason=\"going down, or at it already\"");
         }
-        let given = handover::give(&stream, &door.listener).and_then(|()| door.listener.local_addr());
+        let given = handover::give(&stream, &listener.socket).and_then(|()| listener.socket.local_addr());
         match given {
             Ok(listen) => {
                 let link = self.meet(stream, listen);
@@ -346,13 +346,13 @@
         }
     }
 
-    fn accept(&mut self, desk: &mut Desk, door: &Door) {
+    fn accept(&mut self, desk: &mut Desk, listener: &Listener) {
         for _ in 0..ACCEPTS {
-            if !desk.room(door.side, self) {
+            if !desk.room(listener.side, self) {
                 log!("accept-paused", "connections={} reason=no_room", self.conns.len());
-                return self.pause(door, ROOM_AGAIN);
+                return self.pause(listener, ROOM_AGAIN);
             }
-            match door.listener.accept() {
+            match listener.socket.accept() {
                 Ok((stream, peer)) => {
                     // A stream that blocks would hold up all others.
                     if let Err(error) = stream.set_nonblocking(true) {
@@ -361,40 +361,40 @@
                     }
                     // Without it answers come later, and that is all.
                     let _ = stream.set_nodelay(true);
-                    let link = self.add_new(Conn::new(stream.into(), door.side, peer, false, self.now));
-                    desk.accepted(door.side, link, self);
-                    self.read_queued(link, door, desk);
+                    let link = self.add_new(Conn::new(stream.into(), listener.side, peer, false, self.now));
+                    desk.accepted(listener.side, link, self);
+                    self.read_queued(link, listener, desk);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.queued.remove(&door.key);
+                    self.queued.remove(&listener.key);
                     return;
                 }
                 Err(error) if errno::accept(&error) == Scope::Host => {
                     log!("accept-paused", "connections={} reason={error}", self.conns.len());
                     self.short = true;
                     self.failed.accepts += 1;
-                    return self.pause(door, ACCEPT_AGAIN);
+                    return self.pause(listener, ACCEPT_AGAIN);
                 }
                 // The newcomer has left again, or was interrupted: the next one may be well.
                 Err(error) => log!("accept-failed", "reason={error}"),
             }
         }
-        self.queued.entry(door.key).or_insert(self.now);
+        self.queued.entry(listener.key).or_insert(self.now);
     }
 
     /// Reads at once what a newcomer has brought that had to wait to be accepted: its time runs from then on. What comes
     /// later has not waited.
-    fn read_queued(&mut self, link: Link, door: &Door, desk: &mut Desk) {
-        let Some(since) = self.queued.get(&door.key).copied() else { return };
+    fn read_queued(&mut self, link: Link, listener: &Listener, desk: &mut Desk) {
+        let Some(since) = self.queued.get(&listener.key).copied() else { return };
         self.queued_since = Some(since);
         self.ready(link, Event::readable(link as usize), desk);
         self.queued_since = None;
     }
 
-    fn pause(&mut self, door: &Door, again: Micros) {
-        self.queued.entry(door.key).or_insert(self.now);
-        self.wake(Due::Accept(door.side), self.now + again);
-        self.open(Some(door), false);
+    fn pause(&mut self, listener: &Listener, again: Micros) {
+        self.queued.entry(listener.key).or_insert(self.now);
+        self.wake(Timer::Accept(listener.side), self.now + again);
+        self.open(Some(listener), false);
     }
 
     fn next_link(&mut self) -> Link {
@@ -423,7 +423,7 @@
     fn postpone(&mut self, link: Link, dial: Dial, error: io::Error) -> io::Error {
         self.short |= errno::is_shortage(&error);
         self.dials.postpone(link, dial);
-        self.wake(Due::Dial(link), self.now + DIAL_AGAIN);
+        self.wake(Timer::Dial(link), self.now + DIAL_AGAIN);
         error
     }
 
@@ -472,7 +472,7 @@
             Ok(()) => conn.watched = Some(wants),
             Err(error) => {
                 log!("poller", "link={link} reason={error}");
-                self.wake(Due::Watch(link), self.now + WATCH_AGAIN);
+                self.wake(Timer::Watch(link), self.now + WATCH_AGAIN);
             }
         }
     }
@@ -661,7 +661,7 @@
         let Some(conn) = self.conns.get_mut(&link) else { return };
         conn.finishing = Some(end);
         self.finished(link);
-        self.wake(Due::Finish(link), self.now + FINISH_WITHIN);
+        self.wake(Timer::Finish(link), self.now + FINISH_WITHIN);
         self.watch(link);
     }
 
@@ -676,7 +676,7 @@
         }
     }
 
-    fn wake(&mut self, due: Due, at: Micros) {
+    fn wake(&mut self, due: Timer, at: Micros) {
         self.serial += 1;
         self.dues.insert((at, self.serial), due);
     }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -15,7 +15,7 @@
 use crate::front::clients::{Clients, Heard, State};
 use crate::front::operations::Operations;
 use crate::life::handover;
-use crate::net::conn::{Callbacks, Due, End, Link, Side, Wires};
+use crate::net::conn::{Callbacks, End, Link, Side, Timer, Wires};
 use crate::net::http::{self, Fault};
 
 const START: Micros = 1_700_000_000_000_000;
@@ -34,7 +34,7 @@
     left: BTreeSet<Link>,
     stuck: BTreeSet<Link>,
     lingering: Vec<Link>,
-    dues: BTreeMap<(Micros, u64), Due>,
+    dues: BTreeMap<(Micros, u64), Timer>,
     serial: u64,
     revisits: Vec<Link>,
     /// What was sent to another process.
@@ -113,7 +113,7 @@
         self.say(&format!("#{link} ends: {}", end.code()));
     }
 
-    fn wake(&mut self, due: Due, at: Micros) {
+    fn wake(&mut self, due: Timer, at: Micros) {
         self.serial += 1;
         self.dues.insert((at, self.serial), due);
     }
@@ -282,7 +282,7 @@
         while let Some(entry) = self.stage.dues.first_entry().filter(|entry| entry.key().0 <= until) {
             self.stage.now = entry.key().0.max(self.stage.now);
             match entry.remove() {
-                Due::Link(link) => {
+                Timer::Link(link) => {
                     if let Some(side) = self.stage.sides.get(&link).copied() {
                         self.desk.callbacks(side).due(link, &mut self.stage);
                     }
@@ -1434,7 +1434,7 @@
     node.stage.trace.clear();
     node.feed(1, BEAT);
     node.pass(1000);
-    let looks = node.stage.dues.values().filter(|due| **due == Due::Link(links[2])).count();
+    let looks = node.stage.dues.values().filter(|due| **due == Timer::Link(links[2])).count();
     node.stage.say(&format!("looks asked for: {looks}"));
     // One that has asked before may rest, but its next request must be whole in time too.
     node.feed(links[2], "GET /hea");
