--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -52,6 +52,12 @@
     });
 }
 
+#[test]
+fn a_call_of_an_operator_that_was_answered_yes_holds_while_restarted_peers_hear_of_it() {
+    let outcome = play(43);
+    assert!(outcome.broken.is_empty(), "{:?} {}", outcome.broken, outcome.verdict["kept"]);
+}
+
 #[test]
 fn a_seed_draws_the_same_day_each_time() {
     let plans = |seed| soak::day(seed).unwrap().plans;
