--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -136,9 +136,10 @@
     if drawn.random_range(0..2) == 0 {
         return Some(rule);
     }
-    // Every call, or half of them, for a moment.
+    // Every call, or half of them, for a moment. Where nothing at all can be sent nobody could answer in time.
     let from_ms = drawn.random_range(500..PLAN_LENGTH_MS - 4_000);
     let rate = [0.5, 1.0][drawn.random_range(0..2)];
+    let rate = if call == Call::Send { f64::min(rate, 0.5) } else { rate };
     Some(Rule { rate, from_ms, until_ms: from_ms + drawn.random_range(50..800), ..rule })
 }
 
