--- a/lab/tests/input.rs
+++ b/lab/tests/input.rs
@@ -56,7 +56,7 @@
         "load = 0.5",
         "load = 0.5\nlaod = 1",
         expect![
-            "t.toml:6: unknown field `laod`, expected one of `load`, `arrivals`, `swing`, `period`, `zipf`, `retries`, `retry-wait`, `honour`, `front-notice`"
+            "t.toml:6: unknown field `laod`, expected one of `load`, `arrivals`, `swing`, `period`, `zipf`, `retries`, `retry-wait`, `honour`, `leaves`, `front-notice`"
         ],
     );
     refused("count = 2", "count = 0", expect!["t.toml:8: count: 0 is not within 1 to 100000"]);
