A postponed dial keeps its owner's time: it is given up, and discovery's silence is seen

The loop looked up whom a timer is for among connections, where a dial that the host keeps from beginning has none: its owner's timeout came and was dropped. An attempt stayed with it for as long as the host failed, and the call to discovery that it became was no longer watched for silence at all.

--- a/node/src/net/dials.rs
+++ b/node/src/net/dials.rs
@@ -16,11 +16,12 @@
 /// How long until a dial is made again.
 pub const DIAL_AGAIN: Micros = 10_000;
 
-/// Where a connection is to lead, and for whom.
-#[derive(Clone, Copy, Debug)]
+/// Where a connection is to lead, for whom, and what is to be sent on it.
+#[derive(Debug)]
 pub struct Dial {
     pub to: SocketAddr,
     pub side: Side,
+    pub output: Vec<u8>,
 }
 
 /// What has become of a dial.
@@ -52,8 +53,14 @@
         self.postponed.remove(&link)
     }
 
-    pub fn is_postponed(&self, link: Link) -> bool {
-        self.postponed.contains_key(&link)
+    /// A dial that is to be made again.
+    pub fn get(&self, link: Link) -> Option<&Dial> {
+        self.postponed.get(&link)
+    }
+
+    /// The same, to add to what is to be sent.
+    pub fn get_mut(&mut self, link: Link) -> Option<&mut Dial> {
+        self.postponed.get_mut(&link)
     }
 }
 
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -111,8 +111,6 @@
     scratch: Vec<u8>,
     dials: Dials,
     failed: HostFailures,
-    /// What is to be sent on connections whose dials have not begun.
-    unsent: HashMap<Link, Vec<u8>>,
     /// Until when a configuration that the host cannot read is read again.
     reload_until: Micros,
     /// Whether newcomers are being let in.
@@ -141,7 +139,6 @@
             scratch: vec![0; 64 << 10],
             dials: Dials::default(),
             failed: HostFailures::default(),
-            unsent: HashMap::new(),
             reload_until: 0,
             accepting: true,
             short: false,
@@ -286,7 +283,7 @@
     fn fall_due(&mut self, due: Timer, desk: &mut Desk, (listeners, path): (&[Listener], &str)) {
         match due {
             Timer::Link(link) => {
-                if let Some(side) = self.conns.get(&link).map(|conn| conn.side) {
+                if let Some(side) = self.side(link) {
                     desk.callbacks(side).due(link, self);
                     desk.collect(self);
                 }
@@ -397,6 +394,12 @@
         self.open(Some(listener), false);
     }
 
+    /// Whose a connection is, also while its dial has not begun.
+    fn side(&self, link: Link) -> Option<Side> {
+        let conn = self.conns.get(&link).map(|conn| conn.side);
+        conn.or_else(|| self.dials.get(link).map(|dial| dial.side))
+    }
+
     fn next_link(&mut self) -> Link {
         self.next += 1;
         self.next - 1
@@ -404,16 +407,14 @@
 
     /// Makes a dial, or has it made again soon where the host keeps it from beginning, and says why it does.
     fn begin_dial(&mut self, link: Link, dial: Dial) -> io::Result<()> {
-        let Dial { to, side } = dial;
-        let (socket, failed) = match dials::dial(to) {
+        let (socket, failed) = match dials::dial(dial.to) {
             Dialled::Begun(socket) => (socket, None),
             Dialled::Failed(socket, error) => (socket, Some(error)),
             Dialled::Postponed(error) => return Err(self.postpone(link, dial, error)),
         };
-        self.add(link, Conn::new(socket, side, to, true, self.now));
-        if let Some(bytes) = self.unsent.remove(&link) {
-            self.send(link, &bytes);
-        }
+        let mut conn = Conn::new(socket, dial.side, dial.to, true, self.now);
+        conn.queue(&dial.output);
+        self.add(link, conn);
         if let Some(error) = failed {
             self.broken.push((link, never_up(&error)));
         }
@@ -439,8 +440,7 @@
     }
 
     fn remove(&mut self, link: Link, end: End) {
-        if let Some(Dial { to, side }) = self.dials.take(link) {
-            self.unsent.remove(&link);
+        if let Some(Dial { to, side, .. }) = self.dials.take(link) {
             log!("dial-given-up", "link={link} side={} peer={to} reason={}", side.code(), end.code());
         }
         let Some(conn) = self.conns.remove(&link) else { return };
@@ -614,19 +614,19 @@
 
     fn dial(&mut self, to: SocketAddr, side: Side) -> Link {
         let link = self.next_link();
-        if let Err(error) = self.begin_dial(link, Dial { to, side }) {
+        if let Err(error) = self.begin_dial(link, Dial { to, side, output: Vec::new() }) {
             log!("dial-postponed", "link={link} side={} peer={to} reason={error}", side.code());
         }
         link
     }
 
     fn postponed(&self, link: Link) -> bool {
-        self.dials.is_postponed(link)
+        self.dials.get(link).is_some()
     }
 
     fn send(&mut self, link: Link, bytes: &[u8]) {
-        if self.dials.is_postponed(link) {
-            return self.unsent.entry(link).or_default().extend_from_slice(bytes);
+        if let Some(dial) = self.dials.get_mut(link) {
+            return dial.output.extend_from_slice(bytes);
         }
         let Some(conn) = self.conns.get_mut(&link) else { return };
         conn.queue(bytes);
--- a/node/tests/momentary_failures.rs
+++ b/node/tests/momentary_failures.rs
@@ -314,6 +314,23 @@
     }
 }
 
+/// To a server, and to discovery: each has its own time, which runs while the host keeps the dial from beginning.
+#[test]
+fn a_dial_that_this_host_keeps_from_beginning_is_given_up_in_its_time() {
+    let brief = |text: String| text.replace("\"dialTimeout\":20000000", "\"dialTimeout\":300000");
+    let mut node = Node::failing(225, &plan([fails(Call::Connect, "EADDRNOTAVAIL", 1_000..4_000)]), brief);
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    node.logged("watch-up");
+    until(&node, 1_050);
+    let _client = node.asks("i1");
+    node.logged("ending=void");
+    drop(watch);
+    node.logged("reason=not_dialled");
+    assert!(node.started.elapsed() < Duration::from_millis(3_900), "only once it could be dialled again");
+}
+
 #[test]
 fn transfers_that_are_short_interrupted_or_refused_for_a_moment_lose_nothing() {
     let short = |call| Rule { effect: Effect::Short, rate: 0.7, ..fails(call, "EINTR", 0..u64::MAX) };
