The end of a process still looks once, and leaves no answer half written

That time now ends only the wait for clients that stay and for a queue that cannot be accepted. Whether anything is owed is asked in one place.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -504,18 +504,21 @@
     /// Whether all is said and done after having been told to end.
     pub fn is_down(&self, now: Micros) -> bool {
         let Some(since) = self.down_since else { return false };
-        let owed = self.invs.values().any(|open| !open.answered);
         let clients = self.clients.remain();
         let (kept, all) = self.down_spans();
         // Cancels are waited for no longer than answers; clients may send on what they have until we are killed.
         let cancelling = self.runners.cancelling() && now < since + all + 2 * OVERDUE;
-        !owed && !clients && !cancelling && now >= since + kept
+        !self.owes() && !clients && !cancelling && now >= since + kept
     }
 
     /// Whether this process is about to be killed: whatever is still at work has had its time.
     pub fn must_end(&self, now: Micros) -> bool {
-        let owed = self.invs.values().any(|open| !open.answered);
-        self.down_since.is_some_and(|since| !owed && now >= since + self.down_spans().1 + END_GRACE)
+        self.down_since.is_some_and(|since| !self.owes() && now >= since + self.down_spans().1 + END_GRACE)
+    }
+
+    /// Whether some client has not been answered.
+    fn owes(&self) -> bool {
+        self.invs.values().any(|open| !open.answered)
     }
 
     pub fn due(&mut self, due: Timer, wires: &mut dyn Wires) {
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -158,7 +158,7 @@
         desk.settle(self);
         loop {
             // The last look before the end: what has come meanwhile has been taken, and is still answered.
-            let last = desk.is_down(self.now) && self.all_told();
+            let last = (desk.is_down(self.now) || desk.must_end(self.now)) && self.all_told();
             let patience = if last { Some(LAST_LOOK) } else { self.patience(desk) };
             events.clear();
             let interrupted = match self.poller.wait(&mut events, patience) {
@@ -177,8 +177,8 @@
                 return Ok(());
             }
             // A wait that a signal has cut short has not looked.
-            let quiet = last && !interrupted && events.is_empty() && self.nobody_queues(desk, listeners);
-            if quiet || desk.must_end(self.now) {
+            let quiet = last && !interrupted && events.is_empty();
+            if quiet && (desk.must_end(self.now) || self.nobody_queues(desk, listeners)) {
                 return Ok(());
             }
             // Clients first: what waits for a connection to its runner is not written once its client has left, though
