--- a/node/tests/momentary_failures.rs
+++ b/node/tests/momentary_failures.rs
@@ -74,6 +74,38 @@
     Duration::from_millis(value.parse().unwrap())
 }
 
+/// What the head of a forward tells is no later than its client gives up.
+fn tells_what_is_left(head: &str, gives_up: Instant) {
+    let told = told_deadline(head);
+    let left = gives_up.saturating_duration_since(Instant::now());
+    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+}
+
+/// Discovery lists one server to the program.
+fn one_runner(node: &Node) -> (TcpListener, Peer) {
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut watch = watched(&node.discovery);
+    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    (runner, watch)
+}
+
+/// The server takes this request and ends it; its client is answered with that.
+fn is_served(node: &Node, id: &str, forward: &mut Peer, client: &mut Peer) -> bool {
+    forward.say(TAKEN);
+    calls_back(node.listen, &format!(r#"{{"id":"{id}","from":"s-a","state":"done","result":"r"}}"#));
+    status(client, PROMPT) == Some(200)
+}
+
+/// A client with three seconds asks during the fault; the head of its forward, and when it gives up.
+fn asked_during(node: &Node, runner: &TcpListener) -> (String, Instant) {
+    until(node, 1_050);
+    let gives_up = Instant::now() + Duration::from_secs(3);
+    let mut client = node.client();
+    client.say(&request("waited", 3_000));
+    // A connection that is given up before its request has left carries nothing.
+    (head(speaking(runner, &mut Vec::new())), gives_up)
+}
+
 /// Connections with a request out on each, so that none of them may be ended to make room.
 fn busy(node: &Node, count: usize) -> Vec<Peer> {
     (0..count).map(|nth| node.asks(&format!("busy{nth}"))).collect()
@@ -91,9 +123,7 @@
         [(201, Call::Accept, "ENFILE"), (202, Call::Accept, "ENOBUFS"), (203, Call::Socket, "EMFILE")]
     {
         let node = Node::failing(own, &plan([fails(call, errno, 1_000..1_200)]), |text| text);
-        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut watch = watched(&node.discovery);
-        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        let _listed = one_runner(&node);
         let _busy = busy(&node, 20);
         until(&node, 1_050);
         // One that needs a connection to its server, and one that has to be accepted.
@@ -107,9 +137,7 @@
 #[test]
 fn a_request_on_a_queued_connection_is_answered_before_the_process_ends() {
     let mut node = Node::new(204, |text| text.replace("\"sockets\":256", "\"sockets\":64"));
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let _listed = one_runner(&node);
     let _busy = busy(&node, 60);
     node.logged("accept-paused");
     signal(&node.program, "TERM");
@@ -135,61 +163,34 @@
 #[test]
 fn the_deadline_passed_on_leaves_out_the_wait_before_accept() {
     let node = Node::failing(205, &plan([fails(Call::Accept, "ENFILE", 1_000..1_600)]), |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
-    until(&node, 1_050);
-    let gives_up = Instant::now() + Duration::from_secs(3);
-    let mut client = node.client();
-    client.say(&request("waited", 3_000));
-    let mut forward = Peer::from(&runner);
-    let told = told_deadline(&head(&mut forward));
-    let left = gives_up.saturating_duration_since(Instant::now());
-    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+    let (runner, _watch) = one_runner(&node);
+    let (told, gives_up) = asked_during(&node, &runner);
+    tells_what_is_left(&told, gives_up);
 }
 
 #[test]
 fn the_deadline_passed_on_leaves_out_the_time_in_which_nothing_can_be_read() {
     let mut node = Node::failing(223, &plan([fails(Call::Receive, "ENOMEM", 1_000..1_600)]), |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (runner, _watch) = one_runner(&node);
     node.logged("watch-up");
-    until(&node, 1_050);
-    let gives_up = Instant::now() + Duration::from_secs(3);
-    let mut client = node.client();
-    client.say(&request("waited", 3_000));
-    let mut forward = Peer::from(&runner);
-    let told = told_deadline(&head(&mut forward));
-    let left = gives_up.saturating_duration_since(Instant::now());
-    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+    let (told, gives_up) = asked_during(&node, &runner);
+    tells_what_is_left(&told, gives_up);
 }
 
 #[test]
 fn the_deadline_passed_on_leaves_out_the_time_in_which_writes_are_interrupted() {
     let interrupted = Rule { endpoint: Endpoint::Dialled, ..fails(Call::Send, "EINTR", 1_000..1_600) };
     let mut node = Node::failing(224, &plan([interrupted]), |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (runner, _watch) = one_runner(&node);
     node.logged("watch-up");
-    until(&node, 1_050);
-    let gives_up = Instant::now() + Duration::from_secs(3);
-    let mut client = node.client();
-    client.say(&request("waited", 3_000));
-    // A connection that is given up before its request has left carries nothing.
-    let mut connections = Vec::new();
-    let told = told_deadline(&head(speaking(&runner, &mut connections)));
-    let left = gives_up.saturating_duration_since(Instant::now());
-    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+    let (told, gives_up) = asked_during(&node, &runner);
+    tells_what_is_left(&told, gives_up);
 }
 
 #[test]
 fn the_deadline_passed_on_leaves_out_the_wait_behind_an_earlier_request() {
     let node = Node::new(206, |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (runner, _watch) = one_runner(&node);
     let mut client = node.client();
     client.say(&(request("first", 20_000) + &request("second", 3_000)));
     let gives_up = Instant::now() + Duration::from_secs(3);
@@ -198,21 +199,17 @@
     forward.say(TAKEN);
     sleep(Duration::from_millis(600));
     calls_back(node.listen, r#"{"id":"first","from":"s-a","state":"done","result":"r"}"#);
-    let told = told_deadline(&head(&mut forward));
-    let left = gives_up.saturating_duration_since(Instant::now());
-    assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+    tells_what_is_left(&head(&mut forward), gives_up);
 }
 
-/// A body that no socket buffer holds, to a server that does not read it for a second.
+/// Sends to its server fail nearly all the time for a second, and move one byte else.
 #[test]
 fn a_request_that_leaves_too_slowly_is_not_told_an_old_deadline() {
     let slow =
         |call| Rule { rate: 0.98, endpoint: Endpoint::Dialled, ..fails(call, "ENOBUFS", 1_000..2_000) };
     let short = Rule { effect: Effect::Short, rate: 1.0, ..slow(Call::Send) };
     let mut node = Node::failing(220, &plan([slow(Call::Send), short]), |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (runner, _watch) = one_runner(&node);
     node.logged("watch-up");
     until(&node, 1_050);
     let gives_up = Instant::now() + Duration::from_secs(6);
@@ -228,9 +225,7 @@
             && forward.0.read_until(b'x', &mut whole).is_ok_and(|read| read > 0)
         {}
         if whole.ends_with(body.as_bytes()) {
-            let left = gives_up.saturating_duration_since(Instant::now());
-            let told = told_deadline(&String::from_utf8_lossy(&whole));
-            return assert!(told <= left + DEADLINE_SLACK, "told {told:?} with {left:?} left");
+            return tells_what_is_left(&String::from_utf8_lossy(&whole), gives_up);
         }
         connections.retain_mut(|peer| !peer.is_ended());
     }
@@ -242,15 +237,11 @@
         command.stderr(File::options().write(true).open("/dev/full").unwrap());
     };
     let mut node = Node::started(207, "", full, |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (runner, _watch) = one_runner(&node);
     let mut client = node.asks("i1");
     let mut forward = Peer::from(&runner);
     head(&mut forward);
-    forward.say(TAKEN);
-    calls_back(node.listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
-    assert_eq!(status(&mut client, PROMPT), Some(200));
+    assert!(is_served(&node, "i1", &mut forward, &mut client));
     assert_eq!(node.program.0.try_wait().unwrap(), None);
 }
 
@@ -277,15 +268,11 @@
         (212, Call::Accept, "ECONNABORTED"),
     ] {
         let node = Node::failing(own, &plan([fails(call, errno, 0..500)]), |text| text);
-        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut watch = watched(&node.discovery);
-        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        let (runner, _watch) = one_runner(&node);
         let mut client = node.asks("i1");
         let mut forward = Peer::from(&runner);
         head(&mut forward);
-        forward.say(TAKEN);
-        calls_back(node.listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
-        assert_eq!(status(&mut client, PROMPT), Some(200), "{errno} from {call:?}");
+        assert!(is_served(&node, "i1", &mut forward, &mut client), "{errno} from {call:?}");
     }
 }
 
@@ -298,9 +285,7 @@
         (216, Call::Connect, "EINTR"),
     ] {
         let node = Node::failing(own, &plan([fails(call, errno, 1_000..1_300)]), |text| text);
-        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut watch = watched(&node.discovery);
-        lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+        let (runner, _watch) = one_runner(&node);
         until(&node, 1_050);
         let mut client = node.asks("i1");
         let mut forward = Peer::from(&runner);
@@ -308,9 +293,7 @@
         let took = node.started.elapsed();
         // As soon as it can be made, and not after the wait of a server that is set aside.
         assert!(took < Duration::from_millis(1_500), "{errno} from {call:?}: {took:?}");
-        forward.say(TAKEN);
-        calls_back(node.listen, r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
-        assert_eq!(status(&mut client, PROMPT), Some(200), "{errno} from {call:?}");
+        assert!(is_served(&node, "i1", &mut forward, &mut client), "{errno} from {call:?}");
     }
 }
 
@@ -319,9 +302,7 @@
 fn a_dial_that_this_host_keeps_from_beginning_is_given_up_in_its_time() {
     let brief = |text: String| text.replace("\"dialTimeout\":20000000", "\"dialTimeout\":300000");
     let mut node = Node::failing(225, &plan([fails(Call::Connect, "EADDRNOTAVAIL", 1_000..4_000)]), brief);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (_runner, watch) = one_runner(&node);
     node.logged("watch-up");
     until(&node, 1_050);
     let _client = node.asks("i1");
@@ -339,18 +320,15 @@
         .iter()
         .flat_map(|call| [some(*call, "EINTR"), some(*call, "ENOBUFS"), some(*call, "ENOMEM"), short(*call)]);
     let mut node = Node::failing(217, &plan(rules.collect::<Vec<Rule>>()), |text| text);
-    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut watch = watched(&node.discovery);
-    lists(&mut watch, 1, runner.local_addr().unwrap(), "up");
+    let (runner, _watch) = one_runner(&node);
     node.logged("watch-up");
     let mut connections = Vec::new();
     for nth in 0..20 {
-        let mut client = node.asks(&format!("i{nth}"));
+        let id = format!("i{nth}");
+        let mut client = node.asks(&id);
         let forward = speaking(&runner, &mut connections);
-        assert!(head(forward).contains(&format!("X-Request-Id: i{nth}\r\n")));
-        forward.say(TAKEN);
-        calls_back(node.listen, &format!(r#"{{"id":"i{nth}","from":"s-a","state":"done","result":"r"}}"#));
-        assert_eq!(status(&mut client, PROMPT), Some(200), "i{nth}");
+        assert!(head(forward).contains(&format!("X-Request-Id: {id}\r\n")));
+        assert!(is_served(&node, &id, forward, &mut client), "{id}");
     }
 }
 
