One patience for every call of a start, one question whether an error passes

The configuration's start had a loop of its own beside patiently, which takes any error now; Scope says itself whether a call may succeed later. A write that is interrupted waits for the poller as any other that cannot go on, without a count beside it; since when reading fails is one line.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -15,7 +15,7 @@
 use topazsail_peers::Member;
 
 use crate::back::roster::Listed;
-use crate::net::errno::{self, Scope};
+use crate::net::errno;
 
 /// Other dispatchers that there may be.
 const PEERS_MOST: usize = 4_096;
@@ -93,7 +93,7 @@
     /// Whether the host failed to read the file for a reason that may pass by itself.
     pub fn passes(&self) -> bool {
         match self {
-            LoadError::Unreadable { error, .. } => errno::file(error) != Scope::Connection,
+            LoadError::Unreadable { error, .. } => errno::file(error).passes(),
             LoadError::Bad(_) => false,
         }
     }
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -5,8 +5,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use polling::{Event, PollMode};
 use topazsail_store::Disk;
@@ -15,10 +14,10 @@
 use crate::desk::Desk;
 use crate::life::handover;
 use crate::life::keeper::Keeper;
-use crate::life::patience::{AGAIN, START_WITHIN, patiently};
+use crate::life::patience::patiently;
 use crate::life::signals::Signal;
 use crate::net::conn::{Side, Wires};
-use crate::net::errno::{self, Scope};
+use crate::net::errno;
 use crate::net::log::log;
 use crate::net::reactor::{LISTENERS, Listener, PEERS, RELOAD, Reactor, SIGNAL, SUCCESSOR};
 use crate::net::sockets::{listen, talk};
@@ -37,14 +36,17 @@
     if !store.folder.is_dir() {
         return Err(fault(io::Error::new(io::ErrorKind::NotADirectory, "no such folder")));
     }
-    let locked = patiently(errno::file, || {
-        let mut disk = disk_at(&store.folder)?;
-        disk.lock().map(|()| disk)
-    });
+    let locked = patiently(
+        |error| errno::file(error).passes(),
+        || {
+            let mut disk = disk_at(&store.folder)?;
+            disk.lock().map(|()| disk)
+        },
+    );
     match locked {
         Ok(disk) => Ok(Some(disk)),
         // The store opens it later.
-        Err(error) if !store.require && errno::file(&error) != Scope::Connection => Ok(None),
+        Err(error) if !store.require && errno::file(&error).passes() => Ok(None),
         Err(error) => Err(fault(error)),
     }
 }
@@ -65,11 +67,11 @@
         let Some(address) = address else { continue };
         let given = given.as_ref().filter(|_| side == Side::Client).map(|given| given.listener.try_clone());
         let socket = given
-            .unwrap_or_else(|| patiently(errno::open, || listen(address)))
+            .unwrap_or_else(|| patiently(opens_later, || listen(address)))
             .map_err(|error| format!("listen {address}: {error}"))?;
         listeners.push(Listener { socket, side, key: LISTENERS + listeners.len() });
     }
-    let mut reactor = patiently(errno::open, Reactor::new).map_err(fault("poller"))?;
+    let mut reactor = patiently(opens_later, Reactor::new).map_err(fault("poller"))?;
     // SAFETY: all outlive the poller's use of them: they are dropped after the loop has ended.
     unsafe {
         let mut added = reactor
@@ -86,7 +88,7 @@
         added.map_err(fault("poller"))?;
     }
     if let Some(peers) = &told.peers {
-        let socket = patiently(errno::open, || talk(peers.listen))
+        let socket = patiently(opens_later, || talk(peers.listen))
             .map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
         // SAFETY: it is kept beside the poller and never closed before it.
         unsafe {
@@ -138,21 +140,15 @@
     Ok(())
 }
 
-/// The configuration; a file that the host cannot read for a moment is read again.
-fn load(path: &str) -> Result<config::Dispatcher, LoadError> {
-    let until = Instant::now() + START_WITHIN;
-    loop {
-        match config::load(path) {
-            Err(error) if error.passes() && Instant::now() < until => sleep(AGAIN),
-            told => return told,
-        }
-    }
+/// Whether what could not be opened may be a moment later.
+fn opens_later(error: &io::Error) -> bool {
+    errno::open(error).passes()
 }
 
 /// The configuration, and what a process that serves at this address hands over. A file that is no good now
 /// does not keep a new process from going on with the one in force.
 fn begin(path: &str) -> Result<(config::Dispatcher, Option<handover::Given>), String> {
-    let told = load(path);
+    let told = patiently(LoadError::passes, || config::load(path));
     let listen = told.as_ref().map_or_else(|_| config::listen(), |told| Some(told.listen));
     let given = listen.and_then(handover::place).and_then(|place| handover::ask(&place));
     let given = given.filter(|given| given.listener.local_addr().ok() == listen);
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -11,7 +11,7 @@
 use topazsail::{Id, Micros};
 
 use crate::net::arrivals::Arrivals;
-use crate::net::errno::{self, Scope};
+use crate::net::errno;
 use crate::net::http::MESSAGE_MOST;
 
 /// A connection's number; none is used twice.
@@ -238,8 +238,6 @@
     if errno::is_path_lost(error) { End::PathLost } else { End::Reset }
 }
 
-/// A write that is interrupted more often in a row waits for the poller, so that the loop goes on.
-const INTERRUPTIONS: u32 = 8;
 /// Tries to see what the next read would find, while the host fails them.
 const PEEKS: usize = 16;
 
@@ -318,16 +316,12 @@
 
     /// Writes what the socket takes.
     pub fn flush(&mut self) -> Result<(), End> {
-        let mut interrupted = 0;
         while self.unsent() && !self.dialling {
             match self.stream.write(&self.output[self.written..]) {
                 Ok(0) => return Err(End::Reset),
                 Ok(written) => self.written += written,
-                Err(error) if error.kind() == ErrorKind::Interrupted && interrupted < INTERRUPTIONS => {
-                    interrupted += 1;
-                }
                 // The poller tells when it may be tried again.
-                Err(error) if errno::transfer(&error) != Scope::Connection => return Ok(()),
+                Err(error) if errno::transfer(&error).passes() => return Ok(()),
                 Err(error) => return Err(broken(&error)),
             }
         }
@@ -343,15 +337,13 @@
     /// more. Says how much there was.
     pub fn read(&mut self, scratch: &mut [u8], since: Micros) -> Result<usize, End> {
         let read = self.stream.read(scratch);
-        let passes = |error: &io::Error| {
-            error.kind() != ErrorKind::WouldBlock && errno::transfer(error) != Scope::Connection
-        };
+        let passes =
+            |error: &io::Error| error.kind() != ErrorKind::WouldBlock && errno::transfer(error).passes();
         let failed = read.as_ref().is_err_and(passes);
         self.failed_reads += u64::from(failed);
         // What the host fails to read now has been there since then.
-        let unread_since = if failed { Some(since) } else { None };
-        let since = self.unread_since.unwrap_or(since).min(since);
-        self.unread_since = self.unread_since.filter(|_| failed).or(unread_since);
+        let since = self.unread_since.map_or(since, |unread| unread.min(since));
+        self.unread_since = failed.then_some(since);
         match read {
             Ok(0) => Err(End::PeerClosed),
             Ok(read) if self.lingering => Ok(read),
@@ -364,7 +356,7 @@
                 self.arrivals.note(read, since);
                 Ok(read)
             }
-            Err(error) if errno::transfer(&error) != Scope::Connection => Ok(0),
+            Err(error) if errno::transfer(&error).passes() => Ok(0),
             Err(error) => Err(broken(&error)),
         }
     }
@@ -394,7 +386,7 @@
                 Ok(0) => return Peeked::Ended,
                 Ok(_) => return Peeked::Bytes,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Peeked::Nothing,
-                Err(error) if errno::transfer(&error) == Scope::Connection => return Peeked::Ended,
+                Err(error) if !errno::transfer(&error).passes() => return Peeked::Ended,
                 Err(_) => {}
             }
         }
--- a/node/src/net/errno.rs
+++ b/node/src/net/errno.rs
@@ -16,6 +16,13 @@
     Connection,
 }
 
+impl Scope {
+    /// Whether the call may succeed when it is made again.
+    pub fn passes(self) -> bool {
+        self != Scope::Connection
+    }
+}
+
 /// A shortage that every call which opens or grows something may meet.
 const SHORTAGES: [i32; 4] = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
 
