--- a/faults/shim/src/state.rs
+++ b/faults/shim/src/state.rs
@@ -78,16 +78,9 @@
         let nth = self.counts[call as usize].fetch_add(1, Ordering::Relaxed);
         let at_ms = self.at_ms();
         let effect = self.plan.effect(call, endpoint, nth, at_ms);
-        if let Some(effect) = effect {
-            let effect = match effect {
-                Effect::Errno(errno) => errno.name(),
-                Effect::Short => "short",
-            };
-            let line = format!("fault call={call:?} effect={effect} nth={nth} at_ms={at_ms}\n");
-            // A short transfer is no news: there are many.
-            if effect != "short" {
-                say(&line);
-            }
+        // A short transfer is no news: there are many.
+        if let Some(Effect::Errno(errno)) = effect {
+            say(&format!("fault call={call:?} effect={} nth={nth} at_ms={at_ms}\n", errno.name()));
         }
         effect
     }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -187,23 +187,26 @@
     Ok(run.outcome)
 }
 
-/// One drawn day, with a line on how it went, and all of it where a rule was broken.
+/// Says how a drawn day went, all of it where a rule was broken, and writes it into a folder where one is named.
+fn tell_day(outcome: &Outcome, to: Option<&Path>) -> Result<(), String> {
+    if outcome.broken.is_empty() {
+        println!("{}: goodput {:.3}, no rule broken {:?}", outcome.scenario, outcome.goodput, outcome.void);
+    } else {
+        print!("{}", report::run_text(outcome));
+    }
+    write(to.map(|to| to.join(format!("{}.json", outcome.scenario))).as_deref(), || json(outcome))
+}
+
+/// One drawn day of losses of power.
 fn ordeal(seed: u64, program: Option<&Path>, to: Option<&Path>) -> Result<Outcome, String> {
     let day = topazsail_lab::ordeal::day(seed)?;
     let program = program.map_or_else(|| own_program(&day), Path::to_owned);
     let outcome = topazsail_lab::sockets::play(&day, &program, seed, &|_| ())?;
-    if outcome.broken.is_empty() {
-        println!("{}: goodput {:.3}, no rule broken", outcome.scenario, outcome.goodput);
-    } else {
-        print!("{}", report::run_text(&outcome));
-    }
-    if let Some(folder) = to {
-        report::write(&folder.join(format!("{}.json", outcome.scenario)), &json(&outcome)?)?;
-    }
+    tell_day(&outcome, to)?;
     Ok(outcome)
 }
 
-/// One soak day, with a line on how it went, and all of it where a rule was broken.
+/// One soak day; where a rule was broken its plans are told too.
 fn soak(
     seed: u64,
     program: Option<&Path>,
@@ -213,13 +216,10 @@
     let day = topazsail_lab::soak::day(seed)?;
     let program = program.map_or_else(|| own_program(&day.scenario), Path::to_owned);
     let outcome = topazsail_lab::sockets::play_failing(&day.scenario, &program, seed, &day.plans, &|_| ())?;
-    let plans: Vec<String> = day.plans.iter().map(topazsail_faults::Plan::to_json).collect();
-    if outcome.broken.is_empty() {
-        println!("{}: goodput {:.3}, no rule broken {:?}", outcome.scenario, outcome.goodput, outcome.void);
-    } else {
-        println!("{}plans {}", report::run_text(&outcome), plans.join("\n"));
+    tell_day(&outcome, to)?;
+    if !outcome.broken.is_empty() {
+        day.plans.iter().for_each(|plan| println!("  plan {}", plan.to_json()));
     }
-    write(to.map(|to| to.join(format!("{}.json", outcome.scenario))).as_deref(), || json(&outcome))?;
     page(folder, &outcome.scenario, || report::run_page(&outcome))?;
     Ok(outcome)
 }
--- a/lab/src/ordeal.rs
+++ b/lab/src/ordeal.rs
@@ -75,7 +75,7 @@
 "#;
 
 /// A moment or a span, drawn evenly, in milliseconds.
-fn ms(drawn: &mut Pcg32, from: u32, to: u32) -> u32 {
+pub(crate) fn ms(drawn: &mut Pcg32, from: u32, to: u32) -> u32 {
     drawn.random_range(from..=to)
 }
 
--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -9,6 +9,7 @@
 use topazsail_faults::{Call, ClockStep, Effect, Endpoint, Errno, Plan, Rule};
 
 use crate::load::chance;
+use crate::ordeal::ms;
 use crate::scenario::Scenario;
 
 const LENGTH_MS: u32 = 12_000;
@@ -76,10 +77,6 @@
     pub plans: Vec<Plan>,
 }
 
-fn ms(drawn: &mut Pcg32, from: u32, to: u32) -> u32 {
-    drawn.random_range(from..=to)
-}
-
 fn trouble(drawn: &mut Pcg32, store: bool) -> String {
     let at = ms(drawn, 500, LENGTH_MS - 3_500);
     let when = format!("at = \"{at}ms\"\nlasts = \"{}ms\"\n", ms(drawn, 300, 3_000));
@@ -100,18 +97,18 @@
 }
 
 /// The errors that Linux documents for each call, as far as they pass or speak of one connection.
-fn documented(call: Call) -> (&'static [&'static str], Endpoint) {
+fn documented(call: Call) -> &'static [&'static str] {
     match call {
-        Call::Accept => (&["ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO"], Endpoint::Any),
-        Call::Socket => (&["ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"], Endpoint::Any),
-        Call::Connect => (&["EADDRNOTAVAIL", "ENETUNREACH", "EAGAIN", "EINTR"], Endpoint::Any),
-        Call::Receive => (&["EINTR", "ENOMEM", "ENOBUFS"], Endpoint::Any),
-        Call::Send => (&["EINTR", "ENOMEM", "ENOBUFS"], Endpoint::Any),
-        Call::Open => (&["ENFILE", "EMFILE", "ENOMEM", "EIO"], Endpoint::Any),
-        Call::Write => (&["ENOSPC", "EIO", "EDQUOT", "EINTR"], Endpoint::Any),
-        Call::Sync => (&["EIO", "ENOSPC", "EDQUOT"], Endpoint::Any),
-        Call::Rename => (&["ENOSPC", "EIO", "EROFS"], Endpoint::Any),
-        Call::Log => (&["ENOSPC", "EIO"], Endpoint::Any),
+        Call::Accept => &["ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO"],
+        Call::Socket => &["ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"],
+        Call::Connect => &["EADDRNOTAVAIL", "ENETUNREACH", "EAGAIN", "EINTR"],
+        Call::Receive => &["EINTR", "ENOMEM", "ENOBUFS"],
+        Call::Send => &["EINTR", "ENOMEM", "ENOBUFS"],
+        Call::Open => &["ENFILE", "EMFILE", "ENOMEM", "EIO"],
+        Call::Write => &["ENOSPC", "EIO", "EDQUOT", "EINTR"],
+        Call::Sync => &["EIO", "ENOSPC", "EDQUOT"],
+        Call::Rename => &["ENOSPC", "EIO", "EROFS"],
+        Call::Log => &["ENOSPC", "EIO"],
     }
 }
 
@@ -130,8 +127,8 @@
 
 fn rule(drawn: &mut Pcg32) -> Option<Rule> {
     let call = *CALLS.choose(drawn)?;
-    let (errors, endpoint) = documented(call);
-    let effect = Effect::Errno(Errno::named(errors.choose(drawn)?)?);
+    let effect = Effect::Errno(Errno::named(documented(call).choose(drawn)?)?);
+    let endpoint = Endpoint::Any;
     let rule = Rule { call, endpoint, effect, rate: SHARE_OF_CALLS, from_ms: 0, until_ms: PLAN_LENGTH_MS };
     if drawn.random_range(0..2) == 0 {
         return Some(rule);
