Review, case 2: bad clients take the dispatcher over its memory limit

Tried: 320 bad clients, one connection each, send 800 small requests at once to a dispatcher with 32 MB and 1,024 descriptors. A stand-in for the platform kills the process once its resident memory is over the limit.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod common;
+mod crowd;
 
 use std::path::PathBuf;
 
@@ -21,6 +22,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "calls" => calls::run(&place, trouble),
+        "crowd" => crowd::run(&place, trouble),
         _ => None,
     };
     std::process::exit(match verdict {
