--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod common;
 mod crowd;
+mod outage;
 mod reload;
 
 use std::path::PathBuf;
@@ -25,6 +26,7 @@
         "calls" => calls::run(&place, trouble),
         "crowd" => crowd::run(&place, trouble),
         "reload" => reload::run(&place, trouble),
+        "outage" => outage::run(&place, trouble),
         _ => None,
     };
     std::process::exit(match verdict {
--- /dev/null
+++ b/review/standin/outage.rs
@@ -0,0 +1,147 @@
+//! Discovery is down for 5 s, and too many call at its return. Runners began to drain meanwhile. A change counts as told
+//! 6 s after discovery had it and could be reached.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::common::*;
+
+const TIMEOUT_MS: u64 = 20_000;
+/// Discovery goes down so long after the start of the load, and for so long.
+const DOWN_AT_MS: u64 = 4_000;
+const DOWN_MS: u64 = 5_000;
+/// So long after its return it turns calls away.
+const CROWDED_MS: u64 = 8_000;
+const SECONDS: u64 = 20;
+/// So long a runner drains before its process ends.
+const DRAIN_MS: u64 = 9_000;
+/// The runners that drain, from the first on.
+const DRAINING: usize = 3;
+const DRAIN_GRACE_MS: u64 = 500;
+/// From discovery's return to the last send: 6 s, the grace, and 50 ms on sockets.
+const LAST_SEND_MS: u64 = 6_000 + DRAIN_GRACE_MS + 50;
+
+pub fn run(place: &Place, trouble: bool) -> Option<bool> {
+    let record = Arc::new(Record::new(&place.folder.join("record.txt")));
+    let ledger = Arc::new(Mutex::new(Ledger::default()));
+    let listen = free_address();
+    let behaviour = Arc::new(RunnerBehaviour {
+        slots: 3,
+        run_ms: vec![("book-linehaul", 1_000, 1_400)],
+        places: 4,
+        hand_back_after_ms: 60_000,
+        call_again_ms: 500,
+        tells_start: false,
+    });
+    let runners: Vec<Arc<Runner>> = (0..9)
+        .map(|nth| {
+            Runner::start(&format!("s-{nth}"), &[listen], &behaviour, &record, &ledger, 77 + nth * 1009)
+        })
+        .collect();
+    let entries: Vec<Entry> = runners.iter().map(|runner| runner.entry(0)).collect();
+    let discovery = Discovery::start("one", entries.clone(), &record);
+    let settings = Settings {
+        dispatchers: 1,
+        operations: vec![Operation {
+            name: "book-linehaul",
+            effect: "at_most_once",
+            objective_ms: 750,
+            timeout_ms: TIMEOUT_MS,
+            value: 2.0,
+        }],
+        forwards: 3,
+        probes: true,
+        tells_start: false,
+        drain_grace_ms: DRAIN_GRACE_MS,
+        stretch: 1.25,
+        budget: None,
+        memory_mb: 192,
+        sockets: 1024,
+    };
+    let text = configuration(&settings, 0, listen, discovery.address, &entries);
+    let mut dispatcher = Dispatcher::start(place, "n0", &text, listen, &record)?;
+    let began = Instant::now();
+    let (mut has_gone, mut back_at) = (false, None);
+    let mut drained_at = None;
+    let mut killed = None;
+    let (mut clients, mut nth) = (Vec::new(), 0);
+    while began.elapsed() < Duration::from_secs(SECONDS) {
+        nth += 1;
+        let id = format!("q{nth:05}");
+        let (client_record, ledger) = (record.clone(), ledger.clone());
+        ledger.lock().unwrap().sent += 1;
+        clients.push(thread::spawn(move || {
+            let answer = post(listen, "book-linehaul", &id, TIMEOUT_MS);
+            client_record.line(format!("client {id} answered {} after {} ms", answer.status, answer.ms));
+            ledger.lock().unwrap().answers.insert(id, answer.status);
+        }));
+        let elapsed = began.elapsed().as_millis() as u64;
+        if elapsed >= DOWN_AT_MS && !has_gone {
+            has_gone = true;
+            record.line("discovery goes down");
+            discovery.close();
+        }
+        if drained_at.is_none() && elapsed >= DOWN_AT_MS + DOWN_MS - 500 {
+            drained_at = Some(record.ms());
+            runners[..DRAINING].iter().for_each(|runner| discovery.change(&runner.id, "draining"));
+        }
+        if back_at.is_none() && elapsed >= DOWN_AT_MS + DOWN_MS {
+            back_at = Some(record.ms());
+            if trouble {
+                *discovery.crowded_until.lock().unwrap() =
+                    Some(Instant::now() + Duration::from_millis(CROWDED_MS));
+            }
+            record.line("discovery is back");
+            discovery.is_replaced.store(false, Ordering::SeqCst);
+        }
+        if drained_at.is_some_and(|at| record.ms() >= at + DRAIN_MS) && killed.is_none() {
+            killed =
+                Some(runners[..DRAINING].iter().flat_map(|runner| runner.end()).collect::<Vec<String>>());
+        }
+        thread::sleep(Duration::from_millis(80));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let was_up = dispatcher.is_up();
+    dispatcher.end();
+    let back_at = back_at?;
+    let mut late = Vec::new();
+    for runner in &runners[..DRAINING] {
+        let received = runner.received.lock().unwrap();
+        let after = received.iter().filter(|(at, _)| *at > back_at + LAST_SEND_MS);
+        late.extend(after.map(|(at, id)| (*at, id.clone(), runner.id.clone())));
+    }
+    let ledger = ledger.lock().unwrap();
+    let killed = killed.unwrap_or_default();
+    let mut lost = 0;
+    for (at, id, runner) in &late {
+        let answer = ledger.answers.get(id).copied().unwrap_or(0);
+        let is_lost = killed.contains(id) && answer != 200;
+        lost += usize::from(is_lost);
+        let end = if is_lost { ", and lost when it ended" } else { "" };
+        record.line(format!(
+            "BROKEN {id} was sent to {runner} {} ms after discovery's return{end}: {answer}",
+            at - back_at
+        ));
+    }
+    let mut statuses: HashMap<u16, usize> = HashMap::new();
+    ledger.answers.values().for_each(|status| *statuses.entry(*status).or_default() += 1);
+    let served = statuses.get(&200).copied().unwrap_or(0);
+    let summary = format!(
+        "trouble={trouble} sent={} answers={statuses:?} sent_late={} latest_ms={} of_these_lost={lost} killed={} up={was_up}",
+        ledger.sent,
+        late.len(),
+        late.iter().map(|(at, _, _)| at - back_at).max().unwrap_or(0),
+        killed.len()
+    );
+    record.line(&summary);
+    println!("{summary}");
+    if !was_up || served * 2 < ledger.sent as usize {
+        return None;
+    }
+    Some(late.is_empty())
+}
