Review, case 3: a YES to maint-on is undone by a peer's older call after a cut

Operator's calls in turn: maint-on and maint-off of s-0 at n1, then maint-on at n0, each answered YES. The same with the link whole.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec sh "$(dirname "$0")/../run-case.sh" reload "$(dirname "$0")"
+exec sh "$(dirname "$0")/../run-case.sh" overrides "$(dirname "$0")"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod crowd;
 mod outage;
+mod overrides;
 mod reload;
 
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
         "crowd" => crowd::run(&place, trouble),
         "reload" => reload::run(&place, trouble),
         "outage" => outage::run(&place, trouble),
+        "overrides" => overrides::run(&place, trouble),
         _ => None,
     };
     std::process::exit(match verdict {
