Call-backs: a repeat that may be an earlier forward's does not end the newest one

Cause: a call-back names the invocation and the runner, not the forward. `handle_callback` gave each final one to the newest forward at that runner; the hash of the one that had ended an earlier forward was compared only until the newest forward's 202. A runner repeats a call whose answer was lost, so a repeated `returned` ended a forward that was running as "never ran". The same cause on related paths: `failed` and `lost` (a second copy at the same runner); the first call-back on a forward whose connection broke before the 202; a repeat of the first end that came after the second one overwrote its hash; a repeat that reaches the successor during an upgrade. And the opposite: before the 202 a genuine identical call was dropped, and nobody ran the job until its client gave up.

Change: node/src/request_table/callbacks.rs decides which forward a call is about. It ends the newest forward only if it can be about no other one: no identical call has come whose answer may have been missed, and no earlier forward at that runner ended without a call. That an answer was read is known when the same connection carries a later request which had not arrived before the answer; then an identical call is a new one and counts, also before the 202. A `returned` after a start that can be no earlier forward's is a repeat. What is left is unclear: the new event EndUnclear, on which the policy cancels and retries what may run twice (same limits, window and budget as a stalled forward), and leaves the rest to end. Log lines call-back-repeated and call-back-unclear, and two metrics. The 202 itself is no evidence any more, so the event for it is gone.

Tests: node/tests/repeated_callbacks.rs, 13 traces, and one of the policy.

--- a/node/src/ingress/clients.rs
+++ b/node/src/ingress/clients.rs
@@ -70,6 +70,20 @@
     Lost,
 }
 
+impl JobState {
+    /// The name in log lines.
+    pub fn code(self) -> &'static str {
+        match self {
+            JobState::Started => "started",
+            JobState::Running => "running",
+            JobState::Done => "done",
+            JobState::Failed => "failed",
+            JobState::Returned => "returned",
+            JobState::Lost => "lost",
+        }
+    }
+}
+
 /// A runner's report on a job.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct RunnerCallback {
@@ -84,12 +98,29 @@
     pub load: Option<serde_json::Value>,
 }
 
+/// Where a call-back has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallbackSource {
+    connection: ConnectionId,
+    /// How many requests had arrived on the connection, with this one.
+    request_count: u64,
+}
+
+/// A call-back as it has arrived.
+#[derive(Debug)]
+pub struct ReceivedCallback {
+    pub callback: RunnerCallback,
+    /// Hash of its bytes, by which a repeat can be recognised.
+    pub hash: u64,
+    /// None if the other process of an upgrade has received it.
+    pub source: Option<CallbackSource>,
+}
+
 /// What has arrived on a connection.
 #[derive(Debug)]
 pub enum ClientEvent {
     Invocation(Invocation),
-    /// With a hash of its bytes, by which a repeated call-back can be recognised.
-    RunnerCallback(RunnerCallback, u64),
+    RunnerCallback(ReceivedCallback),
     /// The connection has ended while this invocation awaited its answer.
     Disconnected(ConnectionId, Id),
 }
@@ -118,6 +149,10 @@
     has_invoked: bool,
     /// Whether a call-back has arrived on it, so that its peer is a runner.
     is_runner: bool,
+    /// Complete requests that have arrived on it.
+    request_count: u64,
+    /// Whether its peer has sent a request before it had the answer to the one before.
+    is_pipelining: bool,
 }
 
 /// The connections of clients, and of runners that call back.
@@ -197,6 +232,8 @@
             keep_alive: true,
             has_invoked: false,
             is_runner: false,
+            request_count: 0,
+            is_pipelining: false,
         };
         self.by_connection.insert(connection, client);
         driver.set_timer(Timer::Connection(connection), since + REQUEST_TIMEOUT);
@@ -248,6 +285,27 @@
         }
     }
 
+    /// Whether the runner has certainly read the answer to this call-back, and so does not repeat it: it has
+    /// sent another request on the same connection since. False if that is not known.
+    pub fn has_read_answer(&self, source: CallbackSource) -> bool {
+        let client = self.by_connection.get(&source.connection);
+        client.is_some_and(|client| !client.is_pipelining && client.request_count > source.request_count)
+    }
+
+    /// Notes whether `input` holds more behind a request that has just been processed.
+    fn note_pipelining(&mut self, connection: ConnectionId, input: &[u8]) {
+        if let Some(client) = self.by_connection.get_mut(&connection) {
+            client.is_pipelining |= !input.is_empty();
+        }
+    }
+
+    /// Notes whether more has already arrived on a connection whose answer has only just been sent.
+    fn note_early_request(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
+        if let Some(client) = self.by_connection.get_mut(&connection) {
+            client.is_pipelining |= !driver.is_reusable(connection);
+        }
+    }
+
     /// Sets whether readiness requests are answered positively.
     pub fn set_ready(&mut self, ready: bool) {
         self.is_unready = !ready;
@@ -318,6 +376,7 @@
     ) -> Result<(), HttpError> {
         let Some(client) = self.by_connection.get_mut(&connection) else { return Ok(()) };
         (client.keep_alive, client.silent_since) = (request.keep_alive, None);
+        client.request_count += 1;
         match (request.path(), request.method) {
             (READINESS_PATH, "GET") => {
                 let status = if self.is_unready { 503 } else { 200 };
@@ -327,9 +386,12 @@
                 let callback =
                     serde_json::from_slice(&request.body).map_err(|_| HttpError(400, "bad_call_back"))?;
                 client.is_runner = true;
-                self.events.push(ClientEvent::RunnerCallback(callback, hash(&request.body)));
+                let source = Some(CallbackSource { connection, request_count: client.request_count });
+                let hash = hash(&request.body);
+                self.events.push(ClientEvent::RunnerCallback(ReceivedCallback { callback, hash, source }));
                 // The runner needs the connection for further call-backs, even while this process shuts down.
                 self.reply(connection, 200, "", b"", true, driver);
+                self.note_early_request(connection, driver);
             }
             (READINESS_PATH | CALLBACK_PATH, _) => return Err(HttpError(405, "wrong_method")),
             (path, method) => {
@@ -456,7 +518,10 @@
                 Err(error) => Err(error),
             };
             match used {
-                Ok(used) => drop(input.drain(..used)),
+                Ok(used) => {
+                    drop(input.drain(..used));
+                    self.note_pipelining(connection, input);
+                }
                 Err(error) => return self.reject(connection, error, driver),
             }
         }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -67,6 +67,10 @@
     /// Configurations applied and rejected at SIGHUP.
     pub loads: u64,
     pub load_errors: u64,
+    /// Final call-backs of runners that were about an earlier forward than the newest to the runner.
+    pub repeated_callbacks: u64,
+    /// Final call-backs of runners that may have been about either.
+    pub unclear_callbacks: u64,
 }
 
 impl Metrics {
@@ -97,6 +101,8 @@
             ("skipped_runners", gauges.skipped_runners as u64),
             ("loads", self.loads),
             ("load_errors", self.load_errors),
+            ("repeated_callbacks", self.repeated_callbacks),
+            ("unclear_callbacks", self.unclear_callbacks),
             ("log_lines_lost", log::lost_lines()),
         ];
         for (name, value) in plain {
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -6,6 +6,7 @@
 //! outcome for each forward. It never chooses a runner, a retry or an answer itself, except the error for an
 //! invocation whose client's time is over, and never sends a forward twice.
 
+mod callbacks;
 mod peer_exchange;
 mod persistence;
 
@@ -21,7 +22,7 @@
 use topazsail_settings::DecodedSettings;
 
 use crate::config::{self, Configuration};
-use crate::ingress::clients::{self, Clients, Invocation, JobState, RunnerCallback};
+use crate::ingress::clients::{self, Clients, Invocation, ReceivedCallback};
 use crate::ingress::operators::{Call, Operators};
 use crate::lifecycle::handover::{HandoverMessage, HandoverPeer, HandoverState};
 use crate::lifecycle::store_thread::StoreThread;
@@ -74,14 +75,21 @@
 struct Forward {
     runner: Id,
     sent_at: Micros,
-    /// Whether it has not ended yet.
-    is_outstanding: bool,
-    /// Whether its runner has answered 202.
-    is_accepted: bool,
+    /// How it ended; none while it is outstanding.
+    result: Option<ForwardResult>,
+    /// Whether its runner has reported that its job started, and no earlier forward can be meant.
+    has_started: bool,
+    /// Whether its runner has made a final call-back for it.
+    is_reported: bool,
     /// Number of cancels that have failed.
     failed_cancels: u32,
-    /// Hash of the call-back that ended it, by which a repeat is recognized.
-    final_callback_hash: Option<u64>,
+}
+
+impl Forward {
+    /// Whether it has not ended yet.
+    fn is_outstanding(&self) -> bool {
+        self.result.is_none()
+    }
 }
 
 /// An invocation that is unanswered or has an outstanding forward.
@@ -100,12 +108,13 @@
     /// over.
     is_answer_due: bool,
     forwards: Vec<Forward>,
+    final_callbacks: FinalCallbacks,
 }
 
 impl OpenInvocation {
     /// Index of the outstanding forward, if there is one.
     fn outstanding_forward(&self) -> Option<u32> {
-        self.forwards.iter().position(|forward| forward.is_outstanding).map(|number| number as u32)
+        self.forwards.iter().position(Forward::is_outstanding).map(|number| number as u32)
     }
 
     /// Bytes held for further forwards.
@@ -157,6 +166,7 @@
     decoded.settings.max_retry_after.map(|max_retry_after| max_retry_after.min(OVERLOAD_RETRY_AFTER))
 }
 
+use callbacks::FinalCallbacks;
 pub use peer_exchange::PeerExchange;
 pub use persistence::Persistence;
 
@@ -736,10 +746,10 @@
         open.forwards.push(Forward {
             runner: runner.clone(),
             sent_at,
-            is_outstanding: true,
-            is_accepted: false,
+            result: None,
+            has_started: false,
+            is_reported: false,
             failed_cancels: 0,
-            final_callback_hash: None,
         });
         if can_send {
             let message = (open.head.as_slice(), open.body.as_slice());
@@ -759,7 +769,7 @@
     /// Cancels a forward if it is outstanding.
     fn cancel(&mut self, invocation: &Id, number: u32, driver: &mut dyn ConnectionDriver) {
         let forward = self.invocations.get(invocation).and_then(|open| open.forwards.get(number as usize));
-        if let Some(forward) = forward.filter(|forward| forward.is_outstanding) {
+        if let Some(forward) = forward.filter(|forward| forward.is_outstanding()) {
             self.runners.cancel(&forward.runner, invocation, number, driver);
         }
     }
@@ -840,9 +850,9 @@
     ) {
         let Some(open) = self.invocations.get_mut(invocation) else { return };
         let answered = open.is_answered;
-        let ended = open.forwards.get_mut(number as usize).filter(|ended| ended.is_outstanding);
+        let ended = open.forwards.get_mut(number as usize).filter(|ended| ended.is_outstanding());
         let Some(ended) = ended else { return };
-        ended.is_outstanding = false;
+        ended.result = Some(result);
         let (runner, elapsed, forward) = (ended.runner.clone(), now - ended.sent_at, number);
         if !matches!(result, ForwardResult::Succeeded | ForwardResult::Overloaded) {
             let (code, ms) = (result.code(), elapsed / 1000);
@@ -906,9 +916,7 @@
         for event in std::mem::take(&mut self.clients.events) {
             match event {
                 clients::ClientEvent::Invocation(invocation) => self.accept_invocation(invocation, driver),
-                clients::ClientEvent::RunnerCallback(callback, hash) => {
-                    self.handle_callback(callback, hash, true, driver)
-                }
+                clients::ClientEvent::RunnerCallback(received) => self.handle_callback(received, driver),
                 clients::ClientEvent::Disconnected(connection, id) => {
                     self.handle_client_left(connection, id, driver)
                 }
@@ -917,7 +925,7 @@
         for message in std::mem::take(&mut self.handover_peer.incoming) {
             match message {
                 HandoverMessage::Callback(callback, hash) => {
-                    self.handle_callback(callback, hash, false, driver)
+                    self.handle_callback(ReceivedCallback { callback, hash, source: None }, driver)
                 }
                 // The override fails if the runner was never listed here. That is ignored: the other process
                 // has already answered the operator.
@@ -934,11 +942,6 @@
         }
         for event in std::mem::take(&mut self.runners.events) {
             match event {
-                runners::RunnerEvent::Accepted { invocation, number } => {
-                    if let Some(forward) = self.forward_mut(&invocation, number) {
-                        forward.is_accepted = true;
-                    }
-                }
                 runners::RunnerEvent::Ended { invocation, number, result, report } => {
                     self.end_forward(&invocation, number, result, report, driver.now());
                 }
@@ -958,7 +961,7 @@
                 }
                 runners::RunnerEvent::NotCancelled { invocation, number } => {
                     if let Some(forward) =
-                        self.forward_mut(&invocation, number).filter(|forward| forward.is_outstanding)
+                        self.forward_mut(&invocation, number).filter(|forward| forward.is_outstanding())
                     {
                         log!("not-cancelled", "inv={invocation} runner={}", forward.runner);
                         forward.failed_cancels += 1;
@@ -1169,7 +1172,6 @@
         let (connection, expires_at, head, body) =
             (request.connection, request.expires_at, request.head, request.body);
         let accepted_at = now;
-        let (is_answered, is_answer_due, forwards) = (false, false, Vec::new());
         let open = OpenInvocation {
             connection,
             operation,
@@ -1177,9 +1179,10 @@
             expires_at,
             head,
             body,
-            is_answered,
-            is_answer_due,
-            forwards,
+            is_answered: false,
+            is_answer_due: false,
+            forwards: Vec::new(),
+            final_callbacks: FinalCallbacks::default(),
         };
         self.invocations.insert(request.id, open);
     }
@@ -1194,66 +1197,4 @@
             self.pending_events.push(Event::ClientLeft { invocation: id });
         }
     }
-
-    /// Applies a runner's call-back. It concerns the newest forward to that runner; forwards that have ended
-    /// stay ended. A call-back for an invocation that is not open here is passed to the other process of an
-    /// upgrade, if there is one: runners call whichever process accepts connections. `from_runner` is false
-    /// for a call-back that the other process has passed on, which is not passed back.
-    fn handle_callback(
-        &mut self,
-        callback: RunnerCallback,
-        hash: u64,
-        from_runner: bool,
-        driver: &mut dyn ConnectionDriver,
-    ) {
-        let report = callback.load.as_ref().map(|load| self.runners.read_report(load)).unwrap_or_default();
-        let Some((invocation, open)) = self.invocations.get_key_value(callback.id.as_str()) else {
-            if from_runner {
-                self.handover_peer.send(&HandoverMessage::Callback(callback, hash), driver);
-            }
-            return;
-        };
-        let invocation = invocation.clone();
-        let Some(index) = open.forwards.iter().rposition(|forward| *forward.runner == *callback.from) else {
-            return log!("odd-call-back", "inv={invocation} from={:?}", callback.from);
-        };
-        let (forward, number) = (&open.forwards[index], index as u32);
-        // The invocation was sent to the same runner again: a repeat of the call-back that ended the earlier
-        // forward says nothing about this one.
-        let ended_earlier_forward = open.forwards[..index]
-            .iter()
-            .any(|earlier| earlier.runner == forward.runner && earlier.final_callback_hash == Some(hash));
-        if ended_earlier_forward && !forward.is_accepted {
-            return;
-        }
-        let (is_outstanding, answered, now) = (forward.is_outstanding, open.is_answered, driver.now());
-        let result = match callback.state {
-            JobState::Started if is_outstanding => {
-                return self.pending_events.push(Event::Started { invocation, forward: number });
-            }
-            JobState::Running if is_outstanding => {
-                return self.pending_events.push(Event::Progress { invocation, forward: number });
-            }
-            JobState::Started | JobState::Running => return,
-            JobState::Done => ForwardResult::Succeeded,
-            JobState::Failed => ForwardResult::Errored,
-            JobState::Returned => ForwardResult::Overloaded,
-            JobState::Lost => ForwardResult::Broken,
-        };
-        if result == ForwardResult::Succeeded && !answered {
-            let body = callback.result.unwrap_or_default();
-            let (operation, latency) = (open.operation, now - open.accepted_at);
-            self.record_success(operation, latency);
-            self.answer(&invocation, STATUS_OK, None, body.as_bytes(), driver);
-            if !is_outstanding {
-                // The forward was given up but has completed: its result is the answer.
-                log!("late-result", "inv={invocation} runner={}", callback.from);
-                self.pending_events.push(Event::ClientLeft { invocation: invocation.clone() });
-            }
-        }
-        if let Some(open) = self.invocations.get_mut(&invocation) {
-            open.forwards[index].final_callback_hash = Some(hash);
-        }
-        self.end_forward(&invocation, number, result, report, now);
-    }
 }
--- a/node/src/upstream/runners.rs
+++ b/node/src/upstream/runners.rs
@@ -45,8 +45,6 @@
 /// The outcome of a request to a runner. `number` counts the forwards of an invocation.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RunnerEvent {
-    /// The runner has accepted a forward; call-backs report the rest.
-    Accepted { invocation: Id, number: u32 },
     /// A forward has ended without being accepted.
     Ended { invocation: Id, number: u32, result: ForwardResult, report: Vec<f64> },
     /// A forward was not sent, as its client had left by then.
@@ -338,6 +336,19 @@
         true
     }
 
+    /// Whether a forward has not been sent completely, so that its runner cannot have begun it.
+    pub fn is_unsent(
+        &self,
+        runner_id: &Id,
+        invocation: &Id,
+        number: u32,
+        driver: &dyn ConnectionDriver,
+    ) -> bool {
+        let Some(connection) = self.connection_of(runner_id, invocation, number) else { return false };
+        let state = self.connections.get(&connection);
+        state.is_some_and(|state| state.phase == Phase::Dialling) || driver.has_unsent(connection)
+    }
+
     /// The connection on which a forward waits for its dial or its answer.
     fn connection_of(&self, runner_id: &Id, invocation: &Id, number: u32) -> Option<ConnectionId> {
         let forward = Task::Forward { invocation: invocation.clone(), number };
@@ -544,9 +555,11 @@
         });
     }
 
-    /// Reports a task that has been answered.
+    /// Reports a task that has been answered. A forward that its runner has accepted goes on; call-backs
+    /// report its end.
     fn report_answer(&mut self, runner_id: &Id, task: Task, answer: &Response) {
         self.events.push(match task {
+            Task::Forward { .. } if answer.status == 202 => return,
             Task::Cancel { invocation, number } => match answer.status {
                 200..=299 | 404 | 410 => RunnerEvent::Cancelled { invocation, number },
                 _ => RunnerEvent::NotCancelled { invocation, number },
@@ -559,9 +572,6 @@
                     report: read_report(&self.report_fields, &report),
                 }
             }
-            Task::Forward { invocation, number } if answer.status == 202 => {
-                RunnerEvent::Accepted { invocation, number }
-            }
             Task::Forward { invocation, number } if matches!(answer.status, 400..=428 | 430..=499) => {
                 log!("forward-unusable", "inv={invocation} runner={runner_id} status={}", answer.status);
                 RunnerEvent::Unusable { invocation, number }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -21,6 +21,9 @@
 use crate::upstream::roster::Roster;
 use crate::upstream::runners::Runners;
 
+#[path = "repeated_callbacks.rs"]
+mod repeated_callbacks;
+
 /// The clock's time at the start of every test, in microseconds.
 const START: Micros = 1_700_000_000_000_000;
 
@@ -1850,6 +1853,8 @@
         edge_relay.skipped_runners=1
         edge_relay.loads=1
         edge_relay.load_errors=1
+        edge_relay.repeated_callbacks=0
+        edge_relay.unclear_callbacks=0
         edge_relay.log_lines_lost=0
         edge_relay.host_failed_accepts=0
         edge_relay.host_failed_dials=0
@@ -2081,6 +2086,8 @@
         edge_relay.skipped_runners=1
         edge_relay.loads=0
         edge_relay.load_errors=0
+        edge_relay.repeated_callbacks=0
+        edge_relay.unclear_callbacks=0
         edge_relay.log_lines_lost=0
         edge_relay.host_failed_accepts=0
         edge_relay.host_failed_dials=0
@@ -2319,6 +2326,8 @@
         edge_relay.skipped_runners=0
         edge_relay.loads=2
         edge_relay.load_errors=5
+        edge_relay.repeated_callbacks=0
+        edge_relay.unclear_callbacks=0
         edge_relay.log_lines_lost=0
         edge_relay.host_failed_accepts=0
         edge_relay.host_failed_dials=0
--- a/src/events.rs
+++ b/src/events.rs
@@ -15,6 +15,9 @@
     Progress { invocation: Id, forward: u32 },
     /// A forward has ended.
     Outcome(Outcome),
+    /// A runner has reported the end of this forward or of an earlier one to it: this one, which is in
+    /// flight, may have ended or not.
+    EndUnclear { invocation: Id, forward: u32 },
     /// The client has left, or its timeout has passed.
     ClientLeft { invocation: Id },
     /// The adapter cannot hold the invocation any longer: it must get its final answer now.
--- a/src/routing_policy.rs
+++ b/src/routing_policy.rs
@@ -22,6 +22,7 @@
 //! homes of a key are the runners that invocations with this key prefer.
 
 mod slow_start;
+mod unclear_ends;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -270,6 +271,7 @@
                 Event::Started { invocation, forward } => self.handle_started(&invocation, forward),
                 Event::Progress { invocation, forward } => _ = self.record_activity(&invocation, forward),
                 Event::Outcome(outcome) => self.handle_outcome(outcome),
+                Event::EndUnclear { invocation, forward } => self.handle_unclear_end(&invocation, forward),
                 Event::ClientLeft { invocation } => self.close(&invocation),
                 Event::AnswerNow { invocation } => self.give_up(&invocation),
                 Event::ProbeEnded { runner, alive, report } => self.handle_probe_end(&runner, alive, &report),
@@ -1448,7 +1450,7 @@
         if !self.has_retry_budget(invocation.operation) {
             return self.set_invocation_timer(id, Some(self.now + silence_timeout / 4));
         }
-        if not_started {
+        if not_started || current.end_is_unclear {
             return self.cancel(id);
         }
         if self.is_silent(r, started) && self.now - current.last_activity >= silence_timeout {
--- a/src/state_tables.rs
+++ b/src/state_tables.rs
@@ -247,6 +247,8 @@
     pub response_started: bool,
     /// The runner has reported that the job started.
     pub started: bool,
+    /// Its runner has reported an end that may be that of an earlier forward.
+    pub end_is_unclear: bool,
     pub sent_at: Micros,
     /// Time of its last sign of life.
     pub last_activity: Micros,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -267,6 +267,11 @@
         self.apply(Event::Started { invocation: invocation.into(), forward })
     }
 
+    /// A runner reports an end that may be that of this forward or of an earlier one to it.
+    pub fn end_is_unclear(&mut self, invocation: &str, forward: u32) -> &mut PolicyHarness {
+        self.apply(Event::EndUnclear { invocation: invocation.into(), forward })
+    }
+
     /// Moves the clock and fires each timer at its time.
     pub fn advance(&mut self, ms: Micros) -> &mut PolicyHarness {
         let end = self.now + ms * 1000;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -658,6 +658,37 @@
     "#]]);
 }
 
+/// Guards against a second copy of a forward that may still run: only what may run twice moves, and only once
+/// the cancel is confirmed.
+#[test]
+fn a_forward_whose_end_is_unclear_moves_unless_it_is_non_idempotent() {
+    let mut settings = settings(vec![
+        operation(Effect::Idempotent),
+        operation(Effect::Deduplicated(DeduplicationScope::All)),
+        operation(Effect::NonIdempotent),
+    ]);
+    settings.reports_start = false;
+    let mut harness = harness_with_idle_runners(settings, "ab");
+    for (id, index) in [("free", 0), ("keyed", 1), ("once", 2)] {
+        harness.arrives(id, index).end_is_unclear(id, 0).end_is_unclear(id, 0).after(10);
+        if id != "once" {
+            harness.ends(id, 0, ForwardResult::Withdrawn, &[]);
+        }
+        harness.end_is_unclear(id, 0);
+    }
+    harness.ends("once", 0, ForwardResult::Succeeded, &[]);
+    harness.expect_trace(expect![[r#"
+        1000 follow
+        1000 free -> a
+        1000 cancel free #0
+        1010 free -> b
+        1010 keyed -> a
+        1010 cancel keyed #0
+        1020 keyed -> b
+        1020 once -> a
+    "#]]);
+}
+
 #[test]
 fn a_forward_on_a_reused_connection_moves_after_a_third_of_its_objective() {
     let mut harness = harness_with_a_full_runner(settings(vec![operation(Effect::Idempotent)]));
