Policy: a non-idempotent job prefers runners that have not handed it back

Change: a final call-back that ends a forward is reported as EndMayBeRepeated before its outcome; a non-idempotent invocation samples that runner again only if no other runner is eligible.

Ruled out as evidence that an answer was read: how the connection of a call ends, as a relay may have read it.

--- a/node/src/request_table/callbacks.rs
+++ b/node/src/request_table/callbacks.rs
@@ -168,6 +168,8 @@
         }
         match attribution {
             Attribution::Newest => {
+                self.pending_events
+                    .push(Event::EndMayBeRepeated { invocation: invocation.clone(), forward: number });
                 let report =
                     callback.load.as_ref().map(|load| self.runners.read_report(load)).unwrap_or_default();
                 self.end_forward(&invocation, number, result, report, driver.now());
--- a/src/events.rs
+++ b/src/events.rs
@@ -18,6 +18,9 @@
     /// A runner has reported the end of this forward or of an earlier one to it: this one, which is in
     /// flight, may have ended or not.
     EndUnclear { invocation: Id, forward: u32 },
+    /// The runner has reported the end of this forward, which is about to follow as its outcome, and may
+    /// report it again: the end of a later forward to the same runner could not be told from it.
+    EndMayBeRepeated { invocation: Id, forward: u32 },
     /// The client has left, or its timeout has passed.
     ClientLeft { invocation: Id },
     /// The adapter cannot hold the invocation any longer: it must get its final answer now.
--- a/src/routing_policy.rs
+++ b/src/routing_policy.rs
@@ -272,6 +272,7 @@
                 Event::Progress { invocation, forward } => _ = self.record_activity(&invocation, forward),
                 Event::Outcome(outcome) => self.handle_outcome(outcome),
                 Event::EndUnclear { invocation, forward } => self.handle_unclear_end(&invocation, forward),
+                Event::EndMayBeRepeated { invocation, forward } => self.avoid_runner(&invocation, forward),
                 Event::ClientLeft { invocation } => self.close(&invocation),
                 Event::AnswerNow { invocation } => self.give_up(&invocation),
                 Event::ProbeEnded { runner, alive, report } => self.handle_probe_end(&runner, alive, &report),
@@ -966,7 +967,8 @@
             let report_counts = !self.probes_indicate_load() || !self.report_is_stale(r);
             // A runner that the invocation has just left because it did not start there is no better now.
             let is_excluded = invocation.candidates.contains(&r)
-                || invocation.moved_from == Some(r) && self.listed.len() > 1;
+                || invocation.moved_from == Some(r) && self.listed.len() > 1
+                || self.must_avoid(r, invocation);
             if fits
                 && !is_excluded
                 && self.is_eligible(r, invocation)
--- a/src/state_tables.rs
+++ b/src/state_tables.rs
@@ -317,6 +317,8 @@
     pub retry_constraint: Option<RetryConstraint>,
     /// The runner of the previous forward, if that was withdrawn.
     pub moved_from: Option<usize>,
+    /// Runners that may report the end of a forward again, if it must not run twice.
+    pub may_report_again: Vec<usize>,
     /// It needs no further answer.
     pub answered: bool,
     /// Its position, while it is queued.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -272,6 +272,12 @@
         self.apply(Event::EndUnclear { invocation: invocation.into(), forward })
     }
 
+    /// A runner reports an end of this forward that it may report again, as it has turned the job away.
+    pub fn is_handed_back(&mut self, invocation: &str, forward: u32) -> &mut PolicyHarness {
+        self.apply(Event::EndMayBeRepeated { invocation: invocation.into(), forward });
+        self.ends(invocation, forward, ForwardResult::Overloaded, &[])
+    }
+
     /// Moves the clock and fires each timer at its time.
     pub fn advance(&mut self, ms: Micros) -> &mut PolicyHarness {
         let end = self.now + ms * 1000;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -689,6 +689,31 @@
     "#]]);
 }
 
+/// Guards against non-idempotent jobs that nobody runs: a second identical hand-back from the same runner cannot be
+/// told from a repeat of the first one.
+#[test]
+fn a_non_idempotent_invocation_prefers_runners_that_have_not_handed_it_back() {
+    let mut once = operation(Effect::NonIdempotent);
+    once.latency_objective = 5_000_000;
+    let mut settings = settings(vec![once]);
+    (settings.max_forwards, settings.reports_start) = (5, false);
+    let mut harness = harness_with_idle_runners(settings, "abc");
+    harness.arrives("1", 0);
+    for forward in 0..4 {
+        harness.is_handed_back("1", forward).advance(2000);
+    }
+    harness.expect_trace(expect![[r#"
+        1000 follow
+        1000 1 -> a
+        1000 1 -> c
+        3000 probe b
+        3000 1 -> b
+        5000 probe a
+        5000 1 -> a
+        7000 throttle 1, back in Some(2000000)
+    "#]]);
+}
+
 #[test]
 fn a_forward_on_a_reused_connection_moves_after_a_third_of_its_objective() {
     let mut harness = harness_with_a_full_runner(settings(vec![operation(Effect::Idempotent)]));
