Policy: at most 10,000 session keys are counted, however many clients send

What callers would see: a process that grows with each new session key (`sid`), and slower decisions. A client may send another key with each request; the count was bounded by age alone (30 s), and above 10,000 keys each arrival looked through all of them.

Change: above the limit the keys unused for a half-life are dropped, and then the least used ones down to half of the limit, so that this is rare. Keys with few uses have no further homes anyway.

Test: the_number_of_keys_is_limited_and_popular_ones_stay fails before (10,001 keys at once, no end with more) and passes now. Ruled out: the text of keys, of which only a hash is kept.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,3 +23,7 @@
 pub type Micros = i64;
 /// An id as it appears in the protocol.
 pub type Id = Rc<str>;
+
+#[cfg(test)]
+#[path = "../tests/unit/key_usage.rs"]
+mod key_usage;
--- a/src/state_tables.rs
+++ b/src/state_tables.rs
@@ -190,8 +190,8 @@
 
 /// Half-life of the counted uses of a key, in microseconds.
 const KEY_USE_HALF_LIFE: f64 = 3e7;
-/// Number of keys above which those unused for a half-life are dropped.
-const MAX_KEYS: usize = 10_000;
+/// Maximum number of keys; above it the least used ones are dropped.
+pub const MAX_KEYS: usize = 10_000;
 
 /// Use counts of affinity keys.
 #[derive(Default)]
@@ -214,7 +214,29 @@
         self.total_uses = self.total_uses * decay(self.last_used_at) + 1.0;
         self.last_used_at = now;
         if self.by_hash.len() > MAX_KEYS {
-            self.by_hash.retain(|_, key| ((now - key.last_used_at) as f64) < KEY_USE_HALF_LIFE);
+            self.drop_least_used(key, now);
+        }
+    }
+
+    /// Drops the keys unused for a half-life, and then the least used ones until half of the limit is left,
+    /// so that this is not needed again soon. `newest` stays.
+    fn drop_least_used(&mut self, newest: u64, now: Micros) {
+        self.by_hash.retain(|_, key| ((now - key.last_used_at) as f64) < KEY_USE_HALF_LIFE);
+        let Some(surplus) = self.by_hash.len().checked_sub(MAX_KEYS / 2).filter(|surplus| *surplus > 0)
+        else {
+            return;
+        };
+        let current_uses =
+            |key: &KeyState| key.uses * remaining_share(now - key.last_used_at, KEY_USE_HALF_LIFE);
+        let mut by_use: Vec<(f64, u64)> = self
+            .by_hash
+            .iter()
+            .filter(|(hash, _)| **hash != newest)
+            .map(|(hash, key)| (current_uses(key), *hash))
+            .collect();
+        by_use.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, hash) in by_use.into_iter().take(surplus) {
+            self.by_hash.remove(&hash);
         }
     }
 }
