Memory: one limit for the buffers of all connections, and one for open invocations

Cause: each connection had a limit (96 KiB and one read of 64 KiB) and all of them together had none. `Connection::read` keeps what clients send behind a request that waits for its answer. `memory_mb` bounded only the bytes of requests kept for further forwards, without copies and state.

Evidence: a trial on a scratch copy of the code before, with a line every 4 ms: at 28,676 KiB resident the input of 343 connections held 23,956 KiB, output 1, requests kept 27, and 823 timers were set. So output, kept requests and timers are ruled out as the cause of this case; they are limited all the same.

Change: node/src/net/memory.rs shares memory_mb out (an eighth each for buffers and open invocations, a sixteenth for an arriving roster instead of 4 MiB). node/src/net/reactor/buffers.rs keeps the sum of all buffers; above the share the largest are released by their owners: read-ahead is discarded and the next answer closes, an incomplete request gets 503 memory_short, a client that does not read is closed, a runner's incomplete answer counts as broken. Clients are read on, so their close is seen. Open invocations count with a copy and their state; the last quarter is for requests up to 4 KiB, or a few long ones turn all others away. Their timers end with them (they stayed until the client's deadline, at most an hour: 410 for 200 answered requests), and a connection to a runner has one timer at a time. Call-backs recorded for one invocation: 32 at most. Gauges buffer_bytes, invocation_bytes, released_buffers, timers; log line buffers-released.

Why it works: whatever fills the process is in one of the sums or has a limit of its own, and all sums together, doubled for what the allocator cannot reuse, stay under the limit.

--- a/node/src/ingress/clients.rs
+++ b/node/src/ingress/clients.rs
@@ -563,4 +563,19 @@
             driver.set_timer(Timer::Connection(connection), now + REQUEST_TIMEOUT);
         }
     }
+
+    fn release_buffers(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
+        let Some(client) = self.by_connection.get(&connection) else { return };
+        match client.phase {
+            // The requests behind the one that is being served: its answer announces the close.
+            Phase::AwaitingAnswer(_) => driver.discard_input(connection),
+            Phase::Idle if driver.has_unsent(connection) => {
+                self.by_connection.remove(&connection);
+                driver.abort(connection, CloseReason::MemoryShort);
+            }
+            Phase::Idle | Phase::Reading => {
+                self.reject(connection, HttpError(503, "memory_short"), driver);
+            }
+        }
+    }
 }
--- a/node/src/ingress/operators.rs
+++ b/node/src/ingress/operators.rs
@@ -129,4 +129,9 @@
             driver.abort(connection, CloseReason::SlowRequest);
         }
     }
+
+    fn release_buffers(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
+        self.waiting.remove(&connection);
+        driver.abort(connection, CloseReason::MemoryShort);
+    }
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -51,6 +51,14 @@
     pub skipped_runners: usize,
     /// Forwards that were written to runners completely.
     pub forwards_written: u64,
+    /// Bytes in the buffers of all connections.
+    pub buffer_bytes: usize,
+    /// How often a connection's buffers were released, as all together held too much.
+    pub released_buffers: u64,
+    /// Bytes that open invocations hold.
+    pub invocation_bytes: usize,
+    /// Timers that are set.
+    pub timers: usize,
 }
 
 /// Further metrics in the same format, one `name=value` a line.
@@ -99,6 +107,10 @@
             ("in_progress", gauges.in_progress as u64),
             ("known_runners", gauges.known_runners as u64),
             ("skipped_runners", gauges.skipped_runners as u64),
+            ("buffer_bytes", gauges.buffer_bytes as u64),
+            ("released_buffers", gauges.released_buffers),
+            ("invocation_bytes", gauges.invocation_bytes as u64),
+            ("timers", gauges.timers as u64),
             ("loads", self.loads),
             ("load_errors", self.load_errors),
             ("repeated_callbacks", self.repeated_callbacks),
--- a/node/src/net/connection.rs
+++ b/node/src/net/connection.rs
@@ -86,6 +86,8 @@
     WatchSilent,
     /// The watch on discovery was replaced by another one.
     WatchReplaced,
+    /// Closed for its buffers, as all connections together held too much.
+    MemoryShort,
     /// Closed because this process is shutting down or has handed over.
     Terminated,
 }
@@ -113,6 +115,7 @@
             CloseReason::Unlisted => "unlisted",
             CloseReason::WatchSilent => "watch_silent",
             CloseReason::WatchReplaced => "watch_replaced",
+            CloseReason::MemoryShort => "memory_short",
             CloseReason::Terminated => "terminated",
         }
     }
@@ -177,6 +180,26 @@
     );
     /// A [`Timer::Connection`] set by [`ConnectionDriver::set_timer`] has fired.
     fn timer_fired(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver);
+    /// All connections together hold too much, and this one most: its buffers have to be emptied.
+    fn release_buffers(&mut self, _connection: ConnectionId, _driver: &mut dyn ConnectionDriver) {}
+}
+
+/// Identifies a timer that can be cancelled: when it fires, and its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerKey {
+    pub at: Micros,
+    pub serial: u64,
+}
+
+/// What the connections of a process hold at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BufferUse {
+    /// Bytes in the buffers of all connections.
+    pub bytes: usize,
+    /// How often a connection's buffers were released since the start, as all together held too much.
+    pub released: u64,
+    /// Timers that are set.
+    pub timers: usize,
 }
 
 /// Counts of system calls that the host failed transiently since the start; each call was retried.
@@ -214,6 +237,10 @@
     fn host_failures(&self) -> HostFailures {
         HostFailures::default()
     }
+    /// What the connections hold.
+    fn buffer_use(&self) -> BufferUse {
+        BufferUse::default()
+    }
     /// The earliest time at which bytes that are read now may have arrived. That is well before
     /// [`ConnectionDriver::now`] if this process was not scheduled for a while.
     fn readable_since(&self) -> Micros {
@@ -251,14 +278,23 @@
     fn has_overflowed(&self, _connection: ConnectionId) -> bool {
         false
     }
+    /// Discards the unprocessed input and all that still arrives, as if it were beyond the limit.
+    fn discard_input(&mut self, _connection: ConnectionId) {}
     /// Calls [`ConnectionHandler::received`] again with the unprocessed input, even if no more bytes arrive.
     fn process_again(&mut self, connection: ConnectionId);
     /// Closes the connection as soon as all queued bytes are written.
     fn finish(&mut self, connection: ConnectionId, reason: CloseReason);
     /// Closes the connection now and drops unsent bytes; also gives up a dial.
     fn abort(&mut self, connection: ConnectionId, reason: CloseReason);
-    /// Has a timer fire at `at` (Unix time in microseconds). Timers cannot be withdrawn.
+    /// Has a timer fire at `at` (Unix time in microseconds). It cannot be cancelled.
     fn set_timer(&mut self, timer: Timer, at: Micros);
+    /// Like [`ConnectionDriver::set_timer`], for a timer that need not fire any more once its subject is gone.
+    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> Option<TimerKey> {
+        self.set_timer(timer, at);
+        None
+    }
+    /// Cancels a timer; does nothing if it has fired.
+    fn cancel_timer(&mut self, _key: TimerKey) {}
     /// Sends a datagram to another dispatcher; it may be lost.
     fn send_datagram(&mut self, _to: SocketAddr, _bytes: &[u8]) {}
 }
@@ -321,6 +357,8 @@
     written: usize,
     /// Bytes were discarded because `input` was full of unprocessed ones.
     has_overflowed: bool,
+    /// Its part in the sum of all connections' buffers.
+    pub accounted_bytes: usize,
     /// The interest (reading, writing) that is registered with the poller. `None` until a registration has
     /// succeeded.
     pub registered_interest: Option<(bool, bool)>,
@@ -350,6 +388,7 @@
             output: Vec::new(),
             written: 0,
             has_overflowed: false,
+            accounted_bytes: 0,
             registered_interest: None,
         }
     }
@@ -362,6 +401,27 @@
         (!self.dialling && (self.lingering || may_read), self.dialling || self.has_unsent())
     }
 
+    /// Bytes of memory that it holds.
+    pub fn buffer_bytes(&self) -> usize {
+        size_of::<Connection>()
+            + self.input.capacity()
+            + self.output.capacity()
+            + self.receive_times.buffer_bytes()
+    }
+
+    /// Frees what the buffers have reserved and do not use.
+    pub fn shrink_buffers(&mut self) {
+        self.input.shrink_to_fit();
+        self.output.shrink_to_fit();
+    }
+
+    /// Discards the input, and all that still arrives.
+    pub fn discard_input(&mut self) {
+        self.has_overflowed = true;
+        self.input = Vec::new();
+        self.receive_times = ReceiveTimes::default();
+    }
+
     /// Whether input was discarded.
     pub fn has_overflowed(&self) -> bool {
         self.has_overflowed
@@ -420,7 +480,7 @@
         match read {
             Ok(0) => Err(CloseReason::PeerClosed),
             Ok(read) if self.lingering => Ok(read),
-            Ok(read) if self.input.len() >= MAX_MESSAGE_BYTES => {
+            Ok(read) if self.has_overflowed || self.input.len() >= MAX_MESSAGE_BYTES => {
                 self.has_overflowed = true;
                 Ok(read)
             }
--- a/node/src/net/memory.rs
+++ b/node/src/net/memory.rs
@@ -18,6 +18,6 @@
 impl MemoryShares {
     /// The shares of a process that may use this many bytes.
     pub fn of(limit: usize) -> MemoryShares {
-        MemoryShares { buffers: limit / 4, invocations: limit / 6, roster: limit / 16 }
+        MemoryShares { buffers: limit / 8, invocations: limit / 8, roster: limit / 16 }
     }
 }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod errno;
 pub mod http;
 pub mod log;
+pub mod memory;
 pub mod reactor;
 pub mod receive_times;
 pub mod sockets;
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -4,6 +4,8 @@
 //! It owns the poller, the listeners, all connections, all timers, the clock and the signals. It knows only
 //! the role of a connection, not what is done over it, and blocks nowhere but in the poller.
 
+mod buffers;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -19,8 +21,8 @@
 use crate::lifecycle::handover;
 use crate::lifecycle::signals::Signal;
 use crate::net::connection::{
-    CloseReason, Connection, ConnectionDriver, ConnectionId, ConnectionRole, HostFailures, Timer,
-    connect_failure,
+    BufferUse, CloseReason, Connection, ConnectionDriver, ConnectionId, ConnectionRole, HostFailures, Timer,
+    TimerKey, connect_failure,
 };
 use crate::net::dials::{self, Dial, Dialled, Dials, REDIAL_INTERVAL};
 use crate::net::errno::{self, Scope};
@@ -124,9 +126,13 @@
     accept_queued_since: Option<Micros>,
     /// All connections except those whose dial is postponed.
     connections: HashMap<ConnectionId, Connection>,
+    /// Bytes that the buffers of all connections hold.
+    buffered_bytes: usize,
+    /// How often a connection's buffers were released.
+    released_buffers: u64,
     next_id: ConnectionId,
     /// By the time at which they fire; timers of the same time fire in the order in which they were set.
-    timers: BTreeMap<(Micros, u64), Timer>,
+    timers: BTreeMap<TimerKey, Timer>,
     /// The number of timers set since the start.
     timer_serial: u64,
     /// Connections on which a write failed; their owners are called back in this or the next iteration.
@@ -162,6 +168,8 @@
             accept_queues: BTreeMap::new(),
             accept_queued_since: None,
             connections: HashMap::new(),
+            buffered_bytes: 0,
+            released_buffers: 0,
             next_id: FIRST_CONNECTION_ID,
             timers: BTreeMap::new(),
             timer_serial: 0,
@@ -242,7 +250,7 @@
                 }
             }
             self.run_deferred(table);
-            while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().at <= self.now) {
                 let timer = entry.remove();
                 self.fire(timer, table, (listeners, path));
             }
@@ -250,6 +258,7 @@
                 table.handle_descriptor_shortage(self);
             }
             table.decide(self);
+            self.enforce_buffer_limit(table);
             if table.accepts_connections() != self.accepting {
                 self.accepting = table.accepts_connections();
                 self.set_accepting(listener_of(listeners, ConnectionRole::Client), self.accepting);
@@ -322,8 +331,8 @@
         if table.has_pending_events() || !self.broken_connections.is_empty() || !self.to_process.is_empty() {
             return Some(Duration::ZERO);
         }
-        let Some(((at, _), _)) = self.timers.first_key_value() else { return Some(MAX_WAIT) };
-        Some(Duration::from_micros((at - self.clock.now()).max(0) as u64).min(MAX_WAIT))
+        let Some((next, _)) = self.timers.first_key_value() else { return Some(MAX_WAIT) };
+        Some(Duration::from_micros((next.at - self.clock.now()).max(0) as u64).min(MAX_WAIT))
     }
 
     /// Handles a timer that has fired.
@@ -511,6 +520,7 @@
             log!("dial-given-up", "link={id} side={} peer={to} reason={}", role.code(), reason.code());
         }
         let Some(connection) = self.connections.remove(&id) else { return };
+        self.buffered_bytes -= connection.accounted_bytes;
         let _ = self.poller.delete(&connection.stream);
         self.host_failures.reads += connection.failed_reads;
         let (role, peer, ms) =
@@ -524,7 +534,9 @@
     }
 
     /// Registers a connection with the poller for its current interest, and schedules a retry if that fails.
+    /// To be called after each change of a connection.
     fn update_registration(&mut self, id: ConnectionId) {
+        self.account_buffers(id);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let interest = connection.interest();
         if connection.registered_interest == Some(interest) {
@@ -616,6 +628,7 @@
             connection.input = input;
         }
         self.update_registration(id);
+        self.enforce_buffer_limit(table);
     }
 
     /// Handles a connection that the other end has closed, that failed, or that was never established.
@@ -676,6 +689,17 @@
         }
     }
 
+    fn buffer_use(&self) -> BufferUse {
+        BufferUse { bytes: self.buffered_bytes, released: self.released_buffers, timers: self.timers.len() }
+    }
+
+    fn discard_input(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.discard_input();
+        }
+        self.update_registration(id);
+    }
+
     fn received_since(&self, id: ConnectionId) -> Micros {
         let first = self.connections.get(&id).and_then(|connection| connection.receive_times.first());
         first.unwrap_or_else(|| self.readable_since())
@@ -760,7 +784,17 @@
     }
 
     fn set_timer(&mut self, timer: Timer, at: Micros) {
+        self.set_cancellable_timer(timer, at);
+    }
+
+    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> Option<TimerKey> {
         self.timer_serial += 1;
-        self.timers.insert((at, self.timer_serial), timer);
+        let key = TimerKey { at, serial: self.timer_serial };
+        self.timers.insert(key, timer);
+        Some(key)
+    }
+
+    fn cancel_timer(&mut self, key: TimerKey) {
+        self.timers.remove(&key);
     }
 }
--- /dev/null
+++ b/node/src/net/reactor/buffers.rs
@@ -0,0 +1,73 @@
+//! The limit on the buffers of all connections together.
+//!
+//! Above it, the connections that hold most are asked for their buffers first, so that those which hold
+//! little are served as before. Connections are read on all the same, as the close of a client must be
+//! noticed; what its owner gives up is discarded.
+
+use crate::net::connection::{CloseReason, ConnectionId, ConnectionRole};
+use crate::net::log::log;
+use crate::request_table::RequestTable;
+
+use super::Reactor;
+
+/// A connection that holds less than this is never asked for its buffers.
+const MIN_RELEASED_BYTES: usize = 8 << 10;
+
+/// The connections whose buffers can be released. Those to discovery and to the other process of an upgrade
+/// have limits of their own.
+fn is_releasable(role: ConnectionRole) -> bool {
+    matches!(role, ConnectionRole::Client | ConnectionRole::Runner | ConnectionRole::Operator)
+}
+
+impl Reactor {
+    /// Updates the sum of all buffers after those of a connection may have changed.
+    pub(super) fn account_buffers(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let bytes = connection.buffer_bytes();
+        let before = std::mem::replace(&mut connection.accounted_bytes, bytes);
+        self.buffered_bytes = self.buffered_bytes + bytes - before;
+    }
+
+    /// Releases buffers while all connections together hold more than their share.
+    pub(super) fn enforce_buffer_limit(&mut self, table: &mut RequestTable) {
+        while self.buffered_bytes > table.memory_shares().buffers {
+            let Some((id, bytes)) = self.largest_buffers() else { return };
+            if !self.shrink_buffers(id) {
+                self.release_buffers(id, bytes, table);
+            }
+        }
+    }
+
+    /// The connection that holds most, and how many bytes.
+    fn largest_buffers(&self) -> Option<(ConnectionId, usize)> {
+        let releasable = self.connections.iter().filter(|(_, connection)| is_releasable(connection.role));
+        let (id, largest) = releasable.max_by_key(|(_, connection)| connection.accounted_bytes)?;
+        (largest.accounted_bytes >= MIN_RELEASED_BYTES).then_some((*id, largest.accounted_bytes))
+    }
+
+    /// Frees what a connection has reserved and does not use. Returns whether that was anything.
+    fn shrink_buffers(&mut self, id: ConnectionId) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else { return false };
+        let before = connection.accounted_bytes;
+        connection.shrink_buffers();
+        self.account_buffers(id);
+        self.connections.get(&id).is_some_and(|connection| connection.accounted_bytes < before)
+    }
+
+    /// Has the owner of a connection release its buffers. A connection that holds as much after that is
+    /// closed.
+    fn release_buffers(&mut self, id: ConnectionId, bytes: usize, table: &mut RequestTable) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let (role, finishing) = (connection.role, connection.finishing);
+        log!("buffers-released", "link={id} side={} bytes={bytes} all={}", role.code(), self.buffered_bytes);
+        self.released_buffers += 1;
+        if let Some(reason) = finishing {
+            return self.remove(id, reason);
+        }
+        table.handler(role).release_buffers(id, self);
+        table.collect_events(self);
+        if self.connections.get(&id).is_some_and(|connection| connection.accounted_bytes >= bytes) {
+            self.connection_lost(id, CloseReason::MemoryShort, table);
+        }
+    }
+}
--- a/node/src/net/receive_times.rs
+++ b/node/src/net/receive_times.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Bytes of memory that the entries hold.
+    pub fn buffer_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<(usize, Micros)>()
+    }
+
     /// Removes bytes that the owner has processed.
     pub fn consume(&mut self, mut bytes: usize) {
         while let Some((count, _)) = self.entries.front_mut() {
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -7,6 +7,7 @@
 //! invocation whose client's time is over, and never sends a forward twice.
 
 mod callbacks;
+mod invocation_memory;
 mod peer_exchange;
 mod persistence;
 
@@ -27,9 +28,12 @@
 use crate::lifecycle::handover::{HandoverMessage, HandoverPeer, HandoverState};
 use crate::lifecycle::store_thread::StoreThread;
 use crate::metrics::{self, FinalStatus, Gauges, Metrics};
-use crate::net::connection::{ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer};
+use crate::net::connection::{
+    ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer, TimerKey,
+};
 use crate::net::http::HttpError;
 use crate::net::log::log;
+use crate::net::memory::MemoryShares;
 use crate::upstream::membership::{Membership, ROSTER_LEASE_TIMEOUT};
 use crate::upstream::roster::{self, Roster, RosterSnapshot};
 use crate::upstream::runners::{self, Runners};
@@ -109,6 +113,8 @@
     is_answer_due: bool,
     forwards: Vec<Forward>,
     final_callbacks: FinalCallbacks,
+    /// The timer for the end of the client's time.
+    timer: Option<TimerKey>,
 }
 
 impl OpenInvocation {
@@ -116,11 +122,6 @@
     fn outstanding_forward(&self) -> Option<u32> {
         self.forwards.iter().position(Forward::is_outstanding).map(|number| number as u32)
     }
-
-    /// Bytes held for further forwards.
-    fn size(&self) -> usize {
-        self.head.len() + self.body.len()
-    }
 }
 
 /// Which role the other process of this dispatcher has while both serve during an upgrade.
@@ -192,9 +193,10 @@
     pending_events: Vec<Event>,
     /// Limit of open invocations.
     max_open: usize,
-    /// Bytes of requests held for further forwards, and their limit.
-    held_bytes: usize,
-    max_held_bytes: usize,
+    /// Bytes of memory that all open invocations hold.
+    invocation_bytes: usize,
+    /// The shares of the process's memory limit.
+    memory_shares: MemoryShares,
     /// Retry-After of clients that are turned away for lack of capacity, if one is sent.
     overload_retry_after: Option<Micros>,
     /// The longest Retry-After that clients follow, if one is sent.
@@ -272,8 +274,8 @@
             closed_ids: Default::default(),
             pending_events: Vec::new(),
             max_open: decoded.max_open,
-            held_bytes: 0,
-            max_held_bytes: 0,
+            invocation_bytes: 0,
+            memory_shares: MemoryShares::default(),
             overload_retry_after,
             max_retry_after,
             shutdown_since: None,
@@ -460,7 +462,8 @@
         self.max_connections = sockets - sockets / 8;
         self.clients.set_limits(sockets);
         self.operators.set_limits(sockets);
-        self.max_held_bytes = memory / 6;
+        self.memory_shares = MemoryShares::of(memory);
+        self.roster.set_max_bytes(self.memory_shares.roster);
     }
 
     /// Applies a configuration that was read again, except for what only a restart can change: name and
@@ -762,7 +765,7 @@
                 driver,
             );
         } else {
-            self.end_forward(invocation, number, ForwardResult::Void, Vec::new(), sent_at);
+            self.end_forward(invocation, number, ForwardResult::Void, Vec::new(), driver);
         }
     }
 
@@ -804,13 +807,13 @@
     ) -> Option<ConnectionId> {
         let open = self.invocations.get_mut(invocation).filter(|open| !open.is_answered)?;
         open.is_answered = true;
-        self.held_bytes -= open.size();
-        (open.head, open.body) = (Vec::new(), Vec::new());
         let connection = open.connection;
-        match open.outstanding_forward() {
-            None => drop(self.invocations.remove(invocation)),
-            Some(number) => {
-                let runner = open.forwards[number as usize].runner.clone();
+        let outstanding =
+            open.outstanding_forward().map(|number| (number, open.forwards[number as usize].runner.clone()));
+        self.drop_request(invocation);
+        match outstanding {
+            None => self.remove_invocation(invocation, driver),
+            Some((number, runner)) => {
                 self.runners.withdraw_unsent(&runner, invocation, number, driver);
             }
         }
@@ -846,8 +849,9 @@
         number: u32,
         result: ForwardResult,
         report: Vec<f64>,
-        now: Micros,
+        driver: &mut dyn ConnectionDriver,
     ) {
+        let now = driver.now();
         let Some(open) = self.invocations.get_mut(invocation) else { return };
         let answered = open.is_answered;
         let ended = open.forwards.get_mut(number as usize).filter(|ended| ended.is_outstanding());
@@ -862,7 +866,7 @@
             Outcome { invocation: invocation.clone(), forward, runner, result, answered, elapsed, report };
         self.pending_events.push(Event::Outcome(outcome));
         if answered && open.outstanding_forward().is_none() {
-            self.invocations.remove(invocation);
+            self.remove_invocation(invocation, driver);
         }
     }
 
@@ -880,7 +884,11 @@
             return self.answer_with_error(invocation, driver);
         }
         self.pending_events.push(Event::AnswerNow { invocation: invocation.clone() });
-        driver.set_timer(Timer::Invocation(invocation.clone()), driver.now() + FINAL_ANSWER_TIMEOUT);
+        let at = driver.now() + FINAL_ANSWER_TIMEOUT;
+        let timer = driver.set_cancellable_timer(Timer::Invocation(invocation.clone()), at);
+        if let Some(open) = self.invocations.get_mut(invocation) {
+            open.timer = timer;
+        }
     }
 
     /// Ends the outstanding forward, if there is one.
@@ -891,7 +899,7 @@
         // A forward that was not sent cannot have run, and does not count as timed out.
         let was_unsent = self.runners.withdraw_unsent(&runner, invocation, number, driver);
         let result = if was_unsent { ForwardResult::Void } else { ForwardResult::TimedOut };
-        self.end_forward(invocation, number, result, Vec::new(), driver.now());
+        self.end_forward(invocation, number, result, Vec::new(), driver);
         if !was_unsent {
             self.runners.cancel(&runner, invocation, number, driver);
         }
@@ -943,21 +951,21 @@
         for event in std::mem::take(&mut self.runners.events) {
             match event {
                 runners::RunnerEvent::Ended { invocation, number, result, report } => {
-                    self.end_forward(&invocation, number, result, report, driver.now());
+                    self.end_forward(&invocation, number, result, report, driver);
                 }
                 runners::RunnerEvent::ClientLeft { invocation, number } => {
                     if let Some(connection) = self.invocations.get(&invocation).map(|open| open.connection) {
                         self.handle_client_left(connection, invocation.clone(), driver);
                     }
-                    self.end_forward(&invocation, number, ForwardResult::Void, Vec::new(), driver.now());
+                    self.end_forward(&invocation, number, ForwardResult::Void, Vec::new(), driver);
                 }
                 runners::RunnerEvent::Unusable { invocation, number } => {
                     // No runner would accept the request, and the rejection is no failure of this one.
                     self.answer(&invocation, STATUS_BAD_REQUEST, None, b"", driver);
-                    self.end_forward(&invocation, number, ForwardResult::Void, Vec::new(), driver.now());
+                    self.end_forward(&invocation, number, ForwardResult::Void, Vec::new(), driver);
                 }
                 runners::RunnerEvent::Cancelled { invocation, number } => {
-                    self.end_forward(&invocation, number, ForwardResult::Withdrawn, Vec::new(), driver.now());
+                    self.end_forward(&invocation, number, ForwardResult::Withdrawn, Vec::new(), driver);
                 }
                 runners::RunnerEvent::NotCancelled { invocation, number } => {
                     if let Some(forward) =
@@ -996,11 +1004,16 @@
             },
             Call::Stats => {
                 let (known_runners, out) = self.membership.count();
+                let buffers = driver.buffer_use();
                 let gauges = Gauges {
                     in_progress: self.invocations.values().filter(|open| !open.is_answered).count(),
                     known_runners,
                     skipped_runners: self.policy.ejected_runners(driver.now()) + out,
                     forwards_written: self.runners.forwards_written(),
+                    buffer_bytes: buffers.bytes,
+                    released_buffers: buffers.released,
+                    timers: buffers.timers,
+                    invocation_bytes: self.invocation_bytes,
                 };
                 let store_metrics = self.persistence.as_ref().map(Persistence::metrics).unwrap_or_default();
                 let peer_metrics = self.peer_exchange.as_ref().map(PeerExchange::metrics).unwrap_or_default();
@@ -1117,7 +1130,7 @@
         if self.invocations.contains_key(&request.id) || self.closed_ids.1.contains(&request.id) {
             return self.clients.reject(request.connection, HttpError(400, "repeated_id"), driver);
         }
-        let size = request.head.len() + request.body.len();
+        let request_bytes = request.head.len() + request.body.len();
         if !self.may_forward() {
             log!("not-taken", "inv={} reason=recovering", request.id);
             let retry_after = self.recovery_retry_after(&request.id, now);
@@ -1139,7 +1152,7 @@
                 driver,
             );
         }
-        let is_full = self.invocations.len() >= self.max_open || self.held_bytes + size > self.max_held_bytes;
+        let is_full = self.invocations.len() >= self.max_open || self.exceeds_memory(request_bytes);
         let is_too_late_in_shutdown = self.is_too_late_to_accept(now);
         if is_full || is_too_late_in_shutdown || request.expires_at <= now {
             let reason = if is_too_late_in_shutdown {
@@ -1156,8 +1169,7 @@
             return self.clients.answer(request.connection, STATUS_UNAVAILABLE, retry_after, b"", driver);
         }
         self.handover_peer.send(&HandoverMessage::InvocationTaken(request.id.to_string()), driver);
-        self.held_bytes += size;
-        driver.set_timer(Timer::Invocation(request.id.clone()), request.expires_at);
+        let timer = driver.set_cancellable_timer(Timer::Invocation(request.id.clone()), request.expires_at);
         let (invocation, operation, slots, key) =
             (request.id.clone(), request.operation, request.slots, request.key);
         let (time_left, work_hint) = (request.expires_at - now, request.work_hint);
@@ -1183,8 +1195,9 @@
             is_answer_due: false,
             forwards: Vec::new(),
             final_callbacks: FinalCallbacks::default(),
+            timer,
         };
-        self.invocations.insert(request.id, open);
+        self.insert_invocation(request.id, open);
     }
 
     /// Closes an invocation whose client has left.
--- a/node/src/request_table/callbacks.rs
+++ b/node/src/request_table/callbacks.rs
@@ -32,6 +32,9 @@
     source: Option<CallbackSource>,
 }
 
+/// The most call-backs that are recorded for an invocation: one for each of its forwards, and some to spare.
+const MAX_RECORDED: usize = 32;
+
 /// The final call-backs that have arrived for an invocation, one for each runner and content.
 #[derive(Default)]
 pub(super) struct FinalCallbacks(Vec<FinalCallback>);
@@ -42,9 +45,14 @@
         self.0.iter().find(|known| known.runner == *runner && known.hash == hash)
     }
 
+    /// Whether no more can be recorded, so that any call-back may be the repeat of one that is not recorded.
+    fn is_full(&self) -> bool {
+        self.0.len() >= MAX_RECORDED
+    }
+
     /// Records a call-back unless it is known.
     fn record(&mut self, runner: &Id, hash: u64, source: Option<CallbackSource>) {
-        if self.find(runner, hash).is_none() {
+        if !self.is_full() && self.find(runner, hash).is_none() {
             self.0.push(FinalCallback { runner: runner.clone(), hash, source });
         }
     }
@@ -129,8 +137,10 @@
             JobState::Lost => ForwardResult::Broken,
         };
         let known = open.final_callbacks.find(&runner, hash);
-        let may_be_repeat = known
-            .is_some_and(|known| !known.source.is_some_and(|source| self.clients.has_read_answer(source)));
+        let may_be_repeat = match known {
+            Some(known) => !known.source.is_some_and(|source| self.clients.has_read_answer(source)),
+            None => open.final_callbacks.is_full(),
+        };
         let attribution = if is_in_progress {
             let forwards: Vec<&Forward> =
                 open.forwards.iter().filter(|forward| forward.runner == runner).collect();
@@ -172,7 +182,7 @@
                     .push(Event::EndMayBeRepeated { invocation: invocation.clone(), forward: number });
                 let report =
                     callback.load.as_ref().map(|load| self.runners.read_report(load)).unwrap_or_default();
-                self.end_forward(&invocation, number, result, report, driver.now());
+                self.end_forward(&invocation, number, result, report, driver);
             }
             Attribution::Unclear if result != ForwardResult::Succeeded => {
                 self.metrics.unclear_callbacks += 1;
--- a/node/src/upstream/roster.rs
+++ b/node/src/upstream/roster.rs
@@ -45,8 +45,6 @@
 const DOWN_TIMEOUT: Micros = 25_000_000;
 /// Maximum number of open requests to discovery.
 const MAX_REQUESTS: usize = 2;
-/// Maximum length of a whole roster or of one line of a watch, in bytes.
-const MAX_ROSTER_BYTES: usize = 4 << 20;
 
 /// A roster or a change to it, as discovery sends it.
 #[derive(Debug, Default, Deserialize)]
@@ -282,6 +280,8 @@
     pushed: bool,
     /// Whether the watch is wanted at all.
     should_follow: bool,
+    /// Maximum length of a whole roster or of one line of a watch, in bytes.
+    max_bytes: usize,
     /// The open requests, the newest last; all but the newest are late.
     requests: Vec<WatchRequest>,
     /// Until when no change can have been missed. After that discovery could be reached, and may have had
@@ -305,6 +305,7 @@
             generation: Some(generation),
             pushed,
             should_follow: false,
+            max_bytes: usize::MAX,
             requests: Vec::new(),
             certain_until: 0,
             last_contact: None,
@@ -335,6 +336,11 @@
         self.pushed = pushed;
     }
 
+    /// Sets the maximum length of a whole roster or of one line of a watch.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.max_bytes = max_bytes;
+    }
+
     /// Until when no change can have been missed that discovery could announce; later changes may not have
     /// arrived.
     pub fn certain_until(&self) -> Micros {
@@ -453,6 +459,7 @@
         driver: &mut dyn ConnectionDriver,
     ) -> Result<(), &'static str> {
         let (now, awaits_whole_roster) = (driver.now(), self.generation.is_none());
+        let max_bytes = self.max_bytes;
         let Some(request) = self.request_on(connection) else { return Ok(()) };
         let framing = match request.framing {
             Some(framing) => framing,
@@ -479,13 +486,13 @@
             };
             return match done {
                 true => self.process_whole_roster(connection, driver),
-                false if request.body.len() > MAX_ROSTER_BYTES => Err("line_too_long"),
+                false if request.body.len() > max_bytes => Err("line_too_long"),
                 false => Ok(()),
             };
         }
         self.process_lines(connection, driver)?;
         match self.request_on(connection) {
-            Some(request) if request.body.len() > MAX_ROSTER_BYTES => Err("line_too_long"),
+            Some(request) if request.body.len() > max_bytes => Err("line_too_long"),
             Some(request) if request.chunks.is_done() => Err("watch_done"),
             _ => Ok(()),
         }
--- a/node/src/upstream/runners.rs
+++ b/node/src/upstream/runners.rs
@@ -29,6 +29,8 @@
 /// the last one is not attributed to the next task if it would mean that a job has not run, or has ended,
 /// while that job may be running.
 const DUPLICATE_ANSWER_WINDOW: Micros = 10_000;
+/// A connection whose task may take long is looked at this often.
+const MAX_CHECK_INTERVAL: Micros = 30_000_000;
 
 /// Time to write a forward from its first byte to its last. The time left that a forward states to its runner
 /// is allowed to exceed the actual one by 0.15 s, and this timeout is well within that.
@@ -106,11 +108,20 @@
     deadline: Micros,
     /// The task has been reported as unanswered; the answer may still arrive.
     is_overdue: bool,
-    /// When the idle timeout is checked next.
-    idle_check_at: Micros,
+    /// When its timer fires that is next to fire; `Micros::MAX` if none is set.
+    check_at: Micros,
 }
 
 impl RunnerConnection {
+    /// When it has to be looked at next, if its forward has been written.
+    fn next_check(&self, dial_timeout: Micros, idle_timeout: Micros) -> Micros {
+        match self.phase {
+            Phase::Dialling => self.send_by.min(self.since + dial_timeout),
+            Phase::Idle => self.since + idle_timeout,
+            Phase::Busy => self.deadline,
+        }
+    }
+
     /// Takes the task that waits for the dial, if it may still be sent at `now`.
     fn take_pending(&mut self, now: Micros) -> Option<PendingTask> {
         let task = self.task.take_if(|_| self.phase == Phase::Dialling && now < self.send_by)?;
@@ -289,7 +300,7 @@
             && let Some(state) = self.connections.get_mut(&connection)
         {
             state.send_by = send_by;
-            driver.set_timer(Timer::Connection(connection), send_by);
+            self.set_check(connection, send_by, driver);
         }
     }
 
@@ -414,7 +425,7 @@
         runner.connections.push(connection);
         let since = driver.now();
         let (phase, task, runner_id) = (Phase::Dialling, Some(task), runner_id.clone());
-        let (answered_at, send_by, is_overdue, idle_check_at) = (None, Micros::MAX, false, 0);
+        let (answered_at, send_by, is_overdue, check_at) = (None, Micros::MAX, false, Micros::MAX);
         let state = RunnerConnection {
             runner_id,
             phase,
@@ -426,10 +437,33 @@
             client_wait,
             deadline,
             is_overdue,
-            idle_check_at,
+            check_at,
         };
         self.connections.insert(connection, state);
-        driver.set_timer(Timer::Connection(connection), since + self.dial_timeout);
+        self.set_check(connection, since + self.dial_timeout, driver);
+    }
+
+    /// Has a connection looked at when `at` comes. Timers cannot be replaced, so one is only set if none fires
+    /// before: the one that fires sets the next.
+    fn set_check(&mut self, connection: ConnectionId, at: Micros, driver: &mut dyn ConnectionDriver) {
+        // A client may state any deadline, so the timers of forwards must not stay until then.
+        let at = at.min(driver.now() + MAX_CHECK_INTERVAL);
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        if at < state.check_at {
+            state.check_at = at;
+            driver.set_timer(Timer::Connection(connection), at);
+        }
+    }
+
+    /// Sets the next check of a connection.
+    fn set_next_check(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let mut at = state.next_check(self.dial_timeout, self.idle_timeout);
+        let is_forward = matches!(state.task, Some(Task::Forward { .. }));
+        if is_forward && state.phase == Phase::Busy && driver.has_unsent(connection) {
+            at = at.min(state.since + SEND_TIMEOUT);
+        }
+        self.set_check(connection, at, driver);
     }
 
     /// Drops a task that still waits for its dial after its `send_by`.
@@ -468,13 +502,9 @@
         (state.phase, state.since, state.deadline, state.is_overdue) =
             (Phase::Busy, driver.now(), deadline, false);
         self.forwards_written += u64::from(matches!(task, Task::Forward { .. }));
-        let is_forward = matches!(task, Task::Forward { .. });
         state.task = Some(task);
         driver.send(connection, &message);
-        driver.set_timer(Timer::Connection(connection), deadline);
-        if is_forward && driver.has_unsent(connection) {
-            driver.set_timer(Timer::Connection(connection), driver.now() + SEND_TIMEOUT);
-        }
+        self.set_next_check(connection, driver);
     }
 
     /// Aborts a forward that is not written completely in time: the time left that it states would no longer
@@ -487,15 +517,61 @@
         if !self.connections.get(&connection).is_some_and(is_too_slow) || !driver.has_unsent(connection) {
             return;
         }
+        self.abort_forward(connection, CloseReason::SlowReader, driver);
+    }
+
+    /// Aborts a forward that is not written completely, and so does not run.
+    fn abort_forward(
+        &mut self,
+        connection: ConnectionId,
+        end: CloseReason,
+        driver: &mut dyn ConnectionDriver,
+    ) {
         let Some(RunnerConnection { runner_id, task: Some(task), .. }) = self.remove_connection(connection)
         else {
             return;
         };
-        driver.abort(connection, CloseReason::SlowReader);
+        driver.abort(connection, end);
         self.forwards_written -= 1;
         self.report_unanswered(&runner_id, task, ForwardResult::Unreachable, false);
     }
 
+    /// Ends the dial, the task or the idle time of a connection that has lasted too long.
+    fn end_overdue_phase(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
+        let now = driver.now();
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        match state.phase {
+            Phase::Dialling if now >= state.since + self.dial_timeout => {
+                let (runner_id, task) = (state.runner_id.clone(), state.task.take());
+                // A dial that the host never started says nothing about the runner.
+                let result = if driver.is_dial_postponed(connection) {
+                    ForwardResult::Void
+                } else {
+                    ForwardResult::Unreachable
+                };
+                self.close(connection, CloseReason::DialTimeout, driver);
+                if let Some(task) = task {
+                    self.report_unanswered(&runner_id, task, result, false);
+                }
+            }
+            Phase::Idle if now >= state.since + self.idle_timeout => {
+                self.close(connection, CloseReason::Idle, driver);
+            }
+            Phase::Busy if now >= state.deadline => {
+                // An overdue forward is not reported: its client gave up long before this deadline.
+                let is_reported = |task: &Task| !state.is_overdue && !matches!(task, Task::Forward { .. });
+                let Some(task) = state.task.clone().filter(is_reported) else {
+                    return self.close(connection, CloseReason::NoAnswer, driver);
+                };
+                state.is_overdue = true;
+                state.deadline = now + LATE_ANSWER_TIMEOUT;
+                let runner_id = state.runner_id.clone();
+                self.report_unanswered(&runner_id, task, ForwardResult::Broken, false);
+            }
+            _ => {}
+        }
+    }
+
     /// Reuses a connection that has become free for a task that waits for a dial. Otherwise keeps it idle, or
     /// closes it if its runner is unlisted.
     fn release(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
@@ -516,10 +592,7 @@
         let Some(state) = self.connections.get_mut(&connection) else { return };
         (state.phase, state.since, state.task, state.deadline) =
             (Phase::Idle, driver.now(), None, Micros::MAX);
-        if state.idle_check_at <= state.since {
-            state.idle_check_at = state.since + self.idle_timeout;
-            driver.set_timer(Timer::Connection(connection), state.idle_check_at);
-        }
+        self.set_next_check(connection, driver);
     }
 
     fn remove_connection(&mut self, connection: ConnectionId) -> Option<RunnerConnection> {
@@ -745,43 +818,22 @@
 
     fn timer_fired(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
         let now = driver.now();
+        if let Some(state) = self.connections.get_mut(&connection).filter(|state| now >= state.check_at) {
+            state.check_at = Micros::MAX;
+        }
         self.expire_pending(connection, driver);
         self.abort_unsent_forward(connection, driver);
-        let Some(state) = self.connections.get_mut(&connection) else { return };
-        match state.phase {
-            Phase::Dialling if now >= state.since + self.dial_timeout => {
-                let (runner_id, task) = (state.runner_id.clone(), state.task.take());
-                // A dial that the host never started says nothing about the runner.
-                let result = if driver.is_dial_postponed(connection) {
-                    ForwardResult::Void
-                } else {
-                    ForwardResult::Unreachable
-                };
-                self.close(connection, CloseReason::DialTimeout, driver);
-                if let Some(task) = task {
-                    self.report_unanswered(&runner_id, task, result, false);
-                }
-            }
-            Phase::Idle if now >= state.since + self.idle_timeout => {
-                self.close(connection, CloseReason::Idle, driver);
-            }
-            Phase::Idle if now >= state.idle_check_at => {
-                state.idle_check_at = state.since + self.idle_timeout;
-                driver.set_timer(Timer::Connection(connection), state.idle_check_at);
-            }
-            Phase::Busy if now >= state.deadline => {
-                // An overdue forward is not reported: its client gave up long before this deadline.
-                let is_reported = |task: &Task| !state.is_overdue && !matches!(task, Task::Forward { .. });
-                let Some(task) = state.task.clone().filter(is_reported) else {
-                    return self.close(connection, CloseReason::NoAnswer, driver);
-                };
-                state.is_overdue = true;
-                state.deadline = now + LATE_ANSWER_TIMEOUT;
-                driver.set_timer(Timer::Connection(connection), state.deadline);
-                let runner_id = state.runner_id.clone();
-                self.report_unanswered(&runner_id, task, ForwardResult::Broken, false);
-            }
-            _ => {}
+        self.end_overdue_phase(connection, driver);
+        self.set_next_check(connection, driver);
+    }
+
+    fn release_buffers(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
+        let is_unsent_forward = |state: &&RunnerConnection| {
+            matches!(state.task, Some(Task::Forward { .. })) && driver.has_unsent(connection)
+        };
+        if self.connections.get(&connection).filter(is_unsent_forward).is_some() {
+            return self.abort_forward(connection, CloseReason::MemoryShort, driver);
         }
+        self.reject_answer(connection, "memory_short", driver);
     }
 }
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -13,7 +13,7 @@
 use crate::ingress::operations::Operations;
 use crate::lifecycle::handover;
 use crate::net::connection::{
-    CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer,
+    CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer, TimerKey,
 };
 use crate::net::http::{self, HttpError};
 use crate::request_table::RequestTable;
@@ -47,8 +47,7 @@
     blocked: BTreeSet<ConnectionId>,
     /// Connections that are kept only until their last bytes are sent.
     lingering: Vec<ConnectionId>,
-    /// Timers by their time and a running number.
-    timers: BTreeMap<(Micros, u64), Timer>,
+    timers: BTreeMap<TimerKey, Timer>,
     timer_count: u64,
     to_process_again: Vec<ConnectionId>,
     /// Text sent to another process of an upgrade.
@@ -134,8 +133,18 @@
     }
 
     fn set_timer(&mut self, timer: Timer, at: Micros) {
+        self.set_cancellable_timer(timer, at);
+    }
+
+    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> Option<TimerKey> {
         self.timer_count += 1;
-        self.timers.insert((at, self.timer_count), timer);
+        let key = TimerKey { at, serial: self.timer_count };
+        self.timers.insert(key, timer);
+        Some(key)
+    }
+
+    fn cancel_timer(&mut self, key: TimerKey) {
+        self.timers.remove(&key);
     }
 }
 
@@ -313,8 +322,8 @@
     /// Lets time pass and fires the timers that are due.
     fn advance(&mut self, ms: i64) {
         let until = self.driver.now + ms * 1000;
-        while let Some(entry) = self.driver.timers.first_entry().filter(|entry| entry.key().0 <= until) {
-            self.driver.now = entry.key().0.max(self.driver.now);
+        while let Some(entry) = self.driver.timers.first_entry().filter(|entry| entry.key().at <= until) {
+            self.driver.now = entry.key().at.max(self.driver.now);
             match entry.remove() {
                 Timer::Connection(connection) => {
                     if let Some(role) = self.driver.roles.get(&connection).copied() {
@@ -1654,6 +1663,29 @@
     "#]]);
 }
 
+/// Guards against memory that grows with each request: a client may state a deadline in an hour, and timers for
+/// requests that were answered long ago stayed until then.
+#[test]
+fn answered_invocations_leave_no_timers() {
+    let mut node = Node::with_watch(&RUNNERS[..1]);
+    let client = node.accept();
+    node.feed(client, HOUR_REQUEST);
+    node.connect(3);
+    let timers_of_one = node.driver.timers.len();
+    for nth in 0..200 {
+        node.feed(3, ACCEPTED);
+        let (open, next) = (format!("i{nth}"), format!("i{}", nth + 1));
+        node.send_callback(&format!(r#"{{"id":"{open}","from":"s-a","state":"done","result":"r"}}"#));
+        node.feed(client, &HOUR_REQUEST.replace("i0", &next));
+    }
+    // Each call-back came on a connection of its own, which has a timer for its next request.
+    let timers = node.driver.timers.len() - 200;
+    assert!(timers <= timers_of_one + 2, "{timers} timers, {timers_of_one} with one request");
+}
+
+/// A request whose client waits for an hour.
+const HOUR_REQUEST: &str = "POST /plan HTTP/1.1\r\nX-Request-Id: i0\r\nX-Deadline-Ms: 3600000\r\n\r\n";
+
 /// The trace of a bad request and of a health check on another connection, without times.
 fn refusal(request: &str) -> String {
     let mut node = Node::with_watch(&RUNNERS[..1]);
@@ -1851,6 +1883,10 @@
         edge_relay.in_progress=1
         edge_relay.known_runners=1
         edge_relay.skipped_runners=1
+        edge_relay.buffer_bytes=0
+        edge_relay.released_buffers=0
+        edge_relay.invocation_bytes=2200
+        edge_relay.timers=0
         edge_relay.loads=1
         edge_relay.load_errors=1
         edge_relay.repeated_callbacks=0
@@ -2084,6 +2120,10 @@
         edge_relay.in_progress=4
         edge_relay.known_runners=2
         edge_relay.skipped_runners=1
+        edge_relay.buffer_bytes=0
+        edge_relay.released_buffers=0
+        edge_relay.invocation_bytes=8800
+        edge_relay.timers=0
         edge_relay.loads=0
         edge_relay.load_errors=0
         edge_relay.repeated_callbacks=0
@@ -2324,6 +2364,10 @@
         edge_relay.in_progress=1
         edge_relay.known_runners=1
         edge_relay.skipped_runners=0
+        edge_relay.buffer_bytes=0
+        edge_relay.released_buffers=0
+        edge_relay.invocation_bytes=2126
+        edge_relay.timers=0
         edge_relay.loads=2
         edge_relay.load_errors=5
         edge_relay.repeated_callbacks=0
