Roster: an object of the watch is parsed once it is whole, element by element

What callers would see: a dispatcher over memory_mb, and a loop that stands still, while discovery sends a long list.

Cause: `process_lines` parsed the text of a watch from its start after each read that held a line end, and kept each element of the list as a tree of JSON values: many times the text, as often as a piece arrived.

Ruled out: the buffers (4 MB then) and open invocations (0).

Change: node/src/upstream/object_scanner.rs looks at each byte once and says whether an object is whole; until then nothing is parsed. Elements are read one by one into entries; what is wrong is kept for the first 100.

Traces that split messages anywhere pass unchanged.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -14,3 +14,7 @@
 #[cfg(test)]
 #[path = "../tests/traces.rs"]
 mod traces;
+
+#[cfg(test)]
+#[path = "../tests/object_scanner.rs"]
+mod object_scanner;
--- a/node/src/upstream/roster.rs
+++ b/node/src/upstream/roster.rs
@@ -5,9 +5,11 @@
 //! whether to retry, not this module. No change may be lost: a generation counts as reached only once its
 //! entries have been handed on as an event.
 
+use std::fmt;
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use serde_json::{Value, json};
 use topazsail::{Listing, Micros, Readiness, RosterEntry};
 
@@ -17,6 +19,7 @@
 use crate::net::http::{self, ChunkDecoder, Framing, encode_bodiless_request};
 use crate::net::log::log;
 use crate::upstream::membership::ROSTER_LEASE_TIMEOUT;
+use crate::upstream::object_scanner::ObjectScanner;
 
 // Discovery treats a change that it could deliver as known to the dispatcher after `ROSTER_LEASE_TIMEOUT`.
 // These timeouts and the routing policy's pauses between requests add up to less than that, in whatever order
@@ -43,6 +46,8 @@
 /// If discovery has failed every request for this long, it is taken to be down, even if its earlier failures
 /// looked like overload: a start may take 30 s, and service has to begin before that.
 const DOWN_TIMEOUT: Micros = 25_000_000;
+/// The most invalid entries of a list that are logged.
+const MAX_FAULTS: usize = 100;
 /// Maximum number of open requests to discovery.
 const MAX_REQUESTS: usize = 2;
 
@@ -54,18 +59,72 @@
     /// Whether this is the whole roster and replaces what was known.
     #[serde(default)]
     pub reset: bool,
-    instances: Vec<Value>,
+    #[serde(deserialize_with = "read_instances")]
+    instances: Instances,
+}
+
+/// A roster entry with its address, if it has one.
+type AddressedEntry = (RosterEntry, Option<SocketAddr>);
+
+/// The elements of discovery's list.
+#[derive(Debug, Default)]
+struct Instances {
+    entries: Vec<AddressedEntry>,
+    /// What is wrong with the first invalid ones.
+    faults: Vec<String>,
+}
+
+impl Instances {
+    /// Adds an element. An invalid one still counts if it says that its runner is not up.
+    fn add(&mut self, value: &Value) {
+        let parsed = match Instance::deserialize(value) {
+            Ok(instance) => instance.into_entry(),
+            Err(error) => Err(error.to_string()),
+        };
+        match parsed {
+            Ok(entry) => self.entries.push(entry),
+            Err(fault) => {
+                self.entries.extend(Instance::salvage(value).and_then(|instance| instance.into_entry().ok()));
+                if self.faults.len() < MAX_FAULTS {
+                    self.faults.push(fault);
+                }
+            }
+        }
+    }
+}
+
+/// Reads the elements one by one, as the JSON of all of them together would take many times their text.
+fn read_instances<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Instances, D::Error> {
+    struct Elements;
+
+    impl<'de> Visitor<'de> for Elements {
+        type Value = Instances;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+            formatter.write_str("a list of runners")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Self::Value, A::Error> {
+            let mut instances = Instances::default();
+            while let Some(value) = elements.next_element::<Value>()? {
+                instances.add(&value);
+            }
+            Ok(instances)
+        }
+    }
+
+    deserializer.deserialize_seq(Elements)
 }
 
 impl RosterSnapshot {
-    /// Parses discovery's JSON. Entries are only checked by [`RosterSnapshot::entries`].
+    /// Parses discovery's JSON.
     pub fn from_value(value: Value) -> Result<RosterSnapshot, String> {
         serde_json::from_value(value).map_err(|error| error.to_string())
     }
 
     /// The number of entries.
     pub fn len(&self) -> usize {
-        self.instances.len()
+        self.instances.entries.len()
     }
 
     /// Encodes a whole roster in the JSON that discovery sends.
@@ -89,21 +148,14 @@
         json!({ "generation": generation, "reset": true, "instances": instances })
     }
 
-    /// The valid entries, each with its address if it has one; each invalid entry is logged. The generation
+    /// The valid entries, each with its address if it has one; invalid entries are logged. The generation
     /// counts as reached all the same, and discovery does not repeat an entry. An invalid entry is therefore
     /// still used if it says that a runner is not up.
-    pub fn entries(self) -> Vec<(RosterEntry, Option<SocketAddr>)> {
-        let entry = |value: Value| {
-            let parsed = match Instance::deserialize(&value) {
-                Ok(instance) => instance.into_entry(),
-                Err(error) => Err(error.to_string()),
-            };
-            parsed.or_else(|fault| {
-                log!("bad-entry", "reason={fault:?}");
-                Instance::salvage(&value).and_then(|instance| instance.into_entry().ok()).ok_or(())
-            })
-        };
-        self.instances.into_iter().filter_map(|value| entry(value).ok()).collect()
+    pub fn entries(self) -> Vec<AddressedEntry> {
+        for fault in self.instances.faults {
+            log!("bad-entry", "reason={fault:?}");
+        }
+        self.instances.entries
     }
 }
 
@@ -139,7 +191,7 @@
     }
 
     /// Checks the entry; the error names the field, its value and what was expected.
-    fn into_entry(self) -> Result<(RosterEntry, Option<SocketAddr>), String> {
+    fn into_entry(self) -> Result<AddressedEntry, String> {
         // The id appears in log lines, and runners send it back in call-backs.
         if self.instance_id.is_empty() || self.instance_id.contains(|c: char| c.is_control() || c == ' ') {
             return Err(format!(
@@ -189,7 +241,7 @@
     /// When discovery was last in contact before this, if it was: runners new in this roster were not listed
     /// then.
     pub previous_contact: Option<Micros>,
-    pub entries: Vec<(RosterEntry, Option<SocketAddr>)>,
+    pub entries: Vec<AddressedEntry>,
 }
 
 /// An open request to discovery. The first one on which a complete line arrives becomes the watch.
@@ -204,6 +256,8 @@
     chunks: ChunkDecoder,
     /// The part of the body that is not yet processed.
     body: Vec<u8>,
+    /// Whether it holds a complete object of a watch.
+    scanner: ObjectScanner,
     /// When it last showed a sign of life.
     last_progress_at: Micros,
     /// The length of `body` at that time.
@@ -227,6 +281,7 @@
             keep_alive: false,
             chunks: ChunkDecoder::default(),
             body: Vec::new(),
+            scanner: ObjectScanner::default(),
             last_progress_at: now,
             progress_bytes: 0,
             first_byte_at: None,
@@ -509,8 +564,10 @@
             return Ok(());
         };
         let Some(end) = request.body.iter().rposition(|byte| *byte == b'\n') else { return Ok(()) };
+        // Until an object is complete there is nothing to parse.
+        let parsable = if request.scanner.scan(&request.body[..=end]) { end + 1 } else { 0 };
         let mut snapshots =
-            serde_json::Deserializer::from_slice(&request.body[..=end]).into_iter::<RosterSnapshot>();
+            serde_json::Deserializer::from_slice(&request.body[..parsable]).into_iter::<RosterSnapshot>();
         let mut used = 0;
         while let Some(snapshot) = snapshots.next() {
             let snapshot = match snapshot {
@@ -536,7 +593,9 @@
         }
         // Where an object begins that is not complete yet.
         let rest = request.body[used..=end].iter().position(|byte| !byte.is_ascii_whitespace());
-        drop(request.body.drain(..rest.map_or(end + 1, |at| used + at)));
+        let processed = rest.map_or(end + 1, |at| used + at);
+        drop(request.body.drain(..processed));
+        request.scanner.removed(processed);
         request.progress_bytes = request.body.len();
         // The data may be as old as its first byte.
         let certain_until = request.first_byte_at.filter(|_| rest.is_none()).unwrap_or(self.certain_until);
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -39,7 +39,7 @@
     _turn: MutexGuard<'static, ()>,
     node: Node,
     admin: SocketAddr,
-    _watch: Connection,
+    watch: Connection,
     _heartbeats: Heartbeats,
 }
 
@@ -55,7 +55,7 @@
         list_runner(&mut watch, 1, runner, "up");
         node.wait_for_log("ready");
         let heartbeats = send_heartbeats(&watch);
-        LimitedNode { _turn: turn, node, admin, _watch: watch, _heartbeats: heartbeats }
+        LimitedNode { _turn: turn, node, admin, watch, _heartbeats: heartbeats }
     }
 
     /// The most memory that the program has held so far, in KiB.
@@ -65,6 +65,18 @@
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
+    /// Sends a roster that never becomes whole, and answers the request that follows.
+    fn send_endless_roster(&mut self) {
+        let elements = "{},\n".repeat(800_000);
+        let chunk = format!("{:x}\r\n{{\"generation\":2,\"instances\":[{elements}", 4 << 20);
+        // The program closes the connection before it has read all.
+        let _ = self.watch.0.get_mut().write_all(chunk.as_bytes());
+        self.node.wait_for_log("line_too_long");
+        self.watch = accept_watch_since(&self.node.discovery, 1);
+        self.watch.send_chunk("{\"generation\":2,\"reset\":false,\"instances\":[]}\n");
+        self._heartbeats = send_heartbeats(&self.watch);
+    }
+
     /// The value of a metric.
     fn metric(&self, name: &str) -> u64 {
         let stats = admin_command(self.admin, "stats");
@@ -74,9 +86,15 @@
 
     /// Sends usual requests beside the crowd, and checks that each is served, that the program keeps to its
     /// limit, and that it still notices soon that a client has left.
-    fn assert_serves_beside(mut self, crowd: Vec<BadClient>) {
+    fn assert_serves_beside(self, crowd: Vec<BadClient>) {
+        self.assert_serves_beside_while(crowd, |_| {});
+    }
+
+    /// Does the same, with a further step once the crowd sends.
+    fn assert_serves_beside_while(mut self, crowd: Vec<BadClient>, step: impl FnOnce(&mut LimitedNode)) {
         let listen = self.node.listen;
         let crowd = thread::spawn(move || drive(crowd));
+        step(&mut self);
         let mut served = 0;
         while !crowd.is_finished() {
             served += 1;
@@ -318,3 +336,39 @@
         crowd_of(BAD_CLIENTS, node.node.listen, |nth| request_with_body(&format!("endless{nth}"), "hi"));
     node.assert_serves_beside(crowd);
 }
+
+/// Guards against parts that keep to their shares one by one and exceed the limit together.
+#[test]
+fn all_kinds_together_fit_the_limit() {
+    let node = LimitedNode::new(67);
+    let (listen, admin, part) = (node.node.listen, node.admin, BAD_CLIENTS / 4);
+    let long_body = "x".repeat(LONG_BODY_BYTES);
+    let mut crowd = crowd_of(part, listen, pipelined_requests);
+    crowd.extend(crowd_of(part, listen, half_a_request));
+    crowd.extend(crowd_of(part, listen, |nth| request_with_body(&format!("held{nth}"), &long_body)));
+    crowd.extend(crowd_of(part, listen, |nth| request_with_body(&format!("endless{nth}"), "hi")));
+    crowd.extend(crowd_of(60, admin, |_| "x".repeat(1 << 20)));
+    node.assert_serves_beside_while(crowd, LimitedNode::send_endless_roster);
+}
+
+/// Guards against a roster that is parsed into many times its text: the largest fleet, indented, has to be read.
+#[test]
+fn the_roster_of_the_largest_fleet_fits_the_limit() {
+    let mut node = LimitedNode::new(68);
+    let instance = |nth: usize| {
+        format!(
+            "    {{\n      \"instanceId\": \"s-{nth:08x}\",\n      \"hostPort\": \"10.1.{}.{}:3000\",\n      \
+             \"zone\": \"a\",\n      \"machineType\": \"m2\",\n      \"cell\": {nth},\n      \
+             \"lifecycle\": \"draining\",\n      \"weight\": 1.0,\n      \"startedAtMs\": 0\n    }}",
+            nth / 250,
+            nth % 250
+        )
+    };
+    let instances: Vec<String> = (0..3_200).map(instance).collect();
+    let line = format!(
+        "{{\n  \"generation\": 2,\n  \"reset\": false,\n  \"instances\": [\n{}\n  ]\n}}\n",
+        instances.join(",\n")
+    );
+    node.watch.send_chunk(&line);
+    node.assert_serves_beside(Vec::new());
+}
