Call-backs and buffers: shorter steps; connections with limits of their own do not count

The buffers of the connections to discovery and to the other process of an upgrade have limits of their own and cannot be released; they no longer count in the sum, as a large state in an upgrade would have had every client's buffers released. With that the constant of 8 KiB is gone: above the share the largest holds at least an even part of it. Found by reading; not forced.

--- a/node/src/net/reactor/buffers.rs
+++ b/node/src/net/reactor/buffers.rs
@@ -10,19 +10,17 @@
 
 use super::Reactor;
 
-/// A connection that holds less than this is never asked for its buffers.
-const MIN_RELEASED_BYTES: usize = 8 << 10;
-
-/// The connections whose buffers can be released. Those to discovery and to the other process of an upgrade
-/// have limits of their own.
-fn is_releasable(role: ConnectionRole) -> bool {
+/// The connections that share the limit. Those to discovery and to the other process of an upgrade have limits
+/// of their own.
+fn shares_limit(role: ConnectionRole) -> bool {
     matches!(role, ConnectionRole::Client | ConnectionRole::Runner | ConnectionRole::Operator)
 }
 
 impl Reactor {
     /// Updates the sum of all buffers after those of a connection may have changed.
     pub(super) fn account_buffers(&mut self, id: ConnectionId) {
-        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let connection = self.connections.get_mut(&id).filter(|connection| shares_limit(connection.role));
+        let Some(connection) = connection else { return };
         let bytes = connection.buffer_bytes();
         let before = std::mem::replace(&mut connection.accounted_bytes, bytes);
         self.buffered_bytes = self.buffered_bytes + bytes - before;
@@ -40,9 +38,9 @@
 
     /// The connection that holds most, and how many bytes.
     fn largest_buffers(&self) -> Option<(ConnectionId, usize)> {
-        let releasable = self.connections.iter().filter(|(_, connection)| is_releasable(connection.role));
-        let (id, largest) = releasable.max_by_key(|(_, connection)| connection.accounted_bytes)?;
-        (largest.accounted_bytes >= MIN_RELEASED_BYTES).then_some((*id, largest.accounted_bytes))
+        let (id, largest) =
+            self.connections.iter().max_by_key(|(_, connection)| connection.accounted_bytes)?;
+        Some((*id, largest.accounted_bytes))
     }
 
     /// Frees what a connection has reserved and does not use. Returns whether that was anything.
--- a/node/src/request_table/callbacks.rs
+++ b/node/src/request_table/callbacks.rs
@@ -107,100 +107,172 @@
     }
 }
 
+/// How a forward has ended according to a call-back; none for a call-back that is not final.
+fn reported_result(state: JobState) -> Option<ForwardResult> {
+    match state {
+        JobState::Started | JobState::Running => None,
+        JobState::Done => Some(ForwardResult::Succeeded),
+        JobState::Failed => Some(ForwardResult::Errored),
+        JobState::Returned => Some(ForwardResult::Overloaded),
+        JobState::Lost => Some(ForwardResult::Broken),
+    }
+}
+
+/// The newest forward to the runner of a call-back.
+struct NewestForward {
+    invocation: Id,
+    index: usize,
+    runner: Id,
+    /// Whether it has been sent and is outstanding, so that its runner can report on it.
+    is_in_progress: bool,
+}
+
+impl NewestForward {
+    /// Its number among the forwards of the invocation.
+    fn number(&self) -> u32 {
+        self.index as u32
+    }
+}
+
 impl RequestTable {
     /// Applies a runner's call-back. A call-back for an invocation that is not open here is passed to the
     /// other process of an upgrade, if there is one: runners call whichever process accepts connections. A
     /// call-back that the other process has passed on has no source, and is not passed back.
     pub(super) fn handle_callback(&mut self, received: ReceivedCallback, driver: &mut dyn ConnectionDriver) {
-        let ReceivedCallback { callback, hash, source } = received;
-        let Some((invocation, open)) = self.invocations.get_key_value(callback.id.as_str()) else {
-            if source.is_some() {
-                self.handover_peer.send(&HandoverMessage::Callback(callback, hash), driver);
+        if !self.invocations.contains_key(received.callback.id.as_str()) {
+            if received.source.is_some() {
+                let message = HandoverMessage::Callback(received.callback, received.hash);
+                self.handover_peer.send(&message, driver);
             }
             return;
-        };
-        let invocation = invocation.clone();
-        let Some(index) = open.forwards.iter().rposition(|forward| *forward.runner == *callback.from) else {
-            return log!("odd-call-back", "inv={invocation} from={:?}", callback.from);
-        };
-        let (number, runner) = (index as u32, open.forwards[index].runner.clone());
-        let is_in_progress = open.forwards[index].is_outstanding()
-            && !self.runners.is_unsent(&runner, &invocation, number, driver);
-        let result = match callback.state {
-            JobState::Started | JobState::Running if !is_in_progress => return,
-            JobState::Started | JobState::Running => {
-                return self.record_activity(invocation, index, callback.state);
-            }
-            JobState::Done => ForwardResult::Succeeded,
-            JobState::Failed => ForwardResult::Errored,
-            JobState::Returned => ForwardResult::Overloaded,
-            JobState::Lost => ForwardResult::Broken,
-        };
-        let known = open.final_callbacks.find(&runner, hash);
-        let may_be_repeat = match known {
-            Some(known) => !known.source.is_some_and(|source| self.clients.has_read_answer(source)),
-            None => open.final_callbacks.is_full(),
-        };
-        let attribution = if is_in_progress {
-            let forwards: Vec<&Forward> =
-                open.forwards.iter().filter(|forward| forward.runner == runner).collect();
-            attribute(callback.state, may_be_repeat, &forwards)
-        } else {
-            Attribution::Earlier
-        };
-        if attribution != Attribution::Newest && callback.state != JobState::Done {
-            let code =
-                if attribution == Attribution::Unclear { "call-back-unclear" } else { "call-back-repeated" };
-            log!(code, "inv={invocation} attempt={number} runner={runner} state={}", callback.state.code());
         }
-        let (is_answered, operation, accepted_at) = (open.is_answered, open.operation, open.accepted_at);
-        let is_new = known.is_none();
-        if let Some(open) = self.invocations.get_mut(&invocation) {
-            if attribution == Attribution::Newest {
-                open.final_callbacks.record_new(&runner, hash, source);
-                open.forwards[index].is_reported = true;
-            } else {
-                open.final_callbacks.record(&runner, hash, source);
-            }
-            if is_new && !is_in_progress {
-                mark_reported(&mut open.forwards, &runner);
-            }
+        let Some(newest) = self.newest_forward(&received, driver) else {
+            let (id, from) = (&received.callback.id, &received.callback.from);
+            return log!("odd-call-back", "inv={id} from={from:?}");
+        };
+        match reported_result(received.callback.state) {
+            None if newest.is_in_progress => self.record_activity(&newest, received.callback.state),
+            None => {}
+            Some(result) => self.handle_final_callback(&newest, received, result, driver),
         }
-        if result == ForwardResult::Succeeded && !is_answered {
+    }
+
+    /// The newest forward to the runner of a call-back; none if there was no forward to it.
+    fn newest_forward(
+        &self,
+        received: &ReceivedCallback,
+        driver: &dyn ConnectionDriver,
+    ) -> Option<NewestForward> {
+        let (invocation, open) = self.invocations.get_key_value(received.callback.id.as_str())?;
+        let index = open.forwards.iter().rposition(|forward| *forward.runner == *received.callback.from)?;
+        let runner = open.forwards[index].runner.clone();
+        let is_in_progress = open.forwards[index].is_outstanding()
+            && !self.runners.is_unsent(&runner, invocation, index as u32, driver);
+        Some(NewestForward { invocation: invocation.clone(), index, runner, is_in_progress })
+    }
+
+    /// Applies a call-back that reports the end of a forward.
+    fn handle_final_callback(
+        &mut self,
+        newest: &NewestForward,
+        received: ReceivedCallback,
+        result: ForwardResult,
+        driver: &mut dyn ConnectionDriver,
+    ) {
+        let attribution = self.attribute_callback(newest, &received);
+        self.record_callback(newest, &received, attribution);
+        let ReceivedCallback { callback, .. } = received;
+        let (invocation, forward) = (newest.invocation.clone(), newest.number());
+        if result == ForwardResult::Succeeded {
             let body = callback.result.unwrap_or_default();
-            self.record_success(operation, driver.now() - accepted_at);
-            self.answer(&invocation, STATUS_OK, None, body.as_bytes(), driver);
-            if attribution != Attribution::Newest {
-                // A forward that was given up has completed: its result is the answer.
-                log!("late-result", "inv={invocation} runner={runner}");
-                self.pending_events.push(Event::ClientLeft { invocation: invocation.clone() });
-            }
+            self.answer_with_result(newest, &body, attribution, driver);
         }
         match attribution {
             Attribution::Newest => {
-                self.pending_events
-                    .push(Event::EndMayBeRepeated { invocation: invocation.clone(), forward: number });
+                self.pending_events.push(Event::EndMayBeRepeated { invocation: invocation.clone(), forward });
                 let report =
                     callback.load.as_ref().map(|load| self.runners.read_report(load)).unwrap_or_default();
-                self.end_forward(&invocation, number, result, report, driver);
+                self.end_forward(&invocation, forward, result, report, driver);
             }
             Attribution::Unclear if result != ForwardResult::Succeeded => {
-                self.metrics.unclear_callbacks += 1;
-                self.pending_events.push(Event::EndUnclear { invocation, forward: number });
+                self.pending_events.push(Event::EndUnclear { invocation, forward });
+            }
+            Attribution::Unclear | Attribution::Earlier => {}
+        }
+    }
+
+    /// Which forward a final call-back is about.
+    fn attribute_callback(&self, newest: &NewestForward, received: &ReceivedCallback) -> Attribution {
+        let Some(open) = self.invocations.get(&newest.invocation).filter(|_| newest.is_in_progress) else {
+            return Attribution::Earlier;
+        };
+        let may_be_repeat = match open.final_callbacks.find(&newest.runner, received.hash) {
+            Some(known) => !known.source.is_some_and(|source| self.clients.has_read_answer(source)),
+            None => open.final_callbacks.is_full(),
+        };
+        let forwards: Vec<&Forward> =
+            open.forwards.iter().filter(|forward| forward.runner == newest.runner).collect();
+        attribute(received.callback.state, may_be_repeat, &forwards)
+    }
+
+    /// Records a final call-back for later ones, and counts and logs one that does not end the newest forward.
+    fn record_callback(
+        &mut self,
+        newest: &NewestForward,
+        received: &ReceivedCallback,
+        attribution: Attribution,
+    ) {
+        let Some(open) = self.invocations.get_mut(&newest.invocation) else { return };
+        let (runner, hash, source) = (&newest.runner, received.hash, received.source);
+        let is_new = open.final_callbacks.find(runner, hash).is_none();
+        let code = match attribution {
+            Attribution::Newest => {
+                open.final_callbacks.record_new(runner, hash, source);
+                open.forwards[newest.index].is_reported = true;
+                return;
             }
-            Attribution::Unclear => {}
-            Attribution::Earlier => self.metrics.repeated_callbacks += 1,
+            Attribution::Earlier => "call-back-repeated",
+            Attribution::Unclear => "call-back-unclear",
+        };
+        open.final_callbacks.record(runner, hash, source);
+        if is_new && !newest.is_in_progress {
+            mark_reported(&mut open.forwards, runner);
+        }
+        match attribution {
+            Attribution::Unclear => self.metrics.unclear_callbacks += 1,
+            _ => self.metrics.repeated_callbacks += 1,
+        }
+        let (invocation, number, state) = (&newest.invocation, newest.number(), received.callback.state);
+        log!(code, "inv={invocation} attempt={number} runner={runner} state={}", state.code());
+    }
+
+    /// Answers an invocation with the result of a forward, whichever that is, unless it has been answered.
+    fn answer_with_result(
+        &mut self,
+        newest: &NewestForward,
+        body: &str,
+        attribution: Attribution,
+        driver: &mut dyn ConnectionDriver,
+    ) {
+        let invocation = &newest.invocation;
+        let Some(open) = self.invocations.get(invocation).filter(|open| !open.is_answered) else { return };
+        self.record_success(open.operation, driver.now() - open.accepted_at);
+        self.answer(invocation, STATUS_OK, None, body.as_bytes(), driver);
+        if attribution != Attribution::Newest {
+            // A forward that was given up has completed: its result is the answer.
+            log!("late-result", "inv={invocation} runner={}", newest.runner);
+            self.pending_events.push(Event::ClientLeft { invocation: invocation.clone() });
         }
     }
 
-    /// Passes on that the job of an outstanding forward has started or made progress.
-    fn record_activity(&mut self, invocation: Id, index: usize, state: JobState) {
-        let Some(open) = self.invocations.get_mut(&invocation) else { return };
-        let (earlier, rest) = open.forwards.split_at_mut(index);
-        let Some(newest) = rest.first_mut() else { return };
-        newest.has_started |=
+    /// Passes on that the job of the newest forward, which is outstanding, has started or made progress.
+    fn record_activity(&mut self, newest: &NewestForward, state: JobState) {
+        let Some(open) = self.invocations.get_mut(&newest.invocation) else { return };
+        let (earlier, rest) = open.forwards.split_at_mut(newest.index);
+        let Some(current) = rest.first_mut() else { return };
+        current.has_started |=
             earlier.iter().filter(|forward| forward.runner == newest.runner).all(Forward::never_started);
-        let forward = index as u32;
+        let (invocation, forward) = (newest.invocation.clone(), newest.number());
         self.pending_events.push(match state {
             JobState::Started => Event::Started { invocation, forward },
             _ => Event::Progress { invocation, forward },
