--- a/node/src/upstream/runners.rs
+++ b/node/src/upstream/runners.rs
@@ -5,6 +5,8 @@
 //! of each forward as far as its own connection shows it. It never sends a forward twice and does not choose
 //! runners.
 
+mod timeouts;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -13,7 +15,7 @@
 use topazsail_settings::DecodedSettings;
 
 use crate::net::connection::{
-    CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer,
+    CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole,
 };
 use crate::net::http::{self, MAX_MESSAGE_BYTES, Response, encode_bodiless_request};
 use crate::net::log::log;
@@ -29,13 +31,6 @@
 /// the last one is not attributed to the next task if it would mean that a job has not run, or has ended,
 /// while that job may be running.
 const DUPLICATE_ANSWER_WINDOW: Micros = 10_000;
-/// A connection whose task may take long is looked at this often.
-const MAX_CHECK_INTERVAL: Micros = 30_000_000;
-
-/// Time to write a forward from its first byte to its last. The time left that a forward states to its runner
-/// is allowed to exceed the actual one by 0.15 s, and this timeout is well within that.
-const SEND_TIMEOUT: Micros = 100_000;
-
 /// A request to a runner. `number` counts the forwards of an invocation.
 #[derive(Clone, Debug, PartialEq)]
 enum Task {
@@ -113,15 +108,6 @@
 }
 
 impl RunnerConnection {
-    /// When it has to be looked at next, if its forward has been written.
-    fn next_check(&self, dial_timeout: Micros, idle_timeout: Micros) -> Micros {
-        match self.phase {
-            Phase::Dialling => self.send_by.min(self.since + dial_timeout),
-            Phase::Idle => self.since + idle_timeout,
-            Phase::Busy => self.deadline,
-        }
-    }
-
     /// Takes the task that waits for the dial, if it may still be sent at `now`.
     fn take_pending(&mut self, now: Micros) -> Option<PendingTask> {
         let task = self.task.take_if(|_| self.phase == Phase::Dialling && now < self.send_by)?;
@@ -443,41 +429,6 @@
         self.set_check(connection, since + self.dial_timeout, driver);
     }
 
-    /// Has a connection looked at when `at` comes. Timers cannot be replaced, so one is only set if none fires
-    /// before: the one that fires sets the next.
-    fn set_check(&mut self, connection: ConnectionId, at: Micros, driver: &mut dyn ConnectionDriver) {
-        // A client may state any deadline, so the timers of forwards must not stay until then.
-        let at = at.min(driver.now() + MAX_CHECK_INTERVAL);
-        let Some(state) = self.connections.get_mut(&connection) else { return };
-        if at < state.check_at {
-            state.check_at = at;
-            driver.set_timer(Timer::Connection(connection), at);
-        }
-    }
-
-    /// Sets the next check of a connection.
-    fn set_next_check(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let Some(state) = self.connections.get(&connection) else { return };
-        let mut at = state.next_check(self.dial_timeout, self.idle_timeout);
-        let is_forward = matches!(state.task, Some(Task::Forward { .. }));
-        if is_forward && state.phase == Phase::Busy && driver.has_unsent(connection) {
-            at = at.min(state.since + SEND_TIMEOUT);
-        }
-        self.set_check(connection, at, driver);
-    }
-
-    /// Drops a task that still waits for its dial after its `send_by`.
-    fn expire_pending(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let has_expired =
-            |state: &&mut RunnerConnection| state.phase == Phase::Dialling && driver.now() >= state.send_by;
-        let Some(state) = self.connections.get_mut(&connection).filter(has_expired) else { return };
-        state.send_by = Micros::MAX;
-        if let Some(pending) = state.take_pending(Micros::MIN) {
-            let runner_id = state.runner_id.clone();
-            self.report_unanswered(&runner_id, pending.task, ForwardResult::Void, false);
-        }
-    }
-
     /// Writes a task's message to an established connection. Checks once more that the client has not left:
     /// at the end of a long loop turn, or when a dial completes before the client's close is read, the answer
     /// to the forward would have no recipient.
@@ -507,71 +458,6 @@
         self.set_next_check(connection, driver);
     }
 
-    /// Aborts a forward that is not written completely in time: the time left that it states would no longer
-    /// be true. Without its last byte it does not run.
-    fn abort_unsent_forward(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let is_too_slow = |state: &RunnerConnection| {
-            let is_forward = matches!(state.task, Some(Task::Forward { .. }));
-            is_forward && state.phase == Phase::Busy && driver.now() >= state.since + SEND_TIMEOUT
-        };
-        if !self.connections.get(&connection).is_some_and(is_too_slow) || !driver.has_unsent(connection) {
-            return;
-        }
-        self.abort_forward(connection, CloseReason::SlowReader, driver);
-    }
-
-    /// Aborts a forward that is not written completely, and so does not run.
-    fn abort_forward(
-        &mut self,
-        connection: ConnectionId,
-        end: CloseReason,
-        driver: &mut dyn ConnectionDriver,
-    ) {
-        let Some(RunnerConnection { runner_id, task: Some(task), .. }) = self.remove_connection(connection)
-        else {
-            return;
-        };
-        driver.abort(connection, end);
-        self.forwards_written -= 1;
-        self.report_unanswered(&runner_id, task, ForwardResult::Unreachable, false);
-    }
-
-    /// Ends the dial, the task or the idle time of a connection that has lasted too long.
-    fn end_overdue_phase(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let now = driver.now();
-        let Some(state) = self.connections.get_mut(&connection) else { return };
-        match state.phase {
-            Phase::Dialling if now >= state.since + self.dial_timeout => {
-                let (runner_id, task) = (state.runner_id.clone(), state.task.take());
-                // A dial that the host never started says nothing about the runner.
-                let result = if driver.is_dial_postponed(connection) {
-                    ForwardResult::Void
-                } else {
-                    ForwardResult::Unreachable
-                };
-                self.close(connection, CloseReason::DialTimeout, driver);
-                if let Some(task) = task {
-                    self.report_unanswered(&runner_id, task, result, false);
-                }
-            }
-            Phase::Idle if now >= state.since + self.idle_timeout => {
-                self.close(connection, CloseReason::Idle, driver);
-            }
-            Phase::Busy if now >= state.deadline => {
-                // An overdue forward is not reported: its client gave up long before this deadline.
-                let is_reported = |task: &Task| !state.is_overdue && !matches!(task, Task::Forward { .. });
-                let Some(task) = state.task.clone().filter(is_reported) else {
-                    return self.close(connection, CloseReason::NoAnswer, driver);
-                };
-                state.is_overdue = true;
-                state.deadline = now + LATE_ANSWER_TIMEOUT;
-                let runner_id = state.runner_id.clone();
-                self.report_unanswered(&runner_id, task, ForwardResult::Broken, false);
-            }
-            _ => {}
-        }
-    }
-
     /// Reuses a connection that has become free for a task that waits for a dial. Otherwise keeps it idle, or
     /// closes it if its runner is unlisted.
     fn release(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
@@ -817,14 +703,7 @@
     }
 
     fn timer_fired(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let now = driver.now();
-        if let Some(state) = self.connections.get_mut(&connection).filter(|state| now >= state.check_at) {
-            state.check_at = Micros::MAX;
-        }
-        self.expire_pending(connection, driver);
-        self.abort_unsent_forward(connection, driver);
-        self.end_overdue_phase(connection, driver);
-        self.set_next_check(connection, driver);
+        self.check_timeouts(connection, driver);
     }
 
     fn release_buffers(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
