Memory: the roster's share is not halved during an upgrade; what is open, in the write-ups

During an upgrade the other shares are halved, as both processes hold connections and invocations; a whole roster comes to one of them at most, and half of a sixteenth of 32 MB would refuse indented rosters of 3,200 runners with long names. Found by reading.

--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -453,7 +453,8 @@
         self.clients.set_limits(sockets);
         self.operators.set_limits(sockets);
         self.memory_shares = MemoryShares::of(memory);
-        self.roster.set_max_bytes(self.memory_shares.roster);
+        // One of the two processes at most receives a whole roster at a time.
+        self.roster.set_max_bytes(MemoryShares::of(self.resource_limits.1).roster);
     }
 
     /// Applies a configuration that was read again, except for what only a restart can change: name and
