Memory: requests behind the one in progress are given up before a long request of a usual client

What callers saw with the limit on buffers alone: beside 320 bad clients with some 13 KB of further requests each, a usual client's request with a body of 60 KiB was the largest buffer, and got 503 memory_short while it was sent.

Change: above the share, connections whose input is not needed for the request in progress come first; usual clients send one request at a time, so theirs always is.

--- a/node/src/ingress/clients.rs
+++ b/node/src/ingress/clients.rs
@@ -564,6 +564,11 @@
         }
     }
 
+    fn has_surplus_input(&self, connection: ConnectionId) -> bool {
+        let client = self.by_connection.get(&connection);
+        client.is_some_and(|client| matches!(client.phase, Phase::AwaitingAnswer(_)))
+    }
+
     fn release_buffers(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
         let Some(client) = self.by_connection.get(&connection) else { return };
         match client.phase {
--- a/node/src/net/connection.rs
+++ b/node/src/net/connection.rs
@@ -180,6 +180,10 @@
     );
     /// A [`Timer::Connection`] set by [`ConnectionDriver::set_timer`] has fired.
     fn timer_fired(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver);
+    /// Whether the unprocessed input is not needed for the request or answer that is in progress.
+    fn has_surplus_input(&self, _connection: ConnectionId) -> bool {
+        false
+    }
     /// All connections together hold too much, and this one most: its buffers have to be emptied.
     fn release_buffers(&mut self, _connection: ConnectionId, _driver: &mut dyn ConnectionDriver) {}
 }
--- a/node/src/net/reactor/buffers.rs
+++ b/node/src/net/reactor/buffers.rs
@@ -1,10 +1,11 @@
 //! The limit on the buffers of all connections together.
 //!
 //! Above it, the connections that hold most are asked for their buffers first, so that those which hold
-//! little are served as before. Connections are read on all the same, as the close of a client must be
+//! little are served as before. Clients that have sent requests behind the one in progress come before those
+//! whose one request is long. Connections are read on all the same, as the close of a client must be
 //! noticed; what its owner gives up is discarded.
 
-use crate::net::connection::{CloseReason, ConnectionId, ConnectionRole};
+use crate::net::connection::{CloseReason, Connection, ConnectionId, ConnectionRole};
 use crate::net::log::log;
 use crate::request_table::RequestTable;
 
@@ -29,18 +30,22 @@
     /// Releases buffers while all connections together hold more than their share.
     pub(super) fn enforce_buffer_limit(&mut self, table: &mut RequestTable) {
         while self.buffered_bytes > table.memory_shares().buffers {
-            let Some((id, bytes)) = self.largest_buffers() else { return };
+            let Some((id, bytes)) = self.largest_buffers(table) else { return };
             if !self.shrink_buffers(id) {
                 self.release_buffers(id, bytes, table);
             }
         }
     }
 
-    /// The connection that holds most, and how many bytes.
-    fn largest_buffers(&self) -> Option<(ConnectionId, usize)> {
-        let (id, largest) =
-            self.connections.iter().max_by_key(|(_, connection)| connection.accounted_bytes)?;
-        Some((*id, largest.accounted_bytes))
+    /// The connection that is to release its buffers next, and how many bytes it holds.
+    fn largest_buffers(&self, table: &mut RequestTable) -> Option<(ConnectionId, usize)> {
+        let rank = |(id, connection): (&ConnectionId, &Connection)| {
+            let is_surplus =
+                !connection.input.is_empty() && table.handler(connection.role).has_surplus_input(*id);
+            (is_surplus, connection.accounted_bytes, *id)
+        };
+        let (_, bytes, id) = self.connections.iter().map(rank).max()?;
+        Some((id, bytes))
     }
 
     /// Frees what a connection has reserved and does not use. Returns whether that was anything.
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -24,6 +24,8 @@
 const LONG_ANSWERS: usize = 4;
 /// How long a runner holds some jobs.
 const HELD_JOB_SPAN: Duration = Duration::from_secs(1);
+/// Requests with a long body that a usual client sends beside the bad ones.
+const LONG_REQUESTS: usize = 8;
 /// How long bad clients go on at most.
 const CROWD_SPAN: Duration = Duration::from_secs(4);
 /// From one usual request to the next.
@@ -291,6 +293,28 @@
     node.assert_serves_beside(crowd);
 }
 
+/// Guards against usual clients that are turned away in place of bad ones, as their one request is longer than
+/// what each of many bad clients has sent behind its first.
+#[test]
+fn a_long_request_is_read_beside_many_short_ones_at_once() {
+    let node = LimitedNode::new(69);
+    let mut crowd = crowd_of(BAD_CLIENTS, node.node.listen, pipelined_requests);
+    crowd.iter_mut().for_each(|client| client.piece = 970);
+    let long_body = "x".repeat(LONG_BODY_BYTES);
+    let send_long_requests = |node: &mut LimitedNode| {
+        for nth in 0..LONG_REQUESTS {
+            let mut client = node.node.connect_client();
+            let request = request_with_body(&format!("whole{nth}"), &long_body);
+            let (first, second) = request.split_at(request.len() - 1);
+            client.send(first);
+            thread::sleep(USUAL_INTERVAL);
+            client.send(second);
+            assert_eq!(client.receive(), "HTTP/1.1 200 OK r", "long request {nth}");
+        }
+    };
+    node.assert_serves_beside_while(crowd, send_long_requests);
+}
+
 /// Guards against incomplete requests of hundreds of clients that are all kept until they time out.
 #[test]
 fn long_bodies_that_never_end_fit_the_limit() {
