Policy: a non-idempotent job waits for full runners that have not handed it back

Cause: the preference counted only runners that are eligible at that moment. A runner pauses for a moment after it has turned work away, so under load the job went back to a runner that had handed it back, which did so again with the same bytes, and nothing proved that.

Change: another runner counts if it is listed, of the right kind and neither ejected nor silent; a full one is waited for, until the job is given up as before (throttled, as it never ran).

--- a/src/routing_policy/unclear_ends.rs
+++ b/src/routing_policy/unclear_ends.rs
@@ -29,13 +29,20 @@
         }
     }
 
-    /// Whether another runner is preferred, as this one may report the end of an earlier forward again.
+    /// Whether to wait for another runner, as this one may report the end of an earlier forward again. Runners
+    /// that are merely full are waited for, ejected ones are not.
     pub(super) fn must_avoid(&self, r: usize, invocation: &InvocationState) -> bool {
         let may_report_again = |r: &usize| invocation.may_report_again.contains(r);
         may_report_again(&r)
-            && self
-                .listed
-                .iter()
-                .any(|other| !may_report_again(other) && self.is_eligible(*other, invocation))
+            && self.listed.iter().any(|other| !may_report_again(other) && self.is_usable(*other, invocation))
+    }
+
+    /// Whether a runner may get the invocation once it has room.
+    fn is_usable(&self, r: usize, invocation: &InvocationState) -> bool {
+        let kind = &self.settings.operations[invocation.operation].machine_type;
+        let runner = &self.runners[r];
+        kind.as_ref().is_none_or(|kind| *kind == runner.machine_type)
+            && self.now >= runner.ejected_until
+            && !self.is_silent(r, false)
     }
 }
