Review, case 10: the old process of an upgrade ignores maint-on for a runner it does not know yet

Tried: the open watch falls silent once, 1.7 s before an ordinary upgrade; a runner is listed for the first time; maint-on for it at the new process is answered YES. Seen: the old process ignores the call it is passed, hears of the runner when it opens its watch anew, and sends it work after the grace.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-program=target/review-2/upgrade_lease
+program=target/review-2/joined_runner
 for needed in target/release/topazsail "$program"; do
     [ -x "$needed" ] || { echo "cannot run: $needed is not built"; exit 2; }
 done
--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -203,6 +203,8 @@
     listed: Mutex<Listed>,
     record: Arc<Record>,
     down: AtomicBool,
+    /// How often open watches have fallen silent.
+    silences: AtomicUsize,
     rule: Rule,
 }
 
@@ -229,6 +231,7 @@
             listed: Mutex::new(Listed { entries, generation: 1, log, watches: Vec::new() }),
             record: record.clone(),
             down: AtomicBool::new(false),
+            silences: AtomicUsize::new(0),
             rule,
         });
         for (way, listener) in listeners.into_iter().enumerate() {
@@ -327,11 +330,15 @@
                     .line(&format!("discovery: {name} call {number} is a watch from generation {since}"));
                 let watch = stream.try_clone().unwrap();
                 listed.watches.push(watch);
+                let silences = self.silences.load(Ordering::SeqCst);
                 drop(listed);
                 // While nothing changes, an empty line comes every 2 s.
                 loop {
                     thread::sleep(ms(2000));
                     let _listed = self.listed.lock().unwrap();
+                    if self.silences.load(Ordering::SeqCst) != silences {
+                        continue;
+                    }
                     if self.down.load(Ordering::SeqCst) || stream.write_all(chunk("\n").as_bytes()).is_err() {
                         return;
                     }
@@ -346,6 +353,21 @@
         }
     }
 
+    /// All open watches fall silent: they stay open, and nothing more is written to them.
+    pub fn fall_silent(&self) {
+        let mut listed = self.listed.lock().unwrap();
+        self.silences.fetch_add(1, Ordering::SeqCst);
+        listed.watches.clear();
+        self.record.line("discovery: all open watches fall silent");
+    }
+
+    /// Lists a runner that has not been listed, in this state.
+    pub fn add(&self, entry: Entry) {
+        let (id, state) = (entry.id.clone(), entry.state.clone());
+        self.listed.lock().unwrap().entries.push(entry);
+        self.change(&id, &state);
+    }
+
     /// Changes the state of a runner and writes it to all watches.
     pub fn change(&self, id: &str, state: &str) {
         let mut listed = self.listed.lock().unwrap();
