--- a/review/stand-2/second_upgrade.rs
+++ b/review/stand-2/second_upgrade.rs
@@ -1,4 +1,4 @@
-// The new process of an upgrade is killed before the old one has been told to end; the old one serves on, and the
+// The new process of an upgrade is killed before it has been asked for its yes; the old one serves on, and the
 // upgrade is made again. Does the maintenance of a runner, to which the dispatcher has said yes, survive that?
 
 include!("common.rs");
@@ -65,8 +65,10 @@
     }
     thread::sleep(ms(2000));
     if trouble() {
-        // Dispatchers may be killed outright at any time. SIGTERM has not been sent to the old process yet.
-        let mut first = start_new("d0-first", &folder, listen, &record);
+        // Dispatchers may be killed outright at any time. This one has not been asked for its yes by then, so that
+        // SIGTERM has not been sent to the old process.
+        record.line("d0-first is started");
+        let mut first = start_dispatcher("d0-first", &folder, listen, free_address());
         thread::sleep(ms(1000));
         signal(first.child.id(), SIGKILL);
         let _ = first.child.wait();
