--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -85,8 +85,19 @@
     std::env::var("TROUBLE").map_or(true, |text| text != "0")
 }
 
+/// A free address for a process that is started later. Its port is below the range from which outgoing connections
+/// get theirs, as one of these could take it meanwhile, and differs between scripts that run side by side.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| unable(&e.to_string()))
+    static TRIED: AtomicUsize = AtomicUsize::new(0);
+    for _ in 0..1_000 {
+        let nth = TRIED.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + (std::process::id() as usize * 16 + nth) % 18_000;
+        let bound = TcpListener::bind(("127.0.0.1", port as u16)).and_then(|listener| listener.local_addr());
+        if let Ok(address) = bound {
+            return address;
+        }
+    }
+    unable("no port is free")
 }
 
 pub fn unix_ms() -> u64 {
