--- a/node/src/ingress/operations.rs
+++ b/node/src/ingress/operations.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use topazsail::{Micros, Operation};
+use topazsail::{Effect, Micros, Operation};
 
 /// How long an operation that is no longer set is still accepted, in microseconds, as invocations of it may
 /// be in transit.
@@ -57,6 +57,11 @@
         &self.definitions[number].0
     }
 
+    /// Whether an operation may run twice, by its number.
+    pub fn effect(&self, number: usize) -> Effect {
+        self.definitions[number].1.effect
+    }
+
     /// The names of the operations that are set.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.current.keys().map(String::as_str)
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -51,6 +51,8 @@
     pub skipped_runners: usize,
     /// Forwards that were written to runners completely.
     pub forwards_written: u64,
+    /// Answers of runners that belonged to no request.
+    pub surplus_answers: u64,
     /// Bytes in the buffers of all connections.
     pub buffer_bytes: usize,
     /// How often a connection's buffers were released, as all together held too much.
@@ -104,6 +106,7 @@
         }
         let plain = [
             ("upstream_tries", gauges.forwards_written),
+            ("surplus_answers", gauges.surplus_answers),
             ("in_progress", gauges.in_progress as u64),
             ("known_runners", gauges.known_runners as u64),
             ("skipped_runners", gauges.skipped_runners as u64),
--- a/node/src/net/connection.rs
+++ b/node/src/net/connection.rs
@@ -293,12 +293,9 @@
     /// Has a timer fire at `at` (Unix time in microseconds). It cannot be cancelled.
     fn set_timer(&mut self, timer: Timer, at: Micros);
     /// Like [`ConnectionDriver::set_timer`], for a timer that need not fire any more once its subject is gone.
-    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> Option<TimerKey> {
-        self.set_timer(timer, at);
-        None
-    }
+    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> TimerKey;
     /// Cancels a timer; does nothing if it has fired.
-    fn cancel_timer(&mut self, _key: TimerKey) {}
+    fn cancel_timer(&mut self, key: TimerKey);
     /// Sends a datagram to another dispatcher; it may be lost.
     fn send_datagram(&mut self, _to: SocketAddr, _bytes: &[u8]) {}
 }
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -787,11 +787,11 @@
         self.set_cancellable_timer(timer, at);
     }
 
-    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> Option<TimerKey> {
+    fn set_cancellable_timer(&mut self, timer: Timer, at: Micros) -> TimerKey {
         self.timer_serial += 1;
         let key = TimerKey { at, serial: self.timer_serial };
         self.timers.insert(key, timer);
-        Some(key)
+        key
     }
 
     fn cancel_timer(&mut self, key: TimerKey) {
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -671,7 +671,8 @@
             failed_cancels: 0,
         });
         if can_send {
-            let message = (open.head.as_slice(), open.body.as_slice());
+            let effect = self.clients.operations.effect(open.operation);
+            let message = (open.head.as_slice(), open.body.as_slice(), effect);
             self.runners.forward(
                 &runner,
                 (invocation, number),
@@ -803,7 +804,7 @@
         let at = driver.now() + FINAL_ANSWER_TIMEOUT;
         let timer = driver.set_cancellable_timer(Timer::Invocation(invocation.clone()), at);
         if let Some(open) = self.invocations.get_mut(invocation) {
-            open.timer = timer;
+            open.timer = Some(timer);
         }
     }
 
@@ -883,6 +884,12 @@
                 runners::RunnerEvent::Cancelled { invocation, number } => {
                     self.end_forward(&invocation, number, ForwardResult::Withdrawn, Vec::new(), driver);
                 }
+                runners::RunnerEvent::Doubtful { invocation, number } => {
+                    if self.forward_mut(&invocation, number).is_some_and(|forward| forward.is_outstanding()) {
+                        log!("acceptance-unclear", "inv={invocation} attempt={number}");
+                        self.pending_events.push(Event::EndUnclear { invocation, forward: number });
+                    }
+                }
                 runners::RunnerEvent::NotCancelled { invocation, number } => {
                     if let Some(forward) =
                         self.forward_mut(&invocation, number).filter(|forward| forward.is_outstanding())
@@ -926,6 +933,7 @@
                     known_runners,
                     skipped_runners: self.policy.ejected_runners(driver.now()) + out,
                     forwards_written: self.runners.forwards_written(),
+                    surplus_answers: self.runners.surplus_answers(),
                     buffer_bytes: buffers.bytes,
                     released_buffers: buffers.released,
                     timers: buffers.timers,
@@ -1111,7 +1119,7 @@
             is_answer_due: false,
             forwards: Vec::new(),
             final_callbacks: FinalCallbacks::default(),
-            timer,
+            timer: Some(timer),
         };
         self.insert_invocation(request.id, open);
     }
--- a/node/src/upstream/runners.rs
+++ b/node/src/upstream/runners.rs
@@ -5,17 +5,20 @@
 //! of each forward as far as its own connection shows it. It never sends a forward twice and does not choose
 //! runners.
 
+mod answer_history;
 mod timeouts;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde_json::Value;
-use topazsail::{ForwardResult, Id, Micros};
+use topazsail::{Effect, ForwardResult, Id, Micros};
 use topazsail_settings::DecodedSettings;
 
+use answer_history::{AnswerHistory, AnswerKind, SlowestAnswer};
+
 use crate::net::connection::{
-    CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole,
+    CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, TimerKey,
 };
 use crate::net::http::{self, MAX_MESSAGE_BYTES, Response, encode_bodiless_request};
 use crate::net::log::log;
@@ -27,10 +30,10 @@
 const UNLISTED_RETENTION: Micros = 60_000_000;
 /// How long to wait for an answer that is too late to count, so that its connection can be kept.
 const LATE_ANSWER_TIMEOUT: Micros = 2_000_000;
-/// A faulty runner may send a second answer some milliseconds after the first. An answer within this time of
-/// the last one is not attributed to the next task if it would mean that a job has not run, or has ended,
-/// while that job may be running.
-const DUPLICATE_ANSWER_WINDOW: Micros = 10_000;
+
+/// A runner's answer to a forward whose job it has taken.
+const STATUS_ACCEPTED: u16 = 202;
+
 /// A request to a runner. `number` counts the forwards of an invocation.
 #[derive(Clone, Debug, PartialEq)]
 enum Task {
@@ -39,6 +42,28 @@
     Cancel { invocation: Id, number: u32 },
 }
 
+impl Task {
+    /// Whether an answer to it can be of this kind.
+    fn can_be_answered_with(&self, kind: AnswerKind) -> bool {
+        match self {
+            Task::Forward { .. } => kind != AnswerKind::Success,
+            Task::Probe => kind != AnswerKind::Acceptance,
+            Task::Cancel { .. } => true,
+        }
+    }
+}
+
+/// Which connections a task may be sent on, besides those without an earlier answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reuse {
+    /// Any idle one: the answers to the task are told from those to others, or do no harm.
+    Idle,
+    /// One on which no answer to an earlier task is expected any more.
+    Settled,
+    /// One on which no late repeat of an answer "not run" is expected either: the job must not run twice.
+    NotRefused,
+}
+
 /// The outcome of a request to a runner. `number` counts the forwards of an invocation.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RunnerEvent {
@@ -53,6 +78,8 @@
     Cancelled { invocation: Id, number: u32 },
     /// A cancel was not confirmed: the forward may still run.
     NotCancelled { invocation: Id, number: u32 },
+    /// The runner had accepted a forward, or another answer was taken for that: now it may not run after all.
+    Doubtful { invocation: Id, number: u32 },
     /// A probe has ended; `report` holds the values of the load report, if there are any.
     Probed { runner: Id, alive: bool, report: Vec<f64> },
 }
@@ -83,6 +110,15 @@
     message: Vec<u8>,
     deadline: Micros,
     client_wait: Option<ClientWait>,
+    reuse: Reuse,
+}
+
+impl PendingTask {
+    /// A task of the dispatcher's own.
+    fn without_client(task: Task, message: Vec<u8>, deadline: Micros) -> PendingTask {
+        let reuse = if task == Task::Probe { Reuse::Idle } else { Reuse::Settled };
+        PendingTask { task, message, deadline, client_wait: None, reuse }
+    }
 }
 
 /// The state of one connection.
@@ -92,19 +128,21 @@
     /// When it entered this phase; while busy, when its task was sent.
     since: Micros,
     task: Option<Task>,
-    /// When the last answer arrived, if any did: its runner may have closed the connection since, or send a
-    /// second answer.
-    answered_at: Option<Micros>,
+    /// The answers that have arrived.
+    answers: AnswerHistory,
+    /// The last forward that its runner has accepted on it, if nothing else was sent since.
+    accepted: Option<(Id, u32)>,
     /// The message of a task that waits for the dial, and the time by which it must be sent.
     message: Vec<u8>,
     send_by: Micros,
     client_wait: Option<ClientWait>,
+    reuse: Reuse,
     /// By when its task must be answered.
     deadline: Micros,
     /// The task has been reported as unanswered; the answer may still arrive.
     is_overdue: bool,
-    /// When its timer fires that is next to fire; `Micros::MAX` if none is set.
-    check_at: Micros,
+    /// Its timer, while one is set.
+    timer: Option<TimerKey>,
 }
 
 impl RunnerConnection {
@@ -116,8 +154,20 @@
             message: std::mem::take(&mut self.message),
             deadline: self.deadline,
             client_wait: self.client_wait,
+            reuse: self.reuse,
         })
     }
+
+    /// The strictest requirement that it meets.
+    fn strictest_reuse(&self, now: Micros) -> Reuse {
+        if self.answers.unsettled_until(now).is_some() {
+            Reuse::Idle
+        } else if self.answers.may_repeat_refusal(now) {
+            Reuse::Settled
+        } else {
+            Reuse::NotRefused
+        }
+    }
 }
 
 /// A runner's address and its pool of connections.
@@ -128,6 +178,7 @@
     connections: Vec<ConnectionId>,
     /// Idle connections, the most recently used last.
     idle: Vec<ConnectionId>,
+    slowest_answer: SlowestAnswer,
 }
 
 /// The connections to all runners.
@@ -144,6 +195,8 @@
     may_cancel: bool,
     /// Forwards written completely, for the metrics.
     forwards_written: u64,
+    /// Answers to no request, for the metrics.
+    surplus_answers: u64,
     /// Events that the owner has not processed yet.
     pub events: Vec<RunnerEvent>,
 }
@@ -185,7 +238,9 @@
                 self.stop_sending(runner_id, driver);
             }
         } else if let Some(address) = address.filter(|_| listed) {
-            let runner = Runner { address, unlisted_since: None, connections: Vec::new(), idle: Vec::new() };
+            let (connections, idle) = (Vec::new(), Vec::new());
+            let slowest_answer = SlowestAnswer::default();
+            let runner = Runner { address, unlisted_since: None, connections, idle, slowest_answer };
             self.by_id.insert(runner_id.clone(), runner);
         }
     }
@@ -259,14 +314,14 @@
         all.iter().for_each(|runner_id| self.drop_pending(runner_id, driver));
     }
 
-    /// Sends a forward with the client's `head` and `body`. Its client gives up at `expires_at`; a forward
-    /// that still waits for its dial at `send_by` is not sent, as runners remember an earlier forward of the
-    /// invocation only for a limited time.
+    /// Sends a forward with the client's `head` and `body`, of an operation with this `effect`. Its client
+    /// gives up at `expires_at`; a forward that still waits for its dial at `send_by` is not sent, as runners
+    /// remember an earlier forward of the invocation only for a limited time.
     pub fn forward(
         &mut self,
         runner_id: &Id,
         (invocation, number): (&Id, u32),
-        (head, body): (&[u8], &[u8]),
+        (head, body, effect): (&[u8], &[u8], Effect),
         (expires_at, send_by): (Micros, Option<Micros>),
         client: ConnectionId,
         driver: &mut dyn ConnectionDriver,
@@ -276,17 +331,15 @@
         message.extend_from_slice(body);
         let task = Task::Forward { invocation: invocation.clone(), number };
         let client_wait = Some(ClientWait { client, expires_at, header_at: head.len() });
-        self.submit(
-            runner_id,
-            PendingTask { task, message, deadline: expires_at + LATE_ANSWER_TIMEOUT, client_wait },
-            driver,
-        );
+        let deadline = expires_at + LATE_ANSWER_TIMEOUT;
+        let reuse = if effect == Effect::Idempotent { Reuse::Settled } else { Reuse::NotRefused };
+        self.submit(runner_id, PendingTask { task, message, deadline, client_wait, reuse }, driver);
         let connection = self.connection_of(runner_id, invocation, number).filter(|_| send_by.is_some());
         if let Some((send_by, connection)) = send_by.zip(connection)
             && let Some(state) = self.connections.get_mut(&connection)
         {
             state.send_by = send_by;
-            self.set_check(connection, send_by, driver);
+            self.set_next_check(connection, driver);
         }
     }
 
@@ -302,11 +355,7 @@
     pub fn probe(&mut self, runner_id: &Id, driver: &mut dyn ConnectionDriver) {
         let message = self.probe_message(runner_id);
         let deadline = driver.now() + self.probe_timeout;
-        self.submit(
-            runner_id,
-            PendingTask { task: Task::Probe, message, deadline, client_wait: None },
-            driver,
-        );
+        self.submit(runner_id, PendingTask::without_client(Task::Probe, message, deadline), driver);
     }
 
     /// Withdraws a forward that is no longer wanted, if it has not been sent completely. Returns whether it
@@ -374,20 +423,12 @@
         let message = encode_bodiless_request("DELETE", &format!("/jobs/{inv}"), runner.address);
         let deadline = driver.now() + CANCEL_TIMEOUT;
         let task = Task::Cancel { invocation: inv.clone(), number };
-        self.submit(runner_id, PendingTask { task, message, deadline, client_wait: None }, driver);
+        self.submit(runner_id, PendingTask::without_client(task, message, deadline), driver);
     }
 
-    /// Sends a task on an idle connection, or on a new one if there is none.
+    /// Sends a task on an idle connection, or on a new one if there is none that may carry it.
     fn submit(&mut self, runner_id: &Id, pending: PendingTask, driver: &mut dyn ConnectionDriver) {
-        // Prefer a connection on which no second answer to an earlier task can still arrive.
-        let idle_before = driver.now() - DUPLICATE_ANSWER_WINDOW;
-        while let Some(runner) = self.by_id.get_mut(runner_id)
-            && let Some(last) = runner.idle.len().checked_sub(1)
-        {
-            let is_safe = |connection: &ConnectionId| {
-                self.connections.get(connection).is_none_or(|state| state.since <= idle_before)
-            };
-            let connection = runner.idle.remove(runner.idle.iter().rposition(is_safe).unwrap_or(last));
+        while let Some(connection) = self.take_available(runner_id, pending.reuse, driver.now()) {
             if driver.is_reusable(connection) {
                 return self.send_task(connection, pending, driver);
             }
@@ -396,6 +437,19 @@
         self.submit_on_new_connection(runner_id, pending, driver);
     }
 
+    /// Takes the idle connection to a runner on which a task is sent, if there is one: the most recently used
+    /// of those on which an answer is most certain to be the task's own.
+    fn take_available(&mut self, runner_id: &Id, reuse: Reuse, now: Micros) -> Option<ConnectionId> {
+        let runner = self.by_id.get_mut(runner_id)?;
+        let strictest = |connection: &ConnectionId| {
+            self.connections.get(connection).map_or(Reuse::Idle, |state| state.strictest_reuse(now))
+        };
+        let allowed =
+            runner.idle.iter().enumerate().map(|(index, connection)| (strictest(connection), index));
+        let (_, found) = allowed.filter(|(allowed, _)| *allowed >= reuse).max()?;
+        Some(runner.idle.remove(found))
+    }
+
     /// Sends a task on a new connection, even if others are idle.
     fn submit_on_new_connection(
         &mut self,
@@ -403,7 +457,7 @@
         pending: PendingTask,
         driver: &mut dyn ConnectionDriver,
     ) {
-        let PendingTask { task, message, deadline, client_wait } = pending;
+        let PendingTask { task, message, deadline, client_wait, reuse } = pending;
         let Some(runner) = self.by_id.get_mut(runner_id) else {
             return self.report_unanswered(runner_id, task, ForwardResult::Void, false);
         };
@@ -411,22 +465,25 @@
         runner.connections.push(connection);
         let since = driver.now();
         let (phase, task, runner_id) = (Phase::Dialling, Some(task), runner_id.clone());
-        let (answered_at, send_by, is_overdue, check_at) = (None, Micros::MAX, false, Micros::MAX);
+        let (answers, accepted) = (AnswerHistory::default(), None);
+        let (send_by, is_overdue, timer) = (Micros::MAX, false, None);
         let state = RunnerConnection {
             runner_id,
             phase,
             since,
             task,
-            answered_at,
+            answers,
+            accepted,
             message,
             send_by,
             client_wait,
+            reuse,
             deadline,
             is_overdue,
-            check_at,
+            timer,
         };
         self.connections.insert(connection, state);
-        self.set_check(connection, since + self.dial_timeout, driver);
+        self.set_next_check(connection, driver);
     }
 
     /// Writes a task's message to an established connection. Checks once more that the client has not left:
@@ -438,7 +495,7 @@
         pending: PendingTask,
         driver: &mut dyn ConnectionDriver,
     ) {
-        let PendingTask { task, mut message, deadline, client_wait } = pending;
+        let PendingTask { task, mut message, deadline, client_wait, .. } = pending;
         if let Task::Forward { invocation, number } = &task
             && client_wait.is_some_and(|wait| driver.peer_has_closed(wait.client))
         {
@@ -453,36 +510,66 @@
         (state.phase, state.since, state.deadline, state.is_overdue) =
             (Phase::Busy, driver.now(), deadline, false);
         self.forwards_written += u64::from(matches!(task, Task::Forward { .. }));
-        state.task = Some(task);
+        (state.task, state.accepted) = (Some(task), None);
         driver.send(connection, &message);
         self.set_next_check(connection, driver);
     }
 
-    /// Reuses a connection that has become free for a task that waits for a dial. Otherwise keeps it idle, or
-    /// closes it if its runner is unlisted.
+    /// Keeps a connection idle that has become free, or uses it at once for a task that waits for a dial.
+    /// Closes it if its runner is unlisted.
     fn release(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let Some(runner_id) = self.connections.get(&connection).map(|state| state.runner_id.clone()) else {
-            return;
-        };
-        let Some(runner) = self.by_id.get_mut(&runner_id) else { return };
-        let now = driver.now();
-        let mut take_pending =
-            |other: &ConnectionId| self.connections.get_mut(other).and_then(|state| state.take_pending(now));
-        if let Some(pending) = runner.connections.iter().find_map(&mut take_pending) {
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let Some(runner) = self.by_id.get_mut(&state.runner_id) else { return };
+        (state.phase, state.since, state.task, state.deadline) =
+            (Phase::Idle, driver.now(), None, Micros::MAX);
+        runner.idle.push(connection);
+        if let Some(pending) = self.take_pending_for(connection, driver) {
             return self.send_task(connection, pending, driver);
         }
-        if runner.unlisted_since.is_some() {
+        if self.is_unlisted(connection) {
             return self.close(connection, CloseReason::Unlisted, driver);
         }
-        runner.idle.push(connection);
-        let Some(state) = self.connections.get_mut(&connection) else { return };
-        (state.phase, state.since, state.task, state.deadline) =
-            (Phase::Idle, driver.now(), None, Micros::MAX);
         self.set_next_check(connection, driver);
     }
 
-    fn remove_connection(&mut self, connection: ConnectionId) -> Option<RunnerConnection> {
+    /// Takes an idle connection, and a task that waits for a dial and that it may carry, if there is one.
+    fn take_pending_for(
+        &mut self,
+        connection: ConnectionId,
+        driver: &mut dyn ConnectionDriver,
+    ) -> Option<PendingTask> {
+        let now = driver.now();
+        let state = self.connections.get(&connection).filter(|state| state.phase == Phase::Idle)?;
+        // Bytes that have arrived since are read, and close it.
+        if !driver.is_reusable(connection) {
+            return None;
+        }
+        let allowed = state.strictest_reuse(now);
+        let runner = self.by_id.get_mut(&state.runner_id)?;
+        let mut take_pending = |other: &ConnectionId| {
+            let waiting = self.connections.get_mut(other)?;
+            if allowed >= waiting.reuse { waiting.take_pending(now) } else { None }
+        };
+        let pending = runner.connections.iter().find_map(&mut take_pending)?;
+        runner.idle.retain(|idle| *idle != connection);
+        Some(pending)
+    }
+
+    /// Whether the runner of a connection has left the roster.
+    fn is_unlisted(&self, connection: ConnectionId) -> bool {
+        let runner = self.connections.get(&connection).and_then(|state| self.by_id.get(&state.runner_id));
+        runner.is_some_and(|runner| runner.unlisted_since.is_some())
+    }
+
+    fn remove_connection(
+        &mut self,
+        connection: ConnectionId,
+        driver: &mut dyn ConnectionDriver,
+    ) -> Option<RunnerConnection> {
         let state = self.connections.remove(&connection)?;
+        if let Some(timer) = state.timer {
+            driver.cancel_timer(timer);
+        }
         if let Some(runner) = self.by_id.get_mut(&state.runner_id) {
             runner.connections.retain(|known| *known != connection);
             runner.idle.retain(|known| *known != connection);
@@ -491,7 +578,7 @@
     }
 
     fn close(&mut self, connection: ConnectionId, end: CloseReason, driver: &mut dyn ConnectionDriver) {
-        self.remove_connection(connection);
+        self.remove_connection(connection, driver);
         driver.abort(connection, end);
     }
 
@@ -518,7 +605,7 @@
     /// report its end.
     fn report_answer(&mut self, runner_id: &Id, task: Task, answer: &Response) {
         self.events.push(match task {
-            Task::Forward { .. } if answer.status == 202 => return,
+            Task::Forward { .. } if answer_kind(answer) == AnswerKind::Acceptance => return,
             Task::Cancel { invocation, number } => match answer.status {
                 200..=299 | 404 | 410 => RunnerEvent::Cancelled { invocation, number },
                 _ => RunnerEvent::NotCancelled { invocation, number },
@@ -538,23 +625,89 @@
             Task::Forward { invocation, number } => {
                 let load = answer.header("x-load").and_then(|text| serde_json::from_str(text).ok());
                 let report = load.map(|load| read_report(&self.report_fields, &load)).unwrap_or_default();
-                let not_run = answer.header("x-not-run") == Some("1");
-                let result = match answer.status {
-                    503 | 504 if not_run => ForwardResult::Overloaded,
-                    status => {
-                        log!("forward-errored", "inv={invocation} runner={runner_id} status={status}");
-                        ForwardResult::Errored
-                    }
+                let result = if answer_kind(answer) == AnswerKind::Refusal {
+                    ForwardResult::Overloaded
+                } else {
+                    let status = answer.status;
+                    log!("forward-errored", "inv={invocation} runner={runner_id} status={status}");
+                    ForwardResult::Errored
                 };
                 RunnerEvent::Ended { invocation, number, result, report }
             }
         });
     }
 
+    /// Discards second answers to earlier tasks that the current one cannot be answered with.
+    fn discard_anothers(&mut self, connection: ConnectionId, input: &mut Vec<u8>) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let (task, answers) = (state.task.clone(), state.answers);
+        while let Ok(Some((answer, used))) = http::parse_response(input, false)
+            && let kind = answer_kind(&answer)
+            && task.as_ref().is_some_and(|task| !task.can_be_answered_with(kind))
+            && answers.has_kind(kind)
+        {
+            self.count_surplus(connection, answer.status);
+            drop(input.drain(..used));
+        }
+    }
+
+    /// Counts and logs an answer that belongs to no request.
+    fn count_surplus(&mut self, connection: ConnectionId, status: u16) {
+        self.surplus_answers += 1;
+        let runner_id = self.connections.get(&connection).map(|state| state.runner_id.to_string());
+        log!("surplus-answer", "link={connection} runner={} status={status}", runner_id.unwrap_or_default());
+    }
+
+    /// Attributes an answer to the task of its connection. Returns whether the task can be answered so.
+    fn accept_answer(&mut self, connection: ConnectionId, answer: &Response, now: Micros) -> bool {
+        let Some(state) = self.connections.get_mut(&connection) else { return false };
+        let Some(task) = state.task.take() else { return false };
+        let kind = answer_kind(answer);
+        if let Some(runner) = self.by_id.get_mut(&state.runner_id) {
+            state.answers.record(kind, state.since, now, runner.slowest_answer);
+            runner.slowest_answer.record(now - state.since);
+        }
+        if let Task::Forward { invocation, number } = &task
+            && kind == AnswerKind::Acceptance
+        {
+            state.accepted = Some((invocation.clone(), *number));
+        }
+        let is_expected = task.can_be_answered_with(kind);
+        // A late answer to a probe is outdated, but the confirmation that a job is deleted still holds.
+        if !state.is_overdue || matches!(task, Task::Cancel { .. }) {
+            let runner_id = state.runner_id.clone();
+            self.report_answer(&runner_id, task, answer);
+        }
+        is_expected
+    }
+
+    /// Closes a connection on which a runner has sent something that answers no request. The answer before
+    /// may not have been the one to the last request then: if that was an acceptance and this says that the
+    /// job has not run, it may be this one that is true.
+    fn close_with_surplus(
+        &mut self,
+        connection: ConnectionId,
+        input: &[u8],
+        driver: &mut dyn ConnectionDriver,
+    ) {
+        let Some(state) = self.connections.get(&connection) else { return };
+        let accepted = state.accepted.clone();
+        let answer = http::parse_response(input, true).ok().flatten();
+        let status = answer.as_ref().map_or(0, |(answer, _)| answer.status);
+        self.count_surplus(connection, status);
+        if let Some((invocation, number)) = accepted
+            && answer.is_some_and(|(answer, _)| answer_kind(&answer) == AnswerKind::Refusal)
+        {
+            self.events.push(RunnerEvent::Doubtful { invocation, number });
+        }
+        self.close(connection, CloseReason::Stale, driver);
+    }
+
     /// Closes a connection whose input is not an answer to its task. The task may have run, so a forward
     /// counts as broken.
     fn reject_answer(&mut self, connection: ConnectionId, reason: &str, driver: &mut dyn ConnectionDriver) {
-        let Some(RunnerConnection { runner_id, task, is_overdue, .. }) = self.remove_connection(connection)
+        let Some(RunnerConnection { runner_id, task, is_overdue, .. }) =
+            self.remove_connection(connection, driver)
         else {
             return;
         };
@@ -575,6 +728,11 @@
         self.forwards_written
     }
 
+    /// The number of answers since the start that belonged to no request.
+    pub fn surplus_answers(&self) -> u64 {
+        self.surplus_answers
+    }
+
     /// The number of connections to runners.
     pub fn open_connections(&self) -> usize {
         self.connections.len()
@@ -588,6 +746,16 @@
     }
 }
 
+/// What an answer says.
+fn answer_kind(answer: &Response) -> AnswerKind {
+    match answer.status {
+        STATUS_ACCEPTED => AnswerKind::Acceptance,
+        200..=299 => AnswerKind::Success,
+        503 | 504 if answer.header("x-not-run") == Some("1") => AnswerKind::Refusal,
+        _ => AnswerKind::Failure,
+    }
+}
+
 /// The values of a load report in the order of the settings; empty if one is missing or not a number. The
 /// settings and the wire format have different names for the same value.
 fn read_report(fields: &[String], load: &Value) -> Vec<f64> {
@@ -617,44 +785,31 @@
     }
 
     fn received(&mut self, connection: ConnectionId, input: &mut Vec<u8>, driver: &mut dyn ConnectionDriver) {
-        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let Some(state) = self.connections.get(&connection) else { return };
         if state.phase != Phase::Busy {
-            return self.close(connection, CloseReason::Stale, driver);
+            return self.close_with_surplus(connection, input, driver);
         }
-        let (runner_id, now) = (state.runner_id.clone(), driver.now());
-        let soon_after_answer = state.answered_at.is_some_and(|at| now < at + DUPLICATE_ANSWER_WINDOW);
-        let is_harmless = |status: u16| match state.task {
-            Some(Task::Forward { .. }) => status == 202,
-            Some(Task::Cancel { .. }) => false,
-            Some(Task::Probe) | None => true,
-        };
-        let is_dubious = |answer: &Response| soon_after_answer && !is_harmless(answer.status);
-        let (keep, used) = match http::parse_response(input, false) {
-            Ok(Some((answer, _))) if is_dubious(&answer) => {
-                return self.reject_answer(connection, "perhaps_anothers", driver);
-            }
-            Ok(None) if input.len() < MAX_MESSAGE_BYTES => return,
+        self.discard_anothers(connection, input);
+        match http::parse_response(input, false) {
+            Ok(None) if input.len() < MAX_MESSAGE_BYTES => {}
             Ok(Some((answer, used))) => {
-                // A late answer to a probe is outdated, but the confirmation that a job is deleted still
-                // holds.
-                let still_counts = |task: &Task| !state.is_overdue || matches!(task, Task::Cancel { .. });
-                let task = state.task.take().filter(still_counts);
-                state.answered_at = Some(now);
-                if let Some(task) = task {
-                    self.report_answer(&runner_id, task, &answer);
+                let is_expected = self.accept_answer(connection, &answer, driver.now());
+                let keep_alive = answer.keep_alive;
+                drop(input.drain(..used));
+                if !input.is_empty() {
+                    self.close_with_surplus(connection, input, driver);
+                } else if !is_expected {
+                    self.close(connection, CloseReason::BadAnswer, driver);
+                } else if keep_alive {
+                    self.release(connection, driver);
+                } else {
+                    self.close(connection, CloseReason::AnsweredLast, driver);
                 }
-                (answer.keep_alive, used)
             }
             malformed => {
                 let reason = malformed.err().map_or("too_long", |error| error.1);
-                return self.reject_answer(connection, reason, driver);
+                self.reject_answer(connection, reason, driver);
             }
-        };
-        drop(input.drain(..used));
-        if keep && input.is_empty() {
-            self.release(connection, driver);
-        } else {
-            self.close(connection, if keep { CloseReason::Stale } else { CloseReason::AnsweredLast }, driver);
         }
     }
 
@@ -666,15 +821,15 @@
         input: &[u8],
         driver: &mut dyn ConnectionDriver,
     ) {
-        let Some(state) = self.remove_connection(connection) else { return };
+        let Some(state) = self.remove_connection(connection, driver) else { return };
         let Some(task) = state.task.filter(|_| !state.is_overdue) else { return };
         // If a kept connection breaks at its next request, that says nothing about the runner, so a probe is
         // sent again. Anything else that is sent again might be a second copy.
-        if state.answered_at.is_some() && input.is_empty() && task == Task::Probe {
+        if state.answers.has_answers() && input.is_empty() && task == Task::Probe {
             let message = self.probe_message(&state.runner_id);
             return self.submit_on_new_connection(
                 &state.runner_id,
-                PendingTask { task, message, deadline: state.deadline, client_wait: None },
+                PendingTask::without_client(task, message, state.deadline),
                 driver,
             );
         }
--- a/node/src/upstream/runners/timeouts.rs
+++ b/node/src/upstream/runners/timeouts.rs
@@ -5,19 +5,16 @@
 use super::{LATE_ANSWER_TIMEOUT, Phase, RunnerConnection, Runners, Task};
 use crate::net::connection::{CloseReason, ConnectionDriver, ConnectionId, Timer};
 
-/// A connection whose task may take long is looked at this often.
-const MAX_CHECK_INTERVAL: Micros = 30_000_000;
-
 /// Time to write a forward from its first byte to its last. The time left that a forward states to its runner
 /// is allowed to exceed the actual one by 0.15 s, and this timeout is well within that.
 const SEND_TIMEOUT: Micros = 100_000;
 
 impl RunnerConnection {
     /// When it has to be looked at next, if its forward has been written.
-    fn next_check(&self, dial_timeout: Micros, idle_timeout: Micros) -> Micros {
+    fn next_check(&self, now: Micros, dial_timeout: Micros, idle_timeout: Micros) -> Micros {
         match self.phase {
             Phase::Dialling => self.send_by.min(self.since + dial_timeout),
-            Phase::Idle => self.since + idle_timeout,
+            Phase::Idle => self.answers.unsettled_until(now).unwrap_or(self.since + idle_timeout),
             Phase::Busy => self.deadline,
         }
     }
@@ -26,42 +23,32 @@
 impl Runners {
     /// Checks all time limits of a connection whose timer has fired.
     pub(super) fn check_timeouts(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let now = driver.now();
-        if let Some(state) = self.connections.get_mut(&connection).filter(|state| now >= state.check_at) {
-            state.check_at = Micros::MAX;
-        }
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.timer = None;
         self.expire_pending(connection, driver);
         self.abort_unsent_forward(connection, driver);
         self.end_overdue_phase(connection, driver);
-        self.set_next_check(connection, driver);
-    }
-
-    /// Has a connection looked at when `at` comes. Timers cannot be replaced, so one is only set if none fires
-    /// before: the one that fires sets the next.
-    pub(super) fn set_check(
-        &mut self,
-        connection: ConnectionId,
-        at: Micros,
-        driver: &mut dyn ConnectionDriver,
-    ) {
-        // A client may state any deadline, so the timers of forwards must not stay until then.
-        let at = at.min(driver.now() + MAX_CHECK_INTERVAL);
-        let Some(state) = self.connections.get_mut(&connection) else { return };
-        if at < state.check_at {
-            state.check_at = at;
-            driver.set_timer(Timer::Connection(connection), at);
+        if let Some(pending) = self.take_pending_for(connection, driver) {
+            return self.send_task(connection, pending, driver);
         }
+        self.set_next_check(connection, driver);
     }
 
-    /// Sets the next check of a connection.
+    /// Sets the timer for the next check of a connection, in place of the previous one.
     pub(super) fn set_next_check(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        let Some(state) = self.connections.get(&connection) else { return };
-        let mut at = state.next_check(self.dial_timeout, self.idle_timeout);
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let mut at = state.next_check(driver.now(), self.dial_timeout, self.idle_timeout);
         let is_forward = matches!(state.task, Some(Task::Forward { .. }));
         if is_forward && state.phase == Phase::Busy && driver.has_unsent(connection) {
             at = at.min(state.since + SEND_TIMEOUT);
         }
-        self.set_check(connection, at, driver);
+        if state.timer.is_some_and(|timer| timer.at == at) {
+            return;
+        }
+        let timer = driver.set_cancellable_timer(Timer::Connection(connection), at);
+        if let Some(previous) = state.timer.replace(timer) {
+            driver.cancel_timer(previous);
+        }
     }
 
     /// Drops a task that still waits for its dial after its `send_by`.
@@ -96,7 +83,8 @@
         end: CloseReason,
         driver: &mut dyn ConnectionDriver,
     ) {
-        let Some(RunnerConnection { runner_id, task: Some(task), .. }) = self.remove_connection(connection)
+        let Some(RunnerConnection { runner_id, task: Some(task), .. }) =
+            self.remove_connection(connection, driver)
         else {
             return;
         };
