Upgrade: what the other process has taken is read before clients

Cause: in each turn of the loop the events of clients were processed before those of the other process, so a repeated request was accepted before the message that its id is taken, which had arrived earlier. Evidence: with the new process stopped for the time in which the old one takes the id, the repeat is answered 200 and the runner has the job twice.

Change: the connection to the other process comes first, then clients, then others.

The floods of floods.rs pause before they connect again, as closed connections had used up the ports that other tests need (67,000 in TIME_WAIT).

--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -228,15 +228,9 @@
             if is_quiet && (table.must_exit(self.now) || self.accept_queue_is_empty(table, listeners)) {
                 return Ok(());
             }
-            // Clients first: a forward that waits for a connection to its runner must not be sent if its
-            // client's close is reported in the same iteration.
-            let is_from_client = |event: &Event| {
-                self.connections
-                    .get(&(event.key as ConnectionId))
-                    .is_some_and(|connection| connection.role == ConnectionRole::Client)
-            };
-            let (clients, others): (Vec<Event>, Vec<Event>) = events.iter().partition(is_from_client);
-            for event in clients.into_iter().chain(others) {
+            let mut ordered: Vec<Event> = events.iter().collect();
+            ordered.sort_by_key(|event| self.processing_order(event));
+            for event in ordered {
                 match event.key {
                     // The flags of the signals are checked in every iteration.
                     TERMINATE_KEY => terminate.drain(),
@@ -266,6 +260,18 @@
         }
     }
 
+    /// In which order the events of an iteration are processed. The other process of an upgrade comes first, as
+    /// it may have taken an id that a client repeats here. Clients come before runners: a forward that waits
+    /// for a connection to its runner must not be sent if its client's close is reported with that.
+    fn processing_order(&self, event: &Event) -> u8 {
+        let role = self.connections.get(&(event.key as ConnectionId)).map(|connection| connection.role);
+        match role {
+            Some(ConnectionRole::Peer) => 0,
+            Some(ConnectionRole::Client) => 1,
+            _ => 2,
+        }
+    }
+
     /// Whether no connection waits in the accept queue of clients, where it would be lost when the process
     /// ends. Those that wait are accepted.
     fn accept_queue_is_empty(&mut self, table: &mut RequestTable, listeners: &[Listener]) -> bool {
--- a/node/tests/floods.rs
+++ b/node/tests/floods.rs
@@ -24,6 +24,8 @@
 const USUAL_INTERVAL: Duration = Duration::from_millis(20);
 /// Of usual requests, nine in ten have to be answered this fast beside a flood.
 const USUAL_LATENCY: Duration = Duration::from_millis(50);
+/// Before each connection: closed ones keep their ports for a minute, and other tests need some.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(2);
 /// Bytes that are written at once.
 const BURST_BYTES: usize = 32 << 10;
 /// Bursts that are written before the first of them is answered: what a connection holds of input.
@@ -60,6 +62,7 @@
 fn flood(address: SocketAddr, request: impl Fn(usize) -> String) -> usize {
     let (until, mut number, burst) = (Instant::now() + flood_span(), 0, BURST_BYTES / request(1_000).len());
     while Instant::now() < until {
+        thread::sleep(RECONNECT_PAUSE);
         let Ok(mut stream) = TcpStream::connect(address) else { continue };
         let answers = AtomicUsize::new(0);
         let reader = stream.try_clone().unwrap();
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -278,6 +278,52 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// Guards against an id that runs twice when it comes again at the other process of an upgrade, and that process
+/// reads the request before the message that the id is taken.
+#[test]
+fn an_id_that_the_other_process_has_taken_does_not_run_again() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (listen, admins) = (free_address(91), [free_address(92), free_address(93)]);
+    let folder = env::temp_dir().join(format!("topazsail-repeat-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    fs::write(folder.join("config.json"), configuration(listen, discovery.local_addr().unwrap())).unwrap();
+    let _first = start(&folder, listen, Some(admins[0]));
+    let mut watch = accept_watch(&discovery);
+    watch.list_runner_with_weight(&runner, 1.0);
+    let _heartbeats = send_heartbeats(&watch);
+    let forwarded = Arc::new(Mutex::new(Vec::new()));
+    let recorded = forwarded.clone();
+    thread::spawn(move || complete_at_once(runner, listen, recorded));
+    let request =
+        |id: &str| format!("POST /plan HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 25000\r\n\r\n");
+    let mut old_client = Connection::new(TcpStream::connect(listen).unwrap());
+    old_client.send(&request("i0"));
+    assert_eq!(old_client.receive(), "HTTP/1.1 200 OK r");
+    let second = start(&folder, listen, Some(admins[1]));
+    let second_watch = accept_watch_since(&discovery, 1);
+    let _second_heartbeats = send_heartbeats(&second_watch);
+    assert_eq!(admin_command(admins[1], "status"), "YES\n");
+    let mut new_client = Connection::new(TcpStream::connect(listen).unwrap());
+    new_client.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert_eq!(new_client.receive(), "HTTP/1.1 200 OK ");
+
+    // The new process stands still while the old one takes the id.
+    send_signal(&second, "STOP");
+    old_client.send(&request("i1"));
+    let deadline = std::time::Instant::now() + STEP_TIMEOUT;
+    while !forwarded.lock().unwrap().contains(&"i1".to_owned()) {
+        assert!(std::time::Instant::now() < deadline, "i1 was not forwarded");
+        thread::sleep(Duration::from_millis(1));
+    }
+    drop(old_client);
+    new_client.send(&request("i1"));
+    send_signal(&second, "CONT");
+    assert_eq!(new_client.receive(), "HTTP/1.1 400 Bad Request close repeated_id");
+    assert_eq!(*forwarded.lock().unwrap(), ["i0", "i1"]);
+    fs::remove_dir_all(folder).unwrap();
+}
+
 /// Runs `topazsail migrate` with these arguments; returns its exit code, standard output and standard error.
 fn run_migrate(arguments: &[&str]) -> (Option<i32>, String, String) {
     let output =
