Ids: 32,768 answered ids are remembered, as hashes

What callers saw: an id that came again after its client had left ran a second time if over 4,096 other ids had been answered since; one client at full speed does that in about a second.

Cause: ids were remembered by number, and one client's pushed out all others'.

Change: ClosedIds keeps the hashes of 32,768 ids, and the latest 4,096 as text for a successor. A module of its own, out of request_table.rs.

Test: an_id_is_remembered_while_thousands_of_others_are_answered fails with 4,096.

Ruled out: all ids as text (19.7 MB).

--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -7,12 +7,13 @@
 //! invocation whose client's time is over, and never sends a forward twice.
 
 mod callbacks;
+mod closed_ids;
 mod invocation_memory;
 mod peer_exchange;
 mod persistence;
 mod shutdown;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use topazsail::{
@@ -49,9 +50,6 @@
 const OVERLOAD_RETRY_AFTER: Micros = 1_000_000;
 /// Answer to a client whose request a runner rejects as malformed.
 const STATUS_BAD_REQUEST: u16 = 400;
-/// Number of ids remembered after their final answer. An id belongs to one request only: a request that
-/// repeats one is rejected, as its sender must have taken the id from another request.
-const MAX_CLOSED_IDS: usize = 4096;
 /// How long the routing policy may take for the final answer once the client's time is over.
 const FINAL_ANSWER_TIMEOUT: Micros = 10_000;
 /// Base of the delay before a failed cancel is retried: it is doubled for each failure, the first included.
@@ -158,6 +156,7 @@
 }
 
 use callbacks::FinalCallbacks;
+use closed_ids::ClosedIds;
 pub use peer_exchange::PeerExchange;
 pub use persistence::Persistence;
 
@@ -177,8 +176,7 @@
     membership: Membership,
     roster: Roster,
     invocations: BTreeMap<Id, OpenInvocation>,
-    /// The latest ids that have had their final answer: in order, and as a set.
-    closed_ids: (VecDeque<Id>, BTreeSet<Id>),
+    closed_ids: ClosedIds,
     /// Events collected for the next call of the routing policy.
     pending_events: Vec<Event>,
     /// Limit of open invocations.
@@ -261,7 +259,7 @@
             listen: configuration.listen,
             active_file: configuration.file,
             invocations: BTreeMap::new(),
-            closed_ids: Default::default(),
+            closed_ids: ClosedIds::default(),
             pending_events: Vec::new(),
             max_open: decoded.max_open,
             invocation_bytes: 0,
@@ -337,7 +335,7 @@
         for (id, from, until) in &inherited.was_out {
             self.membership.inherit(id, None, Some((*from, *until)));
         }
-        inherited.ids.into_iter().for_each(|id| self.remember_closed_id(id.into()));
+        inherited.ids.into_iter().for_each(|id| self.closed_ids.insert(id.into()));
         let slow_start_usage =
             inherited.slow_start_usage.into_iter().map(|(id, work)| (id.into(), work)).collect();
         let discovery = self.roster.discovery();
@@ -389,7 +387,7 @@
             gone: self.membership.unlisted_ids(),
             out: self.membership.runners_in_maintenance(),
             was_out: self.membership.past_maintenance(),
-            ids: self.closed_ids.0.iter().chain(self.invocations.keys()).map(|id| id.to_string()).collect(),
+            ids: self.closed_ids.latest().chain(self.invocations.keys()).map(|id| id.to_string()).collect(),
             configuration: self.active_file.to_string(),
             slow_start_usage: slow_start_usage.into_iter().map(|(id, work)| (id.to_string(), work)).collect(),
         };
@@ -734,7 +732,7 @@
                 self.runners.withdraw_unsent(&runner, invocation, number, driver);
             }
         }
-        self.remember_closed_id(invocation.clone());
+        self.closed_ids.insert(invocation.clone());
         Some(connection)
     }
 
@@ -743,16 +741,6 @@
         self.invocations.get(invocation).map_or(0, |open| open.forwards.len())
     }
 
-    /// Remembers an id whose request has been answered.
-    fn remember_closed_id(&mut self, invocation: Id) {
-        let (order, ids) = &mut self.closed_ids;
-        if order.len() >= MAX_CLOSED_IDS {
-            order.pop_front().map(|oldest| ids.remove(&oldest));
-        }
-        order.push_back(invocation.clone());
-        ids.insert(invocation);
-    }
-
     /// The forward of an invocation with this number.
     fn forward_mut(&mut self, invocation: &Id, number: u32) -> Option<&mut Forward> {
         self.invocations.get_mut(invocation)?.forwards.get_mut(number as usize)
@@ -859,7 +847,7 @@
                         self.store_admin_override(&id, None, driver);
                     }
                 }
-                HandoverMessage::InvocationTaken(id) => self.remember_closed_id(id.into()),
+                HandoverMessage::InvocationTaken(id) => self.closed_ids.insert(id.into()),
             }
         }
         if std::mem::take(&mut self.handover_peer.ended) {
@@ -1051,7 +1039,7 @@
     /// Accepts a new invocation, or answers it at once if it cannot be held or is not admitted.
     fn accept_invocation(&mut self, request: Invocation, driver: &mut dyn ConnectionDriver) {
         let now = driver.now();
-        if self.invocations.contains_key(&request.id) || self.closed_ids.1.contains(&request.id) {
+        if self.invocations.contains_key(&request.id) || self.closed_ids.contains(&request.id) {
             return self.clients.reject(request.connection, HttpError(400, "repeated_id"), driver);
         }
         let request_bytes = request.head.len() + request.body.len();
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -1481,6 +1481,25 @@
     }
 }
 
+/// Guards against an id that runs twice when it comes again after its client has left, and one other client has
+/// sent thousands of requests meanwhile.
+#[test]
+fn an_id_is_remembered_while_thousands_of_others_are_answered() {
+    let mut node = Node::with_accepted_forward("plan");
+    node.close(2, CloseReason::PeerClosed);
+    node.send_callback(r#"{"id":"i1","from":"s-a","state":"done","result":"r"}"#);
+    // The runner is full with these two, and others wait.
+    node.invoke("book", "i2");
+    node.invoke("book", "i3");
+    for nth in 0..20_000 {
+        let client = node.invoke("book", &format!("o{nth}"));
+        node.close(client, CloseReason::PeerClosed);
+    }
+    node.driver.trace.clear();
+    node.invoke("plan", "i1");
+    assert!(node.driver.trace.contains("repeated_id"), "{}", node.driver.trace);
+}
+
 /// Connections are closed in this order: without a request, with health checks only, then the longest idle.
 #[test]
 fn a_new_connection_replaces_one_that_sends_nothing() {
