--- a/node/tests/repeated_callbacks.rs
+++ b/node/tests/repeated_callbacks.rs
@@ -15,7 +15,7 @@
 const MAX_STEPS: usize = 250;
 /// How often a runner tries a call-back at most.
 const MAX_TRIES: usize = 10;
-/// A process identical to the one before an upgrade.
+/// The connection between the two processes of an upgrade.
 const SUCCESSOR: ConnectionId = 50;
 
 /// The connection of a line of the trace that has this text behind it.
