--- a/node/src/lifecycle/handover.rs
+++ b/node/src/lifecycle/handover.rs
@@ -1,8 +1,8 @@
 //! Upgrades: how one process takes over from another that serves at the same address.
 //!
-//! This module owns the Unix socket on which the two processes connect, the state that is handed over on it,
-//! and the connection that remains between them. It does not decide when to start or stop serving, and waits
-//! for the other process only at the start, for at most [`HANDOVER_TIMEOUT`].
+//! This module owns the Unix socket on which the two processes connect, the transfer of the state on it, and
+//! the connection that remains between them. It does not decide when to start or stop serving, and waits for
+//! the other process only at the start, for at most [`HANDOVER_TIMEOUT`].
 
 use std::io::{self, IoSlice, IoSliceMut, Read};
 use std::mem::MaybeUninit;
@@ -18,14 +18,15 @@
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
-use topazsail::Micros;
+use serde::Serialize;
 
-use crate::ingress::clients::RunnerCallback;
 use crate::net::connection::{CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId};
 use crate::net::log::log;
 
+mod messages;
+
+pub use messages::{HandoverMessage, HandoverState};
+
 /// How long a starting process waits for the serving one.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The largest accepted state.
@@ -35,52 +36,6 @@
 /// The version of the protocol, sent together with the descriptor. Other versions are rejected.
 const PROTOCOL_VERSION: u8 = b'1';
 
-/// The state of a serving process that its successor needs.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub struct HandoverState {
-    /// The address of the discovery that the roster comes from.
-    pub discovery: String,
-    /// The list of runners in discovery's own format.
-    #[serde(rename = "list")]
-    pub roster: Value,
-    /// The time up to which no change at discovery can have been missed; 0 if the other process does not send
-    /// it.
-    #[serde(default)]
-    pub sure_at: Micros,
-    /// The number of open connections.
-    #[serde(default)]
-    pub connections: usize,
-    /// Runners that were listed once and no longer are.
-    #[serde(default)]
-    pub gone: Vec<String>,
-    /// Runners taken out by an admin override, and since when.
-    pub out: Vec<(String, Micros)>,
-    /// Runners that were taken out by an admin override and are back, with the start and end of that time.
-    pub was_out: Vec<(String, Micros, Micros)>,
-    /// Ids of invocations that are open or have been answered.
-    pub ids: Vec<String>,
-    /// The text of the configuration in force.
-    pub configuration: String,
-    /// By cold runner, the times and amounts of the work sent to it recently.
-    #[serde(rename = "spent")]
-    pub slow_start_usage: Vec<(String, Vec<(Micros, f64)>)>,
-}
-
-/// The messages between the two processes while both serve.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum HandoverMessage {
-    /// A call-back for an invocation that is not open at the sender, with the hash of its bytes.
-    #[serde(rename = "told")]
-    Callback(RunnerCallback, u64),
-    /// An operator has taken a runner out, or back in.
-    #[serde(rename = "hand")]
-    AdminOverride { id: String, out: bool },
-    /// The id of an invocation that the sender has accepted.
-    #[serde(rename = "taken")]
-    InvocationTaken(String),
-}
-
 /// The path of the Unix socket for hand-overs of the process that serves at this address. `None` if `TMPDIR`
 /// is not set, since the process then has no folder of its own for the socket.
 pub fn socket_path(listen: SocketAddr) -> Option<PathBuf> {
@@ -192,9 +147,9 @@
 }
 
 impl HandoverPeer {
-    /// Whether there is a connection to another process.
-    pub fn is_connected(&self) -> bool {
-        self.connection.is_some()
+    /// The connection to another process, if there is one.
+    pub fn connection(&self) -> Option<ConnectionId> {
+        self.connection
     }
 
     /// Uses this connection from now on.
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -44,6 +44,8 @@
 /// The most reads from one client per event while each fills the buffer: the client's close may follow the
 /// bytes.
 const MAX_READS_PER_EVENT: usize = 16;
+/// The reads, of one read buffer each, that take all that the socket of the other process of an upgrade holds.
+const MAX_READS_OF_PEER: usize = 4;
 /// The most datagrams read per iteration, so that clients are served first.
 const MAX_DATAGRAMS_PER_ITERATION: usize = 256;
 /// The most connections accepted per iteration, so that existing connections are served first.
@@ -626,8 +628,21 @@
         self.update_registration(id);
     }
 
+    /// Reads what the other process of an upgrade and the other dispatchers have already sent.
+    fn read_other_processes(&mut self, table: &mut RequestTable) {
+        self.receive_datagrams(table);
+        for _ in 0..MAX_READS_OF_PEER {
+            let Some(id) = table.handover_connection() else { return };
+            self.handle_event(id, Event::readable(id as usize), table);
+        }
+    }
+
     /// Passes the unprocessed input to the owner.
     fn deliver(&mut self, id: ConnectionId, table: &mut RequestTable) {
+        // An operator's call comes after every call that has been answered elsewhere before it was made.
+        if self.role(id) == Some(ConnectionRole::Operator) {
+            self.read_other_processes(table);
+        }
         let Some(connection) =
             self.connections.get_mut(&id).filter(|connection| connection.finishing.is_none())
         else {
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -9,27 +9,29 @@
 mod callbacks;
 mod closed_ids;
 mod invocation_memory;
+mod operator_calls;
+mod overlap_calls;
 mod peer_exchange;
 mod persistence;
 mod shutdown;
+mod upgrade;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use topazsail::{
     Action, Arrival, Event, ForwardResult, Id, Listing, Micros, Outcome, Readiness, Roster as RosterUpdate,
-    RoutingPolicy, SlowStartUsage,
+    RoutingPolicy,
 };
-use topazsail_recovery::Stage;
 use topazsail_recovery::limits::OperationValue;
 use topazsail_settings::DecodedSettings;
 
 use crate::config::{self, Configuration};
-use crate::ingress::clients::{self, Clients, Invocation, ReceivedCallback};
-use crate::ingress::operators::{Call, Operators};
+use crate::ingress::clients::{self, Clients, Invocation};
+use crate::ingress::operators::Operators;
 use crate::lifecycle::handover::{HandoverMessage, HandoverPeer, HandoverState};
 use crate::lifecycle::store_thread::StoreThread;
-use crate::metrics::{self, FinalStatus, Gauges, Metrics};
+use crate::metrics::{FinalStatus, Metrics};
 use crate::net::connection::{
     ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer, TimerKey,
 };
@@ -112,15 +114,6 @@
     }
 }
 
-/// Which role the other process of this dispatcher has while both serve during an upgrade.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Overlap {
-    /// The other process takes over from this one.
-    Successor,
-    /// The other process is about to end; this one takes over from it.
-    Predecessor,
-}
-
 /// Sets the values that this process determines and not the file, and registers the operations with `clients`
 /// and `metrics`.
 fn adapt_settings(
@@ -159,6 +152,7 @@
 use closed_ids::ClosedIds;
 pub use peer_exchange::PeerExchange;
 pub use persistence::Persistence;
+use upgrade::{Overlap, Upgrade};
 
 /// The open invocations, the routing policy and the parts of the node that carry out its actions.
 pub struct RequestTable {
@@ -198,15 +192,13 @@
     longest_client_timeout: Micros,
     /// Connection to the other process of an upgrade.
     handover_peer: HandoverPeer,
-    /// Role of the other process, while both serve during an upgrade.
-    overlap: Option<Overlap>,
+    /// The state of an upgrade.
+    upgrade: Upgrade,
     /// Limits on sockets and on bytes of memory, shared with the other process during an upgrade.
     resource_limits: (usize, usize),
     /// Above this number, connections without an unanswered request are closed: the remaining descriptors are
     /// for the watch, dials and operators.
     max_connections: usize,
-    /// Connections that the predecessor had open when it handed over.
-    predecessor_connections: usize,
     /// From the settings: the number of dispatchers, the overload window (how long work sent to a cold runner
     /// counts towards its slow-start budget), and the share of its capacity that a runner starts with.
     dispatcher_count: usize,
@@ -270,10 +262,9 @@
             is_starting: false,
             longest_client_timeout: decoded.longest_client_timeout,
             handover_peer: HandoverPeer::default(),
-            overlap: None,
+            upgrade: Upgrade::default(),
             resource_limits: (configuration.max_sockets, configuration.memory_bytes),
             max_connections: 0,
-            predecessor_connections: 0,
             dispatcher_count,
             overload_window,
             cold_capacity_share,
@@ -319,88 +310,6 @@
         table
     }
 
-    /// Applies the state of the predecessor. Returns the roster to begin with (the predecessor's if it comes
-    /// from the same discovery, else `configured_roster`) and the predecessor's slow-start usage.
-    fn inherit(
-        &mut self,
-        inherited: HandoverState,
-        configured_roster: RosterSnapshot,
-        now: Micros,
-    ) -> (RosterSnapshot, Vec<SlowStartUsage>) {
-        self.predecessor_connections = inherited.connections;
-        inherited.gone.iter().for_each(|id| self.membership.inherit(id, None, None));
-        for (id, since) in &inherited.out {
-            self.membership.inherit(id, Some(*since), None);
-        }
-        for (id, from, until) in &inherited.was_out {
-            self.membership.inherit(id, None, Some((*from, *until)));
-        }
-        inherited.ids.into_iter().for_each(|id| self.closed_ids.insert(id.into()));
-        let slow_start_usage =
-            inherited.slow_start_usage.into_iter().map(|(id, work)| (id.into(), work)).collect();
-        let discovery = self.roster.discovery();
-        let roster = (inherited.discovery == discovery.to_string())
-            .then(|| RosterSnapshot::from_value(inherited.roster));
-        match roster {
-            Some(Ok(roster)) => {
-                // A predecessor that does not send the time still follows its watch, so its roster is certain
-                // up to now.
-                let certain_until = if inherited.sure_at > 0 { inherited.sure_at } else { now };
-                self.roster.resume_from(roster.generation, certain_until);
-                // The lease is held from the start. No entries change, as no runner is listed yet.
-                let _ = self.membership.update_lease(certain_until, now);
-                (roster, slow_start_usage)
-            }
-            _ => (configured_roster, slow_start_usage),
-        }
-    }
-
-    /// Attaches the connection to the predecessor, which stays open until that process ends, and reads what
-    /// has already arrived on it.
-    pub fn attach_predecessor(
-        &mut self,
-        connection: ConnectionId,
-        mut early_bytes: Vec<u8>,
-        driver: &mut dyn ConnectionDriver,
-    ) {
-        self.handover_peer.attach(connection);
-        self.handover_peer.received(connection, &mut early_bytes, driver);
-        self.overlap = Some(Overlap::Predecessor);
-        self.apply_resource_limits();
-    }
-
-    /// Whether this process may hand over to a successor.
-    pub fn can_hand_over(&self) -> bool {
-        !self.handover_peer.is_connected() && self.shutdown_since.is_none()
-    }
-
-    /// Hands over to a successor: sends it this process's state and leaves new connections to it.
-    pub fn hand_over(&mut self, connection: ConnectionId, driver: &mut dyn ConnectionDriver) {
-        self.collect_events(driver);
-        let discovery = self.roster.discovery();
-        let slow_start_usage = self.policy.slow_start_usage(driver.now());
-        let state = HandoverState {
-            discovery: discovery.to_string(),
-            roster: self.current_roster().map(|(_, roster)| roster).unwrap_or_default(),
-            sure_at: self.roster.certain_until(),
-            connections: driver.connection_count(),
-            gone: self.membership.unlisted_ids(),
-            out: self.membership.runners_in_maintenance(),
-            was_out: self.membership.past_maintenance(),
-            ids: self.closed_ids.latest().chain(self.invocations.keys()).map(|id| id.to_string()).collect(),
-            configuration: self.active_file.to_string(),
-            slow_start_usage: slow_start_usage.into_iter().map(|(id, work)| (id.to_string(), work)).collect(),
-        };
-        log!("handing-over", "open={} out={}", self.invocations.len(), state.out.len());
-        self.release_store(true);
-        self.handover_peer.attach(connection);
-        self.handover_peer.send(&state, driver);
-        self.overlap = Some(Overlap::Successor);
-        self.clients.set_handed_over(true);
-        self.apply_resource_limits();
-        self.pause_cold_runners(Micros::MAX, driver);
-    }
-
     /// The roster in discovery's format, and the generation that it reflects.
     fn current_roster(&self) -> Option<(u64, serde_json::Value)> {
         let generation = self.roster.generation()?;
@@ -409,41 +318,16 @@
         Some((generation, RosterSnapshot::to_json(generation, entries)))
     }
 
-    /// Whether this process accepts new connections, and not its successor.
-    pub fn accepts_connections(&self) -> bool {
-        self.overlap != Some(Overlap::Successor)
-    }
-
-    /// Keeps cold runners out of use until `until`.
-    fn pause_cold_runners(&mut self, until: Micros, driver: &mut dyn ConnectionDriver) {
-        let entries = self.membership.pause_cold_runners(until, Micros::MAX, driver.now());
-        self.pending_events.push(Event::Roster(RosterUpdate { listing: Listing::Local, entries }));
-    }
-
-    /// Handles the end of the other process. If it was a successor and this process has not been asked to
-    /// shut down, this one resumes service; the successor's slow-start usage still counts, so cold runners
-    /// are paused.
-    fn end_overlap(&mut self, driver: &mut dyn ConnectionDriver) {
-        let previous = self.overlap.take();
-        self.apply_resource_limits();
-        if previous == Some(Overlap::Successor) {
-            self.release_store(self.shutdown_since.is_some());
-            self.clients.set_handed_over(self.shutdown_since.is_some());
-            self.pause_cold_runners(driver.now() + self.overload_window, driver);
-            driver.set_timer(Timer::ColdRunnerPause, driver.now() + self.overload_window);
-        }
-    }
-
     /// Applies the resource limits. During an upgrade both processes share them, half each, except for
     /// descriptors: the predecessor accepts no connections any more, so the successor may use all but the
     /// predecessor's open connections and an eighth for its forwards.
     fn apply_resource_limits(&mut self) {
         let (sockets, memory) = self.resource_limits;
-        let (sockets, memory) = match self.overlap {
+        let (sockets, memory) = match self.upgrade.overlap {
             None => (sockets, memory),
             Some(Overlap::Successor) => (sockets / 2, memory / 2),
             Some(Overlap::Predecessor) => (
-                (sockets / 2).max(sockets.saturating_sub(self.predecessor_connections + sockets / 8)),
+                (sockets / 2).max(sockets.saturating_sub(self.upgrade.predecessor_connections + sockets / 8)),
                 memory / 2,
             ),
         };
@@ -570,7 +454,7 @@
             Timer::Invocation(id) => self.handle_deadline(&id, driver),
             Timer::Cancel(id, number) => self.cancel(&id, number, driver),
             Timer::Shutdown => self.advance_shutdown(driver),
-            Timer::ColdRunnerPause if self.overlap != Some(Overlap::Successor) => {
+            Timer::ColdRunnerPause if self.upgrade.overlap != Some(Overlap::Successor) => {
                 self.pause_cold_runners(Micros::MIN, driver)
             }
             Timer::ColdRunnerPause => {}
@@ -819,6 +703,8 @@
     /// Turns everything received since the last call into events.
     pub fn collect_events(&mut self, driver: &mut dyn ConnectionDriver) {
         self.collect_store_events(driver);
+        // What the other process of an upgrade has told comes before what operators and clients ask for.
+        self.collect_handover_events(driver);
         for event in std::mem::take(&mut self.roster.events) {
             self.apply_listing(event, driver);
         }
@@ -835,24 +721,6 @@
                 }
             }
         }
-        for message in std::mem::take(&mut self.handover_peer.incoming) {
-            match message {
-                HandoverMessage::Callback(callback, hash) => {
-                    self.handle_callback(ReceivedCallback { callback, hash, source: None }, driver)
-                }
-                // The override fails if the runner was never listed here. That is ignored: the other process
-                // has already answered the operator.
-                HandoverMessage::AdminOverride { id, out } => {
-                    if self.set_maintenance(&id, out, driver).is_ok() {
-                        self.store_admin_override(&id, None, driver);
-                    }
-                }
-                HandoverMessage::InvocationTaken(id) => self.closed_ids.insert(id.into()),
-            }
-        }
-        if std::mem::take(&mut self.handover_peer.ended) {
-            self.end_overlap(driver);
-        }
         for event in std::mem::take(&mut self.runners.events) {
             match event {
                 runners::RunnerEvent::Ended { invocation, number, result, report } => {
@@ -896,94 +764,6 @@
         }
     }
 
-    /// Answers an operator's call; maintenance calls with a store are answered once they are stored.
-    fn handle_operator_call(
-        &mut self,
-        connection: ConnectionId,
-        call: Call,
-        driver: &mut dyn ConnectionDriver,
-    ) {
-        let answer = match call {
-            Call::Status if self.shutdown_since.is_some() => "NO going down\n".to_owned(),
-            Call::Status => match &self.persistence {
-                None => "YES\n".to_owned(),
-                Some(persistence) => {
-                    let ready = if persistence.stage() < Stage::Listed { "NO" } else { "YES" };
-                    let peers = self.peer_exchange.as_ref().map(PeerExchange::status).unwrap_or_default();
-                    format!("{ready} {}{peers}\n", persistence.status())
-                }
-            },
-            Call::Stats => {
-                let (known_runners, out) = self.membership.count();
-                let buffers = driver.buffer_use();
-                let gauges = Gauges {
-                    in_progress: self.invocations.values().filter(|open| !open.is_answered).count(),
-                    known_runners,
-                    skipped_runners: self.policy.ejected_runners(driver.now()) + out,
-                    forwards_written: self.runners.forwards_written(),
-                    surplus_answers: self.runners.surplus_answers(),
-                    buffer_bytes: buffers.bytes,
-                    released_buffers: buffers.released,
-                    timers: buffers.timers,
-                    invocation_bytes: self.invocation_bytes,
-                };
-                let store_metrics = self.persistence.as_ref().map(Persistence::metrics).unwrap_or_default();
-                let peer_metrics = self.peer_exchange.as_ref().map(PeerExchange::metrics).unwrap_or_default();
-                // Without a store or peers, the names of their metrics are empty.
-                let optional_metrics =
-                    store_metrics.iter().chain(&peer_metrics).filter(|(name, _)| !name.is_empty());
-                let host_metrics = driver.host_failures().metrics();
-                format!(
-                    "{}{}{}END\n",
-                    self.metrics.render(&gauges),
-                    metrics::format_metrics(host_metrics.iter()),
-                    metrics::format_metrics(optional_metrics)
-                )
-            }
-            Call::Maintain { id, out } => match self.set_maintenance(&id, out, driver) {
-                Ok(()) => {
-                    self.announce_admin_override(&id, driver);
-                    self.handover_peer.send(&HandoverMessage::AdminOverride { id: id.clone(), out }, driver);
-                    match self.persistence {
-                        None => "YES\n".to_owned(),
-                        Some(_) if self.overlap == Some(Overlap::Successor) => {
-                            "NO another process takes over: call that one\n".to_owned()
-                        }
-                        Some(_) => {
-                            return self.store_admin_override(
-                                &id.clone(),
-                                Some((connection, Call::Maintain { id, out })),
-                                driver,
-                            );
-                        }
-                    }
-                }
-                Err(why) => format!("NO {why}\n"),
-            },
-        };
-        self.operators.answer(connection, &answer, driver);
-    }
-
-    /// Applies an admin override. Once this returns, nothing new goes to a runner that is out, including
-    /// forwards that wait for a connection. Fails with the reason if the runner is unknown.
-    fn set_maintenance(
-        &mut self,
-        id: &str,
-        out: bool,
-        driver: &mut dyn ConnectionDriver,
-    ) -> Result<(), &'static str> {
-        let change = self.membership.set_maintenance(id, out, driver.now());
-        let code = if out { "maint-on" } else { "maint-off" };
-        log!(code, "runner={id:?} answer={}", change.as_ref().err().unwrap_or(&"yes"));
-        let Some(entry) = change? else { return Ok(()) };
-        if out {
-            self.runners.stop_sending(&entry.runner, driver);
-        }
-        self.pending_events
-            .push(Event::Roster(RosterUpdate { listing: Listing::Local, entries: vec![entry] }));
-        Ok(())
-    }
-
     /// Updates the lease on the roster. It lapses when discovery was reachable and its changes have not
     /// arrived for as long as the lease lasts. Listed runners are then treated as draining, so that nothing
     /// is sent to a runner whose drain discovery treats as known here although this process has missed it.
--- a/node/src/request_table/peer_exchange.rs
+++ b/node/src/request_table/peer_exchange.rs
@@ -235,11 +235,10 @@
         let is_out = self.membership.admin_override(id).0.is_some();
         if is_out != out {
             log!("hand-heard", "runner={id:?} out={out}");
-            if !self.membership.is_known(id) {
-                self.membership.inherit(id, None, None);
-            }
+            self.membership.ensure_known(id);
             _ = self.set_maintenance(id, out, driver);
         }
+        self.pass_admin_override(id, out, driver);
         debug_assert!(self.membership.admin_override(id).0.is_some() == out, "at {now}");
         self.store_admin_override(id, None, driver);
     }
--- a/node/src/upstream/membership.rs
+++ b/node/src/upstream/membership.rs
@@ -159,11 +159,6 @@
             .map_or((None, None), |member| (member.in_maintenance_since, member.last_maintenance))
     }
 
-    /// Whether this runner is or was listed.
-    pub fn is_known(&self, id: &str) -> bool {
-        self.by_id.contains_key(id)
-    }
-
     /// Ids of the runners that are or were in maintenance.
     pub fn overridden_ids(&self) -> Vec<String> {
         let overridden =
@@ -213,14 +208,9 @@
         self.by_id.iter().filter_map(past).collect()
     }
 
-    /// Adopts what another process knew of a runner. An unknown runner is added as no longer listed.
-    pub fn inherit(
-        &mut self,
-        id: &str,
-        in_maintenance_since: Option<Micros>,
-        last_maintenance: Option<(Micros, Micros)>,
-    ) {
-        let member = self.by_id.entry(id.into()).or_insert_with(|| {
+    /// The runner of this id. An unknown one is added as no longer listed.
+    fn known_member(&mut self, id: &str) -> &mut Member {
+        self.by_id.entry(id.into()).or_insert_with(|| {
             let entry = RosterEntry {
                 runner: id.into(),
                 cell: -1,
@@ -231,7 +221,22 @@
                 started_at: None,
             };
             Member::new(entry, Some(0))
-        });
+        })
+    }
+
+    /// Adds a runner that another process knows as one that is no longer listed, unless it is known here.
+    pub fn ensure_known(&mut self, id: &str) {
+        self.known_member(id);
+    }
+
+    /// Adopts what another process knew of a runner. An unknown runner is added as no longer listed.
+    pub fn inherit(
+        &mut self,
+        id: &str,
+        in_maintenance_since: Option<Micros>,
+        last_maintenance: Option<(Micros, Micros)>,
+    ) {
+        let member = self.known_member(id);
         member.in_maintenance_since = in_maintenance_since.or(member.in_maintenance_since);
         member.last_maintenance = last_maintenance.or(member.last_maintenance);
     }
--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
@@ -187,6 +187,33 @@
     answer
 }
 
+/// Starts a process of the dispatcher with this folder as `TMPDIR`, where the processes of an upgrade find
+/// each other.
+pub fn start(folder: &Path, listen: SocketAddr, admin: Option<SocketAddr>) -> Program {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
+    command.args(["serve", "--config"]).arg(folder.join("config.json")).stderr(Stdio::null());
+    command.env("TMPDIR", folder).env("RELAY_LISTEN", listen.to_string());
+    command.env("RELAY_ADMIN_ADDR", admin.map_or_else(String::new, |admin| admin.to_string()));
+    Program(command.spawn().unwrap())
+}
+
+/// Repeats a command until its answer contains the expected text, and returns that answer.
+pub fn admin_command_until(admin: SocketAddr, command: &str, expected: &str) -> String {
+    let deadline = Instant::now() + STEP_TIMEOUT;
+    loop {
+        let answer =
+            TcpStream::connect(admin).map_or_else(|_| String::new(), |_| admin_command(admin, command));
+        if answer.contains(expected) {
+            return answer;
+        }
+        assert!(
+            Instant::now() < deadline,
+            "the answer to {command} never contained {expected}, the last one: {answer}"
+        );
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// The configuration that the tests start from.
 pub fn configuration(listen: SocketAddr, discovery: SocketAddr) -> String {
     format!(
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -7,7 +7,6 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -72,16 +71,6 @@
     fs::remove_file(path).unwrap();
 }
 
-/// Starts a process of the dispatcher with this folder as `TMPDIR`, where the processes of an upgrade find
-/// each other.
-fn start(folder: &Path, listen: SocketAddr, admin: Option<SocketAddr>) -> Program {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
-    command.args(["serve", "--config"]).arg(folder.join("config.json")).stderr(Stdio::null());
-    command.env("TMPDIR", folder).env("RELAY_LISTEN", listen.to_string());
-    command.env("RELAY_ADMIN_ADDR", admin.map_or_else(String::new, |admin| admin.to_string()));
-    Program(command.spawn().unwrap())
-}
-
 /// A second process takes the listener over: it serves new connections, the first process answers the
 /// invocations that it has accepted, and admin overrides of runners hold in both.
 #[test]
@@ -128,23 +117,6 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
-/// Repeats a command until its answer contains the expected text, and returns that answer.
-fn admin_command_until(admin: SocketAddr, command: &str, expected: &str) -> String {
-    let deadline = Instant::now() + STEP_TIMEOUT;
-    loop {
-        let answer =
-            TcpStream::connect(admin).map_or_else(|_| String::new(), |_| admin_command(admin, command));
-        if answer.contains(expected) {
-            return answer;
-        }
-        assert!(
-            Instant::now() < deadline,
-            "the answer to {command} never contained {expected}, the last one: {answer}"
-        );
-        thread::sleep(Duration::from_millis(10));
-    }
-}
-
 /// Guards against a store that is lost, or that two processes use, in an upgrade and after a kill.
 #[test]
 fn a_store_is_handed_over_and_its_contents_survive_every_exit() {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -25,6 +25,8 @@
 mod repeated_callbacks;
 #[path = "second_answers.rs"]
 mod second_answers;
+#[path = "upgrade_calls.rs"]
+mod upgrade_calls;
 
 /// The clock's time at the start of every test, in microseconds.
 const START: Micros = 1_700_000_000_000_000;
