Connections: those to runners that rest take no room from clients

Cause: a trial with a line for each closed connection: the new process held 118 to 141 connections, three of clients, and closed those: 'make_room limits=(118, 141) all=119 idle=[(2, .., 9)]'. Since connections rest after an answer, each forward of a fast client dials; the room for clients counted all roles and only clients made it. Change: connections to runners have a share of the descriptors, and above it give way first. The limits on connections are a module of their own.

--- a/node/src/ingress/clients.rs
+++ b/node/src/ingress/clients.rs
@@ -190,9 +190,10 @@
         }
     }
 
-    /// Sets the limits on connections for a process that may have this many sockets.
-    pub fn set_limits(&mut self, sockets: usize) {
-        self.limits = (sockets * 5 / 8, sockets * 3 / 4);
+    /// Sets the limits on the number of connections of all roles: from `replacing` on, a new one takes the
+    /// place of an idle one if there is one; from `most` on, it is not accepted otherwise.
+    pub fn set_limits(&mut self, replacing: usize, most: usize) {
+        self.limits = (replacing, most);
     }
 
     /// Whether one more connection can be accepted. If there are too many, closes one first: one that only
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -8,6 +8,7 @@
 
 mod callbacks;
 mod closed_ids;
+mod connection_room;
 mod invocation_memory;
 mod operator_calls;
 mod overlap_calls;
@@ -150,6 +151,7 @@
 
 use callbacks::FinalCallbacks;
 use closed_ids::ClosedIds;
+use connection_room::ConnectionLimits;
 pub use peer_exchange::PeerExchange;
 pub use persistence::Persistence;
 use upgrade::{Overlap, Upgrade};
@@ -196,9 +198,8 @@
     upgrade: Upgrade,
     /// Limits on sockets and on bytes of memory, shared with the other process during an upgrade.
     resource_limits: (usize, usize),
-    /// Above this number, connections without an unanswered request are closed: the remaining descriptors are
-    /// for the watch, dials and operators.
-    max_connections: usize,
+    /// The limits on connections that follow from the descriptors.
+    connection_limits: ConnectionLimits,
     /// From the settings: the number of dispatchers, the overload window (how long work sent to a cold runner
     /// counts towards its slow-start budget), and the share of its capacity that a runner starts with.
     dispatcher_count: usize,
@@ -264,7 +265,7 @@
             handover_peer: HandoverPeer::default(),
             upgrade: Upgrade::default(),
             resource_limits: (configuration.max_sockets, configuration.memory_bytes),
-            max_connections: 0,
+            connection_limits: ConnectionLimits::default(),
             dispatcher_count,
             overload_window,
             cold_capacity_share,
@@ -318,27 +319,6 @@
         Some((generation, RosterSnapshot::to_json(generation, entries)))
     }
 
-    /// Applies the resource limits. During an upgrade both processes share them, half each, except for
-    /// descriptors: the predecessor accepts no connections any more, so the successor may use all but the
-    /// predecessor's open connections and an eighth for its forwards.
-    fn apply_resource_limits(&mut self) {
-        let (sockets, memory) = self.resource_limits;
-        let (sockets, memory) = match self.upgrade.overlap {
-            None => (sockets, memory),
-            Some(Overlap::Successor) => (sockets / 2, memory / 2),
-            Some(Overlap::Predecessor) => (
-                (sockets / 2).max(sockets.saturating_sub(self.upgrade.predecessor_connections + sockets / 8)),
-                memory / 2,
-            ),
-        };
-        self.max_connections = sockets - sockets / 8;
-        self.clients.set_limits(sockets);
-        self.operators.set_limits(sockets);
-        self.memory_shares = MemoryShares::of(memory);
-        // One of the two processes at most receives a whole roster at a time.
-        self.roster.set_max_bytes(MemoryShares::of(self.resource_limits.1).roster);
-    }
-
     /// Applies a configuration that was read again, except for what only a restart can change: name and
     /// addresses of this process, peers and store. The known roster in the file is older than the watch, and
     /// the seed is for a new process only, so both are ignored. A file that lacks a key of the previous one
@@ -412,17 +392,6 @@
         log!("configuration-refused", "reason={reason:?}");
     }
 
-    /// Whether one more connection of this role can be accepted; makes room for it if necessary.
-    pub fn ensure_room(&mut self, role: ConnectionRole, driver: &mut dyn ConnectionDriver) -> bool {
-        match role {
-            ConnectionRole::Operator => {
-                self.operators.make_room(driver);
-                true
-            }
-            _ => self.clients.ensure_room(driver),
-        }
-    }
-
     /// Registers an accepted connection with the owner of its role.
     pub fn accepted(
         &mut self,
@@ -483,21 +452,6 @@
         !self.pending_events.is_empty()
     }
 
-    /// Closes one idle connection after the host had no descriptor, or no memory for one, so that the next
-    /// attempt can succeed. The shortage is temporary and does not change the connection limits.
-    pub fn handle_descriptor_shortage(&mut self, driver: &mut dyn ConnectionDriver) {
-        let made_room = self.clients.make_room(driver) || self.runners.make_room(driver);
-        log!("descriptors-short", "connections={} made_room={made_room}", driver.connection_count());
-    }
-
-    /// Closes idle connections above the limit, which would leave no descriptors for the watch, dials and
-    /// operators.
-    fn enforce_connection_limit(&mut self, driver: &mut dyn ConnectionDriver) {
-        while driver.connection_count() > self.max_connections
-            && (self.clients.make_room(driver) || self.runners.make_room(driver))
-        {}
-    }
-
     /// Passes all collected events to the routing policy and carries out its actions.
     pub fn decide(&mut self, driver: &mut dyn ConnectionDriver) {
         self.collect_events(driver);
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -21,6 +21,8 @@
 use crate::upstream::roster::Roster;
 use crate::upstream::runners::{RunnerEvent, Runners};
 
+#[path = "connection_room.rs"]
+mod connection_room;
 #[path = "repeated_callbacks.rs"]
 mod repeated_callbacks;
 #[path = "second_answers.rs"]
@@ -278,7 +280,7 @@
 
     /// Accepts a client's connection.
     fn accept(&mut self) -> ConnectionId {
-        assert!(self.table.clients.ensure_room(&mut self.driver));
+        assert!(self.table.ensure_room(ConnectionRole::Client, &mut self.driver));
         let connection = self.driver.open_connection(ConnectionRole::Client);
         self.table.clients.accepted(connection, &mut self.driver);
         connection
