--- a/lab/src/peer_messages.rs
+++ b/lab/src/peer_messages.rs
@@ -64,7 +64,7 @@
                 Action::Send { to, bytes } => sent.push((number(to), bytes)),
                 // Another process run has this boot number: take the next one.
                 Action::PeerEvent(PeerEvent::BootTaken(heard)) => self.protocol.set_boot(heard + 1),
-                Action::PeerEvent(PeerEvent::StateChanged { .. } | PeerEvent::AdminOverride(_)) => {}
+                Action::PeerEvent(PeerEvent::StateChanged { .. } | PeerEvent::AdminOverride { .. }) => {}
             }
         }
         sent
--- a/node/src/lifecycle/store_report.rs
+++ b/node/src/lifecycle/store_report.rs
@@ -31,7 +31,7 @@
     if let Some(admin_override) = stored_types::decode::<StoredOverride>(record) {
         return json!({
             "out_since": admin_override.out_since, "was_out": admin_override.was_out,
-            "count": admin_override.count, "author": admin_override.author,
+            "count": admin_override.count, "author": admin_override.author, "calls": admin_override.calls,
         });
     }
     if let Some(usage) = stored_types::decode::<StoredSlowStartUsage>(record) {
--- a/node/src/lifecycle/store_report/tests.rs
+++ b/node/src/lifecycle/store_report/tests.rs
@@ -33,7 +33,7 @@
             boot      1
             state     the last life ended as it should
             written   1700000002.000
-            file      log-0000000000000001, 249 bytes
+            file      log-0000000000000001, 250 bytes
             records   3
             table     key                   boot           written value
             list                               1    1700000000.000 1 runners, generation 4, from 127.0.0.1:8500
--- a/node/src/request_table/peer_exchange.rs
+++ b/node/src/request_table/peer_exchange.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use topazsail::{Event, Listing, Micros};
-use topazsail_peers::{Action, PeerEvent, PeerState, Peers, Version};
+use topazsail_peers::{Action, AdminCall, PeerEvent, PeerState, Peers};
 use topazsail_recovery as recovery;
 use topazsail_store::stored_types as store;
 
@@ -58,10 +58,18 @@
             ("peers_old", counters.old),
         ]
     }
+}
 
-    /// Version of a runner's admin override, if one is known.
-    fn version(&self, id: &str) -> Option<Version> {
-        self.peers.as_ref()?.overrides.get(id).map(|entry| entry.version)
+/// The calls of a stored admin override, in the form that peers exchange.
+fn exchanged(runner: &str, stored: &store::StoredOverride) -> topazsail_peers::AdminOverride {
+    let call = |&store::StoredCall { author, number, stands }: &store::StoredCall| AdminCall {
+        author,
+        number,
+        stands,
+    };
+    topazsail_peers::AdminOverride {
+        runner: runner.to_owned(),
+        calls: stored.calls.iter().map(call).collect(),
     }
 }
 
@@ -83,24 +91,22 @@
         let now = driver.now();
         let Some(peer_exchange) = &mut self.peer_exchange else { return };
         let stored_overrides = loaded.map(|loaded| loaded.admin_overrides.as_slice()).unwrap_or_default();
-        let to_admin_override =
-            |(runner, entry): &(String, store::StoredOverride)| topazsail_peers::AdminOverride {
-                runner: runner.clone(),
-                // An override from before peers were configured is older than any of theirs.
-                version: Version { count: entry.count.max(1), author: entry.author },
-                out_since: entry.out_since,
-                was_out: entry.was_out,
-            };
         if let Some(peers) = &mut peer_exchange.peers {
             // The store opened after the exchange had begun: the peers are notified of what it holds all the
             // same.
             peers.set_boot(boot.unwrap_or(0));
-            let in_force: Vec<_> = stored_overrides
+            // Calls made here or heard since are known to the peers' exchange, which has the last word.
+            let in_force: Vec<(&str, Option<bool>)> = stored_overrides
                 .iter()
-                .filter_map(|stored| peers.restore(to_admin_override(stored)))
+                .map(|(runner, stored)| {
+                    peers.restore(&exchanged(runner, stored));
+                    (runner.as_str(), peers.overrides.is_out(runner))
+                })
                 .collect();
-            for entry in in_force {
-                self.apply_peer_override(&entry.runner, entry.out_since.is_some(), driver);
+            for (runner, out) in in_force {
+                if let Some(out) = out {
+                    self.apply_peer_override(runner, out, driver);
+                }
             }
             return;
         }
@@ -116,8 +122,8 @@
             now,
         );
         peers.configure(self.dispatcher_count, self.overload_window);
-        for stored in stored_overrides {
-            peers.restore(to_admin_override(stored));
+        for (runner, stored) in stored_overrides {
+            peers.restore(&exchanged(runner, stored));
         }
         peer_exchange.peers = Some(peers);
         self.run_peer_round(driver);
@@ -130,20 +136,35 @@
         }
     }
 
-    /// Count and author of the version of a runner's admin override; zeros if there is none.
-    pub(super) fn override_version(&self, id: &str) -> (u64, u32) {
-        let version = self.peer_exchange.as_ref().and_then(|peer_exchange| peer_exchange.version(id));
-        version.map_or((0, 0), |version| (version.count, version.author))
+    /// The calls on a runner as peers exchange them, to be stored.
+    pub(super) fn exchanged_calls(&self, id: &str) -> Vec<store::StoredCall> {
+        let peers = self.peer_exchange.as_ref().and_then(|peer_exchange| peer_exchange.peers.as_ref());
+        let calls = peers.map(|peers| peers.overrides.calls(id)).unwrap_or_default();
+        let stored = |AdminCall { author, number, stands }| store::StoredCall { author, number, stands };
+        calls.into_iter().map(stored).collect()
     }
 
     /// Announces an operator's call made here to the peers.
     pub(super) fn announce_admin_override(&mut self, id: &str, driver: &mut dyn ConnectionDriver) {
-        let (out_since, was_out) = self.membership.admin_override(id);
+        let out = self.membership.admin_override(id).0.is_some();
         let Some(peers) = self.peers() else { return };
-        let (_, actions) = peers.set_override(id, out_since, was_out, driver.now());
+        let actions = peers.set_override(id, out, driver.now());
         self.apply_peer_actions(actions, driver);
     }
 
+    /// Announces the admin overrides in force here that the peers' exchange does not know: made while it had not
+    /// begun, or without peers.
+    pub(super) fn announce_unknown_overrides(&mut self, driver: &mut dyn ConnectionDriver) {
+        for id in self.membership.overridden_ids() {
+            let out = self.membership.admin_override(&id).0.is_some();
+            let Some(peers) = self.peers() else { return };
+            if peers.overrides.is_out(&id).unwrap_or(false) != out {
+                self.announce_admin_override(&id, driver);
+                self.store_admin_override(&id, None, driver);
+            }
+        }
+    }
+
     /// Announces the stage of recovery to the peers.
     pub(super) fn announce_stage(&mut self) {
         let stage = self.persistence.as_ref().map(|persistence| persistence.stage());
@@ -208,8 +229,8 @@
                     log!("peer", "name={name} life={} boot={boot}", state.code());
                 }
                 Action::PeerEvent(PeerEvent::BootTaken(boot)) => self.resolve_boot_conflict(boot),
-                Action::PeerEvent(PeerEvent::AdminOverride(entry)) => {
-                    self.apply_peer_override(&entry.runner, entry.out_since.is_some(), driver);
+                Action::PeerEvent(PeerEvent::AdminOverride { runner, out }) => {
+                    self.apply_peer_override(&runner, out, driver);
                 }
             }
         }
@@ -228,8 +249,7 @@
         }
     }
 
-    /// Applies a newer admin override from a peer as an operator's call would be. Its times are not used, as
-    /// they are of another clock.
+    /// Applies what the calls on a runner say together with those of a peer, as an operator's call would be.
     fn apply_peer_override(&mut self, id: &str, out: bool, driver: &mut dyn ConnectionDriver) {
         let now = driver.now();
         let is_out = self.membership.admin_override(id).0.is_some();
--- a/node/src/request_table/persistence.rs
+++ b/node/src/request_table/persistence.rs
@@ -311,6 +311,7 @@
         if let Some(loaded) = &loaded {
             pause = recovery::cold_runner_pause(&loaded.summary, self.overload_window);
             self.restore_admin_overrides(loaded, driver);
+            self.announce_unknown_overrides(driver);
         }
         if pause > 0 {
             let entries = self.membership.pause_cold_runners(now + pause, started_at, now);
@@ -385,6 +386,7 @@
                         log!("store", "state=opened boot={boot:?}");
                         self.restore_admin_overrides(&loaded, driver);
                         self.join_peers(boot, Some(&loaded), driver);
+                        self.announce_unknown_overrides(driver);
                         self.store_all(driver);
                     }
                 }
@@ -476,9 +478,10 @@
         driver: &mut dyn ConnectionDriver,
     ) {
         let (out_since, was_out) = self.membership.admin_override(id);
-        let (count, author) = self.override_version(id);
+        let calls = self.exchanged_calls(id);
         let Some(persistence) = &mut self.persistence else { return };
-        let admin_override = StoredOverride { out_since, was_out, count, author };
+        let count = calls.iter().map(|call| call.number).max().unwrap_or(0);
+        let admin_override = StoredOverride { out_since, was_out, count, author: 0, calls };
         match call {
             None => persistence.store_thread.put(id, Some(&admin_override)),
             Some(call) => {
--- /dev/null
+++ b/node/tests/peer_calls.rs
@@ -0,0 +1,232 @@
+//! Operators' calls on a runner at two dispatchers with stores and peers, on loopback: through a cut of the link
+//! between them, restarts and upgrades.
+
+mod helper;
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use std::{env, fs, thread};
+
+use helper::{
+    Connection, Heartbeats, Program, accept_watch, accept_watch_since, admin_command, admin_command_until,
+    configuration, free_address, send_heartbeats, start,
+};
+
+/// How long a state has to last to count as kept: several rounds of the exchange between peers.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+
+/// The way of the datagrams between two dispatchers: each has the other under an address of the link.
+struct Link {
+    /// The addresses under which the first and the second dispatcher are known to each other.
+    faces: [SocketAddr; 2],
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    /// A link between dispatchers that receive datagrams at these addresses.
+    fn new(ends: [SocketAddr; 2]) -> Link {
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let sockets = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+        let faces = sockets.each_ref().map(|socket| socket.local_addr().unwrap());
+        for receiver in [0, 1] {
+            // What arrives at the face of one dispatcher goes to it, from the face of the other.
+            let (from, through) =
+                (sockets[receiver].try_clone().unwrap(), sockets[1 - receiver].try_clone().unwrap());
+            let (to, is_cut) = (ends[receiver], is_cut.clone());
+            thread::spawn(move || {
+                let mut bytes = [0; 2_048];
+                while let Ok(length) = from.recv(&mut bytes) {
+                    if !is_cut.load(Ordering::SeqCst) {
+                        // A process that is down receives nothing.
+                        let _ = through.send_to(&bytes[..length], to);
+                    }
+                }
+            });
+        }
+        Link { faces, is_cut }
+    }
+
+    fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+}
+
+/// One of two dispatchers: its addresses and its folder, with the configuration and the store.
+struct Dispatcher {
+    folder: PathBuf,
+    listen: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A running process that holds its watch.
+struct Running {
+    program: Program,
+    _heartbeats: Heartbeats,
+    _watch: Connection,
+}
+
+/// Two dispatchers with a store each, one runner `s-a`, and a link between them.
+struct Pair {
+    discovery: TcpListener,
+    runner: TcpListener,
+    link: Link,
+    dispatchers: [Dispatcher; 2],
+}
+
+impl Pair {
+    /// Writes the configurations. The octets are for [`free_address`], four from this one on.
+    fn new(octet: u8) -> Pair {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+        // Each bound for a moment only, to find addresses at which the dispatchers can receive.
+        let ends = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+        let ends = ends.each_ref().map(|socket| socket.local_addr().unwrap());
+        let link = Link::new(ends);
+        let dispatchers = [0, 1].map(|nth: usize| {
+            let (listen, admin) =
+                (free_address(octet + 2 * nth as u8), free_address(octet + 2 * nth as u8 + 1));
+            let folder =
+                env::temp_dir().join(format!("topazsail-peers-{octet}-{nth}-{}", std::process::id()));
+            let store = folder.join("store");
+            fs::create_dir_all(&store).unwrap();
+            let more = format!(
+                r#"{{"store":{{"folder":{:?},"require":false}},
+                "peers":{{"listen":"{}","members":[{{"name":"d{}","address":"{}"}}]}},"#,
+                store.display().to_string(),
+                ends[nth],
+                1 - nth,
+                link.faces[1 - nth]
+            );
+            let text = configuration(listen, discovery.local_addr().unwrap());
+            let text = text.replace(r#""name":"n0""#, &format!(r#""name":"d{nth}""#));
+            fs::write(folder.join("config.json"), text.replacen('{', &more, 1)).unwrap();
+            Dispatcher { folder, listen, admin }
+        });
+        Pair { discovery, runner, link, dispatchers }
+    }
+
+    /// Starts a dispatcher for the first time, and lists the runner to it.
+    fn start(&self, nth: usize) -> Running {
+        let program = self.start_process(nth);
+        let mut watch = accept_watch(&self.discovery);
+        watch.list_runner_with_weight(&self.runner, 1.0);
+        Running { program, _heartbeats: send_heartbeats(&watch), _watch: watch }
+    }
+
+    /// Kills a dispatcher's process and starts it again from its store.
+    fn restart(&self, nth: usize, running: Running) -> Running {
+        drop(running.program);
+        let program = self.start_process(nth);
+        let watch = accept_watch_since(&self.discovery, 1);
+        Running { program, _heartbeats: send_heartbeats(&watch), _watch: watch }
+    }
+
+    fn start_process(&self, nth: usize) -> Program {
+        let dispatcher = &self.dispatchers[nth];
+        start(&dispatcher.folder, dispatcher.listen, Some(dispatcher.admin))
+    }
+
+    /// Both dispatchers, running and in contact.
+    fn start_both(&self) -> [Running; 2] {
+        let running = [self.start(0), self.start(1)];
+        self.wait_for_contact();
+        running
+    }
+
+    fn wait_for_contact(&self) {
+        for dispatcher in &self.dispatchers {
+            admin_command_until(dispatcher.admin, "status", "peers=1/1");
+        }
+    }
+
+    /// Makes an operator's call, which has to be answered yes.
+    fn call(&self, nth: usize, line: &str) {
+        assert_eq!(admin_command(self.dispatchers[nth].admin, line), "YES\n", "{line} at d{nth}");
+    }
+
+    /// Waits until both dispatchers have the runner out of service, or both in use, and checks that it stays so.
+    fn assert_both(&self, out: bool) {
+        let expected = format!("skipped_runners={}\n", u8::from(out));
+        for dispatcher in &self.dispatchers {
+            admin_command_until(dispatcher.admin, "stats", &expected);
+        }
+        thread::sleep(SETTLING_TIME);
+        for (nth, dispatcher) in self.dispatchers.iter().enumerate() {
+            let stats = admin_command(dispatcher.admin, "stats");
+            assert!(stats.contains(&expected), "d{nth} does not keep {expected}{stats}");
+        }
+    }
+}
+
+/// Guards against a YES that a peer's call undoes which was made earlier, in ignorance of it (review case 3): a
+/// count of calls that both sides of a cut raise apart orders nothing.
+#[test]
+fn a_call_answered_yes_is_undone_by_no_call_from_the_other_side_of_a_cut() {
+    let pair = Pair::new(106);
+    let _running = pair.start_both();
+    pair.link.set_cut(true);
+    pair.call(1, "maint-on s-a");
+    pair.call(1, "maint-off s-a");
+    pair.call(0, "maint-on s-a");
+    pair.link.set_cut(false);
+    pair.assert_both(true);
+    // With the link whole, a call back at either dispatcher holds at both.
+    for back in [1, 0] {
+        pair.call(back, "maint-off s-a");
+        pair.assert_both(false);
+        pair.call(1 - back, "maint-on s-a");
+        pair.assert_both(true);
+    }
+}
+
+/// The same over kills of both processes, each of which starts from its store.
+#[test]
+fn calls_from_both_sides_of_a_cut_survive_restarts() {
+    let pair = Pair::new(110);
+    let [first, second] = pair.start_both();
+    pair.call(0, "maint-on s-a");
+    pair.assert_both(true);
+    pair.link.set_cut(true);
+    pair.call(1, "maint-off s-a");
+    pair.call(1, "maint-on s-a");
+    pair.call(1, "maint-off s-a");
+    pair.call(0, "maint-on s-a");
+    let _first = pair.restart(0, first);
+    let _second = pair.restart(1, second);
+    for dispatcher in &pair.dispatchers {
+        admin_command_until(dispatcher.admin, "status", "YES stage=");
+    }
+    pair.link.set_cut(false);
+    pair.wait_for_contact();
+    pair.assert_both(true);
+    pair.call(1, "maint-off s-a");
+    pair.assert_both(false);
+}
+
+/// Guards against a call at another dispatcher that only the new process of an upgrade hears of, while the old
+/// one still forwards.
+#[test]
+fn a_call_at_a_peer_reaches_both_processes_of_an_upgrade() {
+    let pair = Pair::new(101);
+    let _running = pair.start_both();
+    let (old, new) = (pair.dispatchers[0].admin, free_address(105));
+    let _new = start(&pair.dispatchers[0].folder, pair.dispatchers[0].listen, Some(new));
+    let new_watch = accept_watch_since(&pair.discovery, 1);
+    let _new_heartbeats = send_heartbeats(&new_watch);
+    admin_command_until(new, "status", "peers=1/1");
+    for (call, out) in [("maint-on s-a", 1), ("maint-off s-a", 0), ("maint-on s-a", 1)] {
+        pair.call(1, call);
+        for process in [new, old] {
+            admin_command_until(process, "stats", &format!("skipped_runners={out}\n"));
+        }
+    }
+}
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -11,7 +11,7 @@
 mod peers;
 pub mod slow_start;
 
-pub use admin_overrides::{AdminOverrides, Version};
+pub use admin_overrides::{AdminCall, AdminOverrides};
 pub use packet::{AdminOverride, MAX_PACKET_BYTES};
 pub use peers::{Action, Member, PeerCounters, PeerEvent, PeerState, Peers};
 pub use slow_start::SlowStartShare;
--- a/peers/src/packet.rs
+++ b/peers/src/packet.rs
@@ -9,29 +9,24 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Micros;
-use crate::admin_overrides::{BUCKETS, Version};
+use crate::admin_overrides::{AdminCall, BUCKETS};
 
 /// Largest datagram in bytes: it passes every link without fragmentation.
 pub const MAX_PACKET_BYTES: usize = 1_200;
 /// First bytes of each datagram.
 const MAGIC: [u8; 2] = *b"tp";
 /// Version of the format that is written, and the only one that is read.
-pub const FORMAT: u8 = 2;
+pub const FORMAT: u8 = 3;
 /// Length of everything before the body.
 const HEADER_BYTES: usize = 7;
 
-/// An operator's override of one runner, and its version.
+/// Operators' calls on one runner, or some of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdminOverride {
     /// Id of the runner.
     pub runner: String,
-    /// How new this entry is.
-    pub version: Version,
-    /// Since when the runner is out of use by an operator; none if it is not.
-    pub out_since: Option<Micros>,
-    /// From when and until when it was last out of use.
-    pub was_out: Option<(Micros, Micros)>,
+    /// The latest calls of some process runs.
+    pub calls: Vec<AdminCall>,
 }
 
 /// Summary of a dispatcher's state. A receiver whose state differs sends its entries.
@@ -71,7 +66,7 @@
     /// `target` has answered a probe that the sender made for the receiver, in its process run `boot`.
     #[serde(rename = "Through")]
     IndirectAnswer { target: u16, number: u64, boot: u64 },
-    /// Entries that differ from the receiver's.
+    /// Calls that the receiver may not know.
     AdminOverrides(Vec<AdminOverride>),
 }
 
--- a/peers/src/packet/tests.rs
+++ b/peers/src/packet/tests.rs
@@ -4,12 +4,8 @@
 use super::*;
 
 fn packet() -> Packet {
-    let entry = AdminOverride {
-        runner: "r1".into(),
-        version: Version { count: 3, author: 9 },
-        out_since: Some(5),
-        was_out: None,
-    };
+    let call = AdminCall { author: 9, number: 3, stands: true };
+    let entry = AdminOverride { runner: "r1".into(), calls: vec![call] };
     let digest = Digest { stage: 2, overrides: [7; BUCKETS] };
     Packet {
         from: "d0".into(),
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -19,7 +19,7 @@
 use rand_pcg::Pcg32;
 
 use crate::Micros;
-use crate::admin_overrides::{AdminOverrides, Version};
+use crate::admin_overrides::{AdminCall, AdminOverrides};
 use crate::packet::{AdminOverride, Digest, MAX_PACKET_BYTES, Message, Packet, PacketError, decode, encode};
 use crate::slow_start::{SlowStartAllocator, SlowStartShare};
 
@@ -39,8 +39,16 @@
 const GONE_TIMEOUT: Micros = 5_000_000;
 /// Shortest time between two batches of entries to the same peer.
 const OVERRIDES_RESEND_INTERVAL: Micros = 200_000;
-/// Most datagrams of one batch.
+/// Most datagrams with entries that are sent to a peer at once.
 const MAX_OVERRIDE_PACKETS: usize = 4;
+/// Most calls in one entry; the calls of more process runs are sent as several entries.
+const MAX_CALLS_PER_ENTRY: usize = 16;
+/// Longest encoding of a call: two numbers and a flag.
+const MAX_CALL_BYTES: usize = 21;
+/// Longest encoding of the length of a list or of an id.
+const MAX_LENGTH_BYTES: usize = 3;
+/// Longest encoding of all that a packet holds besides the sender's name and the entries.
+const PACKET_OVERHEAD_BYTES: usize = 128;
 /// During this time after the start, a peer that has not been heard yet does not count as unreachable.
 const START_GRACE: Micros = 2_000_000;
 /// Most outstanding probes on behalf of other dispatchers.
@@ -88,8 +96,8 @@
     /// A peer knows another process run of this dispatcher with this boot number, which is at least as high
     /// as ours.
     BootTaken(u64),
-    /// A newer entry for a runner has been received.
-    AdminOverride(AdminOverride),
+    /// Calls on a runner have been received that were not known; with them it is out of service or not.
+    AdminOverride { runner: String, out: bool },
 }
 
 /// What the caller has to do.
@@ -145,8 +153,8 @@
     probe: Option<Probe>,
     /// When entries were last sent to it.
     overrides_sent_at: Micros,
-    /// The last runner whose entry was sent, where one batch could not hold all entries.
-    last_sent_runner: String,
+    /// The number of the batch to continue with, where not all could be sent at once.
+    sent_batches: usize,
 }
 
 /// The membership state machine of one dispatcher. All times are of the caller's clock.
@@ -204,7 +212,7 @@
             digest: Digest::default(),
             probe: None,
             overrides_sent_at: Micros::MIN,
-            last_sent_runner: String::new(),
+            sent_batches: 0,
         };
         Peers {
             name: name.to_owned(),
@@ -264,46 +272,33 @@
         self.peers.iter().map(|peer| (peer.member.name.as_str(), peer.state, peer.boot))
     }
 
-    /// Records an operator's override of a runner that was made at this dispatcher. Returns its version, and
-    /// the packets to send.
-    pub fn set_override(
-        &mut self,
-        runner: &str,
-        out_since: Option<Micros>,
-        was_out: Option<(Micros, Micros)>,
-        now: Micros,
-    ) -> (Version, Vec<Action>) {
-        let version = self.overrides.next_version(runner, self.author());
-        let entry = AdminOverride { runner: runner.to_owned(), version, out_since, was_out };
-        self.overrides.merge(entry.clone());
+    /// Records an operator's call on a runner that was made at this dispatcher. Returns the packets to send.
+    pub fn set_override(&mut self, runner: &str, out: bool, now: Micros) -> Vec<Action> {
+        let calls = self.overrides.record(runner, self.author(), out);
+        let batches = batches(vec![(runner, calls)], self.batch_bytes());
         // Sent to all reachable peers immediately; rounds are for those that miss it.
         for index in 0..self.peers.len() {
             if matches!(self.peers[index].state, PeerState::Alive | PeerState::Suspected) {
                 self.peers[index].overrides_sent_at = now;
-                self.send(index, Message::AdminOverrides(vec![entry.clone()]));
+                batches.iter().for_each(|batch| self.send(index, Message::AdminOverrides(batch.clone())));
             }
         }
-        (version, std::mem::take(&mut self.actions))
+        std::mem::take(&mut self.actions)
     }
 
-    /// Marks overrides that were made in this process run.
-    fn author(&self) -> u32 {
-        crc32fast::hash(format!("{} {}", self.name, self.nonce).as_bytes())
+    /// Identifies this process run as the author of calls: by the name, and the nonce that differs from run to
+    /// run also where a boot number is used again.
+    fn author(&self) -> u64 {
+        u64::from(crc32fast::hash(self.name.as_bytes())) << 32 | u64::from(self.nonce)
     }
 
-    /// Adds an entry that an earlier process run has stored, possibly on a disk that opens late. Returns the
-    /// entry if it is in force now. It is not if a newer entry is known. If an override was made here since
-    /// the start, that one wins and gets a version above the stored entry.
-    pub fn restore(&mut self, entry: AdminOverride) -> Option<AdminOverride> {
-        let own = self.author();
-        let known = self.overrides.get(&entry.runner).filter(|known| known.version.author == own).cloned();
-        if !self.overrides.merge(entry.clone()) {
-            return None;
-        }
-        let Some(own_entry) = known else { return Some(entry) };
-        let version = self.overrides.next_version(&own_entry.runner, own);
-        self.overrides.merge(AdminOverride { version, ..own_entry });
-        None
+    /// Adds the calls on a runner that an earlier process run has stored, possibly on a disk that opens late.
+    /// A call that has been made here since the start comes after them. Returns whether the runner is out of
+    /// service, if there was news.
+    pub fn restore(&mut self, entry: &AdminOverride) -> Option<bool> {
+        let author = self.author();
+        let is_news = self.overrides.restore(entry, author);
+        self.overrides.is_out(&entry.runner).filter(|_| is_news)
     }
 
     /// Applies the settings: the number of dispatchers that share slow-start budgets, and the overload
@@ -535,9 +530,7 @@
             }
             Message::AdminOverrides(entries) => {
                 for entry in entries {
-                    if self.overrides.merge(entry.clone()) {
-                        self.actions.push(Action::PeerEvent(PeerEvent::AdminOverride(entry)));
-                    }
+                    self.merge_override(entry);
                 }
             }
         }
@@ -569,7 +562,21 @@
         }
     }
 
-    /// Sends a peer the entries that differ, a few datagrams at a time.
+    /// Merges what a peer knows of the calls on a runner, and reports it if it was news.
+    fn merge_override(&mut self, entry: AdminOverride) {
+        if self.overrides.merge(&entry)
+            && let Some(out) = self.overrides.is_out(&entry.runner)
+        {
+            self.actions.push(Action::PeerEvent(PeerEvent::AdminOverride { runner: entry.runner, out }));
+        }
+    }
+
+    /// The bytes that a datagram has for admin overrides.
+    fn batch_bytes(&self) -> usize {
+        MAX_PACKET_BYTES.saturating_sub(PACKET_OVERHEAD_BYTES + self.name.len())
+    }
+
+    /// Sends a peer the calls that differ, a few datagrams at a time.
     fn send_differing_overrides(&mut self, index: usize, now: Micros) {
         let theirs = self.peers[index].digest.overrides;
         if theirs == self.overrides.digest()
@@ -578,29 +585,35 @@
             return;
         }
         self.peers[index].overrides_sent_at = now;
-        let mut entries: Vec<AdminOverride> = self.overrides.differing(&theirs).cloned().collect();
-        // If there are too many, continue where the previous batch ended.
-        let start = entries.partition_point(|entry| entry.runner <= self.peers[index].last_sent_runner);
-        entries.rotate_left(start);
-        let empty_length = encode(&self.packet(index, Message::AdminOverrides(Vec::new()))).len();
-        let mut entries = entries.into_iter().peekable();
-        for _ in 0..MAX_OVERRIDE_PACKETS {
-            // 8 more bytes for the encoded number of entries.
-            let (mut batch, mut length) = (Vec::new(), empty_length + 8);
-            while let Some(entry) = entries.next_if(|entry| {
-                // The runner's id, and an upper bound for the encoded numbers.
-                length += entry.runner.len() + 64;
-                length <= MAX_PACKET_BYTES
-            }) {
-                self.peers[index].last_sent_runner.clone_from(&entry.runner);
-                batch.push(entry);
+        let all = batches(self.overrides.differing(&theirs).collect(), self.batch_bytes());
+        // If there are too many, continue where the previous ones ended.
+        let first = self.peers[index].sent_batches % all.len().max(1);
+        let sent = all.len().min(MAX_OVERRIDE_PACKETS);
+        self.peers[index].sent_batches = first + sent;
+        for batch in all.into_iter().cycle().skip(first).take(sent) {
+            self.send(index, Message::AdminOverrides(batch));
+        }
+    }
+}
+
+/// Divides calls into batches that each fit into this many bytes of a datagram.
+fn batches(runners: Vec<(&str, Vec<AdminCall>)>, max_bytes: usize) -> Vec<Vec<AdminOverride>> {
+    let mut batches: Vec<Vec<AdminOverride>> = Vec::new();
+    let mut used = max_bytes;
+    for (runner, calls) in runners {
+        for part in calls.chunks(MAX_CALLS_PER_ENTRY) {
+            let bytes = runner.len() + 2 * MAX_LENGTH_BYTES + part.len() * MAX_CALL_BYTES;
+            if used + bytes > max_bytes {
+                batches.push(Vec::new());
+                used = 0;
             }
-            if batch.is_empty() {
-                return;
+            used += bytes;
+            if let Some(batch) = batches.last_mut() {
+                batch.push(AdminOverride { runner: runner.to_owned(), calls: part.to_vec() });
             }
-            self.send(index, Message::AdminOverrides(batch));
         }
     }
+    batches
 }
 
 #[cfg(test)]
--- a/peers/src/peers/tests.rs
+++ b/peers/src/peers/tests.rs
@@ -219,12 +219,12 @@
 
     fn set_override(&mut self, nth: usize, runner: &str, out: bool) {
         let now = self.now;
-        let (_, actions) = self.dispatcher(nth).set_override(runner, out.then_some(now), None, now);
+        let actions = self.dispatcher(nth).set_override(runner, out, now);
         self.act(nth, actions);
     }
 
     fn is_out(&self, nth: usize, runner: &str) -> Option<bool> {
-        Some(self.dispatchers[nth].as_ref()?.overrides.get(runner)?.out_since.is_some())
+        self.dispatchers[nth].as_ref()?.overrides.is_out(runner)
     }
 
     fn state(&self, at: usize, of: usize) -> PeerState {
@@ -335,9 +335,7 @@
         0,
         Message::AdminOverrides(vec![AdminOverride {
             runner: "r1".into(),
-            version: Version { count: 1, author: 1 },
-            out_since: Some(1),
-            was_out: None,
+            calls: vec![AdminCall { author: 1, number: 1, stands: true }],
         }]),
     ));
     net.start(1, 2);
@@ -383,7 +381,7 @@
     net.run(500_000);
     for nth in 0..2_000 {
         let now = net.now;
-        net.dispatcher(0).set_override(&format!("runner-{nth}"), Some(now), None, now);
+        net.dispatcher(0).set_override(&format!("runner-{nth}"), true, now);
     }
     net.run(20_000_000);
     assert_eq!(net.dispatcher(2).overrides.iter().count(), 2_000);
@@ -476,12 +474,11 @@
     net.run(300_000);
     net.set_override(0, "r1", false);
     net.run(50_000);
-    let version = Version { count: 3, author: 9 };
-    let stored =
-        |runner: &str| AdminOverride { runner: runner.into(), version, out_since: Some(5), was_out: None };
-    assert_eq!(net.dispatcher(0).restore(stored("r1")), None);
-    assert_eq!(net.dispatcher(0).restore(stored("r2")), Some(stored("r2")));
-    assert_eq!(net.dispatcher(0).restore(stored("r2")), None);
+    let call = AdminCall { author: 9, number: 3, stands: true };
+    let stored = |runner: &str| AdminOverride { runner: runner.into(), calls: vec![call] };
+    assert_eq!(net.dispatcher(0).restore(&stored("r1")), Some(false));
+    assert_eq!(net.dispatcher(0).restore(&stored("r2")), Some(true));
+    assert_eq!(net.dispatcher(0).restore(&stored("r2")), None);
     net.run(2_000_000);
     for nth in 0..3 {
         assert_eq!((net.is_out(nth, "r1"), net.is_out(nth, "r2")), (Some(false), Some(true)));
--- a/store/src/stored_types.rs
+++ b/store/src/stored_types.rs
@@ -21,6 +21,11 @@
     const FORMAT: u16;
     /// An older record is used only if nothing newer is available; none if age does not matter.
     const FRESHNESS_WINDOW: Option<Micros>;
+
+    /// Decodes a value of this format; none if the bytes are invalid.
+    fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
 }
 
 /// The last known roster, in discovery's JSON format. One record.
@@ -48,10 +53,43 @@
     pub out_since: Option<Micros>,
     /// From when and until when it was last out of use.
     pub was_out: Option<(Micros, Micros)>,
-    /// Version among dispatchers: the number of overrides of this runner so far; 0 without peers.
+    /// For versions of the program that know one call for each runner: its number, 0 without peers.
     pub count: u64,
-    /// Author of the last override; 0 without peers.
+    /// For the same versions: its author, 0 without peers.
     pub author: u32,
+    /// The latest call of each process run on this runner, as peers exchange them; empty without peers.
+    pub calls: Vec<StoredCall>,
+}
+
+/// The latest call of one process run on a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredCall {
+    /// Identifies the process run.
+    pub author: u64,
+    /// Orders the calls of the process run.
+    pub number: u64,
+    /// Whether it takes the runner out and has not been undone.
+    pub stands: bool,
+}
+
+/// The fields of [`StoredOverride`] that versions of the program wrote which knew one call for each runner.
+/// They read records of this version, as they ignore what follows these fields.
+#[derive(Deserialize)]
+struct SingleCallOverride {
+    out_since: Option<Micros>,
+    was_out: Option<(Micros, Micros)>,
+    count: u64,
+    author: u32,
+}
+
+impl SingleCallOverride {
+    /// The same with the call in the form in which peers exchange it now.
+    fn with_calls(self) -> StoredOverride {
+        let SingleCallOverride { out_since, was_out, count, author } = self;
+        let call = StoredCall { author: u64::from(author), number: count, stands: out_since.is_some() };
+        let calls = if count > 0 { vec![call] } else { Vec::new() };
+        StoredOverride { out_since, was_out, count, author, calls }
+    }
 }
 
 impl Storable for StoredOverride {
@@ -59,6 +97,11 @@
     const NAME: &'static str = "hand";
     const FORMAT: u16 = 1;
     const FRESHNESS_WINDOW: Option<Micros> = None;
+
+    fn from_bytes(bytes: &[u8]) -> Option<StoredOverride> {
+        let current = postcard::from_bytes(bytes).ok();
+        current.or_else(|| postcard::from_bytes(bytes).ok().map(SingleCallOverride::with_calls))
+    }
 }
 
 /// Work recently sent to cold runners. One record for all runners.
@@ -107,7 +150,7 @@
 /// Decodes a record's value; none if the table or format version differs, or the bytes are invalid.
 pub fn decode<T: Storable>(record: &Record) -> Option<T> {
     let bytes = record.value.as_deref().filter(|_| record.table == T::TABLE && record.form == T::FORMAT)?;
-    postcard::from_bytes(bytes).ok()
+    T::from_bytes(bytes)
 }
 
 /// Encodes a value for a record.
