--- a/node/src/lifecycle/handover.rs
+++ b/node/src/lifecycle/handover.rs
@@ -29,10 +29,8 @@
 
 /// How long a starting process waits for the serving one.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
-/// The largest accepted state.
-const MAX_STATE_BYTES: usize = 8 << 20;
-/// The longest accepted message after the state.
-const MAX_LINE_BYTES: usize = 1 << 20;
+/// The longest accepted line: the state, or a message after it, of which a list of runners is the longest.
+const MAX_LINE_BYTES: usize = 8 << 20;
 /// The version of the protocol, sent together with the descriptor. Other versions are rejected.
 const PROTOCOL_VERSION: u8 = b'1';
 
@@ -92,7 +90,7 @@
         set_read_timeout(&stream)?;
         let read = stream.read(&mut buffer)?;
         text.extend_from_slice(&buffer[..read]);
-        if read == 0 || text.len() > MAX_STATE_BYTES || Instant::now() > deadline {
+        if read == 0 || text.len() > MAX_LINE_BYTES || Instant::now() > deadline {
             return Err(invalid("the state did not come whole"));
         }
     };
--- a/node/src/lifecycle/handover/messages.rs
+++ b/node/src/lifecycle/handover/messages.rs
@@ -5,6 +5,7 @@
 use topazsail::Micros;
 
 use crate::ingress::clients::RunnerCallback;
+use crate::upstream::roster::{PassedContact, PassedRoster};
 
 /// The state of a serving process that its successor needs.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -56,6 +57,12 @@
         #[serde(default = "all_overrides")]
         seen: u64,
     },
+    /// A list of runners that the sender has received from discovery.
+    #[serde(rename = "list")]
+    Roster(PassedRoster),
+    /// How far the sender has heard all that discovery announced.
+    #[serde(rename = "sure")]
+    RosterContact(PassedContact),
     /// The id of an invocation that the sender has accepted.
     #[serde(rename = "taken")]
     InvocationTaken(String),
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -335,11 +335,13 @@
         }
     }
 
-    /// Whether all responses to clients and operators have been written.
+    /// Whether all responses to clients and operators have been written, and all that the other process of an
+    /// upgrade has to know.
     fn all_responses_written(&self) -> bool {
-        self.connections.values().all(|connection| {
-            !matches!(connection.role, ConnectionRole::Client | ConnectionRole::Operator)
-                || !connection.has_unsent()
+        use ConnectionRole::{Client, Operator, Peer};
+        let mut connections = self.connections.values();
+        connections.all(|connection| {
+            !matches!(connection.role, Client | Operator | Peer) || !connection.has_unsent()
         })
     }
 
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -296,14 +296,8 @@
             Some(inherited) => table.inherit(inherited, configuration.initial_roster, started_at),
             None => (configuration.initial_roster, Vec::new()),
         };
-        table.apply_listing(
-            roster::RosterEvent {
-                listing: Listing::Remembered,
-                previous_contact: None,
-                entries: initial_roster.entries(),
-            },
-            driver,
-        );
+        table
+            .apply_listing(roster::RosterEvent::local(Listing::Remembered, initial_roster.entries()), driver);
         // Only after the roster event: the policy must know these runners.
         if !slow_start_usage.is_empty() {
             table.pending_events.push(Event::SlowStartUsage(slow_start_usage));
@@ -660,8 +654,10 @@
         // What the other process of an upgrade has told comes before what operators and clients ask for.
         self.collect_handover_events(driver);
         for event in std::mem::take(&mut self.roster.events) {
+            self.pass_roster(&event, driver);
             self.apply_listing(event, driver);
         }
+        self.pass_roster_contact(driver);
         self.update_lease(driver);
         for (connection, call) in std::mem::take(&mut self.operators.events) {
             self.handle_operator_call(connection, call, driver);
--- a/node/src/request_table/persistence.rs
+++ b/node/src/request_table/persistence.rs
@@ -319,14 +319,7 @@
             log!("trusts", "item=spent belief=dropped rest_ms={}", pause / 1000);
             driver.set_timer(Timer::ColdRunnerPause, now + pause);
         }
-        self.apply_listing(
-            roster::RosterEvent {
-                listing: Listing::Remembered,
-                previous_contact: None,
-                entries: chosen.entries(),
-            },
-            driver,
-        );
+        self.apply_listing(roster::RosterEvent::local(Listing::Remembered, chosen.entries()), driver);
         if let Some(loaded) = loaded {
             let (trust, why) = recovery::trust_slow_start_usage(&loaded.summary);
             if let Some(usage) = loaded.slow_start_usage.filter(|_| trust == Trust::Trusted) {
--- a/node/src/request_table/upgrade.rs
+++ b/node/src/request_table/upgrade.rs
@@ -12,7 +12,7 @@
 use crate::lifecycle::handover::{HandoverMessage, HandoverState};
 use crate::net::connection::{ConnectionDriver, ConnectionHandler, ConnectionId, Timer};
 use crate::net::log::log;
-use crate::upstream::roster::RosterSnapshot;
+use crate::upstream::roster::{PassedContact, RosterEvent, RosterSnapshot};
 
 /// Which role the other process of this dispatcher has while both serve during an upgrade.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,14 +32,8 @@
     pub(super) predecessor_connections: usize,
     /// The order of the admin overrides of both processes.
     calls: OverlapCalls,
-}
-
-impl Upgrade {
-    /// Begins the time in which both processes serve.
-    fn begin(&mut self, overlap: Overlap) {
-        self.overlap = Some(overlap);
-        self.calls = OverlapCalls::default();
-    }
+    /// Until when both processes have heard all that discovery announced.
+    shared_certainty: Micros,
 }
 
 impl RequestTable {
@@ -69,7 +63,7 @@
             Some(Ok(roster)) => {
                 // A predecessor that does not send the time still follows its watch, so its roster is certain
                 // up to now.
-                let certain_until = if inherited.sure_at > 0 { inherited.sure_at } else { now };
+                let certain_until = if inherited.sure_at > 0 { inherited.sure_at.min(now) } else { now };
                 self.roster.resume_from(roster.generation, certain_until);
                 // The lease is held from the start. No entries change, as no runner is listed yet.
                 let _ = self.membership.update_lease(certain_until, now);
@@ -79,6 +73,13 @@
         }
     }
 
+    /// Begins the time in which both processes serve.
+    fn begin_overlap(&mut self, overlap: Overlap) {
+        self.upgrade.overlap = Some(overlap);
+        self.upgrade.calls = OverlapCalls::default();
+        self.upgrade.shared_certainty = self.roster.certain_until();
+    }
+
     /// Attaches the connection to the predecessor, which stays open until that process ends, and reads what
     /// has already arrived on it.
     pub fn attach_predecessor(
@@ -89,7 +90,7 @@
     ) {
         self.handover_peer.attach(connection);
         self.handover_peer.received(connection, &mut early_bytes, driver);
-        self.upgrade.begin(Overlap::Predecessor);
+        self.begin_overlap(Overlap::Predecessor);
         self.apply_resource_limits();
     }
 
@@ -119,7 +120,7 @@
         self.release_store(true);
         self.handover_peer.attach(connection);
         self.handover_peer.send(&state, driver);
-        self.upgrade.begin(Overlap::Successor);
+        self.begin_overlap(Overlap::Successor);
         self.clients.set_handed_over(true);
         self.apply_resource_limits();
         self.pause_cold_runners(Micros::MAX, driver);
@@ -165,6 +166,8 @@
                 HandoverMessage::AdminOverride { id, out, seen } => {
                     self.apply_passed_override(&id, out, seen, driver)
                 }
+                HandoverMessage::Roster(passed) => self.roster.receive_passed(passed),
+                HandoverMessage::RosterContact(contact) => self.receive_roster_contact(contact, driver),
                 HandoverMessage::InvocationTaken(id) => self.closed_ids.insert(id.into()),
             }
         }
@@ -173,6 +176,31 @@
         }
     }
 
+    /// Passes a list that this process has received from discovery to the other process of an upgrade.
+    pub(super) fn pass_roster(&self, event: &RosterEvent, driver: &mut dyn ConnectionDriver) {
+        if self.upgrade.overlap.is_some()
+            && let Some(passed) = self.roster.to_passed(event)
+        {
+            self.handover_peer.send(&HandoverMessage::Roster(passed), driver);
+        }
+    }
+
+    /// Tells the other process of an upgrade how far this one has heard all that discovery announced, once all
+    /// lists that arrived until then have been passed.
+    pub(super) fn pass_roster_contact(&mut self, driver: &mut dyn ConnectionDriver) {
+        let contact = self.roster.contact();
+        if self.upgrade.overlap.is_some() && contact.certain_until > self.upgrade.shared_certainty {
+            self.upgrade.shared_certainty = contact.certain_until;
+            self.handover_peer.send(&HandoverMessage::RosterContact(contact), driver);
+        }
+    }
+
+    /// Applies how far the other process has heard all that discovery announced.
+    fn receive_roster_contact(&mut self, contact: PassedContact, driver: &mut dyn ConnectionDriver) {
+        self.roster.receive_contact(contact, driver.now());
+        self.upgrade.shared_certainty = self.roster.certain_until();
+    }
+
     /// Passes an admin override that this process has applied to the other process of an upgrade.
     pub(super) fn pass_admin_override(&mut self, id: &str, out: bool, driver: &mut dyn ConnectionDriver) {
         if self.upgrade.overlap.is_some() {
--- a/node/src/upstream/roster.rs
+++ b/node/src/upstream/roster.rs
@@ -5,11 +5,13 @@
 //! whether to retry, not this module. No change may be lost: a generation counts as reached only once its
 //! entries have been handed on as an event.
 
+mod passed;
+
 use std::fmt;
 use std::net::SocketAddr;
 
 use serde::de::{SeqAccess, Visitor};
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::{Value, json};
 use topazsail::{Listing, Micros, Readiness, RosterEntry};
 
@@ -20,6 +22,7 @@
 use crate::net::log::log;
 use crate::upstream::membership::ROSTER_LEASE_TIMEOUT;
 use crate::upstream::object_scanner::ObjectScanner;
+pub use passed::{PassedContact, PassedRoster};
 
 // Discovery treats a change that it could deliver as known to the dispatcher after `ROSTER_LEASE_TIMEOUT`.
 // These timeouts and the routing policy's pauses between requests add up to less than that, in whatever order
@@ -52,7 +55,7 @@
 const MAX_REQUESTS: usize = 2;
 
 /// A roster or a change to it, as discovery sends it.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default, Deserialize, Serialize)]
 pub struct RosterSnapshot {
     /// Discovery's version of the roster.
     pub generation: u64,
@@ -93,6 +96,32 @@
     }
 }
 
+/// An entry in the JSON that discovery sends.
+fn instance_json(entry: &RosterEntry, address: Option<SocketAddr>) -> Value {
+    let lifecycle = match entry.readiness {
+        Readiness::Up => "up",
+        Readiness::Draining => "draining",
+        Readiness::Removed => "removed",
+    };
+    json!({
+        "instanceId": &*entry.runner,
+        "hostPort": address.map(|address| address.to_string()),
+        "zone": &*entry.zone,
+        "machineType": &*entry.machine_type,
+        "cell": entry.cell,
+        "lifecycle": lifecycle,
+        "weight": entry.size,
+        "startedAtMs": entry.started_at.unwrap_or(0) / 1000,
+    })
+}
+
+/// Writes the elements one by one, as they are read.
+impl Serialize for Instances {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.entries.iter().map(|(entry, address)| instance_json(entry, *address)))
+    }
+}
+
 /// Reads the elements one by one, as the JSON of all of them together would take many times their text.
 fn read_instances<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Instances, D::Error> {
     struct Elements;
@@ -127,24 +156,18 @@
         self.instances.entries.len()
     }
 
+    /// A whole roster, or a change to it, with these entries.
+    fn new(generation: u64, reset: bool, entries: Vec<AddressedEntry>) -> RosterSnapshot {
+        RosterSnapshot { generation, reset, instances: Instances { entries, faults: Vec::new() } }
+    }
+
     /// Encodes a whole roster in the JSON that discovery sends.
     pub fn to_json<'a>(
         generation: u64,
         entries: impl Iterator<Item = (&'a RosterEntry, SocketAddr)>,
     ) -> Value {
-        let instance = |(entry, address): (&RosterEntry, SocketAddr)| {
-            json!({
-                "instanceId": &*entry.runner,
-                "hostPort": address.to_string(),
-                "zone": &*entry.zone,
-                "machineType": &*entry.machine_type,
-                "cell": entry.cell,
-                "lifecycle": if entry.readiness == Readiness::Up { "up" } else { "draining" },
-                "weight": entry.size,
-                "startedAtMs": entry.started_at.unwrap_or(0) / 1000,
-            })
-        };
-        let instances: Vec<Value> = entries.map(instance).collect();
+        let instances: Vec<Value> =
+            entries.map(|(entry, address)| instance_json(entry, Some(address))).collect();
         json!({ "generation": generation, "reset": true, "instances": instances })
     }
 
@@ -242,12 +265,31 @@
     /// then.
     pub previous_contact: Option<Micros>,
     pub entries: Vec<AddressedEntry>,
+    /// Its place in discovery's count, if this process has received it from discovery.
+    pub generations: Option<Generations>,
+}
+
+/// From which generation of the roster, if one was known, to which one a list leads.
+#[derive(Clone, Copy, Debug)]
+pub struct Generations {
+    pub since: Option<u64>,
+    pub reached: u64,
+}
+
+impl RosterEvent {
+    /// A list that this process has not received from discovery, or the failure of a request.
+    pub fn local(listing: Listing, entries: Vec<AddressedEntry>) -> RosterEvent {
+        RosterEvent { listing, previous_contact: None, entries, generations: None }
+    }
 }
 
 /// An open request to discovery. The first one on which a complete line arrives becomes the watch.
 struct WatchRequest {
     connection: ConnectionId,
     sent_at: Micros,
+    /// The generation that it asks for the changes since, then the last one received on it. The other process
+    /// of an upgrade may have told of later ones.
+    generation: Option<u64>,
     connected: bool,
     /// How the body is framed, once the head has arrived.
     framing: Option<Framing>,
@@ -272,10 +314,11 @@
 }
 
 impl WatchRequest {
-    fn new(connection: ConnectionId, connected: bool, now: Micros) -> WatchRequest {
+    fn new(connection: ConnectionId, generation: Option<u64>, connected: bool, now: Micros) -> WatchRequest {
         WatchRequest {
             connection,
             sent_at: now,
+            generation,
             connected,
             framing: None,
             keep_alive: false,
@@ -342,6 +385,10 @@
     /// Until when no change can have been missed. After that discovery could be reached, and may have had
     /// changes that have not arrived.
     certain_until: Micros,
+    /// Until when what has arrived on a watch shows that no change can have been missed.
+    heard_until: Micros,
+    /// A list of the other process of an upgrade leads from a generation that this process has not reached.
+    has_gap: bool,
     /// When the last line arrived.
     last_contact: Option<Micros>,
     /// Discovery has closed the watch, and nothing has arrived since: it is down.
@@ -363,6 +410,8 @@
             max_bytes: usize::MAX,
             requests: Vec::new(),
             certain_until: 0,
+            heard_until: 0,
+            has_gap: false,
             last_contact: None,
             is_down: false,
             failing_since: None,
@@ -423,7 +472,7 @@
             None => "/v1/servers".to_owned(),
         };
         driver.send(connection, &encode_bodiless_request("GET", &target, self.discovery));
-        let request = WatchRequest::new(connection, connected, driver.now());
+        let request = WatchRequest::new(connection, self.generation, connected, driver.now());
         self.failing_since.get_or_insert(request.sent_at);
         driver.set_timer(Timer::Connection(connection), request.deadline(self.pushed));
         self.requests.push(request);
@@ -449,11 +498,7 @@
         let generation =
             self.generation.map_or_else(|| "none".to_owned(), |generation| generation.to_string());
         log!("watch-lost", "generation={generation} reason={reason}");
-        self.events.push(RosterEvent {
-            listing: Listing::Refused,
-            previous_contact: None,
-            entries: Vec::new(),
-        });
+        self.events.push(RosterEvent::local(Listing::Refused, Vec::new()));
     }
 
     /// Removes a request that has ended. Its failure is reported unless another request has been sent in its
@@ -482,7 +527,9 @@
     ) {
         let (now, certain_before) = (driver.now(), self.certain_until);
         self.last_contact = Some(now);
+        self.has_gap = false;
         self.certain_until = self.certain_until.max(certain_until);
+        self.heard_until = self.heard_until.max(certain_until);
         for request in self.requests.extract_if(.., |request| request.connection != connection) {
             driver.abort(request.connection, CloseReason::WatchReplaced);
         }
@@ -576,18 +623,28 @@
                 Err(_) => return Err("bad_line"),
             };
             used = snapshots.byte_offset();
-            let listing = if snapshot.reset { Listing::All } else { Listing::Changes };
-            let went_back =
-                !snapshot.reset && self.generation.is_some_and(|known| snapshot.generation < known);
-            self.generation = Some(snapshot.generation).filter(|_| !went_back);
+            let received_before = request.generation.replace(snapshot.generation);
+            // Discovery counts from the start again.
+            let went_back = received_before.is_some_and(|before| snapshot.generation < before);
+            let is_passed = !went_back && self.generation.is_some_and(|known| snapshot.generation < known);
+            if is_passed && snapshot.reset {
+                // Changes since this list are asked for from where the other process's lists end.
+                return Err("list_behind");
+            }
+            if is_passed {
+                continue;
+            }
+            let generations = Generations { since: self.generation, reached: snapshot.generation };
+            let must_ask_for_all = went_back && !snapshot.reset;
+            self.generation = Some(snapshot.generation).filter(|_| !must_ask_for_all);
             self.events.push(RosterEvent {
-                listing,
+                listing: if snapshot.reset { Listing::All } else { Listing::Changes },
                 previous_contact: self.last_contact,
                 entries: snapshot.entries(),
+                generations: Some(generations),
             });
-            if went_back {
-                // Discovery counts from the start again, and neither count covers the changes between: the
-                // whole roster is requested.
+            if must_ask_for_all {
+                // Neither count covers the changes between.
                 return Err("generation_back");
             }
         }
@@ -620,10 +677,12 @@
         let previous_contact = self.last_contact;
         self.confirm_watch(connection, sent_at, driver);
         let Some(request) = self.requests.pop() else { return Ok(()) };
+        let generations = Generations { since: None, reached: snapshot.generation };
         self.events.push(RosterEvent {
             listing: Listing::All,
             previous_contact,
             entries: snapshot.entries(),
+            generations: Some(generations),
         });
         if request.keep_alive {
             self.send_request(request.connection, true, driver);
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use expect_test::{Expect, expect};
+use serde_json::json;
 use topazsail::{DeduplicationScope, Effect, Id, Listing, Micros, Readiness, RosterEntry};
 
 use crate::config;
@@ -29,6 +30,8 @@
 mod second_answers;
 #[path = "upgrade_calls.rs"]
 mod upgrade_calls;
+#[path = "upgrade_rosters.rs"]
+mod upgrade_rosters;
 
 /// The clock's time at the start of every test, in microseconds.
 const START: Micros = 1_700_000_000_000_000;
@@ -216,10 +219,21 @@
 
     /// The successor of a process, with the messages that `predecessor` sends to it on `connection`.
     fn successor(predecessor: &mut Node, connection: ConnectionId) -> Node {
+        Node::successor_after(predecessor, connection, |_| ())
+    }
+
+    /// Like [`Node::successor`]; `meanwhile` happens to the predecessor once it has sent its state, before its
+    /// successor reads that.
+    fn successor_after(
+        predecessor: &mut Node,
+        connection: ConnectionId,
+        meanwhile: impl Fn(&mut Node),
+    ) -> Node {
         predecessor.driver.roles.insert(connection, ConnectionRole::Peer);
         predecessor.driver.inputs.insert(connection, Vec::new());
         predecessor.table.hand_over(connection, &mut predecessor.driver);
         predecessor.run_until_idle();
+        meanwhile(predecessor);
         let text = predecessor.driver.handover_text.remove(&connection).unwrap();
         let (state, later_text) = text.split_once('\n').unwrap();
         let state = serde_json::from_str(state).unwrap();
