--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -168,6 +168,39 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// Guards against a call that takes effect before an earlier one, which the other process of an upgrade has answered
+/// and whose message waits behind the ids of invocations.
+#[test]
+fn calls_at_both_processes_of_an_upgrade_take_effect_in_their_order() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (listen, admins) = (free_address(118), [free_address(119), free_address(120)]);
+    let folder = env::temp_dir().join(format!("topazsail-order-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    fs::write(folder.join("config.json"), configuration(listen, discovery.local_addr().unwrap())).unwrap();
+    let _first = start(&folder, listen, Some(admins[0]));
+    let mut watch = accept_watch(&discovery);
+    watch.list_runner_with_weight(&runner, 1.0);
+    let _heartbeats = send_heartbeats(&watch);
+    admin_command_until(admins[0], "stats", "known_runners=1\n");
+    let _second = start(&folder, listen, Some(admins[1]));
+    let second_watch = accept_watch_since(&discovery, 1);
+    let _second_heartbeats = send_heartbeats(&second_watch);
+    assert_eq!(admin_command(admins[1], "status"), "YES\n");
+    for nth in 0..200 {
+        let calls = ["maint-on s-a", "maint-off s-a", "maint-on s-a", "maint-off s-a"];
+        for (call, admin) in calls[nth % 2..nth % 2 + 3].iter().zip([0, 1, 0]) {
+            assert_eq!(admin_command(admins[(admin + nth) % 2], call), "YES\n");
+        }
+        let expected = format!("skipped_runners={}\n", 1 - nth % 2);
+        for admin in admins {
+            let stats = admin_command(admin, "stats");
+            assert!(stats.contains(&expected), "round {nth}: expected {expected}{stats}");
+        }
+    }
+    fs::remove_dir_all(folder).unwrap();
+}
+
 /// From SIGTERM until the platform kills a process: 3 s, and 0.7 s more.
 const KILL_TIMEOUT: Duration = Duration::from_millis(3_700);
 
--- a/node/tests/peer_calls.rs
+++ b/node/tests/peer_calls.rs
@@ -4,7 +4,7 @@
 mod helper;
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -67,6 +67,15 @@
     }
 }
 
+/// Copies the files of a folder.
+fn copy_folder(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for file in fs::read_dir(from).unwrap() {
+        let file = file.unwrap();
+        fs::copy(file.path(), to.join(file.file_name())).unwrap();
+    }
+}
+
 /// A running process that holds its watch.
 struct Running {
     program: Program,
@@ -212,6 +221,46 @@
     pair.assert_both(false);
 }
 
+/// Guards against a process that starts from an old copy of its disk, whose new calls are taken for calls that have
+/// been undone, or that brings back what has been undone.
+#[test]
+fn calls_hold_over_a_disk_that_is_rolled_back() {
+    let pair = Pair::new(114);
+    let [first, _second] = pair.start_both();
+    let store = pair.dispatchers[0].folder.join("store");
+    let copy = pair.dispatchers[0].folder.join("copy");
+    pair.call(0, "maint-on s-a");
+    pair.assert_both(true);
+    copy_folder(&store, &copy);
+    pair.call(0, "maint-off s-a");
+    pair.assert_both(false);
+    let roll_back = |running: Running| {
+        drop(running.program);
+        fs::remove_dir_all(&store).unwrap();
+        copy_folder(&copy, &store);
+        let program = pair.start_process(0);
+        let watch = accept_watch_since(&pair.discovery, 1);
+        admin_command_until(pair.dispatchers[0].admin, "status", "YES stage=");
+        Running { program, _heartbeats: send_heartbeats(&watch), _watch: watch }
+    };
+    // The call that its disk has was undone, as the peer knows.
+    let first = roll_back(first);
+    pair.wait_for_contact();
+    pair.assert_both(false);
+    // Its new calls count, made in contact and in a cut.
+    pair.call(0, "maint-on s-a");
+    pair.assert_both(true);
+    pair.call(1, "maint-off s-a");
+    pair.assert_both(false);
+    pair.link.set_cut(true);
+    let _first = roll_back(first);
+    pair.call(0, "maint-off s-a");
+    pair.call(0, "maint-on s-a");
+    pair.link.set_cut(false);
+    pair.wait_for_contact();
+    pair.assert_both(true);
+}
+
 /// Guards against a call at another dispatcher that only the new process of an upgrade hears of, while the old
 /// one still forwards.
 #[test]
