--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -17,6 +17,9 @@
 use crate::net::errno;
 use crate::upstream::roster::RosterSnapshot;
 
+/// The key of the known roster.
+const KNOWN_ROSTER_KEY: &str = "known";
+
 /// Maximum number of other dispatchers.
 const MAX_PEERS: usize = 4_096;
 
@@ -198,7 +201,7 @@
         memory_bytes: (limit("memory_mb", 192)? as usize).saturating_mul(1 << 20),
         max_sockets: (limit("sockets", 1024)? as usize).max(64).min(descriptor_limit().max(MIN_SOCKETS)),
         decoded,
-        initial_roster: match json.get("known") {
+        initial_roster: match json.get(KNOWN_ROSTER_KEY) {
             None | Some(Value::Null) => RosterSnapshot::default(),
             Some(known) => {
                 RosterSnapshot::from_value(known.clone()).map_err(|error| format!("known: {error}"))?
@@ -288,8 +291,11 @@
         (Value::Null, _) => None,
         (_, Value::Null) => Some(String::new()),
         (Value::Object(before), _) => before.iter().find_map(|(key, value)| {
-            // The known roster changes all the time, so only its presence is compared.
-            let value = if key == "known" { &Value::Bool(true) } else { value };
+            // The known roster changes all the time, and null says that there is none: only the key's presence
+            // is compared.
+            if key == KNOWN_ROSTER_KEY {
+                return after.get(key).is_none().then(|| key.clone());
+            }
             missing_key(value, after.get(key).unwrap_or(&Value::Null)).map(|rest| join(key, rest))
         }),
         (Value::Array(before), Value::Array(after)) => {
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -2408,6 +2408,40 @@
     "#]]);
 }
 
+/// Guards against a dispatcher that takes no new configuration at all because its file knows no roster (review case
+/// 8). Null, a list of none and another list are all taken; a file without the key is not.
+#[test]
+fn a_configuration_whose_known_roster_is_null_can_be_replaced() {
+    let with_known = |known: &str| {
+        let (before, rest) =
+            configuration(&[]).split_once(r#""known":"#).map(|(a, b)| (a.to_owned(), b.to_owned())).unwrap();
+        let rest = rest.split_once("\"settings\"").unwrap().1.to_owned();
+        format!("{before}{known}\"settings\"{rest}")
+    };
+    let null = with_known(r#""known":null,"#);
+    let none = with_known(r#""known":{"generation":1,"reset":true,"instances":[]},"#);
+    let absent = with_known("");
+    let mut node = Node::from_text(&null);
+    let loads = |node: &mut Node| {
+        let from = node.driver.trace.len();
+        node.call("stats");
+        let figure = |name: &str| {
+            let text = node.driver.trace[from..].split_once(name).unwrap().1;
+            text.lines().next().unwrap().parse::<u32>().unwrap()
+        };
+        (figure("edge_relay.loads="), figure("edge_relay.load_errors="))
+    };
+    for (text, expected) in
+        [(&null, (1, 0)), (&none, (2, 0)), (&null, (3, 0)), (&absent, (3, 1)), (&none, (4, 1))]
+    {
+        match config::decode(text) {
+            Ok(configuration) => node.table.reload(configuration, &mut node.driver),
+            Err(error) => node.table.reject_configuration(&error.to_string()),
+        }
+        assert_eq!(loads(&mut node), expected, "{text}");
+    }
+}
+
 /// A definition keeps its index for good, so that open invocations keep their operation.
 #[test]
 fn a_changed_operation_is_another_one_and_an_old_one_can_return() {
