--- a/node/src/lifecycle/handover.rs
+++ b/node/src/lifecycle/handover.rs
@@ -57,8 +57,10 @@
 /// Requests a hand-over from the serving process. `None` if there is none or the hand-over fails, which is
 /// logged.
 pub fn request_handover(path: &Path) -> Option<Inherited> {
-    let stream = UnixStream::connect(path).ok()?;
-    let received = receive_handover(stream);
+    let received = match UnixStream::connect(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+        connected => connected.and_then(receive_handover),
+    };
     received.inspect_err(|error| log!("handover-failed", "reason={:?}", error.to_string())).ok()
 }
 
--- a/node/src/lifecycle/start.rs
+++ b/node/src/lifecycle/start.rs
@@ -18,10 +18,8 @@
 use crate::net::connection::{ConnectionDriver, ConnectionRole};
 use crate::net::errno;
 use crate::net::log::log;
-use crate::net::reactor::{
-    FIRST_LISTENER_KEY, Listener, PEERS_KEY, RELOAD_KEY, Reactor, SUCCESSOR_KEY, TERMINATE_KEY,
-};
-use crate::net::sockets::{bind_datagram_socket, listen};
+use crate::net::reactor::{FIRST_LISTENER_KEY, Listener, RELOAD_KEY, Reactor, TERMINATE_KEY};
+use crate::net::sockets::listen;
 use crate::request_table::RequestTable;
 
 /// How long an ending process waits for the store to be written and closed.
@@ -110,32 +108,18 @@
         added.map_err(describe("poller"))?;
     }
     if let Some(peers) = &configuration.peers {
-        let socket = retry_while(may_open_later, || bind_datagram_socket(peers.listen))
+        retry_while(may_open_later, || reactor.open_datagram_socket(peers.listen))
             .map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
-        // SAFETY: the reactor holds the socket beside the poller and deletes it from the poller before
-        // closing it early.
-        unsafe {
-            let added = reactor.poller.add_with_mode(&socket, Event::readable(PEERS_KEY), PollMode::Level);
-            added.map_err(describe("poller"))?;
-        }
-        reactor.datagrams = Some(socket);
     }
     let admin = configuration.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
     let (listen, discovery) = (configuration.listen, configuration.discovery);
     log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", configuration.name);
     // Bound only now, since this unlinks the socket of the process that served before: it must have handed
     // over first.
-    let successor = handover::socket_path(listen).and_then(|path| {
-        let bound = handover::bind_successor_socket(&path);
-        bound.inspect_err(|error| log!("handover-failed", "reason={:?}", error.to_string())).ok()
-    });
-    if let Some(successor) = &successor {
-        // SAFETY: it is dropped after the loop has ended, as the listeners are.
-        unsafe {
-            let added =
-                reactor.poller.add_with_mode(successor, Event::readable(SUCCESSOR_KEY), PollMode::Level);
-            added.map_err(describe("poller"))?;
-        }
+    if let Some(path) = handover::socket_path(listen)
+        && let Err(error) = reactor.open_successor_socket(path)
+    {
+        log!("handover-failed", "reason={:?}", error.to_string());
     }
     let store_thread = match &configuration.store {
         None => None,
@@ -157,7 +141,7 @@
         let connection = reactor.add_peer_connection(stream, listen);
         table.attach_predecessor(connection, following_bytes, &mut reactor);
     }
-    let run = reactor.run(&mut table, &listeners, successor.as_ref(), (&terminate, &reload, path));
+    let run = reactor.run(&mut table, &listeners, (&terminate, &reload, path));
     run.map_err(describe("poller"))?;
     let fatal = table.fatal_error();
     table.close_store(reactor.clock(), STORE_CLOSE_TIMEOUT);
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -5,11 +5,11 @@
 //! the role of a connection, not what is done over it, and blocks nowhere but in the poller.
 
 mod buffers;
+mod handover_sockets;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::os::unix::net::{UnixListener, UnixStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,7 +18,6 @@
 use topazsail_peers::MAX_PACKET_BYTES;
 
 use crate::config;
-use crate::lifecycle::handover;
 use crate::lifecycle::signals::Signal;
 use crate::net::connection::{
     BufferUse, CloseReason, Connection, ConnectionDriver, ConnectionId, ConnectionRole, HostFailures, Timer,
@@ -28,15 +27,16 @@
 use crate::net::errno::{self, Scope};
 use crate::net::log::log;
 use crate::request_table::RequestTable;
+use handover_sockets::HandoverSockets;
 
 /// The poller key of SIGTERM.
 pub const TERMINATE_KEY: usize = 0;
 /// The poller key of SIGHUP.
 pub const RELOAD_KEY: usize = 1;
 /// The poller key of the Unix listener on which a successor requests the hand-over.
-pub const SUCCESSOR_KEY: usize = 2;
+const SUCCESSOR_KEY: usize = 2;
 /// The poller key of the socket for datagrams of other dispatchers.
-pub const PEERS_KEY: usize = 3;
+const PEERS_KEY: usize = 3;
 /// The poller key of the first listener; the others follow it in order.
 pub const FIRST_LISTENER_KEY: usize = 4;
 /// Above all other poller keys, as connection ids are poller keys too.
@@ -113,9 +113,8 @@
 pub struct Reactor {
     /// Shared with threads that wake the loop.
     pub poller: Arc<Poller>,
-    /// The socket for datagrams of other dispatchers, if peers are configured and no successor has taken
-    /// over.
-    pub datagrams: Option<UdpSocket>,
+    /// The sockets that a successor takes over.
+    handover_sockets: HandoverSockets,
     clock: Clock,
     /// The time at which this iteration began.
     now: Micros,
@@ -163,7 +162,7 @@
         let clock = Clock::new();
         Ok(Reactor {
             poller: Arc::new(Poller::new()?),
-            datagrams: None,
+            handover_sockets: HandoverSockets::default(),
             now: clock.now(),
             clock,
             catching_up: None,
@@ -196,7 +195,6 @@
         &mut self,
         table: &mut RequestTable,
         listeners: &[Listener],
-        successor: Option<&UnixListener>,
         (terminate, reload, path): (&Signal, &Signal, &str),
     ) -> io::Result<()> {
         let mut events = Events::new();
@@ -238,7 +236,7 @@
                     TERMINATE_KEY => terminate.drain(),
                     RELOAD_KEY => reload.drain(),
                     PEERS_KEY => self.receive_datagrams(table),
-                    SUCCESSOR_KEY => self.hand_over(table, successor, listeners),
+                    SUCCESSOR_KEY => self.hand_over(table, listeners),
                     key => match listeners.iter().find(|listener| listener.key == key) {
                         Some(listener) => self.accept(table, listener),
                         None => self.handle_event(key as ConnectionId, event, table),
@@ -255,6 +253,9 @@
             }
             table.decide(self);
             self.enforce_buffer_limit(table);
+            if table.take_service_resumed() {
+                self.reopen_handover_sockets();
+            }
             if table.accepts_connections() != self.accepting {
                 self.accepting = table.accepts_connections();
                 self.set_accepting(listener_of(listeners, ConnectionRole::Client), self.accepting);
@@ -325,7 +326,7 @@
     fn receive_datagrams(&mut self, table: &mut RequestTable) {
         let mut bytes = [0; 2 * MAX_PACKET_BYTES];
         for _ in 0..MAX_DATAGRAMS_PER_ITERATION {
-            let received = self.datagrams.as_ref().map(|socket| socket.recv_from(&mut bytes));
+            let received = self.handover_sockets.datagrams().map(|socket| socket.recv_from(&mut bytes));
             match received {
                 Some(Ok((length, from))) => table.datagram(from, &bytes[..length], self),
                 // An earlier datagram of ours was refused: no process listens there yet.
@@ -396,39 +397,6 @@
         }
     }
 
-    /// Adds the connection to the other process of an upgrade.
-    pub fn add_peer_connection(&mut self, stream: UnixStream, listen: SocketAddr) -> ConnectionId {
-        self.add_new(Connection::new(stream.into(), ConnectionRole::Peer, listen, false, self.now))
-    }
-
-    /// Passes the client listener to a successor that has connected, and has the request table send its
-    /// state.
-    fn hand_over(
-        &mut self,
-        table: &mut RequestTable,
-        successor: Option<&UnixListener>,
-        listeners: &[Listener],
-    ) {
-        let Some(Ok((stream, _))) = successor.map(UnixListener::accept) else { return };
-        let Some(listener) = listener_of(listeners, ConnectionRole::Client) else { return };
-        if !table.can_hand_over() {
-            return log!("handover-failed", "reason=\"going down, or at it already\"");
-        }
-        let sent =
-            handover::send_listener(&stream, &listener.socket).and_then(|()| listener.socket.local_addr());
-        match sent {
-            Ok(listen) => {
-                let id = self.add_peer_connection(stream, listen);
-                table.hand_over(id, self);
-                // From now on the other dispatchers talk to the new process.
-                if let Some(socket) = self.datagrams.take() {
-                    let _ = self.poller.delete(&socket);
-                }
-            }
-            Err(error) => log!("handover-failed", "reason={:?}", error.to_string()),
-        }
-    }
-
     /// Accepts a limited number of connections from a listener.
     fn accept(&mut self, table: &mut RequestTable, listener: &Listener) {
         for _ in 0..MAX_ACCEPTS_PER_ITERATION {
@@ -808,7 +776,7 @@
     }
 
     fn send_datagram(&mut self, to: SocketAddr, bytes: &[u8]) {
-        if let Some(socket) = &self.datagrams {
+        if let Some(socket) = self.handover_sockets.datagrams() {
             // A datagram that cannot be sent now counts as lost on the way.
             let _ = socket.send_to(bytes, to);
         }
--- a/node/src/request_table/upgrade.rs
+++ b/node/src/request_table/upgrade.rs
@@ -34,6 +34,8 @@
     calls: OverlapCalls,
     /// Until when both processes have heard all that discovery announced.
     shared_certainty: Micros,
+    /// The successor has ended and this process serves on; reset when the event loop has noticed.
+    is_service_resumed: bool,
 }
 
 impl RequestTable {
@@ -131,6 +133,11 @@
         self.upgrade.overlap != Some(Overlap::Successor)
     }
 
+    /// Whether this process has taken up its service again since the last call, as its successor has ended.
+    pub fn take_service_resumed(&mut self) -> bool {
+        std::mem::take(&mut self.upgrade.is_service_resumed)
+    }
+
     /// Keeps cold runners out of use until `until`.
     pub(super) fn pause_cold_runners(&mut self, until: Micros, driver: &mut dyn ConnectionDriver) {
         let entries = self.membership.pause_cold_runners(until, Micros::MAX, driver.now());
@@ -144,6 +151,7 @@
         let previous = self.upgrade.overlap.take();
         self.apply_resource_limits();
         if previous == Some(Overlap::Successor) {
+            self.upgrade.is_service_resumed = self.shutdown_since.is_none();
             self.release_store(self.shutdown_since.is_some());
             self.clients.set_handed_over(self.shutdown_since.is_some());
             self.pause_cold_runners(driver.now() + self.overload_window, driver);
--- a/node/tests/peer_calls.rs
+++ b/node/tests/peer_calls.rs
@@ -279,3 +279,40 @@
         }
     }
 }
+
+/// Guards against a process that has given its sockets up to a successor which was killed: the next upgrade has to
+/// find it, and its peers have to reach it (review case 7).
+#[test]
+fn a_process_whose_successor_was_killed_hands_over_to_the_next_one() {
+    let pair = Pair::new(121);
+    let [first, _second] = pair.start_both();
+    let (serving, killed, next) = (pair.dispatchers[0].admin, free_address(125), free_address(126));
+    pair.call(0, "maint-on s-a");
+    pair.assert_both(true);
+    for _ in 0..3 {
+        let successor = start(&pair.dispatchers[0].folder, pair.dispatchers[0].listen, Some(killed));
+        let _watch = accept_watch_since(&pair.discovery, 1);
+        admin_command_until(killed, "status", "YES");
+        drop(successor);
+        // The process that serves on hears its peer again.
+        admin_command_until(serving, "status", "store=well peers=1/1");
+        pair.call(1, "maint-off s-a");
+        admin_command_until(serving, "stats", "skipped_runners=0\n");
+        pair.call(1, "maint-on s-a");
+        admin_command_until(serving, "stats", "skipped_runners=1\n");
+    }
+    let _next = start(&pair.dispatchers[0].folder, pair.dispatchers[0].listen, Some(next));
+    let watch = accept_watch_since(&pair.discovery, 1);
+    let _heartbeats = send_heartbeats(&watch);
+    admin_command_until(next, "status", "store=well peers=1/1");
+    assert!(admin_command(next, "stats").contains("skipped_runners=1\n"));
+    // The two processes know of each other.
+    assert_eq!(
+        admin_command(serving, "maint-on s-a"),
+        "NO another process takes over: call that one\n",
+        "at the old process"
+    );
+    drop(first);
+    pair.call(1, "maint-off s-a");
+    admin_command_until(next, "stats", "skipped_runners=0\n");
+}
