--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -7,6 +7,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -71,6 +72,63 @@
     fs::remove_file(path).unwrap();
 }
 
+/// What the two processes of an upgrade share: discovery, the folder with their configuration, and the address for
+/// clients.
+struct UpgradeSite {
+    discovery: TcpListener,
+    listen: SocketAddr,
+    /// The admin addresses of the first and the second process.
+    admins: [SocketAddr; 2],
+    folder: PathBuf,
+}
+
+/// An open watch of a process, with heartbeats.
+struct Watch {
+    _connection: Connection,
+    _heartbeats: Heartbeats,
+}
+
+impl Watch {
+    fn new(connection: Connection) -> Watch {
+        Watch { _heartbeats: send_heartbeats(&connection), _connection: connection }
+    }
+}
+
+impl UpgradeSite {
+    /// Writes the configuration. The octets are for [`free_address`], three from this one on.
+    fn new(octet: u8) -> UpgradeSite {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (listen, admins) = (free_address(octet), [free_address(octet + 1), free_address(octet + 2)]);
+        let folder = env::temp_dir().join(format!("topazsail-upgrade-{octet}-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let text = configuration(listen, discovery.local_addr().unwrap());
+        fs::write(folder.join("config.json"), text).unwrap();
+        UpgradeSite { discovery, listen, admins, folder }
+    }
+
+    /// Starts the first process and lists this runner to it.
+    fn start_first(&self, runner: &TcpListener) -> (Program, Watch) {
+        let program = start(&self.folder, self.listen, Some(self.admins[0]));
+        let mut watch = accept_watch(&self.discovery);
+        watch.list_runner_with_weight(runner, 1.0);
+        (program, Watch::new(watch))
+    }
+
+    /// Starts the second process, which goes on from the list of the first, and waits for its yes.
+    fn start_second(&self) -> (Program, Watch) {
+        let program = start(&self.folder, self.listen, Some(self.admins[1]));
+        let watch = Watch::new(accept_watch_since(&self.discovery, 1));
+        assert_eq!(admin_command(self.admins[1], "status"), "YES\n");
+        (program, watch)
+    }
+}
+
+impl Drop for UpgradeSite {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// A second process takes the listener over: it serves new connections, the first process answers the
 /// invocations that it has accepted, and admin overrides of runners hold in both.
 #[test]
@@ -172,21 +230,12 @@
 /// and whose message waits behind the ids of invocations.
 #[test]
 fn calls_at_both_processes_of_an_upgrade_take_effect_in_their_order() {
-    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let site = UpgradeSite::new(118);
     let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (listen, admins) = (free_address(118), [free_address(119), free_address(120)]);
-    let folder = env::temp_dir().join(format!("topazsail-order-{}", std::process::id()));
-    fs::create_dir_all(&folder).unwrap();
-    fs::write(folder.join("config.json"), configuration(listen, discovery.local_addr().unwrap())).unwrap();
-    let _first = start(&folder, listen, Some(admins[0]));
-    let mut watch = accept_watch(&discovery);
-    watch.list_runner_with_weight(&runner, 1.0);
-    let _heartbeats = send_heartbeats(&watch);
+    let _first = site.start_first(&runner);
+    let admins = site.admins;
     admin_command_until(admins[0], "stats", "known_runners=1\n");
-    let _second = start(&folder, listen, Some(admins[1]));
-    let second_watch = accept_watch_since(&discovery, 1);
-    let _second_heartbeats = send_heartbeats(&second_watch);
-    assert_eq!(admin_command(admins[1], "status"), "YES\n");
+    let _second = site.start_second();
     for nth in 0..200 {
         let calls = ["maint-on s-a", "maint-off s-a", "maint-on s-a", "maint-off s-a"];
         for (call, admin) in calls[nth % 2..nth % 2 + 3].iter().zip([0, 1, 0]) {
@@ -198,7 +247,6 @@
             assert!(stats.contains(&expected), "round {nth}: expected {expected}{stats}");
         }
     }
-    fs::remove_dir_all(folder).unwrap();
 }
 
 /// From SIGTERM until the platform kills a process: 3 s, and 0.7 s more.
@@ -228,17 +276,10 @@
 /// its successor is under load, and tells it without a pause which ids it takes.
 #[test]
 fn an_upgrade_under_load_loses_and_repeats_no_invocation() {
-    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let site = UpgradeSite::new(82);
     let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (listen, admins) = (free_address(82), [free_address(83), free_address(84)]);
-    let folder = env::temp_dir().join(format!("topazsail-load-{}", std::process::id()));
-    fs::create_dir_all(&folder).unwrap();
-    let text = configuration(listen, discovery.local_addr().unwrap());
-    fs::write(folder.join("config.json"), text).unwrap();
-    let mut first = start(&folder, listen, Some(admins[0]));
-    let mut watch = accept_watch(&discovery);
-    watch.list_runner_with_weight(&runner, 1.0);
-    let _heartbeats = send_heartbeats(&watch);
+    let (mut first, _first_watch) = site.start_first(&runner);
+    let (listen, admins) = (site.listen, site.admins);
     let forwarded = Arc::new(Mutex::new(Vec::new()));
     let recorded = forwarded.clone();
     thread::spawn(move || complete_at_once(runner, listen, recorded));
@@ -268,10 +309,7 @@
     let clients: Vec<_> = (0..3).map(client).collect();
     let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(admins[0]).unwrap()).collect();
     assert_eq!(admin_command(admins[0], "status"), "YES\n");
-    let _second = start(&folder, listen, Some(admins[1]));
-    let second_watch = accept_watch_since(&discovery, 1);
-    let _second_heartbeats = send_heartbeats(&second_watch);
-    assert_eq!(admin_command(admins[1], "status"), "YES\n");
+    let _second = site.start_second();
     send_signal(&first, "TERM");
     let terminated = Instant::now();
     assert_eq!(first.0.wait().unwrap().code(), Some(0));
@@ -286,23 +324,16 @@
     forwarded.sort();
     forwarded.dedup();
     assert_eq!(forwarded.len(), sent, "invocations were repeated");
-    fs::remove_dir_all(folder).unwrap();
 }
 
 /// Guards against an id that runs twice when it comes again at the other process of an upgrade, and that process
 /// reads the request before the message that the id is taken.
 #[test]
 fn an_id_that_the_other_process_has_taken_does_not_run_again() {
-    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let site = UpgradeSite::new(91);
     let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (listen, admins) = (free_address(91), [free_address(92), free_address(93)]);
-    let folder = env::temp_dir().join(format!("topazsail-repeat-{}", std::process::id()));
-    fs::create_dir_all(&folder).unwrap();
-    fs::write(folder.join("config.json"), configuration(listen, discovery.local_addr().unwrap())).unwrap();
-    let _first = start(&folder, listen, Some(admins[0]));
-    let mut watch = accept_watch(&discovery);
-    watch.list_runner_with_weight(&runner, 1.0);
-    let _heartbeats = send_heartbeats(&watch);
+    let _first = site.start_first(&runner);
+    let listen = site.listen;
     let forwarded = Arc::new(Mutex::new(Vec::new()));
     let recorded = forwarded.clone();
     thread::spawn(move || complete_at_once(runner, listen, recorded));
@@ -311,10 +342,7 @@
     let mut old_client = Connection::new(TcpStream::connect(listen).unwrap());
     old_client.send(&request("i0"));
     assert_eq!(old_client.receive(), "HTTP/1.1 200 OK r");
-    let second = start(&folder, listen, Some(admins[1]));
-    let second_watch = accept_watch_since(&discovery, 1);
-    let _second_heartbeats = send_heartbeats(&second_watch);
-    assert_eq!(admin_command(admins[1], "status"), "YES\n");
+    let (second, _second_watch) = site.start_second();
     let mut new_client = Connection::new(TcpStream::connect(listen).unwrap());
     new_client.send("GET /healthz HTTP/1.1\r\n\r\n");
     assert_eq!(new_client.receive(), "HTTP/1.1 200 OK ");
@@ -332,7 +360,6 @@
     send_signal(&second, "CONT");
     assert_eq!(new_client.receive(), "HTTP/1.1 400 Bad Request close repeated_id");
     assert_eq!(*forwarded.lock().unwrap(), ["i0", "i1"]);
-    fs::remove_dir_all(folder).unwrap();
 }
 
 /// Runs `topazsail migrate` with these arguments; returns its exit code, standard output and standard error.
