Upgrade: a peer's call that is passed on stays the peer's call

Cause, found by reading: the old process recorded a passed-on call as its own; after its successor was killed, that stood against the peer's call back, which had not seen it. Change: the message carries the calls that peers exchange, and the receiver adopts them; only what the exchange does not know is announced as a call made here. Measured: a_peers_call_that_was_passed_on_in_an_upgrade_ends_with_the_peers_call_back is red before (skipped_runners stayed 1).

--- a/node/src/lifecycle/handover/messages.rs
+++ b/node/src/lifecycle/handover/messages.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use topazsail::Micros;
+use topazsail_peers::AdminCall;
 
 use crate::ingress::clients::RunnerCallback;
 use crate::upstream::roster::{PassedContact, PassedRoster};
@@ -56,6 +57,9 @@
         /// send the number counts as having received all.
         #[serde(default = "all_overrides")]
         seen: u64,
+        /// The calls on this runner as the sender exchanges them with other dispatchers; empty if it does not.
+        #[serde(default)]
+        calls: Vec<AdminCall>,
     },
     /// A list of runners that the sender has received from discovery.
     #[serde(rename = "list")]
--- a/node/src/request_table/overlap_calls.rs
+++ b/node/src/request_table/overlap_calls.rs
@@ -7,6 +7,8 @@
 
 use std::collections::BTreeMap;
 
+use topazsail_peers::AdminCall;
+
 use crate::lifecycle::handover::HandoverMessage;
 
 /// The last override of a runner that was sent to the other process.
@@ -26,11 +28,11 @@
 }
 
 impl OverlapCalls {
-    /// The message that tells the other process of an override.
-    pub(super) fn send(&mut self, id: &str, out: bool) -> HandoverMessage {
+    /// The message that tells the other process of an override, with the calls behind it.
+    pub(super) fn send(&mut self, id: &str, out: bool, calls: Vec<AdminCall>) -> HandoverMessage {
         self.sent += 1;
         self.last_sent.insert(id.to_owned(), SentOverride { number: self.sent, out });
-        HandoverMessage::AdminOverride { id: id.to_owned(), out, seen: self.received }
+        HandoverMessage::AdminOverride { id: id.to_owned(), out, seen: self.received, calls }
     }
 
     /// Records an override from the other process, which had received `seen` of this process's by then.
--- a/node/src/request_table/peer_exchange.rs
+++ b/node/src/request_table/peer_exchange.rs
@@ -136,12 +136,23 @@
         }
     }
 
-    /// The calls on a runner as peers exchange them, to be stored.
-    pub(super) fn exchanged_calls(&self, id: &str) -> Vec<store::StoredCall> {
+    /// The calls on a runner as peers exchange them; none if they do not.
+    pub(super) fn exchanged_calls(&self, id: &str) -> Vec<AdminCall> {
         let peers = self.peer_exchange.as_ref().and_then(|peer_exchange| peer_exchange.peers.as_ref());
-        let calls = peers.map(|peers| peers.overrides.calls(id)).unwrap_or_default();
-        let stored = |AdminCall { author, number, stands }| store::StoredCall { author, number, stands };
-        calls.into_iter().map(stored).collect()
+        peers.map(|peers| peers.overrides.calls(id)).unwrap_or_default()
+    }
+
+    /// Adopts the calls on a runner that the other process of an upgrade knows, and passes them to the peers.
+    pub(super) fn adopt_exchanged_calls(
+        &mut self,
+        id: &str,
+        calls: Vec<AdminCall>,
+        driver: &mut dyn ConnectionDriver,
+    ) {
+        let entry = topazsail_peers::AdminOverride { runner: id.to_owned(), calls };
+        let Some(peers) = self.peers() else { return };
+        let actions = peers.adopt(entry, driver.now());
+        self.apply_peer_actions(actions, driver);
     }
 
     /// Announces an operator's call made here to the peers.
@@ -156,15 +167,24 @@
     /// begun, or without peers.
     pub(super) fn announce_unknown_overrides(&mut self, driver: &mut dyn ConnectionDriver) {
         for id in self.membership.overridden_ids() {
-            let out = self.membership.admin_override(&id).0.is_some();
-            let Some(peers) = self.peers() else { return };
-            if peers.overrides.is_out(&id).unwrap_or(false) != out {
-                self.announce_admin_override(&id, driver);
+            if self.announce_if_unknown(&id, driver) {
                 self.store_admin_override(&id, None, driver);
             }
         }
     }
 
+    /// Announces the admin override of a runner as a call made here, if the peers' exchange does not know it.
+    /// Returns whether it was announced.
+    pub(super) fn announce_if_unknown(&mut self, id: &str, driver: &mut dyn ConnectionDriver) -> bool {
+        let out = self.membership.admin_override(id).0.is_some();
+        let Some(peers) = self.peers() else { return false };
+        let is_unknown = peers.overrides.is_out(id).unwrap_or(false) != out;
+        if is_unknown {
+            self.announce_admin_override(id, driver);
+        }
+        is_unknown
+    }
+
     /// Announces the stage of recovery to the peers.
     pub(super) fn announce_stage(&mut self) {
         let stage = self.persistence.as_ref().map(|persistence| persistence.stage());
--- a/node/src/request_table/persistence.rs
+++ b/node/src/request_table/persistence.rs
@@ -7,9 +7,12 @@
 use std::collections::BTreeMap;
 
 use topazsail::{Event, Listing, Micros};
+use topazsail_peers::AdminCall;
 use topazsail_recovery::limits::AdmissionLimits;
 use topazsail_recovery::{self as recovery, Action, KnownRoster, Recovery, Source, Stage, Trust};
-use topazsail_store::stored_types::{StoredOverride, StoredRoster, StoredSettings, StoredSlowStartUsage};
+use topazsail_store::stored_types::{
+    StoredCall, StoredOverride, StoredRoster, StoredSettings, StoredSlowStartUsage,
+};
 
 use super::RequestTable;
 use crate::ingress::operators::Call;
@@ -471,7 +474,8 @@
         driver: &mut dyn ConnectionDriver,
     ) {
         let (out_since, was_out) = self.membership.admin_override(id);
-        let calls = self.exchanged_calls(id);
+        let stored = |AdminCall { author, number, stands }| StoredCall { author, number, stands };
+        let calls: Vec<StoredCall> = self.exchanged_calls(id).into_iter().map(stored).collect();
         let Some(persistence) = &mut self.persistence else { return };
         let count = calls.iter().map(|call| call.number).max().unwrap_or(0);
         let admin_override = StoredOverride { out_since, was_out, count, author: 0, calls };
--- a/node/src/request_table/upgrade.rs
+++ b/node/src/request_table/upgrade.rs
@@ -5,6 +5,7 @@
 //! and of invocations, it passes to the other.
 
 use topazsail::{Event, Listing, Micros, Roster as RosterUpdate, SlowStartUsage};
+use topazsail_peers::AdminCall;
 
 use super::RequestTable;
 use super::overlap_calls::OverlapCalls;
@@ -156,6 +157,7 @@
             self.clients.set_handed_over(self.shutdown_since.is_some());
             self.pause_cold_runners(driver.now() + self.overload_window, driver);
             driver.set_timer(Timer::ColdRunnerPause, driver.now() + self.overload_window);
+            self.announce_unknown_overrides(driver);
         }
     }
 
@@ -171,8 +173,8 @@
                 HandoverMessage::Callback(callback, hash) => {
                     self.handle_callback(ReceivedCallback { callback, hash, source: None }, driver)
                 }
-                HandoverMessage::AdminOverride { id, out, seen } => {
-                    self.apply_passed_override(&id, out, seen, driver)
+                HandoverMessage::AdminOverride { id, out, seen, calls } => {
+                    self.apply_passed_override(&id, (out, seen), calls, driver)
                 }
                 HandoverMessage::Roster(passed) => self.roster.receive_passed(passed),
                 HandoverMessage::RosterContact(contact) => self.receive_roster_contact(contact, driver),
@@ -212,20 +214,28 @@
     /// Passes an admin override that this process has applied to the other process of an upgrade.
     pub(super) fn pass_admin_override(&mut self, id: &str, out: bool, driver: &mut dyn ConnectionDriver) {
         if self.upgrade.overlap.is_some() {
-            let message = self.upgrade.calls.send(id, out);
+            let message = self.upgrade.calls.send(id, out, self.exchanged_calls(id));
             self.handover_peer.send(&message, driver);
         }
     }
 
     /// Applies an admin override that the other process has answered or heard of, also of a runner that was
-    /// never listed here, as it was listed there.
-    fn apply_passed_override(&mut self, id: &str, out: bool, seen: u64, driver: &mut dyn ConnectionDriver) {
-        if !self.upgrade.calls.receive(id, out, seen) {
+    /// never listed here, as it was listed there. With `seen` overrides of this process the other one knew it.
+    fn apply_passed_override(
+        &mut self,
+        id: &str,
+        (out, seen): (bool, u64),
+        calls: Vec<AdminCall>,
+        driver: &mut dyn ConnectionDriver,
+    ) {
+        let applies = self.upgrade.calls.receive(id, out, seen);
+        self.adopt_exchanged_calls(id, calls, driver);
+        if !applies {
             return log!("hand-apart", "runner={id:?} out={out} reason=\"taken out here meanwhile\"");
         }
         self.membership.ensure_known(id);
         if self.set_maintenance(id, out, driver).is_ok() {
-            self.announce_admin_override(id, driver);
+            self.announce_if_unknown(id, driver);
             self.store_admin_override(id, None, driver);
         }
     }
--- a/node/tests/peer_calls.rs
+++ b/node/tests/peer_calls.rs
@@ -316,3 +316,24 @@
     pair.call(1, "maint-off s-a");
     admin_command_until(next, "stats", "skipped_runners=0\n");
 }
+
+/// Guards against a peer's call that both processes of an upgrade make their own: the peer's call back, which has not
+/// seen that, would not end it.
+#[test]
+fn a_peers_call_that_was_passed_on_in_an_upgrade_ends_with_the_peers_call_back() {
+    let pair = Pair::new(127);
+    let _running = pair.start_both();
+    let (serving, killed) = (pair.dispatchers[0].admin, free_address(131));
+    let successor = start(&pair.dispatchers[0].folder, pair.dispatchers[0].listen, Some(killed));
+    let _watch = accept_watch_since(&pair.discovery, 1);
+    admin_command_until(killed, "status", "store=well peers=1/1");
+    pair.call(1, "maint-on s-a");
+    admin_command_until(serving, "stats", "skipped_runners=1\n");
+    pair.link.set_cut(true);
+    drop(successor);
+    pair.call(1, "maint-off s-a");
+    admin_command_until(serving, "status", "store=well");
+    pair.link.set_cut(false);
+    pair.wait_for_contact();
+    pair.assert_both(false);
+}
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -275,8 +275,20 @@
     /// Records an operator's call on a runner that was made at this dispatcher. Returns the packets to send.
     pub fn set_override(&mut self, runner: &str, out: bool, now: Micros) -> Vec<Action> {
         let calls = self.overrides.record(runner, self.author(), out);
+        self.announce(runner, calls, now)
+    }
+
+    /// Adopts the calls on a runner that another process of this dispatcher knows. Returns the packets to send.
+    pub fn adopt(&mut self, entry: AdminOverride, now: Micros) -> Vec<Action> {
+        if !self.overrides.merge(&entry) {
+            return Vec::new();
+        }
+        self.announce(&entry.runner, entry.calls, now)
+    }
+
+    /// Sends calls to all reachable peers immediately; rounds are for those that miss them.
+    fn announce(&mut self, runner: &str, calls: Vec<AdminCall>, now: Micros) -> Vec<Action> {
         let batches = batches(vec![(runner, calls)], self.batch_bytes());
-        // Sent to all reachable peers immediately; rounds are for those that miss it.
         for index in 0..self.peers.len() {
             if matches!(self.peers[index].state, PeerState::Alive | PeerState::Suspected) {
                 self.peers[index].overrides_sent_at = now;
