Tests: dispatchers with peers receive at a port that is never freed

The process had ended at once, and its log was discarded.

Cause: peer_calls.rs bound a UDP port to find its number and closed it; the dispatcher bound it some milliseconds later. In between another test's socket could get the port, or a child that another test was starting still held a copy. The log says: "peers.listen 127.0.0.1:35057: Address already in use".

Change: a dispatcher receives datagrams under the number of its TCP port, at the IP address that only this test uses. No assertion is changed.

--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -1,13 +1,14 @@
 //! Starts the program under test and plays discovery, runners and clients over loopback, one step at a time.
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+use std::env;
+use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
-use std::{env, fs};
 
 use socket2::{Domain, Socket, Type};
 use topazsail_faults::{Plan, shim};
@@ -187,11 +188,23 @@
     answer
 }
 
+/// The file in a dispatcher's folder to which [`start`] has its processes log.
+const LOG_FILE: &str = "dispatcher.log";
+
+/// Prints what the processes of this folder have logged if the test has failed; for the end of its fixture.
+pub fn print_log_if_panicking(folder: &Path) {
+    if std::thread::panicking() {
+        let log = fs::read_to_string(folder.join(LOG_FILE));
+        eprintln!("log of {}:\n{}", folder.display(), log.unwrap_or_else(|error| error.to_string()));
+    }
+}
+
 /// Starts a process of the dispatcher with this folder as `TMPDIR`, where the processes of an upgrade find
-/// each other.
+/// each other, and for its log.
 pub fn start(folder: &Path, listen: SocketAddr, admin: Option<SocketAddr>) -> Program {
+    let log = File::options().create(true).append(true).open(folder.join(LOG_FILE)).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_topazsail"));
-    command.args(["serve", "--config"]).arg(folder.join("config.json")).stderr(Stdio::null());
+    command.args(["serve", "--config"]).arg(folder.join("config.json")).stderr(log);
     command.env("TMPDIR", folder).env("RELAY_LISTEN", listen.to_string());
     command.env("RELAY_ADMIN_ADDR", admin.map_or_else(String::new, |admin| admin.to_string()));
     Program(command.spawn().unwrap())
--- a/node/tests/loopback.rs
+++ b/node/tests/loopback.rs
@@ -125,6 +125,7 @@
 
 impl Drop for UpgradeSite {
     fn drop(&mut self) {
+        print_log_if_panicking(&self.folder);
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
--- a/node/tests/peer_calls.rs
+++ b/node/tests/peer_calls.rs
@@ -12,7 +12,7 @@
 
 use helper::{
     Connection, Heartbeats, Program, accept_watch, accept_watch_since, admin_command, admin_command_until,
-    configuration, free_address, send_heartbeats, start,
+    configuration, free_address, print_log_if_panicking, send_heartbeats, start,
 };
 
 /// How long a state has to last to count as kept: several rounds of the exchange between peers.
@@ -63,6 +63,7 @@
 
 impl Drop for Dispatcher {
     fn drop(&mut self) {
+        print_log_if_panicking(&self.folder);
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
@@ -96,13 +97,13 @@
     fn new(octet: u8) -> Pair {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let runner = TcpListener::bind("127.0.0.1:0").unwrap();
-        // Each bound for a moment only, to find addresses at which the dispatchers can receive.
-        let ends = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
-        let ends = ends.each_ref().map(|socket| socket.local_addr().unwrap());
-        let link = Link::new(ends);
+        let addresses = [octet, octet + 2].map(|octet| (free_address(octet), free_address(octet + 1)));
+        // A dispatcher receives datagrams under the number of the port on which it listens, at an IP address where
+        // no other socket does. A port that is bound here and freed again could be in use when the dispatcher binds
+        // it: by another test, or by a copy in a child process that another test is starting.
+        let link = Link::new(addresses.map(|(listen, _)| listen));
         let dispatchers = [0, 1].map(|nth: usize| {
-            let (listen, admin) =
-                (free_address(octet + 2 * nth as u8), free_address(octet + 2 * nth as u8 + 1));
+            let (listen, admin) = addresses[nth];
             let folder =
                 env::temp_dir().join(format!("topazsail-peers-{octet}-{nth}-{}", std::process::id()));
             let store = folder.join("store");
@@ -111,7 +112,7 @@
                 r#"{{"store":{{"folder":{:?},"require":false}},
                 "peers":{{"listen":"{}","members":[{{"name":"d{}","address":"{}"}}]}},"#,
                 store.display().to_string(),
-                ends[nth],
+                listen,
                 1 - nth,
                 link.faces[1 - nth]
             );
