Lab: reserved ports are kept for the whole run and never listened on

Known red peers_make_up_for_an_emptied_or_rolled_back_disk: a dispatcher ended at once with "listen ...: Address already in use". The lab freed its listener at a reserved port just before it started the dispatcher, and a child that another play of the same process was starting held a copy of it until its exec.

Change: a reservation is a socket that is bound with SO_REUSEADDR, never listens and is kept until the run ends. The dispatcher, which sets the same option, can bind the port and listen whoever has a copy. Datagrams of other dispatchers go to the number of the dispatcher's TCP port, at an IP address where no other socket receives any.

Ruled out: no spawn while ports are reserved, as the entry proposed; it would serialise the plays of a process, and is not needed.

--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod process;
 mod relay;
+mod reserved_ports;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -36,6 +37,7 @@
 
 use self::http::{Connection, IdleState, Message, request, response};
 use self::process::Process;
+use self::reserved_ports::ReservedPort;
 use crate::disks::{DiskFault, DiskState, DispatcherDirectory};
 use crate::judge::{FinalStatus, ForwardEnd, Judge, JudgeParameters, Observation};
 use crate::load::{self, ArrivalGenerator, ClientRequest, retry_time, seeded_generator};
@@ -308,9 +310,8 @@
     (folder, plans): (&Path, &[Plan]),
     progress: &dyn Fn(f64),
 ) -> Result<Outcome, String> {
-    // The addresses derive from the process id, so that no other process can take a port between its
-    // reservation here and the dispatcher's bind. Concurrent runs of one process use different networks as
-    // well: dispatchers that were given the same port would share it.
+    // The addresses derive from the process id, so that no socket of another process is in the way. Concurrent runs
+    // of one process use different networks as well: dispatchers that were given the same port would share it.
     static RUNS: AtomicU8 = AtomicU8::new(0);
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let first_network = 64 + RUNS.fetch_add(1, Ordering::Relaxed) % MAX_CONCURRENT_RUNS * 4;
@@ -318,7 +319,8 @@
     let world = World::new(scenario, seed);
     let (dispatcher_count, runner_count) = (scenario.dispatchers as usize, scenario.runners());
     let mut listeners = Vec::new();
-    let mut reserved = Vec::new();
+    // Kept until the run ends.
+    let mut reserved_ports = Vec::new();
     let (mut runner_addresses, mut discovery_listeners, mut listen_addresses) =
         (Vec::new(), Vec::new(), Vec::new());
     for _ in 0..dispatcher_count {
@@ -330,26 +332,26 @@
         }
         runner_addresses.push(row);
         discovery_listeners.push(bind(ip(1)).await?);
-        let (listener, address) = bind(ip(2)).await?;
-        reserved.push(listener);
-        listen_addresses.push(address);
+        let port = ReservedPort::at(ip(2))?;
+        listen_addresses.push(port.address);
+        reserved_ports.push(port);
     }
     let (mut admin_addresses, mut directories) = (Vec::new(), Vec::new());
     for d in 0..if scenario.store.is_some() { dispatcher_count } else { 0 } {
-        let (listener, address) = bind(ip(3)).await?;
-        reserved.push(listener);
-        admin_addresses.push(address);
+        let port = ReservedPort::at(ip(3))?;
+        admin_addresses.push(port.address);
+        reserved_ports.push(port);
         let path = folder.join(format!("d{d}-store"));
         let created = DispatcherDirectory::new(path, seed ^ (d as u64) << 32);
         directories
             .push(created.map_err(|error| format!("cannot create the disk's directory of d{d}: {error}"))?);
     }
-    let (mut peer_addresses, mut relay_addresses, mut relay_sockets, mut reserved_peers) =
-        (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-    for _ in 0..if scenario.store.as_ref().is_some_and(|store| store.peers) { dispatcher_count } else { 0 } {
-        let socket = relay::bind(ip(3)).await?;
-        peer_addresses.push(relay::address(&socket)?);
-        reserved_peers.push(socket);
+    // A dispatcher receives datagrams under the number of its port for clients: no other socket does at that IP
+    // address.
+    let has_peers = scenario.store.as_ref().is_some_and(|store| store.peers);
+    let peer_addresses = if has_peers { listen_addresses.clone() } else { Vec::new() };
+    let (mut relay_addresses, mut relay_sockets) = (Vec::new(), Vec::new());
+    for _ in &peer_addresses {
         let mut row = Vec::new();
         for _ in 0..dispatcher_count {
             let socket = relay::bind(ip(3)).await?;
@@ -358,9 +360,6 @@
         }
         relay_addresses.push(row);
     }
-    drop(reserved_peers);
-    // Released only after all ports were chosen: a port that is free again could be chosen twice.
-    drop(reserved);
     let parameters = JudgeParameters::of(scenario, world.locations(), RULE_SLACK, ANSWER_SLACK);
     let shared = Shared {
         judge: Judge::new(parameters),
