--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -316,8 +316,9 @@
         prepare: impl Fn(&mut Command),
         edit: impl Fn(String) -> String,
     ) -> Node {
-        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let listen = free_address(octet);
+        // At an IP address of its own: a test that closes it for a while can bind the same port again.
+        let discovery = TcpListener::bind((listen.ip(), 0)).unwrap();
         let configuration_path =
             env::temp_dir().join(format!("topazsail-ends-{octet}-{}.json", std::process::id()));
         fs::write(&configuration_path, edit(configuration(listen, discovery.local_addr().unwrap()))).unwrap();
