Upgrade: a state machine; the old process serves until the new one is ready

What callers saw: a new process that hung after asking for the hand-over, or was stopped while it served, left nobody that accepts connections: no client was answered. Of three processes started at once two started from nothing and sent work to a runner in maintenance, to which YES had been said.

Cause: the old process released everything with its state, without hearing that the other one serves; a refusal was a closed connection, which a starting process took for "nothing to take over". Evidence: the tests below on the code before; the old process's log ends with handing-over while it is idle.

The successor says ready, the predecessor releases all and says committed; before that the successor accepts nothing. Not ready in 5 s: withdrawn. Silent for 1 s while serving: the old one accepts beside it. Busy: ask again for 4 s, then exit code 1. A message that is no message is counted, told once and passed over, also one that is too long, which ended the connection before. Failures show in status and in a metric. Older versions on either side are told by what they do not send.

Three stored expectations have the two new metrics; traces complete the hand-over as the event loop does.

Ruled out: both processes accept from the start (an id could be taken by both).

--- a/node/src/lifecycle/handover.rs
+++ b/node/src/lifecycle/handover.rs
@@ -1,16 +1,18 @@
 //! Upgrades: how one process takes over from another that serves at the same address.
 //!
 //! This module owns the Unix socket on which the two processes connect, the transfer of the state on it, and
-//! the connection that remains between them. It does not decide when to start or stop serving, and waits for
-//! the other process only at the start, for at most [`HANDOVER_TIMEOUT`].
+//! the connection that remains between them. It does not decide when to start or stop serving (`topazsail_upgrade`
+//! does), and waits for the other process only at the start: for at most [`HANDOVER_TIMEOUT`], and for
+//! [`BUSY_TIMEOUT`] while that one is in another upgrade.
 
-use std::io::{self, IoSlice, IoSliceMut, Read};
+use std::io::{self, IoSlice, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 use std::{env, fs};
 
@@ -19,6 +21,7 @@
     SendFlags, recvmsg, sendmsg,
 };
 use serde::Serialize;
+use topazsail_upgrade::{Message, Refusal};
 
 use crate::net::connection::{CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId};
 use crate::net::log::log;
@@ -27,12 +30,19 @@
 
 pub use messages::{HandoverMessage, HandoverState};
 
-/// How long a starting process waits for the serving one.
+/// How long a starting process waits for the serving one to answer.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a starting process asks again while the serving one is in another upgrade.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(4);
+/// The pause before it asks again.
+const BUSY_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// The longest accepted line: the state, or a message after it, of which a list of runners is the longest.
 const MAX_LINE_BYTES: usize = 8 << 20;
 /// The version of the protocol, sent together with the descriptor. Other versions are rejected.
 const PROTOCOL_VERSION: u8 = b'1';
+/// What a process that does not hand over sends instead of the version, without a descriptor.
+const REFUSED_BUSY: u8 = b'B';
+const REFUSED_SHUTTING_DOWN: u8 = b'S';
 
 /// The path of the Unix socket for hand-overs of the process that serves at this address. `None` if `TMPDIR`
 /// is not set, since the process then has no folder of its own for the socket.
@@ -54,18 +64,63 @@
     pub following_bytes: Vec<u8>,
 }
 
-/// Requests a hand-over from the serving process. `None` if there is none or the hand-over fails, which is
-/// logged.
-pub fn request_handover(path: &Path) -> Option<Inherited> {
-    let received = match UnixStream::connect(path) {
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
-        connected => connected.and_then(receive_handover),
-    };
-    received.inspect_err(|error| log!("handover-failed", "reason={:?}", error.to_string())).ok()
+/// What has come of a request for a hand-over.
+pub enum Requested {
+    /// The state of the process that serves.
+    Inherited(Box<Inherited>),
+    /// No process serves, or it is shutting down.
+    NotServed,
+    /// A process may serve, but has not handed over. The reason has been logged.
+    Failed,
+    /// A process serves and is in an upgrade with another one: this one must not serve beside it.
+    Busy,
+}
+
+/// Why a hand-over was not received.
+enum RequestError {
+    Io(io::Error),
+    Refused(Refusal),
+}
+
+impl From<io::Error> for RequestError {
+    fn from(error: io::Error) -> RequestError {
+        RequestError::Io(error)
+    }
+}
+
+/// Requests a hand-over from the serving process, again while that is in another upgrade.
+pub fn request_handover(path: &Path) -> Requested {
+    let deadline = Instant::now() + BUSY_TIMEOUT;
+    loop {
+        let connected = match UnixStream::connect(path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Requested::NotServed,
+            connected => connected,
+        };
+        // The file of a process that was killed.
+        let is_leftover =
+            connected.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+        match connected.map_err(RequestError::Io).and_then(receive_handover) {
+            Ok(inherited) => return Requested::Inherited(Box::new(inherited)),
+            Err(RequestError::Refused(Refusal::Busy)) if Instant::now() < deadline => {
+                sleep(BUSY_RETRY_INTERVAL);
+            }
+            Err(RequestError::Refused(Refusal::Busy)) => return Requested::Busy,
+            Err(RequestError::Refused(Refusal::ShuttingDown)) => {
+                log!("handover-failed", "reason=\"the other process is shutting down\"");
+                return Requested::NotServed;
+            }
+            Err(RequestError::Io(error)) => {
+                log!("handover-failed", "reason={:?}", error.to_string());
+                return if is_leftover { Requested::NotServed } else { Requested::Failed };
+            }
+        }
+    }
 }
 
 /// Receives the listener and the state.
-fn receive_handover(mut stream: UnixStream) -> io::Result<Inherited> {
+fn receive_handover(mut stream: UnixStream) -> Result<Inherited, RequestError> {
+    // A process that refuses may have closed the connection already: its answer is read all the same.
+    let _ = stream.write_all(&encode(&HandoverMessage::Upgrade(Message::Hello)));
     let deadline = Instant::now() + HANDOVER_TIMEOUT;
     let set_read_timeout = |stream: &UnixStream| {
         let left = deadline.saturating_duration_since(Instant::now());
@@ -75,7 +130,13 @@
     let mut version = [0];
     let mut control_buffer = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = RecvAncillaryBuffer::new(&mut control_buffer);
-    recvmsg(&stream, &mut [IoSliceMut::new(&mut version)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    recvmsg(&stream, &mut [IoSliceMut::new(&mut version)], &mut control, RecvFlags::CMSG_CLOEXEC)
+        .map_err(io::Error::from)?;
+    match version[0] {
+        REFUSED_BUSY => return Err(RequestError::Refused(Refusal::Busy)),
+        REFUSED_SHUTTING_DOWN => return Err(RequestError::Refused(Refusal::ShuttingDown)),
+        _ => {}
+    }
     let descriptor: Option<OwnedFd> = control.drain().find_map(|message| match message {
         RecvAncillaryMessage::ScmRights(mut descriptors) => descriptors.next(),
         _ => None,
@@ -93,11 +154,11 @@
         let read = stream.read(&mut buffer)?;
         text.extend_from_slice(&buffer[..read]);
         if read == 0 || text.len() > MAX_LINE_BYTES || Instant::now() > deadline {
-            return Err(invalid("the state did not come whole"));
+            return Err(invalid("the state did not come whole").into());
         }
     };
     let following_bytes = text.split_off(length + 1);
-    let state = serde_json::from_slice(&text)?;
+    let state = serde_json::from_slice(&text).map_err(io::Error::from)?;
     stream.set_nonblocking(true)?;
     Ok(Inherited { listener, stream, state, following_bytes })
 }
@@ -119,6 +180,41 @@
     Ok(listener)
 }
 
+/// Accepts the connection of a starting process. None if there is none, or if it runs under another user.
+///
+/// # Errors
+///
+/// A system call fails.
+pub fn accept_successor(listener: &UnixListener) -> io::Result<Option<UnixStream>> {
+    let stream = match listener.accept() {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+        accepted => accepted?.0,
+    };
+    stream.set_nonblocking(true)?;
+    let is_own = rustix::net::sockopt::socket_peercred(&stream)?.uid == rustix::process::geteuid();
+    Ok(is_own.then_some(stream))
+}
+
+/// Tells a starting process that nothing is handed over.
+///
+/// # Errors
+///
+/// The connection fails.
+pub fn refuse_successor(mut stream: &UnixStream, refusal: Refusal) -> io::Result<()> {
+    let answer = match refusal {
+        Refusal::Busy => REFUSED_BUSY,
+        Refusal::ShuttingDown => REFUSED_SHUTTING_DOWN,
+    };
+    stream.write_all(&[answer])
+}
+
+/// The state or a message as one line of JSON; empty if it cannot be encoded.
+fn encode(message: &impl Serialize) -> Vec<u8> {
+    let Ok(mut line) = serde_json::to_vec(message) else { return Vec::new() };
+    line.push(b'\n');
+    line
+}
+
 /// Sends the listener to a successor; the state follows on the same connection as ordinary bytes.
 ///
 /// # Errors
@@ -140,10 +236,14 @@
     connection: Option<ConnectionId>,
     /// Received bytes that have not been parsed; between two calls, the start of a line.
     unparsed: Vec<u8>,
+    /// The rest of the line at hand is discarded, as it is too long.
+    is_discarding: bool,
     /// Messages received and not yet processed by the request table.
     pub incoming: Vec<HandoverMessage>,
     /// The connection has been closed; reset by the request table when it has handled that.
     pub ended: bool,
+    /// The number of lines that were no message of this version, or too long.
+    pub unread: u64,
 }
 
 impl HandoverPeer {
@@ -156,42 +256,63 @@
     pub fn attach(&mut self, connection: ConnectionId) {
         self.connection = Some(connection);
         self.unparsed.clear();
+        self.is_discarding = false;
     }
 
-    /// Sends the state or a message as one line of JSON, if there is a connection.
+    /// Sends the state or a message, if there is a connection.
     pub fn send(&self, message: &impl Serialize, driver: &mut dyn ConnectionDriver) {
-        let Some(connection) = self.connection else { return };
-        let Ok(mut line) = serde_json::to_vec(message) else { return };
-        line.push(b'\n');
-        driver.send(connection, &line);
+        if let Some(connection) = self.connection {
+            driver.send(connection, &encode(message));
+        }
+    }
+
+    /// Closes the connection once all messages are sent.
+    pub fn disconnect(&mut self, driver: &mut dyn ConnectionDriver) {
+        if let Some(connection) = self.connection.take() {
+            driver.finish(connection, CloseReason::Terminated);
+        }
     }
 
-    /// Records the end of the connection for the request table, and logs why it ended.
-    fn disconnected(&mut self, why: &str) {
-        log!("handover-ended", "reason={why}");
-        (self.connection, self.ended) = (None, true);
+    /// Reads one line.
+    fn read_line(&mut self, line: &[u8]) {
+        match serde_json::from_slice(line) {
+            Ok(message) => self.incoming.push(message),
+            // Possibly a message of another version; later messages that can be read are still processed.
+            Err(error) => self.count_unread(&error.to_string()),
+        }
+    }
+
+    /// Counts a line that cannot be read; only the first one is logged.
+    fn count_unread(&mut self, reason: &str) {
+        self.unread += 1;
+        if self.unread == 1 {
+            log!("handover-unread", "reason={reason:?}");
+        }
     }
 }
 
 impl ConnectionHandler for HandoverPeer {
     fn connected(&mut self, _: ConnectionId, _: &mut dyn ConnectionDriver) {}
 
-    fn received(&mut self, connection: ConnectionId, input: &mut Vec<u8>, driver: &mut dyn ConnectionDriver) {
+    fn received(&mut self, _: ConnectionId, input: &mut Vec<u8>, _: &mut dyn ConnectionDriver) {
         self.unparsed.append(input);
+        let mut unparsed = std::mem::take(&mut self.unparsed);
         let mut parsed = 0;
-        while let Some(length) = self.unparsed[parsed..].iter().position(|byte| *byte == b'\n') {
-            match serde_json::from_slice(&self.unparsed[parsed..parsed + length]) {
-                Ok(message) => self.incoming.push(message),
-                // Possibly a message of another version; later messages that can be read are still processed.
-                Err(error) => log!("handover-unread", "reason={:?}", error.to_string()),
+        while let Some(length) = unparsed[parsed..].iter().position(|byte| *byte == b'\n') {
+            if !std::mem::take(&mut self.is_discarding) {
+                self.read_line(&unparsed[parsed..parsed + length]);
             }
             parsed += length + 1;
         }
-        drop(self.unparsed.drain(..parsed));
-        if self.unparsed.len() > MAX_LINE_BYTES {
-            driver.abort(connection, CloseReason::BadInput);
-            self.disconnected("line_too_long");
+        drop(unparsed.drain(..parsed));
+        if unparsed.len() > MAX_LINE_BYTES && !self.is_discarding {
+            self.is_discarding = true;
+            self.count_unread("line too long");
+        }
+        if self.is_discarding {
+            unparsed.clear();
         }
+        self.unparsed = unparsed;
     }
 
     fn closed(
@@ -203,7 +324,8 @@
         _: &mut dyn ConnectionDriver,
     ) {
         if self.connection == Some(connection) {
-            self.disconnected(reason.code());
+            log!("handover-ended", "reason={}", reason.code());
+            (self.connection, self.ended) = (None, true);
         }
     }
 
--- a/node/src/lifecycle/handover/messages.rs
+++ b/node/src/lifecycle/handover/messages.rs
@@ -34,6 +34,10 @@
     pub ids: Vec<String>,
     /// The text of the configuration in force.
     pub configuration: String,
+    /// Whether the sender serves on until its successor is ready, and then says that it has released all resources. A
+    /// process that does not send this has released them with the state.
+    #[serde(default)]
+    pub confirms: bool,
     /// By cold runner, the times and amounts of the work sent to it recently.
     #[serde(rename = "spent")]
     pub slow_start_usage: Vec<(String, Vec<(Micros, f64)>)>,
@@ -61,6 +65,8 @@
         #[serde(default)]
         calls: Vec<AdminCall>,
     },
+    /// What the two processes say about the upgrade itself.
+    Upgrade(topazsail_upgrade::Message),
     /// A list of runners that the sender has received from discovery.
     #[serde(rename = "list")]
     Roster(PassedRoster),
--- a/node/src/lifecycle/start.rs
+++ b/node/src/lifecycle/start.rs
@@ -11,7 +11,7 @@
 use topazsail_store::Disk;
 
 use crate::config::{self, LoadError};
-use crate::lifecycle::handover;
+use crate::lifecycle::handover::{self, Requested};
 use crate::lifecycle::signals::Signal;
 use crate::lifecycle::store_thread::StoreThread;
 use crate::lifecycle::transient_retry::retry_while;
@@ -20,7 +20,7 @@
 use crate::net::log::log;
 use crate::net::reactor::{FIRST_LISTENER_KEY, Listener, RELOAD_KEY, Reactor, TERMINATE_KEY};
 use crate::net::sockets::listen;
-use crate::request_table::RequestTable;
+use crate::request_table::{RequestTable, SocketChange};
 
 /// How long an ending process waits for the store to be written and closed.
 const STORE_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -68,7 +68,7 @@
     // process.
     let ignored = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(libc::SIGXFSZ, ignored).map_err(describe("signal"))?;
-    let (configuration, inherited) = load_and_inherit(path)?;
+    let Start { configuration, inherited, request_failed } = load_and_inherit(path)?;
     let locked_disk = if inherited.is_none() { lock_store(&configuration, open_disk)? } else { None };
     let addresses = [
         (ConnectionRole::Client, Some(configuration.listen)),
@@ -107,19 +107,18 @@
         }
         added.map_err(describe("poller"))?;
     }
-    if let Some(peers) = &configuration.peers {
-        retry_while(may_open_later, || reactor.open_datagram_socket(peers.listen))
-            .map_err(|error| format!("peers.listen {}: {error}", peers.listen))?;
+    let datagrams = configuration.peers.as_ref().map(|peers| peers.listen);
+    reactor.set_handover_addresses(handover::socket_path(configuration.listen), datagrams);
+    // A process that takes over from another one opens these sockets when that one has closed its own.
+    if let Some(address) = datagrams.filter(|_| inherited.is_none()) {
+        retry_while(may_open_later, || reactor.open_datagram_socket(address))
+            .map_err(|error| format!("peers.listen {address}: {error}"))?;
     }
     let admin = configuration.admin.map_or_else(|| "none".to_owned(), |address| address.to_string());
     let (listen, discovery) = (configuration.listen, configuration.discovery);
     log!("serving", "name={} listen={listen} discovery={discovery} admin={admin}", configuration.name);
-    // Bound only now, since this unlinks the socket of the process that served before: it must have handed
-    // over first.
-    if let Some(path) = handover::socket_path(listen)
-        && let Err(error) = reactor.open_successor_socket(path)
-    {
-        log!("handover-failed", "reason={:?}", error.to_string());
+    if inherited.is_none() {
+        reactor.change_sockets(SocketChange::OpenSuccessors);
     }
     let store_thread = match &configuration.store {
         None => None,
@@ -137,13 +136,16 @@
     let (predecessor, state) =
         inherited.map(|other| ((other.stream, other.following_bytes), other.state)).unzip();
     let mut table = RequestTable::new(configuration, state, store_thread, &mut reactor);
+    if request_failed {
+        table.note_failed_request();
+    }
     if let Some((stream, following_bytes)) = predecessor {
         let connection = reactor.add_peer_connection(stream, listen);
         table.attach_predecessor(connection, following_bytes, &mut reactor);
     }
     let run = reactor.run(&mut table, &listeners, (&terminate, &reload, path));
     run.map_err(describe("poller"))?;
-    let fatal = table.fatal_error();
+    let fatal = table.fatal_error().or_else(|| table.withdrawn_reason());
     table.close_store(reactor.clock(), STORE_CLOSE_TIMEOUT);
     if let Some(reason) = fatal {
         return Err(reason);
@@ -157,18 +159,39 @@
     errno::classify_open_error(error).is_transient()
 }
 
+/// What a process starts with.
+struct Start {
+    configuration: config::Configuration,
+    /// What the process that served has handed over.
+    inherited: Option<handover::Inherited>,
+    /// A process may serve, but has not handed over.
+    request_failed: bool,
+}
+
 /// Loads the configuration and requests a hand-over from a process that serves at the same address. If the
 /// file cannot be used, a new process continues with the configuration that the old process has in force.
 ///
 /// # Errors
 ///
-/// The configuration cannot be used, and no process has handed one over.
-fn load_and_inherit(path: &str) -> Result<(config::Configuration, Option<handover::Inherited>), String> {
+/// The configuration cannot be used, and no process has handed one over; or the process that serves is in another
+/// upgrade.
+fn load_and_inherit(path: &str) -> Result<Start, String> {
     let configuration = retry_while(LoadError::is_transient, || config::load(path));
     let listen =
         configuration.as_ref().map_or_else(|_| config::listen_from_env(), |loaded| Some(loaded.listen));
-    let inherited = listen.and_then(handover::socket_path).and_then(|path| handover::request_handover(&path));
-    let inherited = inherited.filter(|other| other.listener.local_addr().ok() == listen);
+    let requested = listen
+        .and_then(handover::socket_path)
+        .map_or(Requested::NotServed, |path| handover::request_handover(&path));
+    let (inherited, request_failed) = match requested {
+        Requested::Busy => {
+            return Err("the process that serves is in another upgrade: start this one later".to_owned());
+        }
+        Requested::Inherited(inherited) if inherited.listener.local_addr().ok() == listen => {
+            (Some(*inherited), false)
+        }
+        Requested::Inherited(_) | Requested::Failed => (None, true),
+        Requested::NotServed => (None, false),
+    };
     let configuration = match (configuration, &inherited) {
         (Err(error), Some(inherited)) => {
             log!("configuration-refused", "reason={:?}", error.to_string());
@@ -176,5 +199,5 @@
         }
         (configuration, _) => configuration?,
     };
-    Ok((configuration, inherited))
+    Ok(Start { configuration, inherited, request_failed })
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -61,6 +61,10 @@
     pub invocation_bytes: usize,
     /// Timers that are set.
     pub timers: usize,
+    /// Failures in upgrades of this process.
+    pub handover_failures: u64,
+    /// What the other process of an upgrade has sent that could not be read.
+    pub handover_unread: u64,
 }
 
 /// Further metrics in the same format, one `name=value` a line.
@@ -118,6 +122,8 @@
             ("load_errors", self.load_errors),
             ("repeated_callbacks", self.repeated_callbacks),
             ("unclear_callbacks", self.unclear_callbacks),
+            ("handover_failures", gauges.handover_failures),
+            ("handover_unread", gauges.handover_unread),
             ("log_lines_lost", log::lost_lines()),
         ];
         for (name, value) in plain {
--- a/node/src/net/connection.rs
+++ b/node/src/net/connection.rs
@@ -158,6 +158,8 @@
     Persist,
     /// Answer an operator whose call the disk has not stored in time, by the number of that write.
     PersistTimeout(u64),
+    /// Check the time in the state machine of an upgrade.
+    Upgrade,
 }
 
 /// Callbacks to the owner of connections.
--- a/node/src/net/reactor.rs
+++ b/node/src/net/reactor.rs
@@ -146,8 +146,8 @@
     host_failures: HostFailures,
     /// Until when a configuration that the host fails to read is retried.
     reload_deadline: Micros,
-    /// Whether the client listener accepts connections.
-    accepting: bool,
+    /// Roles of listeners that accept no connections now.
+    closed_roles: Vec<ConnectionRole>,
     /// The host was short of descriptors or memory in this iteration.
     short_of_descriptors: bool,
 }
@@ -180,7 +180,7 @@
             dials: Dials::default(),
             host_failures: HostFailures::default(),
             reload_deadline: 0,
-            accepting: true,
+            closed_roles: Vec::new(),
             short_of_descriptors: false,
         })
     }
@@ -201,6 +201,7 @@
         // The time that the start took is not a stall.
         self.now = self.clock.now();
         table.decide(self);
+        self.follow_upgrade(table, listeners);
         loop {
             // If the shutdown is complete, the loop ends unless this wait reports something, which is still
             // accepted and answered.
@@ -220,7 +221,7 @@
                 self.reload_deadline = self.now + RELOAD_RETRY_WINDOW;
                 self.read_configuration(table, path);
             }
-            if table.fatal_error().is_some() {
+            if table.fatal_error().is_some() || table.ends_early() {
                 return Ok(());
             }
             // A wait that was interrupted by a signal has not checked the sockets.
@@ -236,7 +237,7 @@
                     TERMINATE_KEY => terminate.drain(),
                     RELOAD_KEY => reload.drain(),
                     PEERS_KEY => self.receive_datagrams(table),
-                    SUCCESSOR_KEY => self.hand_over(table, listeners),
+                    SUCCESSOR_KEY => self.answer_successor(table, listeners),
                     key => match listeners.iter().find(|listener| listener.key == key) {
                         Some(listener) => self.accept(table, listener),
                         None => self.handle_event(key as ConnectionId, event, table),
@@ -253,16 +254,33 @@
             }
             table.decide(self);
             self.enforce_buffer_limit(table);
-            if table.take_service_resumed() {
-                self.reopen_handover_sockets();
+            self.follow_upgrade(table, listeners);
+        }
+    }
+
+    /// Changes the sockets and the listeners as an upgrade demands.
+    fn follow_upgrade(&mut self, table: &mut RequestTable, listeners: &[Listener]) {
+        for change in table.take_socket_changes() {
+            self.change_sockets(change);
+        }
+        for listener in listeners {
+            let (is_accepting, accepts) = (self.is_accepting(listener.role), table.accepts(listener.role));
+            if accepts == is_accepting {
+                continue;
             }
-            if table.accepts_connections() != self.accepting {
-                self.accepting = table.accepts_connections();
-                self.set_accepting(listener_of(listeners, ConnectionRole::Client), self.accepting);
+            self.closed_roles.retain(|role| *role != listener.role);
+            if !accepts {
+                self.closed_roles.push(listener.role);
             }
+            self.set_accepting(Some(listener), accepts);
         }
     }
 
+    /// Whether the listener of this role accepts connections, but for a pause.
+    fn is_accepting(&self, role: ConnectionRole) -> bool {
+        !self.closed_roles.contains(&role)
+    }
+
     /// Whether an event may be a request that still has to be answered. What the other process of an upgrade
     /// sends concerns open invocations only, and does not pause while it is under load.
     fn has_request_events(&self, events: &Events) -> bool {
@@ -287,7 +305,8 @@
     /// Whether no connection waits in the accept queue of clients, where it would be lost when the process
     /// ends. Those that wait are accepted.
     fn accept_queue_is_empty(&mut self, table: &mut RequestTable, listeners: &[Listener]) -> bool {
-        let listener = listener_of(listeners, ConnectionRole::Client).filter(|_| self.accepting);
+        let listener = listener_of(listeners, ConnectionRole::Client)
+            .filter(|_| self.is_accepting(ConnectionRole::Client));
         let Some(listener) = listener else { return true };
         let before = self.next_id;
         self.accept(table, listener);
@@ -377,10 +396,7 @@
                 }
             }
             Timer::ResumeAccepting(role) => {
-                self.set_accepting(
-                    listener_of(listeners, role),
-                    role != ConnectionRole::Client || self.accepting,
-                );
+                self.set_accepting(listener_of(listeners, role), self.is_accepting(role));
             }
             Timer::Register(id) => self.update_registration(id),
             timer => table.timer_fired(timer, self),
--- a/node/src/net/reactor/handover_sockets.rs
+++ b/node/src/net/reactor/handover_sockets.rs
@@ -1,8 +1,8 @@
 //! The sockets that a successor takes over: the one on which it asks for the hand-over, and the one for datagrams of
 //! other dispatchers.
 //!
-//! A successor removes the path of the first and binds its own there, and receives the datagrams from then on. If
-//! it ends before this process is to, both are opened again: the next successor has to find this process.
+//! A successor removes the path of the first and binds its own there, and receives the datagrams once this process
+//! has closed its socket. If the successor ends first, both are opened again: the next one has to find this process.
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -10,13 +10,14 @@
 use std::path::PathBuf;
 
 use polling::{AsRawSource, Event, PollMode, Poller};
+use topazsail_upgrade::Event as UpgradeEvent;
 
 use super::{Listener, PEERS_KEY, Reactor, SUCCESSOR_KEY, listener_of};
 use crate::lifecycle::handover;
 use crate::net::connection::{Connection, ConnectionId, ConnectionRole};
 use crate::net::log::log;
 use crate::net::sockets::bind_datagram_socket;
-use crate::request_table::RequestTable;
+use crate::request_table::{RequestTable, SocketChange};
 
 /// The sockets that a successor takes over, and where they are bound.
 #[derive(Default)]
@@ -42,12 +43,19 @@
 }
 
 impl Reactor {
+    /// Sets where the sockets are opened once this process has taken over from another one.
+    pub fn set_handover_addresses(&mut self, successors: Option<PathBuf>, datagrams: Option<SocketAddr>) {
+        let sockets = &mut self.handover_sockets;
+        (sockets.successors_path, sockets.datagram_address) = (successors, datagrams);
+    }
+
     /// Opens the socket for datagrams of other dispatchers at this address.
     ///
     /// # Errors
     ///
     /// A system call fails, for example because the address is in use.
     pub fn open_datagram_socket(&mut self, address: SocketAddr) -> io::Result<()> {
+        self.close_datagram_socket();
         let socket = bind_datagram_socket(address)?;
         register(&self.poller, &socket, PEERS_KEY)?;
         let sockets = &mut self.handover_sockets;
@@ -72,15 +80,29 @@
         Ok(())
     }
 
-    /// Opens again what a successor has taken over that has ended.
-    pub(super) fn reopen_handover_sockets(&mut self) {
-        let log_failure =
-            |error: io::Error| log!("handover-failed", "reason={:?}", format!("not open again: {error}"));
-        if let Some(path) = self.handover_sockets.successors_path.clone() {
-            self.open_successor_socket(path).unwrap_or_else(log_failure);
+    fn close_datagram_socket(&mut self) {
+        if let Some(socket) = self.handover_sockets.datagrams.take() {
+            let _ = self.poller.delete(&socket);
         }
-        if let Some(address) = self.handover_sockets.datagram_address {
-            self.open_datagram_socket(address).unwrap_or_else(log_failure);
+    }
+
+    /// Makes a change of these sockets that the request table asks for.
+    pub fn change_sockets(&mut self, change: SocketChange) {
+        let sockets = &self.handover_sockets;
+        let changed = match change {
+            SocketChange::OpenSuccessors => {
+                sockets.successors_path.clone().map_or(Ok(()), |path| self.open_successor_socket(path))
+            }
+            SocketChange::OpenDatagrams => {
+                sockets.datagram_address.map_or(Ok(()), |address| self.open_datagram_socket(address))
+            }
+            SocketChange::CloseDatagrams => {
+                self.close_datagram_socket();
+                Ok(())
+            }
+        };
+        if let Err(error) = changed {
+            log!("handover-failed", "reason={:?}", format!("socket not opened: {error}"));
         }
     }
 
@@ -89,13 +111,20 @@
         self.add_new(Connection::new(stream.into(), ConnectionRole::Peer, listen, false, self.now))
     }
 
-    /// Passes the client listener to a successor that has connected, and has the request table send its state.
-    pub(super) fn hand_over(&mut self, table: &mut RequestTable, listeners: &[Listener]) {
-        let successor = self.handover_sockets.successors.as_ref().map(UnixListener::accept);
-        let Some(Ok((stream, _))) = successor else { return };
+    /// Passes the client listener to a successor that has connected, and has the request table send its state;
+    /// or refuses.
+    pub(super) fn answer_successor(&mut self, table: &mut RequestTable, listeners: &[Listener]) {
+        let Some(successors) = &self.handover_sockets.successors else { return };
+        let stream = match handover::accept_successor(successors) {
+            Ok(Some(stream)) => stream,
+            Ok(None) => return,
+            Err(error) => return log!("handover-failed", "reason={:?}", error.to_string()),
+        };
         let Some(listener) = listener_of(listeners, ConnectionRole::Client) else { return };
-        if !table.can_hand_over() {
-            return log!("handover-failed", "reason=\"going down, or at it already\"");
+        if let Err(refusal) = table.answer_successor(self) {
+            // One that has ended meanwhile needs no answer.
+            let _ = handover::refuse_successor(&stream, refusal);
+            return;
         }
         let sent =
             handover::send_listener(&stream, &listener.socket).and_then(|()| listener.socket.local_addr());
@@ -103,12 +132,11 @@
             Ok(listen) => {
                 let id = self.add_peer_connection(stream, listen);
                 table.hand_over(id, self);
-                // From now on the other dispatchers talk to the new process.
-                if let Some(socket) = self.handover_sockets.datagrams.take() {
-                    let _ = self.poller.delete(&socket);
-                }
             }
-            Err(error) => log!("handover-failed", "reason={:?}", error.to_string()),
+            Err(error) => {
+                log!("handover-failed", "reason={:?}", error.to_string());
+                table.handle_upgrade_event(UpgradeEvent::OfferFailed, self);
+            }
         }
     }
 }
--- a/node/src/request_table.rs
+++ b/node/src/request_table.rs
@@ -11,7 +11,6 @@
 mod connection_room;
 mod invocation_memory;
 mod operator_calls;
-mod overlap_calls;
 mod peer_exchange;
 mod persistence;
 mod settings;
@@ -119,7 +118,9 @@
 pub use peer_exchange::PeerExchange;
 pub use persistence::Persistence;
 use settings::{adapt_settings, operation_values, overload_retry_after};
-use upgrade::{Overlap, Upgrade};
+use topazsail_upgrade::{Event as UpgradeEvent, Role};
+pub use upgrade::SocketChange;
+use upgrade::UpgradeProgress;
 
 /// The open invocations, the routing policy and the parts of the node that carry out its actions.
 pub struct RequestTable {
@@ -160,7 +161,7 @@
     /// Connection to the other process of an upgrade.
     handover_peer: HandoverPeer,
     /// The state of an upgrade.
-    upgrade: Upgrade,
+    upgrade: UpgradeProgress,
     /// Limits on sockets and on bytes of memory, shared with the other process during an upgrade.
     resource_limits: (usize, usize),
     /// The limits on connections that follow from the descriptors.
@@ -228,7 +229,7 @@
             is_starting: false,
             longest_client_timeout: decoded.longest_client_timeout,
             handover_peer: HandoverPeer::default(),
-            upgrade: Upgrade::default(),
+            upgrade: UpgradeProgress::default(),
             resource_limits: (configuration.max_sockets, configuration.memory_bytes),
             connection_limits: ConnectionLimits::default(),
             dispatcher_count,
@@ -309,7 +310,7 @@
             Timer::Invocation(id) => self.handle_deadline(&id, driver),
             Timer::Cancel(id, number) => self.cancel(&id, number, driver),
             Timer::Shutdown => self.advance_shutdown(driver),
-            Timer::ColdRunnerPause if self.upgrade.overlap != Some(Overlap::Successor) => {
+            Timer::ColdRunnerPause if self.upgrade.other() != Some(Role::Successor) => {
                 self.pause_cold_runners(Micros::MIN, driver)
             }
             Timer::ColdRunnerPause => {}
@@ -324,6 +325,7 @@
             Timer::Persist => self.store_roster(),
             Timer::PeerRound => self.run_peer_round(driver),
             Timer::PersistTimeout(ticket) => self.time_out_stored_call(ticket, driver),
+            Timer::Upgrade => self.handle_upgrade_event(UpgradeEvent::TimerFired, driver),
             Timer::Connection(_)
             | Timer::Finish(_)
             | Timer::ResumeAccepting(_)
--- a/node/src/request_table/connection_room.rs
+++ b/node/src/request_table/connection_room.rs
@@ -4,7 +4,9 @@
 //! They have a share of the descriptors: above it, idle ones to runners are closed before those of clients,
 //! which may be about to carry a request.
 
-use super::{Overlap, RequestTable};
+use topazsail_upgrade::Role;
+
+use super::RequestTable;
 use crate::net::connection::{ConnectionDriver, ConnectionRole};
 use crate::net::log::log;
 use crate::net::memory::MemoryShares;
@@ -42,10 +44,10 @@
     /// predecessor's open connections and an eighth for its forwards.
     pub(super) fn apply_resource_limits(&mut self) {
         let (sockets, memory) = self.resource_limits;
-        let (sockets, memory) = match self.upgrade.overlap {
+        let (sockets, memory) = match self.upgrade.other() {
             None => (sockets, memory),
-            Some(Overlap::Successor) => (sockets / 2, memory / 2),
-            Some(Overlap::Predecessor) => (
+            Some(Role::Successor) => (sockets / 2, memory / 2),
+            Some(Role::Predecessor) => (
                 (sockets / 2).max(sockets.saturating_sub(self.upgrade.predecessor_connections + sockets / 8)),
                 memory / 2,
             ),
--- a/node/src/request_table/operator_calls.rs
+++ b/node/src/request_table/operator_calls.rs
@@ -3,7 +3,6 @@
 use topazsail::{Event, Listing, Roster as RosterUpdate};
 use topazsail_recovery::Stage;
 
-use super::upgrade::Overlap;
 use super::{PeerExchange, Persistence, RequestTable};
 use crate::ingress::operators::Call;
 use crate::metrics::{self, Gauges};
@@ -20,14 +19,7 @@
     ) {
         let answer = match call {
             Call::Status if self.shutdown_since.is_some() => "NO going down\n".to_owned(),
-            Call::Status => match &self.persistence {
-                None => "YES\n".to_owned(),
-                Some(persistence) => {
-                    let ready = if persistence.stage() < Stage::Listed { "NO" } else { "YES" };
-                    let peers = self.peer_exchange.as_ref().map(PeerExchange::status).unwrap_or_default();
-                    format!("{ready} {}{peers}\n", persistence.status())
-                }
-            },
+            Call::Status => self.status(),
             Call::Stats => {
                 let (known_runners, out) = self.membership.count();
                 let buffers = driver.buffer_use();
@@ -41,6 +33,8 @@
                     released_buffers: buffers.released,
                     timers: buffers.timers,
                     invocation_bytes: self.invocation_bytes,
+                    handover_failures: self.upgrade.failures,
+                    handover_unread: self.handover_peer.unread,
                 };
                 let store_metrics = self.persistence.as_ref().map(Persistence::metrics).unwrap_or_default();
                 let peer_metrics = self.peer_exchange.as_ref().map(PeerExchange::metrics).unwrap_or_default();
@@ -61,7 +55,7 @@
                     self.pass_admin_override(&id, out, driver);
                     match self.persistence {
                         None => "YES\n".to_owned(),
-                        Some(_) if self.upgrade.overlap == Some(Overlap::Successor) => {
+                        Some(_) if self.upgrade.has_released() => {
                             "NO another process takes over: call that one\n".to_owned()
                         }
                         Some(_) => {
@@ -79,6 +73,15 @@
         self.operators.answer(connection, &answer, driver);
     }
 
+    /// Whether this process serves, and what an operator has to know of its store, peers and upgrades.
+    fn status(&self) -> String {
+        let handover = if self.upgrade.failures > 0 { " handover=failed" } else { "" };
+        let Some(persistence) = &self.persistence else { return format!("YES{handover}\n") };
+        let ready = if persistence.stage() < Stage::Listed { "NO" } else { "YES" };
+        let peers = self.peer_exchange.as_ref().map(PeerExchange::status).unwrap_or_default();
+        format!("{ready} {}{peers}{handover}\n", persistence.status())
+    }
+
     /// Applies an admin override. Once this returns, nothing new goes to a runner that is out, including
     /// forwards that wait for a connection. Fails with the reason if the runner is unknown.
     pub(super) fn set_maintenance(
--- a/node/src/request_table/shutdown.rs
+++ b/node/src/request_table/shutdown.rs
@@ -2,6 +2,7 @@
 //! dispatchers.
 
 use topazsail::{Id, Micros};
+use topazsail_upgrade::Event as UpgradeEvent;
 
 use super::{FINAL_ANSWER_TIMEOUT, RequestTable};
 use crate::net::connection::{ConnectionDriver, Timer};
@@ -34,6 +35,7 @@
             self.runners.open_connections()
         );
         self.shutdown_since = Some(now);
+        self.handle_upgrade_event(UpgradeEvent::ShutdownBegan, driver);
         self.clients.set_ready(false);
         driver.set_timer(Timer::Shutdown, now + self.shutdown_spans().0);
     }
--- a/node/tests/helper/mod.rs
+++ b/node/tests/helper/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 use std::env;
+pub mod upgrade_site;
+
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -8,11 +8,12 @@
 use expect_test::{Expect, expect};
 use serde_json::json;
 use topazsail::{DeduplicationScope, Effect, Id, Listing, Micros, Readiness, RosterEntry};
+use topazsail_upgrade::Refusal;
 
 use crate::config;
 use crate::ingress::clients::{ClientEvent, Clients, JobState};
 use crate::ingress::operations::Operations;
-use crate::lifecycle::handover;
+use crate::lifecycle::handover::{self, Requested};
 use crate::net::connection::{
     CloseReason, ConnectionDriver, ConnectionHandler, ConnectionId, ConnectionRole, Timer, TimerKey,
 };
@@ -231,6 +232,7 @@
     ) -> Node {
         predecessor.driver.roles.insert(connection, ConnectionRole::Peer);
         predecessor.driver.inputs.insert(connection, Vec::new());
+        predecessor.table.answer_successor(&mut predecessor.driver).unwrap();
         predecessor.table.hand_over(connection, &mut predecessor.driver);
         predecessor.run_until_idle();
         meanwhile(predecessor);
@@ -245,6 +247,9 @@
         node.driver.roles.insert(connection, ConnectionRole::Peer);
         node.table.attach_predecessor(connection, later_text.as_bytes().to_vec(), &mut node.driver);
         node.run_until_idle();
+        // The successor says that it is ready, and gets all resources.
+        node.relay_messages(connection, predecessor);
+        predecessor.relay_messages(connection, &mut node);
         node
     }
 
@@ -1915,6 +1920,8 @@
         edge_relay.load_errors=1
         edge_relay.repeated_callbacks=0
         edge_relay.unclear_callbacks=0
+        edge_relay.handover_failures=0
+        edge_relay.handover_unread=0
         edge_relay.log_lines_lost=0
         edge_relay.host_failed_accepts=0
         edge_relay.host_failed_dials=0
@@ -2153,6 +2160,8 @@
         edge_relay.load_errors=0
         edge_relay.repeated_callbacks=0
         edge_relay.unclear_callbacks=0
+        edge_relay.handover_failures=0
+        edge_relay.handover_unread=0
         edge_relay.log_lines_lost=0
         edge_relay.host_failed_accepts=0
         edge_relay.host_failed_dials=0
@@ -2206,11 +2215,10 @@
 fn an_upgrade_loses_no_state() {
     let mut old = Node::with_accepted_forward("plan");
     old.call("maint-on s-a");
-    assert!(old.table.accepts_connections() && old.table.can_hand_over());
+    assert!(old.table.accepts(ConnectionRole::Client));
     let mut new = Node::successor(&mut old, PEER);
-    assert!(
-        !old.table.accepts_connections() && !old.table.can_hand_over() && new.table.accepts_connections()
-    );
+    assert_eq!(old.table.answer_successor(&mut old.driver), Err(Refusal::Busy));
+    assert!(!old.table.accepts(ConnectionRole::Client) && new.table.accepts(ConnectionRole::Client));
     old.driver.trace.clear();
     // The roster continues from where the old process had it; a runner in maintenance stays out.
     new.invoke("plan", "i2");
@@ -2310,7 +2318,7 @@
     // The successor is gone: the old process resumes, with new connections at once and cold runners after a
     // pause.
     old.close(PEER, CloseReason::Reset);
-    assert!(old.table.accepts_connections());
+    assert!(old.table.accepts(ConnectionRole::Client));
     old.advance(2100);
     old.invoke("plan", "i7");
     assert!(old.driver.trace.contains("POST"));
@@ -2399,6 +2407,8 @@
         edge_relay.load_errors=5
         edge_relay.repeated_callbacks=0
         edge_relay.unclear_callbacks=0
+        edge_relay.handover_failures=0
+        edge_relay.handover_unread=0
         edge_relay.log_lines_lost=0
         edge_relay.host_failed_accepts=0
         edge_relay.host_failed_dials=0
@@ -2473,19 +2483,19 @@
     let folder = std::env::temp_dir().join(format!("topazsail-handover-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let path = folder.join("one.sock");
-    assert!(handover::request_handover(&path).is_none());
+    assert!(matches!(handover::request_handover(&path), Requested::NotServed));
     drop(handover::bind_successor_socket(&path).unwrap());
-    assert!(handover::request_handover(&path).is_none());
+    assert!(matches!(handover::request_handover(&path), Requested::NotServed));
     // A leftover file is replaced; a process whose connection is not accepted waits for a second at most.
     let silent = handover::bind_successor_socket(&path).unwrap();
     let before = std::time::Instant::now();
-    assert!(handover::request_handover(&path).is_none());
+    assert!(matches!(handover::request_handover(&path), Requested::Failed));
     assert!(before.elapsed() < std::time::Duration::from_secs(20));
     let _ = silent.accept().unwrap();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let successor = {
         let path = path.clone();
-        std::thread::spawn(move || handover::request_handover(&path).is_none())
+        std::thread::spawn(move || matches!(handover::request_handover(&path), Requested::Failed))
     };
     silent.set_nonblocking(false).unwrap();
     let (mut stream, _) = silent.accept().unwrap();
@@ -2495,7 +2505,10 @@
     // A process that has handed over sends messages right away.
     let successor = {
         let path = path.clone();
-        std::thread::spawn(move || handover::request_handover(&path).unwrap().following_bytes)
+        std::thread::spawn(move || match handover::request_handover(&path) {
+            Requested::Inherited(inherited) => inherited.following_bytes,
+            _ => panic!("nothing was handed over"),
+        })
     };
     let (mut stream, _) = silent.accept().unwrap();
     handover::send_listener(&stream, &listener).unwrap();
--- a/node/src/request_table/overlap_calls.rs
+++ b/upgrade/src/overrides.rs
@@ -7,11 +7,8 @@
 
 use std::collections::BTreeMap;
 
-use topazsail_peers::AdminCall;
-
-use crate::lifecycle::handover::HandoverMessage;
-
 /// The last override of a runner that was sent to the other process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct SentOverride {
     /// How many overrides had been sent with it, of all runners.
     number: u64,
@@ -20,24 +17,25 @@
 }
 
 /// The admin overrides that were passed between the two processes since the hand-over.
-#[derive(Default)]
-pub(super) struct OverlapCalls {
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct OverrideOrder {
     sent: u64,
     received: u64,
     last_sent: BTreeMap<String, SentOverride>,
 }
 
-impl OverlapCalls {
-    /// The message that tells the other process of an override, with the calls behind it.
-    pub(super) fn send(&mut self, id: &str, out: bool, calls: Vec<AdminCall>) -> HandoverMessage {
+impl OverrideOrder {
+    /// Records an override that is sent to the other process. Returns how many of the other one's had been received
+    /// by then, which the message has to say.
+    pub fn send(&mut self, id: &str, out: bool) -> u64 {
         self.sent += 1;
         self.last_sent.insert(id.to_owned(), SentOverride { number: self.sent, out });
-        HandoverMessage::AdminOverride { id: id.to_owned(), out, seen: self.received, calls }
+        self.received
     }
 
     /// Records an override from the other process, which had received `seen` of this process's by then.
     /// Returns whether it applies.
-    pub(super) fn receive(&mut self, id: &str, out: bool, seen: u64) -> bool {
+    pub fn receive(&mut self, id: &str, out: bool, seen: u64) -> bool {
         self.received += 1;
         let made_apart = self.last_sent.get(id).filter(|sent| sent.number > seen);
         out || made_apart.is_none_or(|sent| !sent.out)
