Upgrade: a start in the moment of a kill asks again while a process listens

What callers saw: a process that was started right after the new process of an upgrade had been killed, before the old one noticed, started from nothing beside it: a runner in maintenance, to which YES had been said, got work.

Cause: the path for successors is the killed one's until the old process binds its own there again; a refused connection was taken for "nobody serves".

Change: if nobody answers at the path, the address for clients is tried. While a process listens there, the starting one asks again, for 1 s at most.

Measured: a_process_that_is_started_in_the_moment_of_a_kill_takes_over, three kills while the old process is stopped: red before, green after.

Ruled out: waiting after every refused connection; a restart after a crash would be delayed though nobody serves.

--- a/node/src/lifecycle/handover.rs
+++ b/node/src/lifecycle/handover.rs
@@ -7,7 +7,7 @@
 
 use std::io::{self, IoSlice, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -35,7 +35,9 @@
 /// How long a starting process asks again while the serving one is in another upgrade.
 const BUSY_TIMEOUT: Duration = Duration::from_secs(4);
 /// The pause before it asks again.
-const BUSY_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// How long it waits for a connection to a listener of this host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// The longest accepted line: the state, or a message after it, of which a list of runners is the longest.
 const MAX_LINE_BYTES: usize = 8 << 20;
 /// The version of the protocol, sent together with the descriptor. Other versions are rejected.
@@ -88,35 +90,47 @@
     }
 }
 
-/// Requests a hand-over from the serving process, again while that is in another upgrade.
-pub fn request_handover(path: &Path) -> Requested {
-    let deadline = Instant::now() + BUSY_TIMEOUT;
+/// Requests a hand-over from the process that serves at `listen`: again while that is in another upgrade, and while
+/// some process has the listener but none answers at the path, as the one that did has just ended.
+pub fn request_handover(path: &Path, listen: SocketAddr) -> Requested {
+    let started = Instant::now();
     loop {
-        let connected = match UnixStream::connect(path) {
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return Requested::NotServed,
-            connected => connected,
-        };
-        // The file of a process that was killed.
-        let is_leftover =
-            connected.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+        let connected = UnixStream::connect(path);
+        // No file, or that of a process that was killed.
+        let is_unanswered = connected.as_ref().is_err_and(|error| {
+            matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused)
+        });
+        if is_unanswered && !is_listening(listen) {
+            return Requested::NotServed;
+        }
+        let patience = if is_unanswered { HANDOVER_TIMEOUT } else { BUSY_TIMEOUT };
         match connected.map_err(RequestError::Io).and_then(receive_handover) {
             Ok(inherited) => return Requested::Inherited(Box::new(inherited)),
-            Err(RequestError::Refused(Refusal::Busy)) if Instant::now() < deadline => {
-                sleep(BUSY_RETRY_INTERVAL);
-            }
-            Err(RequestError::Refused(Refusal::Busy)) => return Requested::Busy,
             Err(RequestError::Refused(Refusal::ShuttingDown)) => {
                 log!("handover-failed", "reason=\"the other process is shutting down\"");
                 return Requested::NotServed;
             }
-            Err(RequestError::Io(error)) => {
+            Err(RequestError::Io(error)) if !is_unanswered || started.elapsed() >= patience => {
                 log!("handover-failed", "reason={:?}", error.to_string());
-                return if is_leftover { Requested::NotServed } else { Requested::Failed };
+                return Requested::Failed;
+            }
+            Err(RequestError::Refused(Refusal::Busy)) if started.elapsed() >= patience => {
+                return Requested::Busy;
             }
+            Err(_) => sleep(RETRY_INTERVAL),
         }
     }
 }
 
+/// Whether some process has a listener at this address.
+fn is_listening(listen: SocketAddr) -> bool {
+    match TcpStream::connect_timeout(&listen, CONNECT_TIMEOUT) {
+        Ok(_) => true,
+        // The accept queue of a process that does not accept is full.
+        Err(error) => error.kind() == io::ErrorKind::TimedOut,
+    }
+}
+
 /// Receives the listener and the state.
 fn receive_handover(mut stream: UnixStream) -> Result<Inherited, RequestError> {
     // A process that refuses may have closed the connection already: its answer is read all the same.
--- a/node/src/lifecycle/start.rs
+++ b/node/src/lifecycle/start.rs
@@ -179,9 +179,9 @@
     let configuration = retry_while(LoadError::is_transient, || config::load(path));
     let listen =
         configuration.as_ref().map_or_else(|_| config::listen_from_env(), |loaded| Some(loaded.listen));
-    let requested = listen
-        .and_then(handover::socket_path)
-        .map_or(Requested::NotServed, |path| handover::request_handover(&path));
+    let path_and_address = listen.and_then(|listen| Some((handover::socket_path(listen)?, listen)));
+    let requested = path_and_address
+        .map_or(Requested::NotServed, |(path, listen)| handover::request_handover(&path, listen));
     let (inherited, request_failed) = match requested {
         Requested::Busy => {
             return Err("the process that serves is in another upgrade: start this one later".to_owned());
--- a/node/tests/traces.rs
+++ b/node/tests/traces.rs
@@ -2483,19 +2483,21 @@
     let folder = std::env::temp_dir().join(format!("topazsail-handover-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let path = folder.join("one.sock");
-    assert!(matches!(handover::request_handover(&path), Requested::NotServed));
+    // The first port is never listened on.
+    let unused = SocketAddr::from(([127, 0, 0, 1], 1));
+    assert!(matches!(handover::request_handover(&path, unused), Requested::NotServed));
     drop(handover::bind_successor_socket(&path).unwrap());
-    assert!(matches!(handover::request_handover(&path), Requested::NotServed));
+    assert!(matches!(handover::request_handover(&path, unused), Requested::NotServed));
     // A leftover file is replaced; a process whose connection is not accepted waits for a second at most.
     let silent = handover::bind_successor_socket(&path).unwrap();
     let before = std::time::Instant::now();
-    assert!(matches!(handover::request_handover(&path), Requested::Failed));
+    assert!(matches!(handover::request_handover(&path, unused), Requested::Failed));
     assert!(before.elapsed() < std::time::Duration::from_secs(20));
     let _ = silent.accept().unwrap();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let successor = {
         let path = path.clone();
-        std::thread::spawn(move || matches!(handover::request_handover(&path), Requested::Failed))
+        std::thread::spawn(move || matches!(handover::request_handover(&path, unused), Requested::Failed))
     };
     silent.set_nonblocking(false).unwrap();
     let (mut stream, _) = silent.accept().unwrap();
@@ -2505,7 +2507,7 @@
     // A process that has handed over sends messages right away.
     let successor = {
         let path = path.clone();
-        std::thread::spawn(move || match handover::request_handover(&path) {
+        std::thread::spawn(move || match handover::request_handover(&path, unused) {
             Requested::Inherited(inherited) => inherited.following_bytes,
             _ => panic!("nothing was handed over"),
         })
--- a/node/tests/upgrade_failures.rs
+++ b/node/tests/upgrade_failures.rs
@@ -181,3 +181,24 @@
     }
     serving.assert_can_be_upgraded();
 }
+
+/// Guards against a process that starts from nothing beside one that serves, as the successor of that one has just
+/// been killed and it has not noticed yet.
+#[test]
+fn a_process_that_is_started_in_the_moment_of_a_kill_takes_over() {
+    let serving = Serving::start(147);
+    let [_, admin] = serving.site.admins;
+    assert_eq!(admin_command(serving.site.admins[0], "maint-on s-a"), "YES\n");
+    for _ in 0..3 {
+        let (killed, watch) = serving.site.start_second();
+        send_signal(&serving.first, "STOP");
+        drop((killed, watch));
+        let next = start(&serving.site.folder, serving.site.listen, Some(admin));
+        thread::sleep(Duration::from_millis(300));
+        send_signal(&serving.first, "CONT");
+        let watch = Watch::new(accept_watch_since(&serving.site.discovery, 1));
+        assert!(admin_command(admin, "stats").contains("skipped_runners=1\n"));
+        drop((next, watch));
+        admin_command_until(serving.site.admins[0], "stats", "skipped_runners=1\n");
+    }
+}
--- a/upgrade/src/state.rs
+++ b/upgrade/src/state.rs
@@ -289,7 +289,8 @@
             Phase::Released { .. } => {
                 self.phase = Phase::Alone;
                 if self.is_shutting_down {
-                    return Vec::new();
+                    // Those who connect until it ends are answered so.
+                    return vec![Action::Take(Resource::Accepting)];
                 }
                 let mut actions = take_all();
                 actions.push(Action::ResumeColdRunners { served: true });
