Upgrade: the old process shares its sockets once the successor accepts

Change: the half counts from the release on; the successor has no clients before that.

Ruled out: telling the policy of cold runners only (no difference; not kept).

--- a/node/src/request_table/connection_room.rs
+++ b/node/src/request_table/connection_room.rs
@@ -40,12 +40,14 @@
 
 impl RequestTable {
     /// Applies the resource limits. During an upgrade both processes share them, half each, except for
-    /// descriptors: the predecessor accepts no connections any more, so the successor may use all but the
-    /// predecessor's open connections and an eighth for its forwards.
+    /// descriptors: the predecessor accepts no connections once its successor does, so the successor may use all but
+    /// the predecessor's open connections and an eighth for its forwards.
     pub(super) fn apply_resource_limits(&mut self) {
         let (sockets, memory) = self.resource_limits;
         let (sockets, memory) = match self.upgrade.other() {
             None => (sockets, memory),
+            // The successor has no clients yet.
+            Some(Role::Successor) if !self.upgrade.has_released() => (sockets, memory / 2),
             Some(Role::Successor) => (sockets / 2, memory / 2),
             Some(Role::Predecessor) => (
                 (sockets / 2).max(sockets.saturating_sub(self.upgrade.predecessor_connections + sockets / 8)),
--- a/node/src/request_table/upgrade.rs
+++ b/node/src/request_table/upgrade.rs
@@ -160,10 +160,9 @@
 
     /// Passes an event on to the state machine of the upgrade, and carries out what it asks for.
     pub fn handle_upgrade_event(&mut self, event: UpgradeEvent, driver: &mut dyn ConnectionDriver) {
-        let other = self.upgrade.other();
         let actions = self.upgrade.core.handle(driver.now(), event);
-        self.carry_out(actions, driver);
-        if self.upgrade.other() != other {
+        if !actions.is_empty() {
+            self.carry_out(actions, driver);
             self.apply_resource_limits();
         }
     }
--- a/upgrade/tests/explorer.rs
+++ b/upgrade/tests/explorer.rs
@@ -516,12 +516,11 @@
     /// Checks that connections are accepted while some process is stopped, and that a process whose successor is
     /// stopped before it serves can hand over to another one.
     fn check_accepting(&self) {
-        let still_offers = |process: &Process| {
-            process.is_active() && process.upgrade.other() == Some(Role::Successor) && process.accepts()
+        let offers = |process: &Process| {
+            process.upgrade.other() == Some(Role::Successor) && !process.upgrade.has_released()
         };
-        let is_offering =
-            self.processes.iter().any(|process| still_offers(process) && !process.upgrade.has_released());
-        assert!(!is_offering, "a successor that is stopped is waited for");
+        let still_offers = self.processes.iter().any(|process| process.is_active() && offers(process));
+        assert!(!still_offers, "a successor that is stopped is waited for");
         let mut running = self.processes.iter().filter(|process| process.is_active());
         let accepts = running.clone().any(|process| process.accepts());
         assert!(accepts || running.all(|process| process.is_shutting_down), "no process accepts connections");
